--- a/src/bench/configFleet.ts
+++ b/src/bench/configFleet.ts
@@ -13,7 +13,7 @@
 } from "../config/index.js";
 import { createMembershipTask, type MembershipTask } from "../membership/index.js";
 import type { PeerBodies, PeerNetwork, PeerTopic } from "../peers/index.js";
-import type { ListedEngine, ListedInstance, LogService } from "../platform/index.js";
+import type { ListedEngine, ListedInstance, LogService } from "../backends/index.js";
 import { createSeededRandom, type InstanceId, type Milliseconds } from "../shared/index.js";
 import { createRecordCodec } from "../streams/index.js";
 import {
--- a/src/bench/placement/baselines.ts
+++ b/src/bench/placement/baselines.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import { formatAdapterName } from "../../platform/index.js";
+import { formatAdapterName } from "../../backends/index.js";
 import { type Milliseconds, rankByRendezvous } from "../../shared/index.js";
 import type { FoundPlace, PlacementPolicy, PolicyContext } from "./scenario.js";
 import { type Arrival, engineSize } from "./workload.js";
--- a/src/bench/placement/decisionCosts.ts
+++ b/src/bench/placement/decisionCosts.ts
@@ -7,7 +7,7 @@
 import { createEngineTables } from "../../placement/engineTables.js";
 import { defaultPlacementTimes } from "../../placement/index.js";
 import { createPlanner } from "../../placement/plannerDecisions.js";
-import type { ListedEngine } from "../../platform/index.js";
+import type { ListedEngine } from "../../backends/index.js";
 import { chooseEngine } from "../../routing/index.js";
 import { createSeededRandom } from "../../shared/index.js";
 import type { BenchLine } from "../harness.js";
--- a/src/bench/placement/engineFleet.ts
+++ b/src/bench/placement/engineFleet.ts
@@ -4,8 +4,8 @@
  *
  * @packageDocumentation
  */
-import type { AdapterOrder, BackendError, EngineReport, GenerationRequest, OrderError } from "../../platform/index.js";
-import { formatAdapterName } from "../../platform/index.js";
+import type { AdapterOrder, BackendError, EngineReport, GenerationRequest, OrderError } from "../../backends/index.js";
+import { formatAdapterName } from "../../backends/index.js";
 import { type Milliseconds, type Result, wrapValue } from "../../shared/index.js";
 import {
     createEngineModel,
--- a/src/bench/placement/placementFleet.ts
+++ b/src/bench/placement/placementFleet.ts
@@ -18,7 +18,7 @@
     type PlacementRequest,
     type PlacementTimes,
 } from "../../placement/index.js";
-import type { ListedEngine, OrderError } from "../../platform/index.js";
+import type { ListedEngine, OrderError } from "../../backends/index.js";
 import { type InstanceId, type Milliseconds, type Result, wrapError } from "../../shared/index.js";
 import type { History } from "../../testing/index.js";
 import type { EngineFleet } from "./engineFleet.js";
--- a/src/bench/placement/scenario.ts
+++ b/src/bench/placement/scenario.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { PlacementMessage } from "../../placement/index.js";
-import type { AdapterReference, EngineIncarnation } from "../../platform/index.js";
+import type { AdapterReference, EngineIncarnation } from "../../backends/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../../shared/index.js";
 import { createWeightStoreModel, type EngineRecord } from "../../standins/index.js";
 import { createHistory, type History } from "../../testing/index.js";
--- a/src/bench/relay/relayPath.ts
+++ b/src/bench/relay/relayPath.ts
@@ -15,7 +15,7 @@
     createServiceHttpClient,
     type ListedBackendServer,
     type ListedInstance,
-} from "../../platform/index.js";
+} from "../../backends/index.js";
 import { createRequestsTask } from "../../requests/index.js";
 import { type Clock, createSeededRandom, wrapError, wrapValue } from "../../shared/index.js";
 
--- a/src/cli/instanceStatus.ts
+++ b/src/cli/instanceStatus.ts
@@ -6,7 +6,7 @@
 import { request } from "undici";
 import { z } from "zod";
 import type { InstanceStatus } from "../http/index.js";
-import { createInstanceListHttpClient, type Listing } from "../platform/index.js";
+import { createInstanceListHttpClient, type Listing } from "../backends/index.js";
 import { parseCommandArguments, readInstanceAddresses } from "./commandArguments.js";
 import { type CliEnvironment, type CommandReport, type ExitCode, exitCodes, UsageError } from "./types.js";
 
--- a/src/cli/operatorLog.ts
+++ b/src/cli/operatorLog.ts
@@ -11,7 +11,7 @@
     type LogReadError,
     type Publisher,
 } from "../config/index.js";
-import { createLogHttpClient, type LogService } from "../platform/index.js";
+import { createLogHttpClient, type LogService } from "../backends/index.js";
 import { type CommandArguments, readRequiredText } from "./commandArguments.js";
 import { type CliEnvironment, type CommandReport, exitCodes } from "./types.js";
 
--- a/src/config/__tests__/naiveReader.ts
+++ b/src/config/__tests__/naiveReader.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { LogRecord } from "../../platform/index.js";
+import type { LogRecord } from "../../backends/index.js";
 import { createRecordCodec } from "../../streams/index.js";
 import type { ResolvedSettings, SettingsNode } from "../index.js";
 import { configurationModel } from "../model.js";
--- a/src/config/logReader.ts
+++ b/src/config/logReader.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { LogError, LogService } from "../platform/index.js";
+import type { LogError, LogService } from "../backends/index.js";
 import { type LogOffset, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { createReplay, type Replay, type ReplayPhase } from "../streams/index.js";
 import type { SettingsState } from "./acceptRule.js";
--- a/src/config/publisher.ts
+++ b/src/config/publisher.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { LogError, LogService } from "../platform/index.js";
+import type { LogError, LogService } from "../backends/index.js";
 import type { Clock, LogOffset, Milliseconds, Result } from "../shared/index.js";
 import { createRecordCodec } from "../streams/index.js";
 import type { Rejection, SettingsState } from "./acceptRule.js";
--- a/src/demo/localFleet.ts
+++ b/src/demo/localFleet.ts
@@ -16,7 +16,7 @@
     withdrawKey,
 } from "../config/index.js";
 import { type Instance, openInstance, resolveInstanceOptions } from "../instance/index.js";
-import { createLogHttpClient } from "../platform/index.js";
+import { createLogHttpClient } from "../backends/index.js";
 import { type Clock, createSystemClock, type Milliseconds } from "../shared/index.js";
 import { createStandins, type StandinAddresses, type Standins, type StandinsConfig } from "../standins/index.js";
 
--- a/src/http/modelAnswer.ts
+++ b/src/http/modelAnswer.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { ServerResponse } from "node:http";
-import type { AdapterReference } from "../platform/index.js";
+import type { AdapterReference } from "../backends/index.js";
 import type { ModelCallEvent, RequestOutcome } from "../requests/index.js";
 import { jsonNull, type Milliseconds, type RequestId } from "../shared/index.js";
 import {
--- a/src/instance/announcement.ts
+++ b/src/instance/announcement.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { request } from "undici";
-import type { ListedInstance } from "../platform/index.js";
+import type { ListedInstance } from "../backends/index.js";
 import { createDebug } from "../shared/index.js";
 
 /** Keeps the entry of an instance. */
--- a/src/instance/openInstance.ts
+++ b/src/instance/openInstance.ts
@@ -6,7 +6,7 @@
 import { randomInt } from "node:crypto";
 import type { InstanceStatus } from "../http/index.js";
 import { createPeerTask } from "../peers/index.js";
-import type { ListedInstance } from "../platform/index.js";
+import type { ListedInstance } from "../backends/index.js";
 import { type Clock, createDebug, createSystemClock, type InstanceId } from "../shared/index.js";
 import { createSupervisor, waitForAbort } from "../supervision/index.js";
 import { type Announcement, createAnnouncement } from "./announcement.js";
--- a/src/instance/parts.ts
+++ b/src/instance/parts.ts
@@ -23,7 +23,7 @@
     createServiceHttpClient,
     type EngineClient,
     type ListedInstance,
-} from "../platform/index.js";
+} from "../backends/index.js";
 import { createRequestsTask, type RequestsTask } from "../requests/index.js";
 import { type Clock, createSeededRandom, type InstanceId } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
--- a/src/membership/__tests__/ownershipWorld.ts
+++ b/src/membership/__tests__/ownershipWorld.ts
@@ -1,4 +1,4 @@
-import type { ListedEngine, ListedInstance, Listing } from "../../platform/index.js";
+import type { ListedEngine, ListedInstance, Listing } from "../../backends/index.js";
 import { createSeededRandom, type Milliseconds } from "../../shared/index.js";
 import { createRecordCodec, createReplay } from "../../streams/index.js";
 import {
--- a/src/membership/listing.ts
+++ b/src/membership/listing.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { ListedBackendServer, ListedInstance, ListedState, Listing } from "../platform/index.js";
+import type { ListedBackendServer, ListedInstance, ListedState, Listing } from "../backends/index.js";
 import { compareText, type InstanceId, type Milliseconds } from "../shared/index.js";
 import type { MembershipSnapshot } from "./types.js";
 
--- a/src/membership/membershipTask.ts
+++ b/src/membership/membershipTask.ts
@@ -5,7 +5,7 @@
  */
 import Emittery from "emittery";
 import type { PeerNetwork } from "../peers/index.js";
-import type { InstanceList, ListedInstance, Listing, LogService } from "../platform/index.js";
+import type { InstanceList, ListedInstance, Listing, LogService } from "../backends/index.js";
 import type { BackendServerId, Clock, InstanceId, LogOffset, Milliseconds, SeededRandom } from "../shared/index.js";
 import { limitTime } from "../streams/index.js";
 import type { Task } from "../supervision/index.js";
--- a/src/membership/messages.ts
+++ b/src/membership/messages.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { ListedState } from "../platform/index.js";
+import type { ListedState } from "../backends/index.js";
 import type { InstanceId, LogOffset, Milliseconds } from "../shared/index.js";
 import type { StreamMessage } from "../streams/index.js";
 import type { OwnershipPart } from "./ownershipRecords.js";
--- a/src/membership/ownershipTask.ts
+++ b/src/membership/ownershipTask.ts
@@ -6,7 +6,7 @@
  */
 import Emittery from "emittery";
 import type { PeerNetwork } from "../peers/index.js";
-import type { ListedInstance, LogService } from "../platform/index.js";
+import type { ListedInstance, LogService } from "../backends/index.js";
 import { type Clock, type InstanceId, type LogOffset, type Milliseconds, type SeededRandom } from "../shared/index.js";
 import {
     clockRateMargin,
--- a/src/membership/types.ts
+++ b/src/membership/types.ts
@@ -7,7 +7,7 @@
  *
  * @packageDocumentation
  */
-import type { ListedBackendServer, ListedInstance } from "../platform/index.js";
+import type { ListedBackendServer, ListedInstance } from "../backends/index.js";
 import type { FailureDomainId, FencingNumber, InstanceId, LogOffset, Milliseconds } from "../shared/index.js";
 
 /** Instances and backend servers as one instance sees them. */
--- a/src/placement/engineTables.ts
+++ b/src/placement/engineTables.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { EngineIncarnation } from "../platform/index.js";
+import type { EngineIncarnation } from "../backends/index.js";
 import type { BackendServerId, Milliseconds } from "../shared/index.js";
 import type { AdapterKey, EngineTable, LoadName } from "./messages.js";
 import { readLoadKey } from "./slotTable.js";
--- a/src/placement/messages.ts
+++ b/src/placement/messages.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import type { EngineIncarnation } from "../platform/index.js";
+import type { EngineIncarnation } from "../backends/index.js";
 import type { AdapterId, BackendServerId, FencingNumber, InstanceId, Milliseconds } from "../shared/index.js";
 
 /** Name of one load of an adapter on an engine: `ADAPTER@VERSION#GENERATION`. */
--- a/src/placement/ownerDecisions.ts
+++ b/src/placement/ownerDecisions.ts
@@ -9,7 +9,7 @@
     formatAdapterName,
     type ListedEngine,
     type OrderError,
-} from "../platform/index.js";
+} from "../backends/index.js";
 import type { InstanceId, Milliseconds, Result } from "../shared/index.js";
 import { addAnswer, type EvictionIntent, isEvictable, listBlockers, startIntent } from "./evictionIntents.js";
 import { createHolds } from "./holds.js";
--- a/src/placement/ownerTypes.ts
+++ b/src/placement/ownerTypes.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { AdapterReference, EngineIncarnation, EngineReport, ListedEngine, OrderError } from "../platform/index.js";
+import type { AdapterReference, EngineIncarnation, EngineReport, ListedEngine, OrderError } from "../backends/index.js";
 import type { FencingNumber, InstanceId, Milliseconds, Result } from "../shared/index.js";
 import type { AdapterKey, EngineTable, LoadName, PlacementMessage } from "./messages.js";
 import type { PlacementTimes } from "./placementTimes.js";
--- a/src/placement/placementTask.ts
+++ b/src/placement/placementTask.ts
@@ -9,7 +9,7 @@
 import type { LoadBudget } from "../limits/index.js";
 import type { EpochView, MembershipView, OwnershipView } from "../membership/index.js";
 import type { PeerNetwork } from "../peers/index.js";
-import type { EngineClient, EngineReport, ListedEngine, OrderError } from "../platform/index.js";
+import type { EngineClient, EngineReport, ListedEngine, OrderError } from "../backends/index.js";
 import {
     type Clock,
     createDebug,
--- a/src/placement/plannerDecisions.ts
+++ b/src/placement/plannerDecisions.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import type { ListedEngine } from "../platform/index.js";
+import type { ListedEngine } from "../backends/index.js";
 import {
     type AdapterId,
     type BackendServerId,
--- a/src/placement/slotTable.ts
+++ b/src/placement/slotTable.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 import { LRUCache } from "lru-cache";
-import { type AdapterReference, formatAdapterName, parseAdapterName } from "../platform/index.js";
-import type { EngineReport } from "../platform/index.js";
+import { type AdapterReference, formatAdapterName, parseAdapterName } from "../backends/index.js";
+import type { EngineReport } from "../backends/index.js";
 import type { Milliseconds } from "../shared/index.js";
 import type { AdapterKey, LoadName } from "./messages.js";
 
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { RequestClass } from "../config/index.js";
-import type { AdapterReference, EngineIncarnation } from "../platform/index.js";
+import type { AdapterReference, EngineIncarnation } from "../backends/index.js";
 import type {
     BackendServerId,
     BaseModelId,
--- a/src/requests/__tests__/fakes.ts
+++ b/src/requests/__tests__/fakes.ts
@@ -4,7 +4,7 @@
 import type { EpochView, MemberEpoch, MembershipView } from "../../membership/index.js";
 import type { PeerNetwork } from "../../peers/index.js";
 import type { Pin, PinOutcome, Placement } from "../../placement/index.js";
-import type { ListedBackendServer } from "../../platform/index.js";
+import type { ListedBackendServer } from "../../backends/index.js";
 import { hashKey, wrapError, wrapValue } from "../../shared/index.js";
 
 export const key = "key-of-a";
--- a/src/requests/__tests__/hostileInput.test.ts
+++ b/src/requests/__tests__/hostileInput.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import { createAnswerReader } from "../../platform/engineAnswer.js";
-import { createServiceHttpClient, type GenerationRequest, type ServiceRequest } from "../../platform/index.js";
+import { createAnswerReader } from "../../backends/engineAnswer.js";
+import { createServiceHttpClient, type GenerationRequest, type ServiceRequest } from "../../backends/index.js";
 import { type FaultyBackend, startFaultyBackend } from "../../standins/faultyBackend.js";
 import { expectSnapshot } from "../../testing/index.js";
 import { parseOutcomeMessage } from "../index.js";
--- a/src/requests/__tests__/session.ts
+++ b/src/requests/__tests__/session.ts
@@ -1,5 +1,5 @@
 // one instance with real clients over loopback before backends that fail as told
-import { createEngineHttpClient, createServiceHttpClient } from "../../platform/index.js";
+import { createEngineHttpClient, createServiceHttpClient } from "../../backends/index.js";
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
 import { type FaultyBackend, startFaultyBackend } from "../../standins/faultyBackend.js";
 import { createRequestsTask, type ModelCallEvent, type RequestsTask, type ServiceCallResult } from "../index.js";
--- a/src/requests/__tests__/standins.test.ts
+++ b/src/requests/__tests__/standins.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createEngineHttpClient, createServiceHttpClient, type GenerationRequest } from "../../platform/index.js";
+import { createEngineHttpClient, createServiceHttpClient, type GenerationRequest } from "../../backends/index.js";
 import { createSystemClock } from "../../shared/index.js";
 import { startFaultyBackend } from "../../standins/faultyBackend.js";
 import { createServiceStandin } from "../../standins/serviceStandin.js";
--- a/src/requests/retryPolicy.ts
+++ b/src/requests/retryPolicy.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { BackendError } from "../platform/index.js";
+import type { BackendError } from "../backends/index.js";
 import type { Milliseconds } from "../shared/index.js";
 
 /** Retries that a route has earned; each first try earns a part of one. */
--- a/src/requests/serviceFault.ts
+++ b/src/requests/serviceFault.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { BackendError } from "../platform/index.js";
+import type { BackendError } from "../backends/index.js";
 import type { Milliseconds } from "../shared/index.js";
 import { defaultRetryAfterMilliseconds } from "./lifecycle.js";
 import { describeOutcome, type RefusalReason, type RequestOutcome } from "./outcome.js";
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { RequestClass } from "../config/index.js";
-import type { AdapterReference, Prompt, ServiceResponse } from "../platform/index.js";
+import type { AdapterReference, Prompt, ServiceResponse } from "../backends/index.js";
 import type { ClientAccountId, KeyHash, Milliseconds, RequestId } from "../shared/index.js";
 import type { RequestOutcome } from "./outcome.js";
 
--- a/src/standins/__tests__/engineModel.test.ts
+++ b/src/standins/__tests__/engineModel.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import fc from "fast-check";
-import type { GenerationRequest } from "../../platform/index.js";
+import type { GenerationRequest } from "../../backends/index.js";
 import { createEngineModel, makeTokenText } from "../engineModel.js";
 import type { EngineModelOptions } from "../engineModelTypes.js";
 import { createWeightStoreModel } from "../weightStoreModel.js";
--- a/src/standins/__tests__/instanceListStandin.test.ts
+++ b/src/standins/__tests__/instanceListStandin.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createInstanceListHttpClient, type ListedInstance } from "../../platform/index.js";
+import { createInstanceListHttpClient, type ListedInstance } from "../../backends/index.js";
 import { createSystemClock } from "../../shared/index.js";
 import { createHistory } from "../../testing/index.js";
 import { createInstanceListStandin } from "../index.js";
--- a/src/standins/__tests__/logStandin.test.ts
+++ b/src/standins/__tests__/logStandin.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createLogHttpClient, type LogHttpClient } from "../../platform/index.js";
+import { createLogHttpClient, type LogHttpClient } from "../../backends/index.js";
 import { createSystemClock } from "../../shared/index.js";
 import { createHistory } from "../../testing/index.js";
 import { createLogModel, createLogStandin, createMemoryLogService, type LogStandin } from "../index.js";
--- a/src/standins/engineModel.ts
+++ b/src/standins/engineModel.ts
@@ -13,7 +13,7 @@
     formatAdapterName,
     type GenerationRequest,
     type OrderError,
-} from "../platform/index.js";
+} from "../backends/index.js";
 import { hashForPlacement, type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 import type { EngineModel, EngineModelEvent, EngineModelOptions } from "./engineModelTypes.js";
 import { createEngineRecord } from "./engineRecord.js";
--- a/src/standins/engineModelTypes.ts
+++ b/src/standins/engineModelTypes.ts
@@ -11,7 +11,7 @@
     EngineReport,
     GenerationRequest,
     OrderError,
-} from "../platform/index.js";
+} from "../backends/index.js";
 import type { Milliseconds, RequestId, Result } from "../shared/index.js";
 import type { EngineRecord } from "./engineRecord.js";
 import type { WeightStoreModel } from "./weightStoreModel.js";
--- a/src/standins/engineRecord.ts
+++ b/src/standins/engineRecord.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { type AdapterReference, formatAdapterName } from "../platform/index.js";
+import { type AdapterReference, formatAdapterName } from "../backends/index.js";
 import type { FencingNumber, Milliseconds, RequestId } from "../shared/index.js";
 
 /** Start of a request. */
--- a/src/standins/engineStandin.ts
+++ b/src/standins/engineStandin.ts
@@ -14,7 +14,7 @@
     type OrderError,
     parseAdapterName,
     type Prompt,
-} from "../platform/index.js";
+} from "../backends/index.js";
 import { type Clock, jsonNull, type Milliseconds, type RequestId } from "../shared/index.js";
 import type { EngineModel, EngineModelEvent } from "./engineModelTypes.js";
 import { createStandinServer, sendJson, type StandinRequest, type StandinServer } from "./standinServer.js";
--- a/src/standins/instanceListStandin.ts
+++ b/src/standins/instanceListStandin.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { ServerResponse } from "node:http";
-import type { InstanceList, ListedBackendServer, ListedInstance, ListedState, Listing } from "../platform/index.js";
+import type { InstanceList, ListedBackendServer, ListedInstance, ListedState, Listing } from "../backends/index.js";
 import { type Clock, type Milliseconds, wrapError, wrapValue } from "../shared/index.js";
 import { createStandinServer, sendJson, type StandinRequest, type StandinServer } from "./standinServer.js";
 
--- a/src/standins/logModel.ts
+++ b/src/standins/logModel.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { LogError, LogPage, LogRecord, LogService } from "../platform/index.js";
+import type { LogError, LogPage, LogRecord, LogService } from "../backends/index.js";
 import {
     type Clock,
     type LogOffset,
--- a/src/standins/logStandin.ts
+++ b/src/standins/logStandin.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { ServerResponse } from "node:http";
-import type { LogError, LogService } from "../platform/index.js";
+import type { LogError, LogService } from "../backends/index.js";
 import { millisecondsPerSecond } from "../shared/index.js";
 import {
     createLogModel,
--- a/src/standins/standins.ts
+++ b/src/standins/standins.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { ListedEngine, ListedService } from "../platform/index.js";
+import type { ListedEngine, ListedService } from "../backends/index.js";
 import type { Clock } from "../shared/index.js";
 import { createEngineModel } from "./engineModel.js";
 import { createEngineStandin, type EngineStandin } from "./engineStandin.js";
--- a/src/streams/follower.ts
+++ b/src/streams/follower.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import type { LogError, LogService } from "../platform/index.js";
+import type { LogError, LogService } from "../backends/index.js";
 import {
     type Clock,
     createDebug,
--- a/src/streams/messages.ts
+++ b/src/streams/messages.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { LogRecord } from "../platform/index.js";
+import type { LogRecord } from "../backends/index.js";
 import type { LogOffset, Milliseconds } from "../shared/index.js";
 import type { FinishedPass } from "./replay.js";
 
--- a/src/streams/model.ts
+++ b/src/streams/model.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { z } from "zod";
-import type { LogStream } from "../platform/index.js";
+import type { LogStream } from "../backends/index.js";
 import type { LogOffset, Milliseconds } from "../shared/index.js";
 
 /** State of one reader; its one owner applies records to it in the order of the log. */
--- a/src/streams/relay.ts
+++ b/src/streams/relay.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import type { LogRecord } from "../platform/index.js";
+import type { LogRecord } from "../backends/index.js";
 import type { Clock, LogOffset, Milliseconds } from "../shared/index.js";
 import type { RecordsPage } from "./messages.js";
 
--- a/src/streams/replay.ts
+++ b/src/streams/replay.ts
@@ -5,7 +5,7 @@
  *
  * @packageDocumentation
  */
-import type { LogRecord } from "../platform/index.js";
+import type { LogRecord } from "../backends/index.js";
 import type { LogOffset, Milliseconds } from "../shared/index.js";
 import type { RecordPosition, StreamModel, StreamState } from "./model.js";
 import { createRecordCodec, type StreamRecord } from "./records.js";
--- a/src/streams/restate.ts
+++ b/src/streams/restate.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { LogService, LogStream } from "../platform/index.js";
+import type { LogService, LogStream } from "../backends/index.js";
 import type { Clock, LogOffset, Milliseconds } from "../shared/index.js";
 import type { StreamRecord } from "./records.js";
 import type { FinishedPass } from "./replay.js";
--- a/src/trials/stage.ts
+++ b/src/trials/stage.ts
@@ -13,7 +13,7 @@
     type SettingsNode,
     withdrawKey,
 } from "../config/index.js";
-import { createLogHttpClient } from "../platform/index.js";
+import { createLogHttpClient } from "../backends/index.js";
 import { createSystemClock, type Milliseconds, type SeededRandom } from "../shared/index.js";
 import { createStandins, standinsConfigSchema } from "../standins/index.js";
 import type { CallersOptions, TrialKey } from "./callers.js";
