--- /dev/null
+++ b/src/adapters/adapterDesk.ts
@@ -0,0 +1,456 @@
+/**
+ * Brings requests to engines that hold their adapter. Orders go through the instance that holds the engine's shard; this
+ * part is holder of some engines and asks the holders of the others.
+ *
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../peers/index.js";
+import type { ServerRecords } from "../serving/serverRecords.js";
+import {
+    type BackendServer,
+    type EngineLimits,
+    formatServerRun,
+    type ModelChoice,
+    type ServerRun,
+} from "../serving/types.js";
+import {
+    type Clock,
+    createDebug,
+    type FailureDomainId,
+    hashForPlacement,
+    type InstanceId,
+    type Milliseconds,
+} from "../shared/index.js";
+import { createEngineKeeper, type EngineKeeper, type EnsureResult, type EnsureWish } from "./engineKeeper.js";
+import { type EnginePick, pickEngine } from "./enginePick.js";
+import { type AdapterKey, type AdapterMessage, type AdapterUse, formatAdapterKey } from "./messages.js";
+import { createResidency } from "./residency.js";
+import type { ShardTask } from "./shardTask.js";
+import type { EngineControl } from "./types.js";
+
+/** Settings of the desk. */
+export interface AdapterDeskOptions {
+    readonly self: InstanceId;
+    /** Name under which orders are given. */
+    readonly holder: string;
+    readonly failureDomain: FailureDomainId;
+    readonly shardCount: number;
+    readonly control: EngineControl;
+    readonly clock: Clock;
+    readonly records: ServerRecords;
+    readonly network: PeerNetwork;
+    readonly listPeers: () => readonly InstanceId[];
+    readonly listEngines: () => readonly BackendServer[];
+    readonly findLimits: (service: string) => EngineLimits | undefined;
+    /** Time from the announcement of a version until older ones may not be begun. */
+    readonly versionBound: Milliseconds;
+}
+
+/** A request's wish for an engine. */
+export interface PlaceRequest {
+    readonly choice: ModelChoice;
+    readonly servers: readonly BackendServer[];
+    readonly excluded: ReadonlySet<ServerRun>;
+    readonly until: Milliseconds;
+}
+
+/** An engine for a request. */
+export interface Place {
+    readonly server: BackendServer;
+    /** Version that the engine must have, where older ones are no longer allowed. */
+    readonly requiredVersion: number | undefined;
+}
+
+/** The desk. */
+export interface AdapterDesk {
+    readonly attachShards: (shards: ShardTask) => void;
+    /** Finds an engine that holds the adapter, after a load where needed. */
+    readonly acquire: (request: PlaceRequest) => Promise<Place | undefined>;
+    /** The engine has said that it doesn't hold what a request names. */
+    readonly markDenied: (server: BackendServer, choice: ModelChoice) => void;
+    readonly markStarted: (server: BackendServer, choice: ModelChoice) => void;
+    readonly markEnded: (server: BackendServer, choice: ModelChoice) => void;
+    readonly markVersion: (model: string, adapter: string, version: number, now: Milliseconds) => void;
+    readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
+    readonly handleGained: (shard: number) => void;
+    readonly handleLost: (shard: number, generation: number) => void;
+    readonly handleGeneration: (generation: number, shards: readonly number[]) => void;
+    readonly handleMessage: (
+        from: InstanceId,
+        message: AdapterMessage,
+    ) => AdapterMessage | undefined | Promise<AdapterMessage>;
+    /** Tells the others what changed since the last call. */
+    readonly publish: () => void;
+    /** Tells a peer that has just been seen all that this instance holds. */
+    readonly greet: (peer: InstanceId) => void;
+}
+
+interface ShardHolder {
+    readonly instance: InstanceId;
+    readonly generation: number;
+}
+
+interface NamedVersion {
+    readonly version: number;
+    readonly namedAt: Milliseconds;
+}
+
+interface UseCount {
+    started: number;
+    inFlight: number;
+    hasChanged: boolean;
+}
+
+const ensureTimeoutMilliseconds = 2_500;
+const unloadableMilliseconds = 300;
+const placeTries = 4;
+/** Part of the version bound after which older versions are no longer begun. */
+const versionBoundPart = 0.6;
+const log = createDebug("adapters");
+
+/**
+ * Creates the desk.
+ *
+ * @param options - engines, peers and settings
+ * @returns the desk
+ */
+export function createAdapterDesk(options: AdapterDeskOptions): AdapterDesk {
+    const { clock } = options;
+    const residency = createResidency();
+    const keepers = new Map<ServerRun, EngineKeeper>();
+    const holders = new Map<number, ShardHolder>();
+    const versions = new Map<AdapterKey, NamedVersion>();
+    const uses = new Map<ServerRun, Map<AdapterKey, UseCount>>();
+    const wishes = new Map<string, Promise<EnsureResult>>();
+    const denied = new Set<string>();
+    let changes: Extract<AdapterMessage, { readonly kind: "changes"; }>["changes"][number][] = [];
+    let shards: ShardTask | undefined;
+
+    const findShard = (server: BackendServer): number =>
+        Number(hashForPlacement(server.id) % BigInt(options.shardCount));
+    const broadcast = (message: AdapterMessage): void =>
+        options.listPeers().forEach(peer => options.network.send(peer, "adapters", message));
+    const hasHolder = (server: BackendServer): boolean => {
+        const shard = findShard(server);
+        const held = shards?.find(shard);
+        if (held) {
+            return held.activeAt <= clock.now();
+        }
+        const holder = holders.get(shard);
+        return holder !== undefined && options.listPeers().includes(holder.instance);
+    };
+    const openKeeper = (server: BackendServer): EngineKeeper => {
+        const shard = findShard(server);
+        const keeper = createEngineKeeper({
+            server,
+            findLimits: () => options.findLimits(server.service),
+            control: options.control,
+            clock,
+            holder: options.holder,
+            findFencingNumber: () => {
+                const held = shards?.find(shard);
+                return held && held.activeAt <= clock.now() ? held.fencingNumber : undefined;
+            },
+            onFenced: () => shards?.markFenced(),
+            onChange: change => {
+                residency.apply(change);
+                changes.push(change);
+            },
+            onTable: table => {
+                residency.replace(table);
+                broadcast({ kind: "tables", tables: [table] });
+            },
+        });
+        keepers.set(keeper.run, keeper);
+        void keeper.refresh();
+        return keeper;
+    };
+    const closeKeeper = (run: ServerRun): EngineKeeper | undefined => {
+        const keeper = keepers.get(run);
+        keeper?.stop();
+        keepers.delete(run);
+        return keeper;
+    };
+    const requestEnsure = async (server: BackendServer, wish: EnsureWish): Promise<EnsureResult> => {
+        const run = formatServerRun(server);
+        const keeper = keepers.get(run);
+        if (keeper) {
+            return keeper.ensure(wish);
+        }
+        const holder = holders.get(findShard(server));
+        if (!holder) {
+            return { outcome: "notHolder", version: undefined };
+        }
+        const message: AdapterMessage = { kind: "ensure", run, ...wish };
+        const answer = await options.network.request(holder.instance, "adapters", message, ensureTimeoutMilliseconds);
+        if (answer.ok && answer.value.kind === "ensured") {
+            return answer.value;
+        }
+        return { outcome: "notHolder", version: undefined };
+    };
+    const ensureAdapter = (server: BackendServer, choice: ModelChoice): Promise<EnsureResult> => {
+        const run = formatServerRun(server);
+        const key = formatAdapterKey(choice.model, choice.adapter!);
+        const wishKey = `${run} ${key}`;
+        let pending = wishes.get(wishKey);
+        if (!pending) {
+            const version = versions.get(key)?.version;
+            const wish: EnsureWish = { ...choice, version, wasDenied: denied.delete(wishKey) };
+            pending = requestEnsure(server, wish).finally(() => wishes.delete(wishKey));
+            wishes.set(wishKey, pending);
+        }
+        return pending;
+    };
+    const findOldestVersion = (key: AdapterKey): number | undefined => {
+        const named = versions.get(key);
+        const isRequired = named && clock.now() - named.namedAt > options.versionBound * versionBoundPart;
+        return isRequired ? named.version : undefined;
+    };
+    const pick = (request: PlaceRequest, unloadable: ReadonlySet<ServerRun>): EnginePick => {
+        const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
+        return pickEngine({
+            servers: request.servers,
+            records: options.records,
+            failureDomain: options.failureDomain,
+            excluded: request.excluded,
+            now: clock.now(),
+            choice: request.choice,
+            residency,
+            oldestVersion: findOldestVersion(key),
+            hasHolder,
+            unloadable,
+        });
+    };
+    const acquire = async (request: PlaceRequest): Promise<Place | undefined> => {
+        const unloadable = new Set<ServerRun>();
+        for (let tries = 0; tries < placeTries && clock.now() < request.until; tries++) {
+            const picked = pick(request, unloadable);
+            switch (picked.kind) {
+                case "resident": {
+                    const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
+                    return { server: picked.server, requiredVersion: findOldestVersion(key) };
+                }
+                case "load": {
+                    const result = await waitUntil(ensureAdapter(picked.server, request.choice), request.until);
+                    if (result?.outcome === "resident") {
+                        const run = formatServerRun(picked.server);
+                        residency.apply({
+                            run,
+                            model: request.choice.model,
+                            adapter: request.choice.adapter!,
+                            version: result.version ?? 1,
+                        });
+                        return { server: picked.server, requiredVersion: undefined };
+                    }
+                    log.info("adapter not loaded", {
+                        run: formatServerRun(picked.server),
+                        ...request.choice,
+                        outcome: result?.outcome ?? "late",
+                    });
+                    unloadable.add(formatServerRun(picked.server));
+                    break;
+                }
+                case "none":
+                    await clock.sleep(unloadableMilliseconds / placeTries);
+                    unloadable.clear();
+                    break;
+            }
+        }
+        return undefined;
+    };
+    const waitUntil = async (
+        result: Promise<EnsureResult>,
+        until: Milliseconds,
+    ): Promise<EnsureResult | undefined> => {
+        const cancel = new AbortController();
+        const late = clock.sleep(Math.max(0, until - clock.now()), cancel.signal).then(() => undefined);
+        const first = await Promise.race([result, late]);
+        cancel.abort();
+        return first;
+    };
+    const findUse = (server: BackendServer, choice: ModelChoice): UseCount | undefined => {
+        if (choice.adapter === undefined) {
+            return undefined;
+        }
+        const run = formatServerRun(server);
+        const counts = uses.get(run) ?? new Map<AdapterKey, UseCount>();
+        uses.set(run, counts);
+        const key = formatAdapterKey(choice.model, choice.adapter);
+        const use = counts.get(key) ?? { started: 0, inFlight: 0, hasChanged: true };
+        counts.set(key, use);
+        use.hasChanged = true;
+        return use;
+    };
+    const drainUses = (run: ServerRun): AdapterUse[] => {
+        const drained: AdapterUse[] = [];
+        const counts = uses.get(run);
+        for (const [key, use] of counts ?? []) {
+            if (use.hasChanged) {
+                drained.push({ run, key, started: use.started, inFlight: use.inFlight });
+                use.started = 0;
+                use.hasChanged = false;
+            }
+            if (use.inFlight === 0) {
+                counts!.delete(key);
+            }
+        }
+        return drained;
+    };
+    const publishUses = (): void => {
+        const byHolder = new Map<InstanceId, AdapterUse[]>();
+        for (const server of options.listEngines()) {
+            const run = formatServerRun(server);
+            const drained = drainUses(run);
+            const keeper = keepers.get(run);
+            const holder = holders.get(findShard(server))?.instance;
+            if (keeper) {
+                drained.forEach(use => keeper.countUse(options.self, use));
+            }
+            else if (holder !== undefined && drained.length > 0) {
+                byHolder.set(holder, [...(byHolder.get(holder) ?? []), ...drained]);
+            }
+        }
+        byHolder.forEach((list, holder) => options.network.send(holder, "adapters", { kind: "uses", uses: list }));
+    };
+    const replaceOutdated = (): void => {
+        const newest = new Map([...versions].map(([key, named]) => [key, named.version]));
+        for (const keeper of keepers.values()) {
+            for (const key of keeper.listOutdated(newest)) {
+                const slash = key.indexOf("/");
+                const choice = { model: key.slice(0, slash), adapter: key.slice(slash + 1) };
+                void keeper.ensure({ ...choice, version: newest.get(key), wasDenied: false });
+            }
+        }
+    };
+    const describeAll = (): AdapterMessage => ({
+        kind: "tables",
+        tables: [...keepers.values()].map(keeper => keeper.describe()),
+    });
+    const describeHolding = (): AdapterMessage | undefined => {
+        const list = shards?.list() ?? [];
+        const first = list[0] === undefined ? undefined : shards?.find(list[0]);
+        return first && { kind: "holding", shards: list, generation: first.fencingNumber };
+    };
+    const handleMessage: AdapterDesk["handleMessage"] = (from, message) => {
+        switch (message.kind) {
+            case "ensure": {
+                const keeper = keepers.get(message.run);
+                if (!keeper) {
+                    return { kind: "ensured", outcome: "notHolder", version: undefined };
+                }
+                return keeper.ensure(message).then(result => ({ kind: "ensured", ...result }));
+            }
+            case "tables":
+                // the holder knows its engines better than one that held them before
+                message.tables.filter(table => !keepers.has(table.run)).forEach(residency.replace);
+                return undefined;
+            case "changes":
+                message.changes.filter(change => !keepers.has(change.run)).forEach(residency.apply);
+                return undefined;
+            case "uses":
+                message.uses.forEach(use => keepers.get(use.run)?.countUse(from, use));
+                return undefined;
+            case "holding":
+                for (const shard of message.shards) {
+                    if ((holders.get(shard)?.generation ?? 0) <= message.generation) {
+                        holders.set(shard, { instance: from, generation: message.generation });
+                    }
+                }
+                return undefined;
+            case "released":
+                shards?.markReleased(message.shard, message.generation, clock.now() - message.sinceLastOrder);
+                return undefined;
+            case "ensured":
+                return undefined;
+        }
+    };
+    return {
+        attachShards: task => {
+            shards = task;
+        },
+        acquire,
+        markDenied: (server, choice) => {
+            if (choice.adapter === undefined) {
+                return;
+            }
+            const run = formatServerRun(server);
+            denied.add(`${run} ${formatAdapterKey(choice.model, choice.adapter)}`);
+            residency.apply({ run, model: choice.model, adapter: choice.adapter, version: undefined });
+        },
+        markStarted: (server, choice) => {
+            const use = findUse(server, choice);
+            if (use) {
+                use.started++;
+                use.inFlight++;
+            }
+        },
+        markEnded: (server, choice) => {
+            const use = findUse(server, choice);
+            if (use) {
+                use.inFlight = Math.max(0, use.inFlight - 1);
+            }
+        },
+        markVersion: (model, adapter, version, now) => {
+            const key = formatAdapterKey(model, adapter);
+            if (version > (versions.get(key)?.version ?? 0)) {
+                versions.set(key, { version, namedAt: now });
+                replaceOutdated();
+            }
+        },
+        handleServers: (added, removed) => {
+            for (const server of removed) {
+                const run = formatServerRun(server);
+                closeKeeper(run);
+                residency.remove(run);
+                uses.delete(run);
+            }
+            for (const server of added) {
+                if (options.findLimits(server.service)) {
+                    residency.seed(formatServerRun(server), server.models);
+                }
+                if (options.findLimits(server.service) && shards?.find(findShard(server))) {
+                    openKeeper(server);
+                }
+            }
+        },
+        handleGained: shard => {
+            for (const server of options.listEngines()) {
+                if (findShard(server) === shard && !keepers.has(formatServerRun(server))) {
+                    openKeeper(server);
+                }
+            }
+        },
+        handleLost: (shard, generation) => {
+            let lastOrderAt = Number.NEGATIVE_INFINITY;
+            for (const server of options.listEngines()) {
+                if (findShard(server) === shard) {
+                    const keeper = closeKeeper(formatServerRun(server));
+                    lastOrderAt = Math.max(lastOrderAt, keeper?.readLastOrderAt() ?? Number.NEGATIVE_INFINITY);
+                }
+            }
+            const sinceLastOrder = Math.min(clock.now() - lastOrderAt, Number.MAX_SAFE_INTEGER);
+            broadcast({ kind: "released", shard, generation, sinceLastOrder });
+        },
+        handleGeneration: () => {
+            const holding = describeHolding();
+            if (holding) {
+                broadcast(holding);
+            }
+        },
+        handleMessage,
+        publish: () => {
+            if (changes.length > 0) {
+                broadcast({ kind: "changes", changes });
+                changes = [];
+            }
+            publishUses();
+        },
+        greet: peer => {
+            const holding = describeHolding();
+            if (holding) {
+                options.network.send(peer, "adapters", holding);
+                options.network.send(peer, "adapters", describeAll());
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/adapters/engineKeeper.ts
@@ -0,0 +1,325 @@
+/**
+ * Orders to one engine by the instance that holds its shard, one order at a time. Each order names the count of orders that
+ * the engine must have accepted, so that one without an answer is void as soon as another was accepted.
+ *
+ * @packageDocumentation
+ */
+import type { BackendServer, EngineLimits, ServerRun } from "../serving/types.js";
+import { formatServerRun } from "../serving/types.js";
+import { type Clock, createDebug, type InstanceId, type Milliseconds } from "../shared/index.js";
+import {
+    type AdapterKey,
+    type AdapterUse,
+    type EngineTable,
+    type EnsureOutcome,
+    formatAdapterKey,
+    type ResidencyChange,
+} from "./messages.js";
+import {
+    applyReport,
+    chooseVictim,
+    countPending,
+    countUse,
+    createSlotBook,
+    hasRoom,
+    pendingLoadLimit,
+} from "./slotBook.js";
+import type { EngineControl, EngineOrder, OrderOutcome } from "./types.js";
+
+/** What an instance wants to have on an engine. */
+export interface EnsureWish {
+    readonly model: string;
+    readonly adapter: string | undefined;
+    readonly version: number | undefined;
+    readonly wasDenied: boolean;
+}
+
+/** Result of a wish. */
+export interface EnsureResult {
+    readonly outcome: EnsureOutcome;
+    readonly version: number | undefined;
+}
+
+/** Settings of a keeper. */
+export interface EngineKeeperOptions {
+    readonly server: BackendServer;
+    readonly findLimits: () => EngineLimits | undefined;
+    readonly control: EngineControl;
+    readonly clock: Clock;
+    readonly holder: string;
+    /** Fencing number under which orders may be sent now; `undefined` when the shard is no longer held. */
+    readonly findFencingNumber: () => number | undefined;
+    /** Called when the engine has seen a higher fencing number. */
+    readonly onFenced: () => void;
+    readonly onChange: (change: ResidencyChange) => void;
+    readonly onTable: (table: EngineTable) => void;
+}
+
+/** Keeper of one engine. */
+export interface EngineKeeper {
+    readonly run: ServerRun;
+    /** Reads what the engine holds; the first time before any order. */
+    readonly refresh: () => Promise<void>;
+    readonly ensure: (wish: EnsureWish) => Promise<EnsureResult>;
+    readonly countUse: (from: InstanceId, use: AdapterUse) => void;
+    readonly describe: () => EngineTable;
+    /** Adapters whose version is older than the given one. */
+    readonly listOutdated: (newest: ReadonlyMap<AdapterKey, number>) => readonly AdapterKey[];
+    readonly readLastOrderAt: () => Milliseconds;
+    readonly stop: () => void;
+}
+
+/** A report is some hundred milliseconds old. */
+const reportLagMilliseconds = 300;
+const firstLoadEstimateMilliseconds = 120;
+const loadPollMilliseconds = 30;
+const loadLimitMilliseconds = 3_000;
+const orderTries = 3;
+const estimateWeight = 0.3;
+const log = createDebug("adapters");
+
+/**
+ * Creates the keeper of an engine.
+ *
+ * @param options - the engine and how to reach it
+ * @returns the keeper
+ */
+export function createEngineKeeper(options: EngineKeeperOptions): EngineKeeper {
+    const { server, clock } = options;
+    const run = formatServerRun(server);
+    const book = createSlotBook();
+    const loads = new Map<AdapterKey, Promise<EnsureResult>>();
+    let sequence: number | undefined;
+    let lastOrderAt = Number.NEGATIVE_INFINITY;
+    let isStopped = false;
+    let queue: Promise<unknown> = Promise.resolve();
+    let loadEstimate: Milliseconds = firstLoadEstimateMilliseconds;
+
+    const runAlone = <Value>(job: () => Promise<Value>): Promise<Value> => {
+        const result = queue.then(job);
+        queue = result.catch((error: unknown) => log.error("keeper job failed", { run, error: String(error) }));
+        return result;
+    };
+    const describe = (): EngineTable => ({
+        run,
+        models: [...book.models].map(name => ({
+            name,
+            adapters: [...book.slots.values()]
+                .filter(slot => slot.model === name && slot.state === "resident")
+                .map(slot => [slot.adapter, slot.version] as const),
+        })),
+    });
+    const readReport = async (): Promise<boolean> => {
+        const report = await options.control.report(server);
+        if (!report.ok) {
+            log.warn("engine report missing", { run, detail: report.error.detail });
+            return false;
+        }
+        sequence = report.value.sequence;
+        applyReport(book, report.value, clock.now());
+        options.onTable(describe());
+        return true;
+    };
+    const sendOrder = async (
+        action: EngineOrder["action"],
+        model: string,
+        adapter: string | undefined,
+        version?: number,
+    ): Promise<OrderOutcome> => {
+        const fencingNumber = options.findFencingNumber();
+        if (isStopped || fencingNumber === undefined || sequence === undefined) {
+            return { kind: "unreachable" };
+        }
+        lastOrderAt = clock.now();
+        const order: EngineOrder = {
+            action,
+            model,
+            adapter,
+            version,
+            expectedSequence: sequence,
+            holder: options.holder,
+            fencingNumber,
+        };
+        const outcome = await options.control.order(server, order);
+        log.info("engine order", { run, action, model, adapter, sequence, fencingNumber, ...outcome });
+        if (outcome.kind === "fenced") {
+            options.onFenced();
+        }
+        return outcome;
+    };
+    /** An accepted order makes those without an answer void. */
+    const settleUncertain = (except: AdapterKey | undefined): void => {
+        for (const [key, slot] of book.slots) {
+            if (slot.state === "uncertain" && key !== except) {
+                book.slots.delete(key);
+            }
+        }
+    };
+    const refreshAfterConflict = async (): Promise<boolean> => {
+        await clock.sleep(reportLagMilliseconds);
+        const isRead = await readReport();
+        if (isRead) {
+            settleUncertain(undefined);
+        }
+        return isRead;
+    };
+    const makeRoom = async (limits: EngineLimits, model: string): Promise<EnsureOutcome | undefined> => {
+        for (let tries = 0; tries < orderTries && !hasRoom(book, limits, model); tries++) {
+            const victim = chooseVictim(book, clock.now());
+            if (victim === undefined) {
+                return "full";
+            }
+            const slot = book.slots.get(victim)!;
+            slot.state = "leaving";
+            options.onChange({ run, model: slot.model, adapter: slot.adapter, version: undefined });
+            const outcome = await sendOrder("unload", slot.model, slot.adapter);
+            switch (outcome.kind) {
+                case "done":
+                    sequence = sequence! + 1;
+                    settleUncertain(undefined);
+                    book.slots.delete(victim);
+                    break;
+                case "accepted":
+                    // its runs end first; the next report tells when it is gone
+                    sequence = sequence! + 1;
+                    settleUncertain(undefined);
+                    break;
+                case "conflict":
+                case "unknown":
+                    if (!await refreshAfterConflict()) {
+                        return "failed";
+                    }
+                    break;
+                case "fenced":
+                case "otherServer":
+                case "refused":
+                case "unreachable":
+                    return outcome.kind === "fenced" ? "notHolder" : "failed";
+            }
+        }
+        return hasRoom(book, limits, model) ? undefined : "full";
+    };
+    const orderLoad = async (model: string, adapter: string, key: AdapterKey): Promise<EnsureOutcome | "loading"> => {
+        const limits = options.findLimits();
+        if (!limits || isStopped) {
+            return "notHolder";
+        }
+        if (sequence === undefined && !await readReport()) {
+            return "failed";
+        }
+        for (let tries = 0; tries < orderTries; tries++) {
+            const known = book.slots.get(key);
+            if (!known) {
+                if (countPending(book) >= pendingLoadLimit) {
+                    return "full";
+                }
+                const refusal = await makeRoom(limits, model);
+                if (refusal) {
+                    return refusal;
+                }
+                const now = clock.now();
+                const state = "uncertain";
+                book.slots.set(key, { model, adapter, state, version: 0, demand: 1, usedAt: now, inFlight: new Map() });
+            }
+            const outcome = await sendOrder("load", model, adapter);
+            switch (outcome.kind) {
+                case "done":
+                    return "resident";
+                case "accepted":
+                    sequence = sequence! + 1;
+                    settleUncertain(key);
+                    book.slots.get(key)!.state = "loading";
+                    return "loading";
+                case "conflict":
+                    if (!await refreshAfterConflict()) {
+                        return "failed";
+                    }
+                    break;
+                case "unknown":
+                    break;
+                case "unreachable":
+                case "refused":
+                case "otherServer":
+                    book.slots.delete(key);
+                    return "failed";
+                case "fenced":
+                    return "notHolder";
+            }
+        }
+        return "failed";
+    };
+    const waitForLoad = async (model: string, adapter: string, key: AdapterKey): Promise<EnsureOutcome> => {
+        const startedAt = clock.now();
+        await clock.sleep(loadEstimate);
+        while (!isStopped && clock.now() - startedAt < loadLimitMilliseconds) {
+            const outcome = await runAlone(() => sendOrder("load", model, adapter));
+            if (outcome.kind === "done") {
+                const took = clock.now() - startedAt;
+                loadEstimate = loadEstimate * (1 - estimateWeight) + took * estimateWeight;
+                return "resident";
+            }
+            if (outcome.kind === "fenced" || outcome.kind === "otherServer") {
+                return "notHolder";
+            }
+            await clock.sleep(loadPollMilliseconds);
+        }
+        return "failed";
+    };
+    const markResident = (model: string, adapter: string, key: AdapterKey, version: number): void => {
+        const slot = book.slots.get(key);
+        if (slot) {
+            slot.state = "resident";
+            slot.version = version;
+            options.onChange({ run, model, adapter, version });
+        }
+    };
+    const load = async (wish: EnsureWish, adapter: string, key: AdapterKey): Promise<EnsureResult> => {
+        const version = wish.version ?? 1;
+        let outcome = await runAlone(() => orderLoad(wish.model, adapter, key));
+        if (outcome === "loading") {
+            outcome = await waitForLoad(wish.model, adapter, key);
+        }
+        if (outcome === "resident") {
+            markResident(wish.model, adapter, key, version);
+        }
+        return { outcome, version };
+    };
+    const ensure = (wish: EnsureWish): Promise<EnsureResult> => {
+        if (wish.adapter === undefined) {
+            return Promise.resolve({
+                outcome: book.models.has(wish.model) ? "resident" : "failed",
+                version: undefined,
+            });
+        }
+        const key = formatAdapterKey(wish.model, wish.adapter);
+        const slot = book.slots.get(key);
+        if (slot?.state === "resident" && !wish.wasDenied && slot.version >= (wish.version ?? 0)) {
+            return Promise.resolve({ outcome: "resident", version: slot.version });
+        }
+        let pending = loads.get(key);
+        if (!pending) {
+            pending = load(wish, wish.adapter, key).finally(() => loads.delete(key));
+            loads.set(key, pending);
+        }
+        return pending;
+    };
+    return {
+        run,
+        refresh: () => runAlone(readReport).then(() => undefined),
+        ensure,
+        countUse: (from, use) => {
+            const slot = book.slots.get(use.key);
+            if (slot) {
+                countUse(slot, from, use, clock.now());
+            }
+        },
+        describe,
+        listOutdated: newest =>
+            [...book.slots].filter(([key, slot]) => slot.state === "resident" && slot.version < (newest.get(key) ?? 0))
+                .map(([key]) => key),
+        readLastOrderAt: () => lastOrderAt,
+        stop: () => {
+            isStopped = true;
+        },
+    };
+}
--- /dev/null
+++ b/src/adapters/messages.ts
@@ -0,0 +1,75 @@
+/**
+ * Messages between instances about adapters on engines.
+ *
+ * @packageDocumentation
+ */
+import type { ServerRun } from "../serving/types.js";
+import type { Milliseconds } from "../shared/index.js";
+
+/** Name of an adapter of a model: `MODEL/ADAPTER`. */
+export type AdapterKey = string;
+
+/** An adapter that came to an engine or left it. */
+export interface ResidencyChange {
+    readonly run: ServerRun;
+    readonly model: string;
+    readonly adapter: string;
+    /** `undefined` when it left. */
+    readonly version: number | undefined;
+}
+
+/** Everything that an engine holds. */
+export interface EngineTable {
+    readonly run: ServerRun;
+    readonly models: readonly {
+        readonly name: string;
+        readonly adapters: readonly (readonly [name: string, version: number])[];
+    }[];
+}
+
+/** Use of an adapter by one instance since its last report. */
+export interface AdapterUse {
+    readonly run: ServerRun;
+    readonly key: AdapterKey;
+    readonly started: number;
+    readonly inFlight: number;
+}
+
+/** What became of a wish to have an adapter on an engine. */
+export type EnsureOutcome = "resident" | "notHolder" | "full" | "failed";
+
+/** Message about adapters. */
+export type AdapterMessage =
+    | {
+        readonly kind: "ensure";
+        readonly run: ServerRun;
+        readonly model: string;
+        /** `undefined` for the model itself. */
+        readonly adapter: string | undefined;
+        readonly version: number | undefined;
+        /** The engine has said that it doesn't hold the adapter. */
+        readonly wasDenied: boolean;
+    }
+    | { readonly kind: "ensured"; readonly outcome: EnsureOutcome; readonly version: number | undefined; }
+    | { readonly kind: "tables"; readonly tables: readonly EngineTable[]; }
+    | { readonly kind: "changes"; readonly changes: readonly ResidencyChange[]; }
+    | { readonly kind: "uses"; readonly uses: readonly AdapterUse[]; }
+    | { readonly kind: "holding"; readonly shards: readonly number[]; readonly generation: number; }
+    /** A shard was given up; tells how long ago its last order was sent. */
+    | {
+        readonly kind: "released";
+        readonly shard: number;
+        readonly generation: number;
+        readonly sinceLastOrder: Milliseconds;
+    };
+
+/**
+ * Formats the key of an adapter.
+ *
+ * @param model - name of its model
+ * @param adapter - name of the adapter
+ * @returns the key
+ */
+export function formatAdapterKey(model: string, adapter: string): AdapterKey {
+    return `${model}/${adapter}`;
+}
--- /dev/null
+++ b/src/adapters/shardTask.ts
@@ -0,0 +1,131 @@
+/**
+ * Keeps this instance in the group among which the store deals the shards of engines. A shard's fencing number is the
+ * generation of the answer that dealt it.
+ *
+ * @packageDocumentation
+ */
+import { type Clock, createDebug, type Milliseconds } from "../shared/index.js";
+import type { Task } from "../supervision/index.js";
+import type { ShardGroup, ShardMembership } from "./types.js";
+
+/** A shard that this instance holds. */
+export interface HeldShard {
+    readonly fencingNumber: number;
+    /** Orders of the holder before may still count until then. */
+    readonly activeAt: Milliseconds;
+}
+
+/** What changes of the membership are told to. */
+export interface ShardEvents {
+    readonly onGained: (shard: number) => void;
+    readonly onLost: (shard: number, generation: number) => void;
+    readonly onGeneration: (generation: number, shards: readonly number[]) => void;
+}
+
+/** Settings of the membership. */
+export interface ShardTaskOptions extends ShardEvents {
+    readonly group: ShardGroup;
+    readonly member: string;
+    readonly ttl: Milliseconds;
+    /** Time between the orders of two holders to one engine. */
+    readonly orderLease: Milliseconds;
+    readonly clock: Clock;
+    readonly startedAt: Milliseconds;
+}
+
+/** The task and what it knows. */
+export interface ShardTask extends Task {
+    readonly find: (shard: number) => HeldShard | undefined;
+    readonly list: () => readonly number[];
+    /** The holder before has told when its last order was sent. */
+    readonly markReleased: (shard: number, generation: number, lastOrderAt: Milliseconds) => void;
+    /** Gives up all shards after an engine has refused an old fencing number. */
+    readonly markFenced: () => void;
+    readonly leave: () => Promise<void>;
+}
+
+const joinsInTtl = 3;
+/** Joins before the dealing of a start or a change has settled follow one another quickly. */
+const settlingPauseMilliseconds = 100;
+const log = createDebug("adapters");
+
+/**
+ * Creates the task.
+ *
+ * @param options - the group and this member
+ * @returns the task
+ */
+export function createShardTask(options: ShardTaskOptions): ShardTask {
+    const { clock } = options;
+    const held = new Map<number, HeldShard>();
+    let generation = 0;
+    let hasFailed = false;
+
+    const decideActiveAt = (now: Milliseconds): Milliseconds =>
+        // a process that has just started takes over from holders that are gone, or starts with all others
+        now - options.startedAt < options.orderLease ? now : now + options.orderLease;
+    const drop = (shard: number): void => {
+        held.delete(shard);
+        options.onLost(shard, generation);
+    };
+    const applyMembership = (membership: ShardMembership, now: Milliseconds): boolean => {
+        const listed = new Set(membership.shards);
+        const lost = [...held.keys()].filter(shard => !listed.has(shard));
+        const gained = membership.shards.filter(shard => !held.has(shard));
+        const hasChanged = membership.generation !== generation || lost.length + gained.length > 0;
+        generation = membership.generation;
+        lost.forEach(drop);
+        for (const [shard, known] of held) {
+            held.set(shard, { ...known, fencingNumber: generation });
+        }
+        for (const shard of gained) {
+            held.set(shard, { fencingNumber: generation, activeAt: decideActiveAt(now) });
+            options.onGained(shard);
+        }
+        if (hasChanged) {
+            log.info("shards", { generation, shards: membership.shards, gained, lost });
+            options.onGeneration(generation, membership.shards);
+        }
+        return hasChanged;
+    };
+    const joinOnce = async (): Promise<boolean> => {
+        const answer = await options.group.join(options.member, generation, options.ttl);
+        if (answer.ok) {
+            hasFailed = false;
+            return applyMembership(answer.value, clock.now());
+        }
+        if (!hasFailed) {
+            log.warn("shard group unreachable", { ...answer.error });
+        }
+        hasFailed = true;
+        return false;
+    };
+    const run = async (signal: AbortSignal): Promise<void> => {
+        while (!signal.aborted) {
+            const hasChanged = await joinOnce();
+            await clock.sleep(hasChanged ? settlingPauseMilliseconds : options.ttl / joinsInTtl, signal);
+        }
+    };
+    return {
+        name: "shards",
+        run,
+        find: shard => held.get(shard),
+        list: () => [...held.keys()],
+        markReleased: (shard, releasedGeneration, lastOrderAt) => {
+            const known = held.get(shard);
+            if (known && releasedGeneration <= known.fencingNumber) {
+                held.set(shard, { ...known, activeAt: Math.min(known.activeAt, lastOrderAt + options.orderLease) });
+            }
+        },
+        markFenced: () => {
+            [...held.keys()].forEach(drop);
+        },
+        leave: async () => {
+            [...held.keys()].forEach(drop);
+            const answer = await options.group.leave(options.member);
+            if (!answer.ok) {
+                log.warn("leaving the shard group failed", { ...answer.error });
+            }
+        },
+    };
+}
--- /dev/null
+++ b/src/adapters/slotBook.ts
@@ -0,0 +1,180 @@
+/**
+ * Places for adapters on one engine, as its holder counts them. An adapter whose order has no answer keeps its place until
+ * the order can't be carried out any more: an engine that is told to load more than it has places for crashes.
+ *
+ * @packageDocumentation
+ */
+import type { EngineLimits } from "../serving/types.js";
+import type { InstanceId, Milliseconds } from "../shared/index.js";
+import { type AdapterKey, formatAdapterKey } from "./messages.js";
+import type { EngineReport } from "./types.js";
+
+/** State of a place. */
+export type SlotState = "resident" | "loading" | "leaving" | "uncertain";
+
+/** A taken place. */
+export interface AdapterSlot {
+    readonly model: string;
+    readonly adapter: string;
+    state: SlotState;
+    version: number;
+    /** Uses, older ones counting less. */
+    demand: number;
+    usedAt: Milliseconds;
+    readonly inFlight: Map<InstanceId, number>;
+}
+
+/** Places of one engine. */
+export interface SlotBook {
+    readonly models: Set<string>;
+    readonly slots: Map<AdapterKey, AdapterSlot>;
+}
+
+const demandHalfLifeMilliseconds = 10_000;
+/** Loads that may be on their way to one engine at a time. */
+export const pendingLoadLimit = 4;
+
+/**
+ * Creates the book of an engine of which nothing is known.
+ *
+ * @returns the book
+ */
+export function createSlotBook(): SlotBook {
+    return { models: new Set(), slots: new Map() };
+}
+
+/**
+ * Takes over what an engine reports; places with an order that may still be carried out stay taken.
+ *
+ * @param book - the book to correct
+ * @param report - the engine's report
+ * @param now - the present time
+ */
+export function applyReport(book: SlotBook, report: EngineReport, now: Milliseconds): void {
+    const previous = new Map(book.slots);
+    book.models.clear();
+    book.slots.clear();
+    for (const model of report.models) {
+        book.models.add(model.name);
+        model.adapters.forEach(adapter =>
+            keepSlot(book, previous, { model: model.name, ...describeHeld(adapter), state: "resident" }, now)
+        );
+    }
+    for (const pending of report.pending) {
+        const { model, adapter, version } = pending;
+        keepSlot(book, previous, { model, adapter, version, state: "loading" }, now);
+    }
+    for (const [key, slot] of previous) {
+        if (slot.state === "uncertain" && !book.slots.has(key)) {
+            book.slots.set(key, slot);
+        }
+    }
+}
+
+function describeHeld(adapter: { readonly name: string; readonly version: number; }): Pick<
+    AdapterSlot,
+    "adapter" | "version"
+> {
+    return { adapter: adapter.name, version: adapter.version };
+}
+
+function keepSlot(
+    book: SlotBook,
+    previous: ReadonlyMap<AdapterKey, AdapterSlot>,
+    held: Pick<AdapterSlot, "model" | "adapter" | "version" | "state">,
+    now: Milliseconds,
+): void {
+    const key = formatAdapterKey(held.model, held.adapter);
+    const known = previous.get(key);
+    book.slots.set(key, {
+        ...held,
+        demand: known?.demand ?? 0,
+        usedAt: known?.usedAt ?? now,
+        inFlight: known?.inFlight ?? new Map(),
+    });
+}
+
+/**
+ * Tells whether one more adapter fits.
+ *
+ * @param book - the engine's book
+ * @param limits - what an engine of its service can hold
+ * @param model - model of the adapter
+ * @returns whether there is a place and memory
+ */
+export function hasRoom(book: SlotBook, limits: EngineLimits, model: string): boolean {
+    if (book.slots.size >= limits.adapterSlots) {
+        return false;
+    }
+    const sizes = new Map(limits.models.map(entry => [entry.name, entry]));
+    let megabytes = sizes.get(model)?.adapterMegabytes ?? 0;
+    book.models.forEach(name => megabytes += sizes.get(name)?.sizeMegabytes ?? 0);
+    book.slots.forEach(slot => megabytes += sizes.get(slot.model)?.adapterMegabytes ?? 0);
+    return megabytes <= limits.memoryMegabytes;
+}
+
+/**
+ * Counts loads on their way to the engine.
+ *
+ * @param book - the engine's book
+ * @returns the count
+ */
+export function countPending(book: SlotBook): number {
+    let count = 0;
+    book.slots.forEach(slot => count += slot.state === "loading" || slot.state === "uncertain" ? 1 : 0);
+    return count;
+}
+
+/**
+ * Chooses the adapter that makes way: not in use, and with the least demand.
+ *
+ * @param book - the engine's book
+ * @param now - the present time
+ * @returns its key, or `undefined` when all are in use
+ */
+export function chooseVictim(book: SlotBook, now: Milliseconds): AdapterKey | undefined {
+    let victim: AdapterKey | undefined;
+    let least = Number.POSITIVE_INFINITY;
+    for (const [key, slot] of book.slots) {
+        const demand = readDemand(slot, now);
+        if (slot.state === "resident" && sumInFlight(slot) === 0 && demand < least) {
+            victim = key;
+            least = demand;
+        }
+    }
+    return victim;
+}
+
+/**
+ * Counts uses of an adapter.
+ *
+ * @param slot - its place
+ * @param instance - who used it
+ * @param use - requests started, and those under way now
+ * @param now - the present time
+ */
+export function countUse(
+    slot: AdapterSlot,
+    instance: InstanceId,
+    use: { readonly started: number; readonly inFlight: number; },
+    now: Milliseconds,
+): void {
+    slot.demand = readDemand(slot, now) + use.started;
+    slot.usedAt = now;
+    if (use.inFlight > 0) {
+        slot.inFlight.set(instance, use.inFlight);
+    }
+    else {
+        slot.inFlight.delete(instance);
+    }
+}
+
+function readDemand(slot: AdapterSlot, now: Milliseconds): number {
+    return slot.demand * 0.5 ** (Math.max(0, now - slot.usedAt) / demandHalfLifeMilliseconds);
+}
+
+function sumInFlight(slot: AdapterSlot): number {
+    let sum = 0;
+    slot.inFlight.forEach(count => sum += count);
+    return sum;
+}
--- a/src/bench/configFleet.ts
+++ b/src/bench/configFleet.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { pack } from "msgpackr";
+import type { ListedEngine, ListedInstance, LogService } from "../backends/index.js";
 import {
     type ConfigTask,
     type ConfigurationChange,
@@ -13,7 +14,6 @@
 } from "../config/index.js";
 import { createMembershipTask, type MembershipTask } from "../membership/index.js";
 import type { PeerBodies, PeerNetwork, PeerTopic } from "../peers/index.js";
-import type { ListedEngine, ListedInstance, LogService } from "../backends/index.js";
 import { createSeededRandom, type InstanceId, type Milliseconds } from "../shared/index.js";
 import { createRecordCodec } from "../streams/index.js";
 import {
--- a/src/bench/placement/decisionCosts.ts
+++ b/src/bench/placement/decisionCosts.ts
@@ -4,10 +4,10 @@
  * @packageDocumentation
  */
 import { pack } from "msgpackr";
+import type { ListedEngine } from "../../backends/index.js";
 import { createEngineTables } from "../../placement/engineTables.js";
 import { defaultPlacementTimes } from "../../placement/index.js";
 import { createPlanner } from "../../placement/plannerDecisions.js";
-import type { ListedEngine } from "../../backends/index.js";
 import { chooseEngine } from "../../routing/index.js";
 import { createSeededRandom } from "../../shared/index.js";
 import type { BenchLine } from "../harness.js";
--- a/src/bench/placement/ours.ts
+++ b/src/bench/placement/ours.ts
@@ -3,10 +3,10 @@
  *
  * @packageDocumentation
  */
+import type { ListedEngine } from "../../backends/index.js";
 import type { ResolvedSettings } from "../../config/index.js";
 import { createFrameCodec } from "../../peers/index.js";
 import { defaultPlacementTimes, type PlacementMessage } from "../../placement/index.js";
-import type { ListedEngine } from "../../backends/index.js";
 import { createFleetBudget } from "./fleetBudget.js";
 import { createFleetPlatform } from "./fleetPlatform.js";
 import { createPlacementFleet } from "./placementFleet.js";
--- a/src/bench/placement/placementFleet.ts
+++ b/src/bench/placement/placementFleet.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import type { ListedEngine, OrderError } from "../../backends/index.js";
 import type { ResolvedSettings } from "../../config/index.js";
 import { createFairQueue } from "../../fairness/index.js";
 import {
@@ -18,7 +19,6 @@
     type PlacementRequest,
     type PlacementTimes,
 } from "../../placement/index.js";
-import type { ListedEngine, OrderError } from "../../backends/index.js";
 import { type InstanceId, type Milliseconds, type Result, wrapError } from "../../shared/index.js";
 import type { History } from "../../testing/index.js";
 import type { EngineFleet } from "./engineFleet.js";
--- a/src/bench/placement/scenario.ts
+++ b/src/bench/placement/scenario.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { PlacementMessage } from "../../placement/index.js";
 import type { AdapterReference, EngineIncarnation } from "../../backends/index.js";
+import type { PlacementMessage } from "../../placement/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../../shared/index.js";
 import { createWeightStoreModel, type EngineRecord } from "../../standins/index.js";
 import { createHistory, type History } from "../../testing/index.js";
--- a/src/bench/relay.ts
+++ b/src/bench/relay.ts
@@ -5,8 +5,8 @@
  * @packageDocumentation
  */
 import { Worker } from "node:worker_threads";
-import type { ResolvedSettings } from "../config/index.js";
 import type { ListedBackendServer } from "../backends/index.js";
+import type { ResolvedSettings } from "../config/index.js";
 import { createSystemClock, hashKey, millisecondsPerSecond } from "../shared/index.js";
 import type { Bench, BenchLine, BenchRun } from "./harness.js";
 import type { EngineAddress, LoadResult, WorkerOrder, WorkerReport } from "./relay/messages.js";
--- a/src/bench/relay/relayPath.ts
+++ b/src/bench/relay/relayPath.ts
@@ -4,18 +4,18 @@
  *
  * @packageDocumentation
  */
-import type { ResolvedSettings, SettingsView } from "../../config/index.js";
-import { createHttpServer, createMetrics, type HttpServer, type Metrics, writeRequestLine } from "../../http/index.js";
-import type { TokenLimiter } from "../../limits/index.js";
-import type { MembershipView } from "../../membership/index.js";
-import type { PeerNetwork } from "../../peers/index.js";
-import type { Pin, Placement, PlacementRequest } from "../../placement/index.js";
 import {
     createEngineHttpClient,
     createServiceHttpClient,
     type ListedBackendServer,
     type ListedInstance,
 } from "../../backends/index.js";
+import type { ResolvedSettings, SettingsView } from "../../config/index.js";
+import { createHttpServer, createMetrics, type HttpServer, type Metrics, writeRequestLine } from "../../http/index.js";
+import type { TokenLimiter } from "../../limits/index.js";
+import type { MembershipView } from "../../membership/index.js";
+import type { PeerNetwork } from "../../peers/index.js";
+import type { Pin, Placement, PlacementRequest } from "../../placement/index.js";
 import { createRequestsTask } from "../../requests/index.js";
 import { type Clock, createSeededRandom, wrapError, wrapValue } from "../../shared/index.js";
 
--- a/src/bench/requests.ts
+++ b/src/bench/requests.ts
@@ -4,9 +4,9 @@
  * @packageDocumentation
  */
 import { Packr } from "msgpackr";
+import type { BackendError } from "../backends/index.js";
 import type { EpochView, MemberEpoch } from "../membership/index.js";
 import type { PeerHandler, PeerNetwork } from "../peers/index.js";
-import type { BackendError } from "../backends/index.js";
 import { advanceBreaker, type BreakerState, listEjected } from "../requests/circuitBreaker.js";
 import type { OnceClaim, OnceResult, OutcomeMessage } from "../requests/index.js";
 import { chooseGroup, partitionCount } from "../requests/onceGroups.js";
--- a/src/cli/instanceStatus.ts
+++ b/src/cli/instanceStatus.ts
@@ -5,8 +5,8 @@
  */
 import { request } from "undici";
 import { z } from "zod";
-import type { InstanceStatus } from "../http/index.js";
 import { createInstanceListHttpClient, type Listing } from "../backends/index.js";
+import type { InstanceStatus } from "../http/index.js";
 import { parseCommandArguments, readInstanceAddresses } from "./commandArguments.js";
 import { type CliEnvironment, type CommandReport, type ExitCode, exitCodes, UsageError } from "./types.js";
 
--- a/src/cli/operatorLog.ts
+++ b/src/cli/operatorLog.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { createLogHttpClient, type LogService } from "../backends/index.js";
 import {
     type ChangeOrigin,
     createChangeId,
@@ -11,7 +12,6 @@
     type LogReadError,
     type Publisher,
 } from "../config/index.js";
-import { createLogHttpClient, type LogService } from "../backends/index.js";
 import { type CommandArguments, readRequiredText } from "./commandArguments.js";
 import { type CliEnvironment, type CommandReport, exitCodes } from "./types.js";
 
--- a/src/config/configTask.ts
+++ b/src/config/configTask.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import type { PeerNetwork } from "../peers/index.js";
 import type { LogService } from "../backends/index.js";
+import type { PeerNetwork } from "../peers/index.js";
 import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
 import { createStreamFollower, type FollowerSettings, type FollowerStatus } from "../streams/index.js";
 import type { Task } from "../supervision/index.js";
--- a/src/demo/localFleet.ts
+++ b/src/demo/localFleet.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { createLogHttpClient } from "../backends/index.js";
 import {
     type ChangeOrigin,
     createChangeId,
@@ -16,7 +17,6 @@
     withdrawKey,
 } from "../config/index.js";
 import { type Instance, openInstance, resolveInstanceOptions } from "../instance/index.js";
-import { createLogHttpClient } from "../backends/index.js";
 import { type Clock, createSystemClock, type Milliseconds } from "../shared/index.js";
 import { createStandins, type StandinAddresses, type Standins, type StandinsConfig } from "../standins/index.js";
 
--- a/src/http/__tests__/canaryKey.test.ts
+++ b/src/http/__tests__/canaryKey.test.ts
@@ -1,8 +1,8 @@
 import { expect } from "chai";
 import loglevel from "loglevel";
+import type { ListedBackendServer } from "../../backends/index.js";
 import { createRelayPath, type RelayPath } from "../../bench/relay/relayPath.js";
 import type { ResolvedSettings } from "../../config/index.js";
-import type { ListedBackendServer } from "../../backends/index.js";
 import { createSystemClock, hashKey, setLogLevel } from "../../shared/index.js";
 import { createStandins, type Standins, standinsConfigSchema } from "../../standins/index.js";
 import { createFakeSettings } from "./fakeService.js";
--- a/src/instance/openInstance.ts
+++ b/src/instance/openInstance.ts
@@ -4,9 +4,9 @@
  * @packageDocumentation
  */
 import { randomInt } from "node:crypto";
+import type { ListedInstance } from "../backends/index.js";
 import type { InstanceStatus } from "../http/index.js";
 import { createPeerTask } from "../peers/index.js";
-import type { ListedInstance } from "../backends/index.js";
 import { type Clock, createDebug, createSystemClock, type InstanceId } from "../shared/index.js";
 import { createSupervisor, waitForAbort } from "../supervision/index.js";
 import { type Announcement, createAnnouncement } from "./announcement.js";
--- a/src/instance/parts.ts
+++ b/src/instance/parts.ts
@@ -3,6 +3,14 @@
  *
  * @packageDocumentation
  */
+import {
+    createEngineHttpClient,
+    createInstanceListHttpClient,
+    createLogHttpClient,
+    createServiceHttpClient,
+    type EngineClient,
+    type ListedInstance,
+} from "../backends/index.js";
 import { type ConfigTask, createConfigTask } from "../config/index.js";
 import { createFairQueue } from "../fairness/index.js";
 import {
@@ -16,14 +24,6 @@
 import { createMembershipTask, type MembershipTask } from "../membership/index.js";
 import type { PeerTask } from "../peers/index.js";
 import { createPlacementTask, type PlacementTask, type WaitingRequest } from "../placement/index.js";
-import {
-    createEngineHttpClient,
-    createInstanceListHttpClient,
-    createLogHttpClient,
-    createServiceHttpClient,
-    type EngineClient,
-    type ListedInstance,
-} from "../backends/index.js";
 import { createRequestsTask, type RequestsTask } from "../requests/index.js";
 import { type Clock, createSeededRandom, type InstanceId } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
--- a/src/membership/membershipTask.ts
+++ b/src/membership/membershipTask.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import type { PeerNetwork } from "../peers/index.js";
 import type { InstanceList, ListedInstance, Listing, LogService } from "../backends/index.js";
+import type { PeerNetwork } from "../peers/index.js";
 import type { BackendServerId, Clock, InstanceId, LogOffset, Milliseconds, SeededRandom } from "../shared/index.js";
 import { limitTime } from "../streams/index.js";
 import type { Task } from "../supervision/index.js";
--- a/src/membership/ownershipTask.ts
+++ b/src/membership/ownershipTask.ts
@@ -5,8 +5,8 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
-import type { PeerNetwork } from "../peers/index.js";
 import type { ListedInstance, LogService } from "../backends/index.js";
+import type { PeerNetwork } from "../peers/index.js";
 import { type Clock, type InstanceId, type LogOffset, type Milliseconds, type SeededRandom } from "../shared/index.js";
 import {
     clockRateMargin,
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -3,11 +3,13 @@
  *
  * @packageDocumentation
  */
+import type { AdapterMessage } from "../adapters/messages.js";
 import type { ConfigMessage } from "../config/index.js";
 import type { LimitsMessage } from "../limits/index.js";
 import type { MembershipMessage } from "../membership/index.js";
 import type { PlacementMessage } from "../placement/index.js";
 import type { OutcomeMessage } from "../requests/index.js";
+import type { UsageMessage } from "../serving/messages.js";
 import type { InstanceId, Milliseconds, Result } from "../shared/index.js";
 
 /** Message type of each part. */
@@ -17,6 +19,8 @@
     readonly limits: LimitsMessage;
     readonly placement: PlacementMessage;
     readonly outcomes: OutcomeMessage;
+    readonly adapters: AdapterMessage;
+    readonly usage: UsageMessage;
 }
 
 /** Name of a part that talks to its like on other instances. */
--- a/src/placement/__tests__/placementTask.test.ts
+++ b/src/placement/__tests__/placementTask.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
+import type { EngineClient, GenerationRequest, ListedEngine, OrderError } from "../../backends/index.js";
 import { createEngineFleet } from "../../bench/placement/engineFleet.js";
 import type { ResolvedSettings } from "../../config/index.js";
-import type { EngineClient, GenerationRequest, ListedEngine, OrderError } from "../../backends/index.js";
 import { type Result, wrapValue } from "../../shared/index.js";
 import { createWeightStoreModel } from "../../standins/index.js";
 import { createHistory } from "../../testing/index.js";
--- a/src/placement/__tests__/placementWorld.ts
+++ b/src/placement/__tests__/placementWorld.ts
@@ -1,9 +1,9 @@
+import type { ListedEngine } from "../../backends/index.js";
 import { createEngineFleet } from "../../bench/placement/engineFleet.js";
 import { createFleetBudget } from "../../bench/placement/fleetBudget.js";
 import { createFleetPlatform } from "../../bench/placement/fleetPlatform.js";
 import { createPlacementFleet, type PlaceAnswer } from "../../bench/placement/placementFleet.js";
 import type { ResolvedSettings } from "../../config/index.js";
-import type { ListedEngine } from "../../backends/index.js";
 import { createWeightStoreModel } from "../../standins/index.js";
 import { createHistory } from "../../testing/index.js";
 import type { Pin, PlacementMessage, PlacementTimes } from "../index.js";
--- a/src/placement/clientDecisions.ts
+++ b/src/placement/clientDecisions.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { FairQueue } from "../fairness/index.js";
 import type { ListedEngine } from "../backends/index.js";
+import type { FairQueue } from "../fairness/index.js";
 import { chooseEngine, type EngineCandidate } from "../routing/index.js";
 import type { BackendServerId, Milliseconds, RequestId } from "../shared/index.js";
 import { createDemandCount } from "./demandCount.js";
--- a/src/placement/placementCore.ts
+++ b/src/placement/placementCore.ts
@@ -4,10 +4,10 @@
  *
  * @packageDocumentation
  */
+import type { EngineReport, ListedBackendServer, ListedEngine, OrderError } from "../backends/index.js";
 import type { SettingsView } from "../config/index.js";
 import type { FairQueue } from "../fairness/index.js";
 import type { EpochView, MembershipView, OwnershipView } from "../membership/index.js";
-import type { EngineReport, ListedBackendServer, ListedEngine, OrderError } from "../backends/index.js";
 import {
     type BackendServerId,
     type FencingNumber,
--- a/src/placement/placementTask.ts
+++ b/src/placement/placementTask.ts
@@ -4,12 +4,12 @@
  *
  * @packageDocumentation
  */
+import type { EngineClient, EngineReport, ListedEngine, OrderError } from "../backends/index.js";
 import type { SettingsView } from "../config/index.js";
 import { createFairQueue, type FairQueue } from "../fairness/index.js";
 import type { LoadBudget } from "../limits/index.js";
 import type { EpochView, MembershipView, OwnershipView } from "../membership/index.js";
 import type { PeerNetwork } from "../peers/index.js";
-import type { EngineClient, EngineReport, ListedEngine, OrderError } from "../backends/index.js";
 import {
     type Clock,
     createDebug,
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { RequestClass } from "../config/index.js";
 import type { AdapterReference, EngineIncarnation } from "../backends/index.js";
+import type { RequestClass } from "../config/index.js";
 import type {
     BackendServerId,
     BaseModelId,
--- /dev/null
+++ b/src/platform/engineCalls.ts
@@ -0,0 +1,127 @@
+/**
+ * Orders to engines and their reports.
+ *
+ * @packageDocumentation
+ */
+import { Agent } from "undici";
+import { z } from "zod";
+import type { EngineControl, EngineOrder, EngineReport, OrderOutcome, ReportError } from "../adapters/types.js";
+import type { BackendServer } from "../serving/types.js";
+import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import { sendCall } from "./httpCall.js";
+import { heldModelsSchema } from "./serverEntry.js";
+
+const callTimeoutMilliseconds = 500;
+const connectTimeoutMilliseconds = 400;
+const idleTimeoutMilliseconds = 3_000;
+
+const reportSchema = z.object({
+    born: z.number().optional(),
+    // count of the orders that the server has accepted since its start
+    sequence: z.number(),
+    models: heldModelsSchema.default([]),
+    // MODEL/NAME@VERSION
+    pending: z.array(z.string()).default([]),
+});
+
+/**
+ * Creates the client of all engines.
+ *
+ * @returns the client
+ */
+export function createEngineControl(): EngineControl & { readonly close: () => void; } {
+    const agent = new Agent({
+        connections: 2,
+        pipelining: 1,
+        connectTimeout: connectTimeoutMilliseconds,
+        keepAliveTimeout: idleTimeoutMilliseconds,
+    });
+    return {
+        order: async (server, order) => {
+            const answer = await sendCall(agent.compose(redirectTo(server)), {
+                method: "POST",
+                path: "/order",
+                headers: { "content-type": "application/json", "x-oriolehatch-expect-instance": server.id },
+                body: JSON.stringify(encodeOrder(order)),
+                timeout: callTimeoutMilliseconds,
+            });
+            if (!answer.ok) {
+                return answer.error.wasSent ? { kind: "unknown" } : { kind: "unreachable" };
+            }
+            return decodeOutcome(answer.value.status, answer.value.body.toString("utf8"));
+        },
+        report: async server => {
+            const answer = await sendCall(agent.compose(redirectTo(server)), {
+                method: "GET",
+                path: "/report",
+                headers: { "x-oriolehatch-expect-instance": server.id },
+                timeout: callTimeoutMilliseconds,
+            });
+            if (!answer.ok) {
+                return wrapError({ kind: "unanswered", detail: answer.error.detail });
+            }
+            return decodeReport(answer.value.status, answer.value.body.toString("utf8"));
+        },
+        close: () => void agent.destroy(),
+    };
+}
+
+type AgentInterceptor = Parameters<Agent["compose"]>[0];
+
+function redirectTo(server: BackendServer): AgentInterceptor {
+    return dispatch => (options, handler) => dispatch({ ...options, origin: `http://${server.address}` }, handler);
+}
+
+function encodeOrder(order: EngineOrder): Record<string, unknown> {
+    return {
+        operation: order.action,
+        model: order.model,
+        adapter: order.adapter,
+        version: order.version,
+        // sequence that the server must have, which makes an order that comes late harmless
+        precondition: order.expectedSequence,
+        holder: order.holder,
+        fencing_token: order.fencingNumber,
+    };
+}
+
+function decodeOutcome(status: number, body: string): OrderOutcome {
+    switch (status) {
+        case 200:
+            return { kind: "done" };
+        case 202:
+            return { kind: "accepted" };
+        case 409:
+            return { kind: "conflict", detail: body };
+        case 412:
+            return { kind: "fenced" };
+        case 421:
+            return { kind: "otherServer" };
+        default:
+            return { kind: "refused", status, detail: body };
+    }
+}
+
+function decodeReport(status: number, body: string): Result<EngineReport, ReportError> {
+    if (status !== 200) {
+        return wrapError({ kind: "unanswered", detail: `status ${status}` });
+    }
+    try {
+        const report = reportSchema.parse(JSON.parse(body));
+        return wrapValue({
+            startedAt: report.born,
+            sequence: report.sequence,
+            models: report.models,
+            pending: report.pending.map(decodePending),
+        });
+    }
+    catch (error) {
+        return wrapError({ kind: "unanswered", detail: String(error) });
+    }
+}
+
+function decodePending(text: string): EngineReport["pending"][number] {
+    const slash = text.indexOf("/");
+    const [adapter, version] = text.slice(slash + 1).split("@");
+    return { model: text.slice(0, slash), adapter: adapter!, version: Number(version ?? 1) || 1 };
+}
--- /dev/null
+++ b/src/platform/settings.ts
@@ -0,0 +1,130 @@
+/**
+ * The settings file that the platform writes for each process.
+ *
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import { type Milliseconds, millisecondsPerSecond, type Result, wrapError, wrapValue } from "../shared/index.js";
+
+/** Variable that names the settings file. */
+export const settingsVariable = "ORIOLEHATCH_NODE_FILE";
+
+/** Settings of a process on the platform. */
+export interface PlatformSettings {
+    readonly instanceName: string;
+    readonly host: string;
+    readonly failureDomain: string;
+    /** Address on which clients are served. */
+    readonly clientAddress: string;
+    /** Address on which the platform asks whether clients may come. */
+    readonly readyAddress: string;
+    /** First of the ports for connections between instances. */
+    readonly peerPort: number;
+    readonly metricsPort: number;
+    readonly storeAddress: string;
+    readonly storeShards: number;
+    readonly membershipTtlMinimum: Milliseconds;
+    readonly serverHeartbeat: Milliseconds;
+    readonly bounds: PlatformBounds;
+}
+
+/** Bounds that the platform's operators state. */
+export interface PlatformBounds {
+    readonly drain: Milliseconds;
+    readonly grace: Milliseconds;
+    readonly revocation: Milliseconds;
+    readonly orderLease: Milliseconds;
+    readonly adapterVersion: Milliseconds;
+    readonly retryRatio: number;
+    readonly retryWindow: Milliseconds;
+    readonly retrySlack: number;
+    readonly quotaWindow: Milliseconds;
+    readonly modelLoadWindow: Milliseconds;
+}
+
+/** Why the settings can't be used. */
+export interface SettingsError {
+    readonly kind: "invalidSettings";
+    readonly detail: string;
+}
+
+const settingsSchema = z.object({
+    node_name: z.string(),
+    ip_address: z.string(),
+    zone: z.string(),
+    listen_addresses: z.object({ front: z.string(), ready: z.string() }),
+    internal_ports: z.tuple([z.number().int(), z.number().int()]),
+    heartbeat_ms: z.number(),
+    bounds: z.object({
+        drain_ms: z.number().default(2_000),
+        grace_s: z.number().default(8),
+        revoke_ms: z.number().default(5_000),
+        lease_ms: z.number().default(3_000),
+        version_ms: z.number().default(5_000),
+        budget_ratio: z.number().default(0.2),
+        budget_window_s: z.number().default(10),
+        budget_slack: z.number().default(0),
+        quota_window_s: z.number().default(8),
+        ceiling_window_s: z.number().default(5),
+    }),
+    platform: z.object({
+        address: z.string(),
+        form: z.literal("log", { message: "only the log form of the store is spoken" }),
+        parts: z.number().int().positive(),
+        min_ttl_ms: z.number().default(1_000),
+    }),
+});
+
+/**
+ * Decodes the settings file.
+ *
+ * @param text - content of the file, JSON
+ * @returns the settings, or what is wrong with them
+ */
+export function decodeSettings(text: string): Result<PlatformSettings, SettingsError> {
+    const parsed = parseJson(text);
+    if (parsed === undefined) {
+        return wrapError({ kind: "invalidSettings", detail: "the settings file is no JSON" });
+    }
+    const checked = settingsSchema.safeParse(parsed);
+    if (!checked.success) {
+        const issue = checked.error.issues[0]!;
+        return wrapError({ kind: "invalidSettings", detail: `${issue.path.join(".")}: ${issue.message}` });
+    }
+    const file = checked.data;
+    return wrapValue({
+        instanceName: file.node_name,
+        host: file.ip_address,
+        failureDomain: file.zone,
+        clientAddress: file.listen_addresses.front,
+        readyAddress: file.listen_addresses.ready,
+        peerPort: file.internal_ports[0],
+        metricsPort: file.internal_ports[0] + 1,
+        storeAddress: file.platform.address,
+        storeShards: file.platform.parts,
+        membershipTtlMinimum: file.platform.min_ttl_ms,
+        serverHeartbeat: file.heartbeat_ms,
+        bounds: {
+            drain: file.bounds.drain_ms,
+            grace: file.bounds.grace_s * millisecondsPerSecond,
+            revocation: file.bounds.revoke_ms,
+            orderLease: file.bounds.lease_ms,
+            adapterVersion: file.bounds.version_ms,
+            retryRatio: file.bounds.budget_ratio,
+            retryWindow: file.bounds.budget_window_s * millisecondsPerSecond,
+            retrySlack: file.bounds.budget_slack,
+            quotaWindow: file.bounds.quota_window_s * millisecondsPerSecond,
+            modelLoadWindow: file.bounds.ceiling_window_s * millisecondsPerSecond,
+        },
+    });
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        // the caller reports text that can't be read
+        return undefined;
+    }
+}
--- a/src/requests/__tests__/fakes.ts
+++ b/src/requests/__tests__/fakes.ts
@@ -1,10 +1,10 @@
 // fakes of the other parts, small and under the test's control
+import type { ListedBackendServer } from "../../backends/index.js";
 import type { ResolvedRoute, ResolvedSettings, SettingsView } from "../../config/index.js";
 import type { TokenLimiter } from "../../limits/index.js";
 import type { EpochView, MemberEpoch, MembershipView } from "../../membership/index.js";
 import type { PeerNetwork } from "../../peers/index.js";
 import type { Pin, PinOutcome, Placement } from "../../placement/index.js";
-import type { ListedBackendServer } from "../../backends/index.js";
 import { hashKey, wrapError, wrapValue } from "../../shared/index.js";
 
 export const key = "key-of-a";
--- a/src/requests/__tests__/onceWorld.ts
+++ b/src/requests/__tests__/onceWorld.ts
@@ -1,7 +1,7 @@
 // instances with the real request path in virtual time, before services that keep their own record
+import type { BackendError, ServiceClient, ServiceResponse } from "../../backends/index.js";
 import type { EpochView, MemberEpoch } from "../../membership/index.js";
 import type { PeerError, PeerHandler, PeerNetwork } from "../../peers/index.js";
-import type { BackendError, ServiceClient, ServiceResponse } from "../../backends/index.js";
 import { type Clock, type Result, wrapError, wrapValue } from "../../shared/index.js";
 import { createHistory, createVirtualClock, type History, type HistoryWorld } from "../../testing/index.js";
 import { createRequestsTask, type OutcomeMessage, type RequestsTask, type ServiceCallResult } from "../index.js";
--- a/src/requests/lifecycle.ts
+++ b/src/requests/lifecycle.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { PinOutcome, PlacementError } from "../placement/index.js";
 import type { AdapterReference, BackendError, GenerationEvent } from "../backends/index.js";
+import type { PinOutcome, PlacementError } from "../placement/index.js";
 import type { BackendServerId, Milliseconds } from "../shared/index.js";
 import { describeOutcome, type RefusalReason, type RequestOutcome } from "./outcome.js";
 import { computeBackoff, isRetriable, maximumAttempts, measureRetryCost } from "./retryPolicy.js";
--- a/src/requests/modelRunner.ts
+++ b/src/requests/modelRunner.ts
@@ -3,10 +3,10 @@
  *
  * @packageDocumentation
  */
+import type { BackendError, GenerationEvent } from "../backends/index.js";
 import type { ResolvedSettings } from "../config/index.js";
 import type { TokenReservation } from "../limits/index.js";
 import type { Pin, PinOutcome } from "../placement/index.js";
-import type { BackendError, GenerationEvent } from "../backends/index.js";
 import type { Milliseconds, Result } from "../shared/index.js";
 import { checkAuthorization } from "./authorize.js";
 import { createEventStream, type EventStream } from "./eventStream.js";
--- a/src/requests/requestsTask.ts
+++ b/src/requests/requestsTask.ts
@@ -3,9 +3,9 @@
  *
  * @packageDocumentation
  */
+import type { LogService } from "../backends/index.js";
 import type { EpochView, OwnershipView } from "../membership/index.js";
 import type { PeerNetwork } from "../peers/index.js";
-import type { LogService } from "../backends/index.js";
 import { type InstanceId, type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { createNotRun, resolveAccount } from "./authorize.js";
--- a/src/requests/resolveTarget.ts
+++ b/src/requests/resolveTarget.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { ResolvedModelRoute, ResolvedSettings } from "../config/index.js";
 import type { AdapterReference, Prompt } from "../backends/index.js";
+import type { ResolvedModelRoute, ResolvedSettings } from "../config/index.js";
 import { compareText, hashForPlacement, type KeyHash, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { type AuthorizationRefusal, resolveAccount } from "./authorize.js";
 
--- a/src/requests/runContext.ts
+++ b/src/requests/runContext.ts
@@ -3,11 +3,11 @@
  *
  * @packageDocumentation
  */
+import type { EngineClient, ServiceClient } from "../backends/index.js";
 import type { ResolvedSettings, SettingsView } from "../config/index.js";
 import type { TokenLimiter } from "../limits/index.js";
 import type { MembershipView } from "../membership/index.js";
 import type { Placement } from "../placement/index.js";
-import type { EngineClient, ServiceClient } from "../backends/index.js";
 import type { BackendServerId, Clock, Milliseconds, RouteId, SeededRandom } from "../shared/index.js";
 import {
     advanceBreaker,
--- a/src/requests/serviceRunner.ts
+++ b/src/requests/serviceRunner.ts
@@ -3,9 +3,9 @@
  *
  * @packageDocumentation
  */
+import type { BackendError, ServiceRequest, ServiceResponse } from "../backends/index.js";
 import type { ResolvedServiceRoute, ResolvedSettings } from "../config/index.js";
 import type { LimitRefusal, TokenReservation } from "../limits/index.js";
-import type { BackendError, ServiceRequest, ServiceResponse } from "../backends/index.js";
 import type { BackendServerId, Milliseconds, Result } from "../shared/index.js";
 import { checkAuthorization, createNotRun } from "./authorize.js";
 import { defaultRetryAfterMilliseconds } from "./lifecycle.js";
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { RequestClass } from "../config/index.js";
 import type { AdapterReference, Prompt, ServiceResponse } from "../backends/index.js";
+import type { RequestClass } from "../config/index.js";
 import type { ClientAccountId, KeyHash, Milliseconds, RequestId } from "../shared/index.js";
 import type { RequestOutcome } from "./outcome.js";
 
--- /dev/null
+++ b/src/serving/accountLimits.ts
@@ -0,0 +1,100 @@
+/**
+ * Limits of client accounts over all instances: own admissions, those that the others tell, and the part of the rate that
+ * instances out of hearing may use.
+ *
+ * @packageDocumentation
+ */
+import type { ClientAccountId, InstanceId, Milliseconds } from "../shared/index.js";
+import type { UsageMessage } from "./messages.js";
+import type { ClientRequest, ServingAccount } from "./types.js";
+import { createUsageBucket, type QuotaDecision, type UsageBucket } from "./usageBucket.js";
+
+/** Limits of all client accounts. */
+export interface AccountLimits {
+    readonly take: (account: ServingAccount, amount: number, now: Milliseconds) => QuotaDecision;
+    /** Takes over new quotas of a configuration. */
+    readonly update: (accounts: readonly ServingAccount[], now: Milliseconds) => void;
+    readonly handleUsage: (from: InstanceId, message: UsageMessage, now: Milliseconds) => void;
+    /** Own admissions that changed since the last call. */
+    readonly drainAdmitted: () => UsageMessage["admitted"];
+    /** All own admissions, for a peer that hears of them the first time. */
+    readonly listAdmitted: () => UsageMessage["admitted"];
+    /** Sets the part of the rate that the instances in hearing have together. */
+    readonly setShare: (share: number, now: Milliseconds) => void;
+}
+
+/**
+ * Creates the limits.
+ *
+ * @returns no accounts yet
+ */
+export function createAccountLimits(): AccountLimits {
+    const buckets = new Map<ClientAccountId, UsageBucket>();
+    const admitted = new Map<ClientAccountId, number>();
+    const changed = new Set<ClientAccountId>();
+    const heard = new Map<InstanceId, Map<ClientAccountId, number>>();
+    let share = 1;
+    const findBucket = (account: ServingAccount, now: Milliseconds): UsageBucket | undefined => {
+        if (!account.quota) {
+            return undefined;
+        }
+        let bucket = buckets.get(account.name);
+        if (!bucket) {
+            bucket = createUsageBucket(account.quota, now);
+            bucket.setShare(share, now);
+            buckets.set(account.name, bucket);
+        }
+        return bucket;
+    };
+    return {
+        take: (account, amount, now) => {
+            const decision = findBucket(account, now)?.take(amount, now) ?? { kind: "admitted" };
+            if (decision.kind === "admitted") {
+                admitted.set(account.name, (admitted.get(account.name) ?? 0) + amount);
+                changed.add(account.name);
+            }
+            return decision;
+        },
+        update: (accounts, now) => {
+            for (const account of accounts) {
+                account.quota ? findBucket(account, now)!.update(account.quota, now) : buckets.delete(account.name);
+            }
+        },
+        handleUsage: (from, message, now) => {
+            const known = heard.get(from);
+            const totals = known ?? new Map<ClientAccountId, number>();
+            for (const [account, total] of message.admitted) {
+                const more = total - (totals.get(account) ?? (known ? 0 : total));
+                if (more > 0) {
+                    buckets.get(account)?.charge(more, now);
+                }
+                totals.set(account, total);
+            }
+            heard.set(from, totals);
+        },
+        drainAdmitted: () => {
+            const drained = [...changed].map(account => [account, admitted.get(account) ?? 0] as const);
+            changed.clear();
+            return drained;
+        },
+        listAdmitted: () => [...admitted],
+        setShare: (newShare, now) => {
+            share = newShare;
+            buckets.forEach(bucket => bucket.setShare(newShare, now));
+        },
+    };
+}
+
+/**
+ * Computes what a request takes out of its account's limit.
+ *
+ * @param account - the account
+ * @param request - the request
+ * @returns tokens or requests, as the limit counts
+ */
+export function computeAmount(account: ServingAccount, request: Pick<ClientRequest, "tokens">): number {
+    if (account.quota?.unit !== "tokens") {
+        return 1;
+    }
+    return request.tokens ? request.tokens.prompt + request.tokens.output : account.quota.plainTokens;
+}
--- /dev/null
+++ b/src/serving/attemptRun.ts
@@ -0,0 +1,225 @@
+/**
+ * One attempt of a request at one server: its answer goes to the client as it comes, or the attempt ends in a way that
+ * decides what follows.
+ *
+ * @packageDocumentation
+ */
+import { createEventSplitter, type EventSplitter } from "./eventSplitter.js";
+import { decideNextStep, isRepeatable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
+import type { AttemptPlace, RequestParts, RequestState } from "./requestState.js";
+import type { Attempt, AttemptFault } from "./serverConnections.js";
+import { formatServerRun, type ServerAnswerHead } from "./types.js";
+
+/** How an attempt ended. */
+export type AttemptEnd =
+    | { readonly kind: "complete"; }
+    | { readonly kind: "repeat"; }
+    | { readonly kind: "failed"; readonly reason: string; }
+    | { readonly kind: "timeout"; }
+    | { readonly kind: "clientLeft"; };
+
+const lastPriority = 9;
+const misdirectedStatus = 421;
+const firstServerError = 500;
+
+/**
+ * Sends a request to a server and delivers its answer.
+ *
+ * @param parts - the instance
+ * @param state - the request
+ * @param place - the server
+ * @returns how the attempt ended
+ */
+export async function runAttempt(
+    parts: RequestParts,
+    state: RequestState,
+    place: AttemptPlace,
+): Promise<AttemptEnd> {
+    const { server } = place;
+    const run = formatServerRun(server);
+    const record = parts.records.find(run);
+    const { choice } = state.request;
+    state.sends++;
+    state.used.add(run);
+    record.inFlight++;
+    choice && parts.adapters.markStarted(server, choice);
+    try {
+        return await deliverAttempt(parts, state, place);
+    }
+    finally {
+        record.inFlight--;
+        choice && parts.adapters.markEnded(server, choice);
+    }
+}
+
+function deliverAttempt(parts: RequestParts, state: RequestState, place: AttemptPlace): Promise<AttemptEnd> {
+    const { server } = place;
+    const run = formatServerRun(server);
+    const { route } = state.admission;
+    return new Promise(resolve => {
+        let mode: "waiting" | "delivering" | "ignoring" = "waiting";
+        let splitter: EventSplitter | undefined;
+        let attempt: Attempt | undefined = undefined;
+        const cancelTimer = new AbortController();
+        const finish = (end: AttemptEnd): void => {
+            cancelTimer.abort();
+            state.signal.removeEventListener("abort", leave);
+            mode = "ignoring";
+            resolve(end);
+        };
+        const leave = (): void => {
+            attempt?.abort();
+            finish({ kind: "clientLeft" });
+        };
+        const stopLate = (): void => {
+            attempt?.abort();
+            state.mayHaveRun = true;
+            finish({ kind: "timeout" });
+        };
+        const progress = (): RequestProgress => ({
+            route,
+            serversUsed: state.used.size,
+            isAnswering: state.headAt !== undefined,
+            mayHaveRun: state.mayHaveRun,
+        });
+        const followStep = (step: NextStep, reason: string): void => {
+            state.lastFault = reason;
+            if (step.kind === "repeat" && takeRepeat(parts, state, step)) {
+                finish({ kind: "repeat" });
+                return;
+            }
+            state.mayHaveRun ||= step.kind === "fail" && !step.isNotRun;
+            finish({ kind: "failed", reason });
+        };
+        const handleHead = (head: ServerAnswerHead): void => {
+            noteHead(parts, state, place, head);
+            const step = decideNextStep({ kind: "head", head }, progress());
+            const hasOwnAnswer = !head.isNotRun && head.isSigned && state.headAt === undefined;
+            if (step.kind === "repeat" && canRepeat(parts, state) && takeRepeat(parts, state, step)) {
+                state.lastFault = `status ${head.status}`;
+                finish({ kind: "repeat" });
+                return;
+            }
+            if (step.kind === "fail" || (step.kind === "repeat" && !hasOwnAnswer)) {
+                state.mayHaveRun ||= !head.isNotRun;
+                finish({ kind: "failed", reason: `status ${head.status}` });
+                return;
+            }
+            mode = "delivering";
+            splitter = head.isEventStream ? createEventSplitter() : undefined;
+            if (state.headAt === undefined) {
+                state.headAt = parts.clock.now();
+                state.status = head.status;
+                const isSplit = splitter !== undefined && isRepeatable(route);
+                state.answer.writeHead(head.status, head.passedHeaders, isSplit ? undefined : head.contentLength);
+            }
+        };
+        const handleData = (chunk: Buffer): void => {
+            if (mode !== "delivering") {
+                return;
+            }
+            const bytes = splitter ? takeEvents(state, splitter, chunk) : chunk;
+            if (bytes.length > 0 && !state.answer.write(bytes)) {
+                attempt?.pause();
+                state.answer.onDrain(() => attempt?.resume());
+            }
+        };
+        const handleFault = (fault: AttemptFault): void => {
+            if (mode === "ignoring") {
+                return;
+            }
+            parts.records.markFailure(run, fault.kind === "notSent", parts.clock.now());
+            state.excluded.add(run);
+            if (fault.kind === "notSent") {
+                state.used.delete(run);
+            }
+            followStep(decideNextStep({ kind: "fault", fault }, progress()), `${fault.kind} ${fault.detail}`);
+        };
+        const handleEnd = (): void => {
+            if (mode !== "delivering") {
+                return;
+            }
+            const rest = splitter?.readRest();
+            if (rest && rest.length > 0) {
+                handleFault({ kind: "broken", detail: "ended within an event" });
+                return;
+            }
+            state.answer.end();
+            finish({ kind: "complete" });
+        };
+        state.signal.addEventListener("abort", leave, { once: true });
+        void parts.clock.sleep(Math.max(0, state.until - parts.clock.now()), cancelTimer.signal).then(() => {
+            if (!cancelTimer.signal.aborted) {
+                stopLate();
+            }
+        });
+        attempt = parts.connections.send(
+            {
+                server,
+                attemptId: state.request.attemptId,
+                method: state.request.method,
+                target: state.request.target,
+                headers: parts.headers.encodeForward(state.request, {
+                    server: server.id,
+                    account: state.admission.account?.name,
+                    deadline: state.until - parts.clock.now(),
+                    priority: choosePriority(state),
+                    version: place.requiredVersion,
+                    lastEventId: state.lastEventId,
+                }),
+                body: state.body,
+            },
+            { onHead: handleHead, onData: handleData, onEnd: handleEnd, onFault: handleFault },
+        );
+    });
+}
+
+function choosePriority(state: RequestState): number | undefined {
+    const { account, route } = state.admission;
+    return state.request.choice && Math.min(lastPriority, account?.priority ?? route.priority);
+}
+
+function takeEvents(state: RequestState, splitter: EventSplitter, chunk: Buffer): Buffer {
+    const events = splitter.push(chunk);
+    state.lastEventId = events.lastId ?? state.lastEventId;
+    return events.bytes;
+}
+
+function noteHead(parts: RequestParts, state: RequestState, place: AttemptPlace, head: ServerAnswerHead): void {
+    const run = formatServerRun(place.server);
+    const now = parts.clock.now();
+    const record = parts.records.find(run);
+    if (head.load) {
+        record.load = head.load;
+        record.loadAt = now;
+    }
+    if (head.isNotRun) {
+        const { choice } = state.request;
+        if (choice && head.status === misdirectedStatus) {
+            parts.adapters.markDenied(place.server, choice);
+        }
+        else {
+            state.excluded.add(run);
+        }
+        return;
+    }
+    if (head.status >= firstServerError || !head.isSigned) {
+        state.excluded.add(run);
+        parts.records.markFailure(run, false, now);
+        return;
+    }
+    parts.records.markSuccess(run, now);
+}
+
+function canRepeat(parts: RequestParts, state: RequestState): boolean {
+    return parts.clock.now() < state.until;
+}
+
+function takeRepeat(
+    parts: RequestParts,
+    state: RequestState,
+    step: Extract<NextStep, { readonly kind: "repeat"; }>,
+): boolean {
+    state.mayHaveRun = step.mayHaveRun;
+    return step.isFree || parts.retryBudget.take(state.admission.service, parts.clock.now());
+}
--- /dev/null
+++ b/src/serving/clientServer.ts
@@ -0,0 +1,171 @@
+/**
+ * The port on which clients are served, for any host, path and method.
+ *
+ * @packageDocumentation
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import type { AddressInfo } from "node:net";
+import restana from "restana";
+import type { Milliseconds } from "../shared/index.js";
+import type { ClientAnswer } from "./requestState.js";
+import type { ClientLimits } from "./types.js";
+
+/** A client's request with its whole body. */
+export interface ReceivedRequest {
+    readonly method: string;
+    readonly target: string;
+    readonly rawHeaders: readonly string[];
+    readonly body: Buffer | undefined;
+    readonly answer: ClientAnswer;
+    /** Aborted when the client leaves before the answer's end. */
+    readonly signal: AbortSignal;
+}
+
+/** Settings of the port. */
+export interface ClientServerOptions {
+    readonly host: string;
+    readonly port: number;
+    readonly findLimits: () => ClientLimits | undefined;
+    readonly isDraining: () => boolean;
+    readonly handle: (request: ReceivedRequest) => Promise<void>;
+}
+
+/** The port. */
+export interface ClientServer {
+    readonly listen: () => Promise<number>;
+    /** Takes over limits of a configuration. */
+    readonly update: (limits: ClientLimits) => void;
+    readonly countOpen: () => number;
+    /** Stops listening and closes idle connections. */
+    readonly drain: () => void;
+    readonly close: () => void;
+}
+
+const headerLimitBytes = 64 * 1024;
+const firstHeaderTimeoutMilliseconds = 3_000;
+const firstIdleTimeoutMilliseconds = 15_000;
+/** Connections are kept a little longer than clients may reuse them. */
+const idleSlackMilliseconds: Milliseconds = 1_000;
+const backlog = 512;
+const headerTooLargeStatus = 431;
+const bodyTooLargeStatus = 413;
+
+/**
+ * Creates the port.
+ *
+ * @param options - address and what handles requests
+ * @returns the port, not yet open
+ */
+export function createClientServer(options: ClientServerOptions): ClientServer {
+    let openRequests = 0;
+    const server: Server = createServer({
+        maxHeaderSize: headerLimitBytes,
+        headersTimeout: firstHeaderTimeoutMilliseconds,
+        keepAliveTimeout: firstIdleTimeoutMilliseconds + idleSlackMilliseconds,
+        requestTimeout: 0,
+        connectionsCheckingInterval: 1_000,
+    });
+    server.on("checkContinue", (request: IncomingMessage, response: ServerResponse) => {
+        response.writeContinue();
+        server.emit("request", request, response);
+    });
+    const receive = (request: IncomingMessage, response: ServerResponse): void => {
+        openRequests++;
+        response.once("close", () => openRequests--);
+        receiveRequest(options, request, response);
+    };
+    const service = restana({ server, defaultRoute: receive as never });
+    server.on("clientError", (_error, socket) => socket.destroy());
+    return {
+        listen: () =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen({ host: options.host, port: options.port, backlog }, () => {
+                    resolve((server.address() as AddressInfo).port);
+                });
+                void service;
+            }),
+        update: limits => {
+            server.headersTimeout = limits.headerTimeout;
+            server.keepAliveTimeout = limits.idleTimeout + idleSlackMilliseconds;
+        },
+        countOpen: () => openRequests,
+        drain: () => {
+            server.close();
+            server.closeIdleConnections();
+        },
+        close: () => server.closeAllConnections(),
+    };
+}
+
+function receiveRequest(options: ClientServerOptions, request: IncomingMessage, response: ServerResponse): void {
+    const limits = options.findLimits();
+    if (limits && measureHeaders(request.rawHeaders) > limits.headerBytes) {
+        refuseEarly(response, headerTooLargeStatus);
+        return;
+    }
+    const leaving = new AbortController();
+    response.once("close", () => {
+        if (!response.writableFinished) {
+            leaving.abort();
+        }
+    });
+    response.on("error", () => leaving.abort());
+    const chunks: Buffer[] = [];
+    let size = 0;
+    request.on("error", () => leaving.abort());
+    request.on("data", (chunk: Buffer) => {
+        size += chunk.length;
+        if (limits && size > limits.bodyBytes) {
+            refuseEarly(response, bodyTooLargeStatus);
+            request.removeAllListeners("data");
+            return;
+        }
+        chunks.push(chunk);
+    });
+    request.once("end", () => {
+        if (response.headersSent || leaving.signal.aborted) {
+            return;
+        }
+        void options.handle({
+            method: request.method ?? "GET",
+            target: request.url ?? "/",
+            rawHeaders: request.rawHeaders,
+            body: size === 0 ? undefined : Buffer.concat(chunks),
+            answer: createClientAnswer(response, options.isDraining),
+            signal: leaving.signal,
+        });
+    });
+}
+
+function refuseEarly(response: ServerResponse, status: number): void {
+    response.writeHead(status, ["Content-Length", "0", "Connection", "close"]);
+    response.end();
+}
+
+function measureHeaders(rawHeaders: readonly string[]): number {
+    return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
+}
+
+function createClientAnswer(response: ServerResponse, isDraining: () => boolean): ClientAnswer {
+    return {
+        writeHead: (status, headers, contentLength) => {
+            if (response.destroyed || response.headersSent) {
+                return;
+            }
+            const all = [...headers];
+            if (contentLength !== undefined) {
+                all.push("Content-Length", String(contentLength));
+            }
+            if (isDraining()) {
+                all.push("Connection", "close");
+            }
+            response.writeHead(status, all);
+            response.flushHeaders();
+        },
+        write: chunk => response.destroyed || response.write(chunk),
+        end: () => void response.end(),
+        destroy: () => void response.destroy(),
+        onDrain: resume => void response.once("drain", resume),
+    };
+}
--- /dev/null
+++ b/src/serving/instanceDirectory.ts
@@ -0,0 +1,100 @@
+/**
+ * The other instances, as they enter themselves in the platform's store, and which of them are in hearing.
+ *
+ * @packageDocumentation
+ */
+import { z } from "zod";
+import type { InstanceId, Milliseconds } from "../shared/index.js";
+import type { KeyedRecord } from "./types.js";
+
+/** An instance's entry. */
+export interface InstanceEntry {
+    /** Name that stays the same over restarts. */
+    readonly name: string;
+    /** Names one run of the process. */
+    readonly id: InstanceId;
+    readonly address: string;
+}
+
+/** Directory of instances. */
+export interface InstanceDirectory {
+    /** Other instances that were heard a moment ago, or are new. */
+    readonly listHeard: (now: Milliseconds) => readonly InstanceId[];
+    readonly listOthers: () => readonly InstanceId[];
+    readonly findAddress: (id: InstanceId) => string | undefined;
+    readonly applyRecord: (record: KeyedRecord) => void;
+    readonly replaceAll: (records: readonly KeyedRecord[]) => void;
+    /** Tells whether the instance was out of hearing before. */
+    readonly markHeard: (id: InstanceId, now: Milliseconds) => boolean;
+    /** Part of all instances, this one included, that are in hearing. */
+    readonly computeShare: (now: Milliseconds) => number;
+    readonly countAll: () => number;
+}
+
+/** Silence after which an instance counts as out of hearing. */
+const hearingMilliseconds = 1_200;
+const entrySchema = z.object({ id: z.string(), address: z.string() });
+
+/**
+ * Creates the directory.
+ *
+ * @param self - this instance's own entry
+ * @returns a directory of no others
+ */
+export function createInstanceDirectory(self: InstanceEntry): InstanceDirectory {
+    const entries = new Map<string, InstanceEntry>();
+    const heardAt = new Map<InstanceId, Milliseconds>();
+    const applyRecord = (record: KeyedRecord): void => {
+        if (record.key === self.name) {
+            return;
+        }
+        const entry = record.value && decodeEntry(record.key, record.value);
+        if (entry) {
+            entries.set(record.key, entry);
+        }
+        else {
+            entries.delete(record.key);
+        }
+    };
+    const isHeard = (id: InstanceId, now: Milliseconds): boolean =>
+        now - (heardAt.get(id) ?? Number.NEGATIVE_INFINITY) < hearingMilliseconds;
+    const listOthers = (): readonly InstanceId[] => [...entries.values()].map(entry => entry.id);
+    const listHeard = (now: Milliseconds): readonly InstanceId[] => listOthers().filter(id => isHeard(id, now));
+    return {
+        listHeard,
+        listOthers,
+        findAddress: id => [...entries.values()].find(entry => entry.id === id)?.address,
+        applyRecord,
+        replaceAll: records => {
+            entries.clear();
+            records.forEach(applyRecord);
+        },
+        markHeard: (id, now) => {
+            const wasHeard = isHeard(id, now);
+            heardAt.set(id, now);
+            return !wasHeard;
+        },
+        computeShare: now => (listHeard(now).length + 1) / (entries.size + 1),
+        countAll: () => entries.size + 1,
+    };
+}
+
+/**
+ * Encodes an instance's own entry.
+ *
+ * @param entry - the entry
+ * @returns the value of its record
+ */
+export function encodeInstanceEntry(entry: InstanceEntry): Uint8Array {
+    return Buffer.from(JSON.stringify({ id: entry.id, address: entry.address }), "utf8");
+}
+
+function decodeEntry(name: string, value: Uint8Array): InstanceEntry | undefined {
+    try {
+        return { name, ...entrySchema.parse(JSON.parse(Buffer.from(value).toString("utf8"))) };
+    }
+    catch {
+        // an entry that can't be read names no instance
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/serving/messages.ts
@@ -0,0 +1,16 @@
+/**
+ * Messages between instances about what they admitted and have under way.
+ *
+ * @packageDocumentation
+ */
+import type { ClientAccountId } from "../shared/index.js";
+import type { ServerRun } from "./types.js";
+
+/** Sent whenever something changed, and now and then as a sign of life. */
+export interface UsageMessage {
+    readonly kind: "usage";
+    /** Units admitted for client accounts since the instance started; only those that changed. */
+    readonly admitted: readonly (readonly [ClientAccountId, number])[];
+    /** Requests that the instance has at servers; only those that changed. */
+    readonly inFlight: readonly (readonly [ServerRun, number])[];
+}
--- /dev/null
+++ b/src/serving/openServing.ts
@@ -0,0 +1,288 @@
+/**
+ * Puts the parts of an instance on the platform together.
+ *
+ * @packageDocumentation
+ */
+import { type AdapterDesk, createAdapterDesk } from "../adapters/adapterDesk.js";
+import { createShardTask, type ShardTask } from "../adapters/shardTask.js";
+import type { EngineControl, ShardGroup } from "../adapters/types.js";
+import { createPeerTask } from "../peers/peerTask.js";
+import {
+    type Clock,
+    createDebug,
+    createSeededRandom,
+    type FailureDomainId,
+    type Milliseconds,
+} from "../shared/index.js";
+import { createSupervisor, type Task } from "../supervision/index.js";
+import { type AccountLimits, createAccountLimits } from "./accountLimits.js";
+import { createClientServer, type ReceivedRequest } from "./clientServer.js";
+import { type ConfigurationState, createConfigurationState } from "./configurationState.js";
+import { createFollowers } from "./followers.js";
+import { readClocks } from "./freshness.js";
+import { createInstanceDirectory, type InstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
+import { createReadyServer } from "./readyServer.js";
+import { writeRequestLine } from "./requestLine.js";
+import { runRequest } from "./requestRun.js";
+import type { RequestParts } from "./requestState.js";
+import { createRetryBudget } from "./retryBudget.js";
+import { createServerConnections } from "./serverConnections.js";
+import { createServerList, type ServerList, type ServerListChange } from "./serverList.js";
+import { createServerRecords, type ServerRecords } from "./serverRecords.js";
+import type { BackendServer, HeaderCodec, KeyedLog, RecordCodec } from "./types.js";
+import { createUsageTask } from "./usageTask.js";
+
+/** Outside systems, behind their interfaces. */
+export interface ServingPorts {
+    readonly log: KeyedLog;
+    readonly shards: ShardGroup;
+    readonly control: EngineControl;
+    readonly headers: HeaderCodec;
+    readonly records: RecordCodec;
+}
+
+/** Settings of an instance on the platform. */
+export interface ServingOptions {
+    readonly instanceName: string;
+    readonly host: string;
+    readonly failureDomain: FailureDomainId;
+    readonly clientPort: number;
+    readonly readyPort: number;
+    readonly peerPort: number;
+    readonly shardCount: number;
+    readonly shardTtl: Milliseconds;
+    readonly orderLease: Milliseconds;
+    /** Time after which a withdrawn key must not work. */
+    readonly revocationBound: Milliseconds;
+    readonly versionBound: Milliseconds;
+    /** Time from SIGTERM until the process is ended. */
+    readonly grace: Milliseconds;
+    readonly retry: { readonly window: Milliseconds; readonly ratio: number; readonly slack: number; };
+    readonly clock: Clock;
+}
+
+/** A running instance. */
+export interface Serving {
+    /** Resolves when the instance has drained after the signal, or failed. */
+    readonly run: (signal: AbortSignal) => Promise<void>;
+}
+
+/** Part of the revocation bound up to which requests with keys are served on the configuration known. */
+const keyFreshnessPart = 0.85;
+/** Part of it after which clients are sent to other instances. */
+const readyFreshnessPart = 0.7;
+const serverIdleTimeoutMilliseconds = 1_500;
+const connectionShare = 0.8;
+const unlimitedConnections = 64;
+/** Time in which the platform notices that an instance isn't ready. */
+const noticeMilliseconds = 2_500;
+const drainPollMilliseconds = 50;
+/** Kept of the grace time for the end of the process. */
+const exitReserveMilliseconds = 700;
+const log = createDebug("serving");
+
+/**
+ * Puts an instance together.
+ *
+ * @param options - addresses and bounds
+ * @param ports - the outside systems
+ * @returns the instance, not yet running
+ */
+export function createServing(options: ServingOptions, ports: ServingPorts): Serving {
+    const { clock } = options;
+    const startedAt = clock.now();
+    const startTime = Date.now();
+    const self: InstanceEntry = {
+        name: options.instanceName,
+        id: `${options.instanceName}@${startTime}`,
+        address: `${options.host}:${options.peerPort}`,
+    };
+    const configuration = createConfigurationState();
+    const servers = createServerList();
+    const records = createServerRecords();
+    const directory = createInstanceDirectory(self);
+    const limits = createAccountLimits();
+    const retryBudget = createRetryBudget(options.retry);
+    const random = createSeededRandom(startTime % 2 ** 31);
+    const peers = createPeerTask({
+        self: self.id,
+        host: options.host,
+        port: options.peerPort,
+        findAddress: directory.findAddress,
+        clock,
+    });
+    const findService = (name: string) => configuration.read()?.config.services.get(name);
+    const adapters = createAdapterDesk({
+        self: self.id,
+        holder: options.instanceName,
+        failureDomain: options.failureDomain,
+        shardCount: options.shardCount,
+        control: ports.control,
+        clock,
+        records,
+        network: peers.network,
+        listPeers: () => directory.listHeard(clock.now()),
+        listEngines: () => servers.listAll().filter(server => findService(server.service)?.engine),
+        findLimits: service => findService(service)?.engine,
+        versionBound: options.versionBound,
+    });
+    const shards = createShardTask({
+        group: ports.shards,
+        member: options.instanceName,
+        ttl: options.shardTtl,
+        orderLease: options.orderLease,
+        clock,
+        startedAt,
+        onGained: adapters.handleGained,
+        onLost: adapters.handleLost,
+        onGeneration: adapters.handleGeneration,
+    });
+    adapters.attachShards(shards);
+    const findConnectionLimit = (server: BackendServer): number => {
+        const limit = findService(server.service)?.connectionLimit ?? unlimitedConnections;
+        return Math.max(1, Math.floor(Math.min(limit * connectionShare / directory.countAll(), unlimitedConnections)));
+    };
+    const connections = createServerConnections({
+        headers: ports.headers,
+        findLimit: findConnectionLimit,
+        idleTimeout: serverIdleTimeoutMilliseconds,
+    });
+    const applyServerChange = (change: ServerListChange): void => {
+        for (const server of change.removed) {
+            const run = `${server.id}/${server.startedAt}`;
+            connections.remove(run);
+            records.remove(run);
+        }
+        if (change.added.length + change.removed.length > 0) {
+            log.info("servers", {
+                added: change.added.map(server => `${server.id}/${server.startedAt}`),
+                removed: change.removed.map(server => `${server.id}/${server.startedAt}`),
+            });
+        }
+        adapters.handleServers(change.added, change.removed);
+    };
+    const requestParts: RequestParts = {
+        configuration,
+        limits,
+        retryBudget,
+        random,
+        keyFreshness: options.revocationBound * keyFreshnessPart,
+        clock,
+        failureDomain: options.failureDomain,
+        servers,
+        records,
+        connections,
+        headers: ports.headers,
+        adapters,
+    };
+    let isDraining = false;
+    const handleRequest = async (received: ReceivedRequest): Promise<void> => {
+        const request = ports.headers.decodeRequest(received.method, received.target, received.rawHeaders);
+        const arrivedAt = clock.now();
+        const report = await runRequest(requestParts, request, received.body, received.answer, received.signal);
+        writeRequestLine(log, request, report, clock.now() - arrivedAt);
+    };
+    const clientServer = createClientServer({
+        host: options.host,
+        port: options.clientPort,
+        findLimits: () => configuration.read()?.config.limits,
+        isDraining: () => isDraining,
+        handle: handleRequest,
+    });
+    const readyServer = createReadyServer({
+        host: options.host,
+        port: options.readyPort,
+        isReady: () =>
+            !isDraining && configuration.measureAge(readClocks()) < options.revocationBound * readyFreshnessPart,
+    });
+    const followers = createFollowers({
+        log: ports.log,
+        codec: ports.records,
+        clock,
+        configuration,
+        servers,
+        directory,
+        onServers: applyServerChange,
+        onConfiguration: config => {
+            limits.update(config.accounts ?? [], clock.now());
+            clientServer.update(config.limits);
+            // engines are known by their service, which an earlier configuration may not have named
+            adapters.handleServers(servers.listAll(), []);
+            log.info("configuration", { version: config.version, routes: config.routes.length });
+        },
+        onVersion: adapters.markVersion,
+    });
+    const usage = createUsageTask({
+        clock,
+        directory,
+        limits,
+        records,
+        retryBudget,
+        network: peers.network,
+        onTick: adapters.publish,
+        onFirstHeard: adapters.greet,
+    });
+    const announce = createAnnounceTask(options, ports, self);
+    const supervisor = createSupervisor({
+        name: "serving",
+        clock,
+        maximumRestarts: Number.POSITIVE_INFINITY,
+        children: [peers, ...followers, shards, usage, announce],
+    });
+    peers.network.handle("adapters", adapters.handleMessage);
+    peers.network.handle("usage", usage.handleMessage);
+
+    const drain = async (): Promise<void> => {
+        const drainStart = clock.now();
+        isDraining = true;
+        log.info("draining", { open: clientServer.countOpen() });
+        await Promise.all([shards.leave(), ports.log.append("instances", self.name, undefined)]);
+        await clock.sleep(noticeMilliseconds);
+        clientServer.drain();
+        while (
+            clientServer.countOpen() > 0 && clock.now() - drainStart < options.grace - exitReserveMilliseconds
+        ) {
+            await clock.sleep(drainPollMilliseconds);
+        }
+        log.info("stopped", { open: clientServer.countOpen() });
+    };
+    const run = async (signal: AbortSignal): Promise<void> => {
+        const stopping = new AbortController();
+        await peers.listen();
+        const running = supervisor.run(stopping.signal);
+        await Promise.all([clientServer.listen(), readyServer.listen()]);
+        log.info("started", { id: self.id, host: options.host, domain: options.failureDomain });
+        await new Promise<void>(resolve => {
+            signal.addEventListener("abort", () => resolve(), { once: true });
+            void running.catch(() => resolve());
+        });
+        await drain();
+        stopping.abort();
+        clientServer.close();
+        readyServer.close();
+        connections.close();
+    };
+    return { run };
+}
+
+const announceRetryMilliseconds = 300;
+
+/** Enters this instance in the list of instances, until the store has taken the entry. */
+function createAnnounceTask(options: ServingOptions, ports: ServingPorts, self: InstanceEntry): Task {
+    return {
+        name: "announce",
+        run: async signal => {
+            let isEntered = false;
+            while (!signal.aborted) {
+                if (!isEntered) {
+                    const value = Buffer.from(JSON.stringify({ id: self.id, address: self.address }), "utf8");
+                    const answer = await ports.log.append("instances", self.name, value);
+                    isEntered = answer.ok;
+                }
+                await options.clock.sleep(announceRetryMilliseconds, signal);
+            }
+        },
+    };
+}
+
+export type { AccountLimits, AdapterDesk, ConfigurationState, InstanceDirectory, ServerList, ServerRecords, ShardTask };
--- /dev/null
+++ b/src/serving/outcomePolicy.ts
@@ -0,0 +1,83 @@
+/**
+ * What follows an attempt: the answer goes to the client, the request is sent once more, or it ends. Follows from the kind of
+ * the request and from what can have run.
+ *
+ * @packageDocumentation
+ */
+import type { AttemptFault } from "./serverConnections.js";
+import type { ServerAnswerHead, ServingRoute } from "./types.js";
+
+/** How an attempt ended, or the head with which its answer began. */
+export type AttemptResult =
+    | { readonly kind: "head"; readonly head: ServerAnswerHead; }
+    | { readonly kind: "fault"; readonly fault: AttemptFault; };
+
+/** Where a request stands. */
+export interface RequestProgress {
+    readonly route: Pick<ServingRoute, "kind" | "canResume" | "attemptLimit">;
+    /** Servers that may have run it, with this one. */
+    readonly serversUsed: number;
+    /** Whether the head of an answer has gone to the client. */
+    readonly isAnswering: boolean;
+    /** Whether an earlier attempt may have run. */
+    readonly mayHaveRun: boolean;
+}
+
+/** What to do next. */
+export type NextStep =
+    | { readonly kind: "deliver"; }
+    /** Send once more, where the retry budget allows; `isFree` when no server has had it. */
+    | { readonly kind: "repeat"; readonly isFree: boolean; readonly mayHaveRun: boolean; }
+    /** End; `isNotRun` when no server has run it or will. */
+    | { readonly kind: "fail"; readonly isNotRun: boolean; };
+
+const firstServerError = 500;
+
+/**
+ * Tells whether requests of a route may run more than once.
+ *
+ * @param route - the route
+ * @returns whether they may
+ */
+export function isRepeatable(route: Pick<ServingRoute, "kind" | "canResume">): boolean {
+    return route.kind === "idempotent" || (route.kind === "stream" && route.canResume);
+}
+
+/**
+ * Decides what follows an attempt.
+ *
+ * @param result - how the attempt went
+ * @param progress - where the request stands
+ * @returns the next step
+ */
+export function decideNextStep(result: AttemptResult, progress: RequestProgress): NextStep {
+    switch (result.kind) {
+        case "head":
+            return decideAfterHead(result.head, progress);
+        case "fault":
+            return decideAfterFault(result.fault, progress);
+    }
+}
+
+function decideAfterHead(head: ServerAnswerHead, progress: RequestProgress): NextStep {
+    if (head.isNotRun) {
+        return { kind: "repeat", isFree: false, mayHaveRun: progress.mayHaveRun };
+    }
+    const failed = head.status >= firstServerError || !head.isSigned;
+    const mayRepeat = isRepeatable(progress.route) && progress.serversUsed < progress.route.attemptLimit;
+    if (failed && mayRepeat) {
+        return { kind: "repeat", isFree: false, mayHaveRun: true };
+    }
+    if (!head.isSigned && head.status < firstServerError) {
+        return { kind: "fail", isNotRun: false };
+    }
+    return progress.isAnswering && failed ? { kind: "fail", isNotRun: false } : { kind: "deliver" };
+}
+
+function decideAfterFault(fault: AttemptFault, progress: RequestProgress): NextStep {
+    if (fault.kind === "notSent") {
+        return { kind: "repeat", isFree: true, mayHaveRun: progress.mayHaveRun };
+    }
+    const mayRepeat = isRepeatable(progress.route) && progress.serversUsed < progress.route.attemptLimit;
+    return mayRepeat ? { kind: "repeat", isFree: false, mayHaveRun: true } : { kind: "fail", isNotRun: false };
+}
--- /dev/null
+++ b/src/serving/requestLine.ts
@@ -0,0 +1,30 @@
+/**
+ * The log line of a request's end.
+ *
+ * @packageDocumentation
+ */
+import type { Milliseconds, StructuredLog } from "../shared/index.js";
+import type { RequestReport } from "./requestState.js";
+import type { ClientRequest } from "./types.js";
+
+/**
+ * Writes the line.
+ *
+ * @param log - where to
+ * @param request - the request
+ * @param report - how it ended
+ * @param took - time since its arrival
+ */
+export function writeRequestLine(
+    log: StructuredLog,
+    request: ClientRequest,
+    report: RequestReport,
+    took: Milliseconds,
+): void {
+    log.info("request", {
+        id: request.attemptId,
+        ...report,
+        model: request.choice && `${request.choice.model}/${request.choice.adapter ?? ""}`,
+        took: Math.round(took),
+    });
+}
--- /dev/null
+++ b/src/serving/serverChoice.ts
@@ -0,0 +1,71 @@
+/**
+ * Choice of a backend server by load, failures and distance.
+ *
+ * @packageDocumentation
+ */
+import type { FailureDomainId, Milliseconds } from "../shared/index.js";
+import { readFailurePart, type ServerRecord, type ServerRecords } from "./serverRecords.js";
+import { type BackendServer, formatServerRun, type ServerRun } from "./types.js";
+
+/** What the choice depends on. */
+export interface ServerChoiceInput {
+    readonly servers: readonly BackendServer[];
+    readonly records: ServerRecords;
+    readonly failureDomain: FailureDomainId;
+    /** Servers that the request was already sent to. */
+    readonly excluded: ReadonlySet<ServerRun>;
+    readonly now: Milliseconds;
+}
+
+/** Load, in full servers, that another failure domain's way costs. */
+const distanceCost = 0.1;
+const failureCost = 2;
+const avoidedCost = 10;
+/** A told load says little after this time. */
+const loadAgeLimitMilliseconds = 500;
+
+/**
+ * Chooses the server for a request.
+ *
+ * @param input - candidates and what is known of them
+ * @returns the best, or `undefined` when there is none
+ */
+export function chooseServer(input: ServerChoiceInput): BackendServer | undefined {
+    let best: BackendServer | undefined;
+    let bestScore = Number.POSITIVE_INFINITY;
+    for (const server of input.servers) {
+        const run = formatServerRun(server);
+        if (input.excluded.has(run)) {
+            continue;
+        }
+        const score = computeScore(input, server, input.records.find(run));
+        if (score < bestScore) {
+            best = server;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+function computeScore(input: ServerChoiceInput, server: BackendServer, record: ServerRecord): number {
+    const distance = server.failureDomain === input.failureDomain ? 0 : distanceCost;
+    const avoided = record.avoidedUntil > input.now ? avoidedCost : 0;
+    const failures = readFailurePart(record, input.now) * failureCost;
+    return computeLoad(server, record, input.now) + distance + avoided + failures;
+}
+
+/**
+ * Computes how full a server is.
+ *
+ * @param server - the server
+ * @param record - what is known of its load
+ * @param now - the present time
+ * @returns running and waiting requests over its slots
+ */
+export function computeLoad(server: BackendServer, record: ServerRecord, now: Milliseconds): number {
+    const counted = record.inFlight + record.othersInFlight;
+    const told = record.load && now - record.loadAt < loadAgeLimitMilliseconds
+        ? record.load.running + record.load.waiting
+        : 0;
+    return Math.max(counted, told) / Math.max(1, server.slots);
+}
--- /dev/null
+++ b/src/serving/usageBucket.ts
@@ -0,0 +1,73 @@
+/**
+ * Rate of a client account over all instances. Each instance keeps a bucket of the whole rate and takes out what it admits
+ * and what the others tell that they admitted; for those that it can't hear it gives up their part of the rate, so that
+ * instances that are cut off from each other can't spend more than the whole between them.
+ *
+ * @packageDocumentation
+ */
+import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+import type { AccountQuota } from "./types.js";
+
+/** Result of asking for room. */
+export type QuotaDecision =
+    | { readonly kind: "admitted"; }
+    /** Time until there is room again. */
+    | { readonly kind: "exceeded"; readonly wait: Milliseconds; };
+
+/** Bucket of one client account. */
+export interface UsageBucket {
+    readonly take: (amount: number, now: Milliseconds) => QuotaDecision;
+    /** Takes out what another instance has admitted. */
+    readonly charge: (amount: number, now: Milliseconds) => void;
+    readonly update: (quota: AccountQuota, now: Milliseconds) => void;
+    /** Sets the part of the rate that this instance may count on. */
+    readonly setShare: (share: number, now: Milliseconds) => void;
+}
+
+/** Seconds of the rate that a bucket may owe for what others admitted at the same time. */
+const debtLimitSeconds = 2;
+
+/**
+ * Creates a bucket that starts empty, as the instance may have been restarted within a window.
+ *
+ * @param quota - rate and burst
+ * @param now - the present time
+ * @returns the bucket
+ */
+export function createUsageBucket(quota: AccountQuota, now: Milliseconds): UsageBucket {
+    let limits = quota;
+    let share = 1;
+    let level = 0;
+    let updatedAt = now;
+    const refill = (present: Milliseconds): void => {
+        const seconds = Math.max(0, present - updatedAt) / millisecondsPerSecond;
+        level = Math.min(limits.burst, level + limits.ratePerSecond * share * seconds);
+        updatedAt = present;
+    };
+    return {
+        take: (amount, present) => {
+            refill(present);
+            // a request larger than the burst must not wait for ever
+            const needed = Math.min(amount, limits.burst);
+            if (level >= needed) {
+                level -= amount;
+                return { kind: "admitted" };
+            }
+            const rate = Math.max(1, limits.ratePerSecond * share);
+            return { kind: "exceeded", wait: (needed - level) / rate * millisecondsPerSecond };
+        },
+        charge: (amount, present) => {
+            refill(present);
+            level = Math.max(-debtLimitSeconds * limits.ratePerSecond, level - amount);
+        },
+        update: (newLimits, present) => {
+            refill(present);
+            limits = newLimits;
+            level = Math.min(level, limits.burst);
+        },
+        setShare: (newShare, present) => {
+            refill(present);
+            share = newShare;
+        },
+    };
+}
--- /dev/null
+++ b/src/serving/usageTask.ts
@@ -0,0 +1,113 @@
+/**
+ * Tells the other instances what this one admitted and has under way, and takes in what they tell.
+ *
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../peers/index.js";
+import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
+import type { Task } from "../supervision/index.js";
+import type { AccountLimits } from "./accountLimits.js";
+import type { InstanceDirectory } from "./instanceDirectory.js";
+import type { UsageMessage } from "./messages.js";
+import type { RetryBudget } from "./retryBudget.js";
+import type { ServerRecords } from "./serverRecords.js";
+import type { ServerRun } from "./types.js";
+
+/** What the task needs. */
+export interface UsageTaskOptions {
+    readonly clock: Clock;
+    readonly directory: InstanceDirectory;
+    readonly limits: AccountLimits;
+    readonly records: ServerRecords;
+    readonly retryBudget: RetryBudget;
+    readonly network: PeerNetwork;
+    readonly onTick: () => void;
+    /** An instance is in hearing that was not before. */
+    readonly onFirstHeard: (instance: InstanceId) => void;
+}
+
+/** The task and its handler. */
+export interface UsageTask extends Task {
+    readonly handleMessage: (from: InstanceId, message: UsageMessage) => undefined;
+}
+
+const tickMilliseconds: Milliseconds = 100;
+/** Sign of life when nothing changes. */
+const silenceLimitMilliseconds = 400;
+
+/**
+ * Creates the task.
+ *
+ * @param options - what it reads and tells
+ * @returns the task
+ */
+export function createUsageTask(options: UsageTaskOptions): UsageTask {
+    const { clock, directory, limits, records } = options;
+    const othersInFlight = new Map<InstanceId, Map<ServerRun, number>>();
+    const told = new Map<ServerRun, number>();
+    let sentAt = Number.NEGATIVE_INFINITY;
+
+    const drainInFlight = (): UsageMessage["inFlight"] => {
+        const changed: (readonly [ServerRun, number])[] = [];
+        for (const [run, record] of records.list()) {
+            if ((told.get(run) ?? 0) !== record.inFlight) {
+                told.set(run, record.inFlight);
+                changed.push([run, record.inFlight]);
+            }
+        }
+        return changed;
+    };
+    const listInFlight = (): UsageMessage["inFlight"] =>
+        [...records.list()].filter(([, record]) => record.inFlight > 0).map(([run, record]) => [run, record.inFlight]);
+    const forgetSilent = (heard: ReadonlySet<InstanceId>): void => {
+        for (const [instance, counts] of othersInFlight) {
+            if (!heard.has(instance)) {
+                counts.forEach((count, run) => records.find(run).othersInFlight -= count);
+                othersInFlight.delete(instance);
+            }
+        }
+    };
+    const sendChanges = (now: Milliseconds): void => {
+        const message: UsageMessage = { kind: "usage", admitted: limits.drainAdmitted(), inFlight: drainInFlight() };
+        const hasChanges = message.admitted.length + message.inFlight.length > 0;
+        if (hasChanges || now - sentAt >= silenceLimitMilliseconds) {
+            sentAt = now;
+            directory.listOthers().forEach(peer => options.network.send(peer, "usage", message));
+        }
+    };
+    return {
+        name: "usage",
+        run: async signal => {
+            while (!signal.aborted) {
+                await clock.sleep(tickMilliseconds, signal);
+                const now = clock.now();
+                forgetSilent(new Set(directory.listHeard(now)));
+                limits.setShare(directory.computeShare(now), now);
+                options.retryBudget.setInstanceCount(directory.countAll());
+                sendChanges(now);
+                options.onTick();
+            }
+        },
+        handleMessage: (from, message) => {
+            const now = clock.now();
+            limits.handleUsage(from, message, now);
+            const counts = othersInFlight.get(from) ?? new Map<ServerRun, number>();
+            othersInFlight.set(from, counts);
+            for (const [run, count] of message.inFlight) {
+                const record = records.find(run);
+                record.othersInFlight = Math.max(0, record.othersInFlight + count - (counts.get(run) ?? 0));
+                counts.set(run, count);
+            }
+            if (directory.markHeard(from, now)) {
+                const whole: UsageMessage = {
+                    kind: "usage",
+                    admitted: limits.listAdmitted(),
+                    inFlight: listInFlight(),
+                };
+                options.network.send(from, "usage", whole);
+                options.onFirstHeard(from);
+            }
+            return undefined;
+        },
+    };
+}
--- a/src/testing/virtualPlatform.ts
+++ b/src/testing/virtualPlatform.ts
@@ -4,8 +4,8 @@
  *
  * @packageDocumentation
  */
-import type { PeerBodies, PeerError, PeerHandler, PeerNetwork, PeerTopic } from "../peers/index.js";
 import type { InstanceList, Listing, LogError, LogPage, LogRecord, LogService, LogStream } from "../backends/index.js";
+import type { PeerBodies, PeerError, PeerHandler, PeerNetwork, PeerTopic } from "../peers/index.js";
 import { type Clock, type LogOffset, type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { createVirtualClock, type History } from "./history.js";
 
--- a/src/trials/stage.ts
+++ b/src/trials/stage.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import { request } from "undici";
+import { createLogHttpClient } from "../backends/index.js";
 import {
     createChangeId,
     createNodesChange,
@@ -13,7 +14,6 @@
     type SettingsNode,
     withdrawKey,
 } from "../config/index.js";
-import { createLogHttpClient } from "../backends/index.js";
 import { createSystemClock, type Milliseconds, type SeededRandom } from "../shared/index.js";
 import { createStandins, standinsConfigSchema } from "../standins/index.js";
 import type { CallersOptions, TrialKey } from "./callers.js";
