--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -408,7 +408,8 @@
                 if (options.findLimits(server.service)) {
                     residency.seed(formatServerRun(server), server.models);
                 }
-                if (options.findLimits(server.service) && shards?.find(findShard(server))) {
+                const isHeld = options.findLimits(server.service) && shards?.find(findShard(server));
+                if (isHeld && !keepers.has(formatServerRun(server))) {
                     openKeeper(server);
                 }
             }
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -71,8 +71,10 @@
 
 /** A report is some hundred milliseconds old. */
 const reportLagMilliseconds = 300;
-const firstLoadEstimateMilliseconds = 120;
-const loadPollMilliseconds = 30;
+const firstLoadEstimateMilliseconds = 200;
+const loadPollMilliseconds = 25;
+const firstPollPart = 0.9;
+const unloadPollMilliseconds = 250;
 const loadLimitMilliseconds = 3_000;
 const orderTries = 3;
 const estimateWeight = 0.3;
@@ -163,6 +165,24 @@
         }
         return isRead;
     };
+    const waitForUnload = async (key: AdapterKey): Promise<void> => {
+        const { model, adapter } = book.slots.get(key)!;
+        while (!isStopped && book.slots.get(key)?.state === "leaving") {
+            await clock.sleep(unloadPollMilliseconds);
+            await runAlone(async () => {
+                if (book.slots.get(key)?.state === "leaving") {
+                    const outcome = await sendOrder("unload", model, adapter);
+                    if (outcome.kind === "done") {
+                        book.slots.delete(key);
+                        await readReport();
+                    }
+                    else if (outcome.kind === "conflict") {
+                        await refreshAfterConflict();
+                    }
+                }
+            });
+        }
+    };
     const makeRoom = async (limits: EngineLimits, model: string): Promise<EnsureOutcome | undefined> => {
         for (let tries = 0; tries < orderTries && !hasRoom(book, limits, model); tries++) {
             const victim = chooseVictim(book, clock.now());
@@ -180,12 +200,14 @@
                     book.slots.delete(victim);
                     break;
                 case "accepted":
-                    // its runs end first; the next report tells when it is gone
+                    // its place is free when its runs have ended
                     sequence = sequence! + 1;
                     settleUncertain(undefined);
+                    void waitForUnload(victim);
                     break;
                 case "conflict":
                 case "unknown":
+                    void waitForUnload(victim);
                     if (!await refreshAfterConflict()) {
                         return "failed";
                     }
@@ -250,7 +272,8 @@
     };
     const waitForLoad = async (model: string, adapter: string, key: AdapterKey): Promise<EnsureOutcome> => {
         const startedAt = clock.now();
-        await clock.sleep(loadEstimate);
+        // a little early, so that the estimate can fall
+        await clock.sleep(loadEstimate * firstPollPart);
         while (!isStopped && clock.now() - startedAt < loadLimitMilliseconds) {
             const outcome = await runAlone(() => sendOrder("load", model, adapter));
             if (outcome.kind === "done") {
@@ -261,6 +284,12 @@
             if (outcome.kind === "fenced" || outcome.kind === "otherServer") {
                 return "notHolder";
             }
+            if (outcome.kind === "unreachable" || outcome.kind === "refused") {
+                return "failed";
+            }
+            if (outcome.kind === "conflict") {
+                await runAlone(refreshAfterConflict);
+            }
             await clock.sleep(loadPollMilliseconds);
         }
         return "failed";
--- a/src/adapters/slotBook.ts
+++ b/src/adapters/slotBook.ts
@@ -65,7 +65,8 @@
         keepSlot(book, previous, { model, adapter, version, state: "loading" }, now);
     }
     for (const [key, slot] of previous) {
-        if (slot.state === "uncertain" && !book.slots.has(key)) {
+        // a report leaves out adapters that wait for their last runs, and orders that are still on their way
+        if (slot.state === "leaving" || (slot.state === "uncertain" && !book.slots.has(key))) {
             book.slots.set(key, slot);
         }
     }
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -208,7 +208,11 @@
             clientServer.update(config.limits);
             // engines are known by their service, which an earlier configuration may not have named
             adapters.handleServers(servers.listAll(), []);
-            log.info("configuration", { version: config.version, routes: config.routes.length });
+            log.info("configuration", {
+                version: config.version,
+                routes: config.routes.length,
+                quotas: config.accounts?.map(account => [account.name, account.quota?.ratePerSecond]),
+            });
         },
         onVersion: adapters.markVersion,
     });
