--- /dev/null
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -0,0 +1,194 @@
+import { expect } from "chai";
+import type { BackendServer, EngineLimits } from "../../serving/types.js";
+import { wrapValue } from "../../shared/index.js";
+import { createEngineKeeper, type EngineKeeper } from "../engineKeeper.js";
+import type { EngineControl, EngineOrder, OrderOutcome } from "../types.js";
+
+const server: BackendServer = {
+    id: "i-1",
+    startedAt: 1,
+    service: "llm",
+    address: "10.0.0.1:1",
+    failureDomain: "a",
+    isDraining: false,
+    slots: 4,
+    models: [],
+};
+const limits: EngineLimits = {
+    batchSlots: 4,
+    kvCacheTokens: 1_000,
+    memoryMegabytes: 1_000,
+    adapterSlots: 3,
+    modelLoadsPerSecond: 1,
+    models: [{ name: "base", sizeMegabytes: 100, adapterMegabytes: 10 }],
+};
+
+/** An engine that loads at once, waits with unloads while an adapter is in use, and reports as of some time ago. */
+function createEngine() {
+    const adapters = new Set<string>();
+    const leaving = new Set<string>();
+    const inUse = new Set<string>();
+    const late: (() => void)[] = [];
+    let sequence = 0;
+    let most = 0;
+    let answers: "given" | "lostOnce" | "late" = "given";
+    const carryOut = (order: EngineOrder): OrderOutcome => {
+        const adapter = order.adapter!;
+        const isDone = order.action === "load" ? adapters.has(adapter) : !adapters.has(adapter);
+        if (isDone) {
+            return { kind: "done" };
+        }
+        if (leaving.has(adapter) && order.action === "unload") {
+            return { kind: "accepted" };
+        }
+        if (order.expectedSequence !== sequence) {
+            return { kind: "conflict", detail: "" };
+        }
+        sequence++;
+        if (order.action === "load") {
+            adapters.add(adapter);
+            most = Math.max(most, adapters.size);
+            return { kind: "accepted" };
+        }
+        if (inUse.has(adapter)) {
+            leaving.add(adapter);
+            return { kind: "accepted" };
+        }
+        adapters.delete(adapter);
+        return { kind: "done" };
+    };
+    const control: EngineControl = {
+        order: (_server, order) => {
+            if (answers === "late") {
+                late.push(() => carryOut(order));
+                return Promise.resolve({ kind: "unknown" });
+            }
+            const outcome = carryOut(order);
+            const isLost = answers === "lostOnce";
+            answers = "given";
+            return Promise.resolve(isLost ? { kind: "unknown" } : outcome);
+        },
+        report: () =>
+            Promise.resolve(wrapValue({
+                startedAt: 1,
+                sequence,
+                // adapters that wait for their last runs are not listed, but keep their places
+                models: [{
+                    name: "base",
+                    version: 1,
+                    adapters: [...adapters].filter(name => !leaving.has(name)).map(name => ({ name, version: 1 })),
+                }],
+                pending: [],
+            })),
+    };
+    return {
+        control,
+        adapters,
+        inUse,
+        readMost: () => most,
+        setAnswers: (mode: typeof answers) => {
+            answers = mode;
+        },
+        carryOutLate: () => late.splice(0).forEach(run => run()),
+        release: (name: string) => {
+            inUse.delete(name);
+            if (leaving.delete(name)) {
+                adapters.delete(name);
+            }
+        },
+    };
+}
+
+function createKeeper(
+    control: EngineControl,
+): { readonly keeper: EngineKeeper; readonly pass: (time: number) => void; } {
+    let now = 0;
+    const keeper = createEngineKeeper({
+        server,
+        findLimits: () => limits,
+        control,
+        clock: {
+            now: () => now,
+            sleep: duration => {
+                now += duration;
+                return new Promise(resolve => setImmediate(resolve));
+            },
+        },
+        holder: "front-1",
+        findFencingNumber: () => 7,
+        onFenced: () => undefined,
+        onChange: () => undefined,
+        onTable: () => undefined,
+    });
+    return { keeper, pass: time => now += time };
+}
+
+const wish = (adapter: string) => ({ model: "base", adapter, version: undefined, wasDenied: false });
+
+describe("keeper of an engine", () => {
+    it("loads what is wished, and evicts what is used least when places are taken", async () => {
+        const engine = createEngine();
+        const { keeper, pass } = createKeeper(engine.control);
+        for (const adapter of ["a1", "a2", "a3", "a4"]) {
+            expect((await keeper.ensure(wish(adapter))).outcome).to.equal("resident");
+            pass(1_000);
+        }
+        expect([...engine.adapters]).to.deep.equal(["a2", "a3", "a4"]);
+        expect(engine.readMost()).to.equal(3);
+    });
+
+    it("never orders more than the engine has places for while an adapter waits for its last runs", async () => {
+        const engine = createEngine();
+        const { keeper, pass } = createKeeper(engine.control);
+        for (const adapter of ["a1", "a2", "a3"]) {
+            await keeper.ensure(wish(adapter));
+            engine.inUse.add(adapter);
+            pass(1_000);
+        }
+        await keeper.ensure(wish("a4"));
+        await keeper.refresh();
+        await keeper.ensure(wish("a5"));
+        expect(engine.readMost()).to.equal(3);
+        ["a1", "a2", "a3"].forEach(engine.release);
+        await new Promise(resolve => setTimeout(resolve, 20));
+        pass(1_000);
+        expect((await keeper.ensure(wish("a6"))).outcome).to.equal("resident");
+        expect(engine.readMost()).to.equal(3);
+        keeper.stop();
+    });
+
+    it("finds out that an order was carried out whose answer was lost", async () => {
+        const engine = createEngine();
+        const { keeper } = createKeeper(engine.control);
+        await keeper.refresh();
+        engine.setAnswers("lostOnce");
+        expect((await keeper.ensure(wish("a1"))).outcome).to.equal("resident");
+        expect([...engine.adapters]).to.deep.equal(["a1"]);
+    });
+
+    it("keeps the place of an order that may still be carried out", async () => {
+        const engine = createEngine();
+        const { keeper, pass } = createKeeper(engine.control);
+        await keeper.ensure(wish("a1"));
+        pass(1_000);
+        await keeper.ensure(wish("a2"));
+        pass(1_000);
+        engine.setAnswers("late");
+        expect((await keeper.ensure(wish("a3"))).outcome).to.equal("failed");
+        engine.setAnswers("given");
+        engine.carryOutLate();
+        pass(1_000);
+        await keeper.ensure(wish("a4"));
+        await keeper.ensure(wish("a5"));
+        expect(engine.readMost()).to.equal(3);
+    });
+
+    it("gives no order after it was stopped", async () => {
+        const engine = createEngine();
+        const { keeper } = createKeeper(engine.control);
+        await keeper.refresh();
+        keeper.stop();
+        expect((await keeper.ensure(wish("a1"))).outcome).to.equal("notHolder");
+        expect(engine.adapters.size).to.equal(0);
+    });
+});
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -111,13 +111,14 @@
                 .map(slot => [slot.adapter, slot.version] as const),
         })),
     });
-    const readReport = async (): Promise<boolean> => {
+    const readReport = async (isSettled = false): Promise<boolean> => {
         const report = await options.control.report(server);
         if (!report.ok) {
             log.warn("engine report missing", { run, detail: report.error.detail });
             return false;
         }
-        sequence = report.value.sequence;
+        // a report is a little old, and so may miss the last orders
+        sequence = isSettled ? report.value.sequence : Math.max(sequence ?? 0, report.value.sequence);
         applyReport(book, report.value, clock.now());
         options.onTable(describe());
         return true;
@@ -159,7 +160,7 @@
     };
     const refreshAfterConflict = async (): Promise<boolean> => {
         await clock.sleep(reportLagMilliseconds);
-        const isRead = await readReport();
+        const isRead = await readReport(true);
         if (isRead) {
             settleUncertain(undefined);
         }
@@ -174,7 +175,6 @@
                     const outcome = await sendOrder("unload", model, adapter);
                     if (outcome.kind === "done") {
                         book.slots.delete(key);
-                        await readReport();
                     }
                     else if (outcome.kind === "conflict") {
                         await refreshAfterConflict();
@@ -299,6 +299,7 @@
         if (slot) {
             slot.state = "resident";
             slot.version = version;
+            slot.usedAt = clock.now();
             options.onChange({ run, model, adapter, version });
         }
     };
@@ -334,7 +335,7 @@
     };
     return {
         run,
-        refresh: () => runAlone(readReport).then(() => undefined),
+        refresh: () => runAlone(() => readReport()).then(() => undefined),
         ensure,
         countUse: (from, use) => {
             const slot = book.slots.get(use.key);
--- a/src/adapters/slotBook.ts
+++ b/src/adapters/slotBook.ts
@@ -31,6 +31,8 @@
 }
 
 const demandHalfLifeMilliseconds = 10_000;
+/** Uses are told with a delay, so that an adapter used a moment ago may still be in use. */
+const useReportMilliseconds = 500;
 /** Loads that may be on their way to one engine at a time. */
 export const pendingLoadLimit = 4;
 
@@ -90,7 +92,7 @@
     book.slots.set(key, {
         ...held,
         demand: known?.demand ?? 0,
-        usedAt: known?.usedAt ?? now,
+        usedAt: known?.usedAt ?? now - useReportMilliseconds,
         inFlight: known?.inFlight ?? new Map(),
     });
 }
@@ -138,7 +140,8 @@
     let least = Number.POSITIVE_INFINITY;
     for (const [key, slot] of book.slots) {
         const demand = readDemand(slot, now);
-        if (slot.state === "resident" && sumInFlight(slot) === 0 && demand < least) {
+        const isQuiet = sumInFlight(slot) === 0 && now - slot.usedAt > useReportMilliseconds;
+        if (slot.state === "resident" && isQuiet && demand < least) {
             victim = key;
             least = demand;
         }
--- /dev/null
+++ b/src/platform/__tests__/headers.test.ts
@@ -0,0 +1,176 @@
+import { expect } from "chai";
+import type { ClientRequest } from "../../serving/types.js";
+import { platformHeaders } from "../headers.js";
+
+const rawRequest = [
+    "Host",
+    "Shop.example:8221",
+    "X-Oriolehatch-Attempt-Id",
+    "9c41",
+    "X-Oriolehatch-Deadline-Ms",
+    "12000",
+    "X-Oriolehatch-Key",
+    "secretkey",
+    "X-Oriolehatch-Tenant",
+    "forged",
+    "X-Oriolehatch-Expect-Instance",
+    "forged",
+    "X-Oriolehatch-Request-Priority",
+    "0",
+    "X-Oriolehatch-Expect-Version",
+    "9",
+    "X-Oriolehatch-Hold",
+    "h",
+    "X-Oriolehatch-Pin-Ms",
+    "100",
+    "X-Oriolehatch-Kv-Backup",
+    "10.0.0.1:1",
+    "Kv-From",
+    "10.0.0.1:1/x",
+    "Kv-Fetch",
+    "10.0.0.1:1",
+    "X-Oriolehatch-Model",
+    "base/a17",
+    "X-Oriolehatch-Token-Counts",
+    "1460,80",
+    "X-Oriolehatch-Prompt-Prefix",
+    "5c1e:800",
+    "Last-Event-Id",
+    "12",
+    "Connection",
+    "keep-alive, X-Private",
+    "X-Private",
+    "1",
+    "Content-Length",
+    "3",
+];
+
+function decode(): ClientRequest {
+    return platformHeaders.decodeRequest("POST", "/a/b?c=d", rawRequest);
+}
+
+function encode(lastEventId?: number): Map<string, string> {
+    const headers = platformHeaders.encodeForward(decode(), {
+        server: "i-1",
+        account: "acme",
+        deadline: 987.6,
+        priority: 3,
+        version: 4,
+        lastEventId,
+    });
+    const values = new Map<string, string>();
+    for (let index = 0; index < headers.length; index += 2) {
+        const name = headers[index]!.toLowerCase();
+        expect(values.has(name), `${name} stands twice`).to.equal(false);
+        values.set(name, headers[index + 1]!);
+    }
+    return values;
+}
+
+describe("platform headers", () => {
+    it("decodes what a client says", () => {
+        const request = decode();
+        expect(request).to.deep.include({
+            attemptId: "9c41",
+            method: "POST",
+            target: "/a/b?c=d",
+            host: "shop.example",
+            key: "secretkey",
+            deadline: 12_000,
+            choice: { model: "base", adapter: "a17" },
+            tokens: { prompt: 1460, output: 80 },
+            lastEventId: 12,
+        });
+    });
+
+    it("takes unreadable values as missing", () => {
+        const raw = ["X-Oriolehatch-Deadline-Ms", "soon", "X-Oriolehatch-Token-Counts", "1", "X-Oriolehatch-Model", ""];
+        const request = platformHeaders.decodeRequest("GET", "/", raw);
+        expect(request).to.deep.include({
+            deadline: undefined,
+            tokens: undefined,
+            choice: undefined,
+            attemptId: undefined,
+        });
+    });
+
+    it("passes no key on, and nothing that a client may not set", () => {
+        const values = encode();
+        expect([...values.values()].join("\n")).not.to.contain("secretkey").and.not.to.contain("forged");
+        for (
+            const name of [
+                "x-oriolehatch-key",
+                "x-oriolehatch-hold",
+                "x-oriolehatch-pin-ms",
+                "x-oriolehatch-kv-backup",
+                "kv-from",
+                "kv-fetch",
+                "connection",
+                "x-private",
+                "content-length",
+            ]
+        ) {
+            expect(values.has(name), name).to.equal(false);
+        }
+    });
+
+    it("sets what the system sets", () => {
+        const values = encode();
+        expect(values.get("x-oriolehatch-tenant")).to.equal("acme");
+        expect(values.get("x-oriolehatch-expect-instance")).to.equal("i-1");
+        expect(values.get("x-oriolehatch-deadline-ms")).to.equal("987");
+        expect(values.get("x-oriolehatch-request-priority")).to.equal("3");
+        expect(values.get("x-oriolehatch-expect-version")).to.equal("4");
+        expect(values.get("x-oriolehatch-prompt-prefix")).to.equal("5c1e:800");
+        expect(values.get("last-event-id")).to.equal("12");
+    });
+
+    it("goes on behind a later event than the client's", () => {
+        expect(encode(31).get("last-event-id")).to.equal("31");
+    });
+
+    it("decodes the head of a server's answer", () => {
+        const head = platformHeaders.decodeAnswer(200, [
+            "Content-Type",
+            "text/event-stream",
+            "X-Oriolehatch-Attempt-Id",
+            "9c41",
+            "X-Oriolehatch-Response-Signature",
+            "sig",
+            "X-Oriolehatch-Server-Load",
+            "3,1,8",
+            "Keep-Alive",
+            "timeout=5",
+            "Connection",
+            "keep-alive",
+        ]);
+        expect(head).to.deep.include({
+            status: 200,
+            attemptId: "9c41",
+            isSigned: true,
+            isNotRun: false,
+            isEventStream: true,
+            contentLength: undefined,
+            load: { running: 3, waiting: 1, slots: 8 },
+        });
+        expect(head.passedHeaders).to.deep.equal([
+            "Content-Type",
+            "text/event-stream",
+            "X-Oriolehatch-Attempt-Id",
+            "9c41",
+            "X-Oriolehatch-Response-Signature",
+            "sig",
+        ]);
+    });
+
+    it("knows which answers say that the request has not run", () => {
+        const isNotRun = (status: number, headers: string[] = []): boolean =>
+            platformHeaders.decodeAnswer(status, headers).isNotRun;
+        expect(isNotRun(503, ["X-Oriolehatch-Not-Executed", "1"])).to.equal(true);
+        expect(isNotRun(429, ["X-Oriolehatch-Not-Executed", "1"])).to.equal(true);
+        expect(isNotRun(421)).to.equal(true);
+        expect(isNotRun(503)).to.equal(false);
+        expect(isNotRun(500)).to.equal(false);
+        expect(isNotRun(504)).to.equal(false);
+    });
+});
--- /dev/null
+++ b/src/platform/__tests__/records.test.ts
@@ -0,0 +1,190 @@
+import { expect } from "chai";
+import { decodeOperatorRecord } from "../configuration.js";
+import { decodeKeyedRead, encodeKeyedRecord } from "../logRecords.js";
+import { decodeServerEntry } from "../serverEntry.js";
+import { decodeSettings } from "../settings.js";
+
+const encodeJson = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value), "utf8");
+const offsets = Buffer.alloc(16);
+
+describe("platform records", () => {
+    it("reads back the records of a keyed topic", () => {
+        const bytes = Buffer.concat([
+            offsets,
+            encodeKeyedRecord("config", Buffer.from("v")),
+            encodeKeyedRecord("i-1", undefined),
+        ]);
+        const read = decodeKeyedRead(bytes, 7);
+        expect(read).to.deep.equal({
+            ok: true,
+            value: {
+                records: [
+                    { key: "config", value: Buffer.from("v"), offset: 7 },
+                    { key: "i-1", value: undefined, offset: 8 },
+                ],
+                endOffset: 9,
+            },
+        });
+    });
+
+    it("refuses reads that are cut off anywhere", () => {
+        const whole = Buffer.concat([offsets, encodeKeyedRecord("key", Buffer.from("value"))]);
+        for (let length = 0; length < whole.length; length++) {
+            const read = decodeKeyedRead(whole.subarray(0, length), 0);
+            expect(read.ok, `first ${length} bytes`).to.equal(length === offsets.length);
+        }
+    });
+
+    it("decodes a configuration", () => {
+        const decoded = decodeOperatorRecord(
+            "config",
+            encodeJson({
+                version: 7,
+                routes: [
+                    {
+                        name: "r1",
+                        host: "Shop.example",
+                        path_prefix: "/a/",
+                        kind: "unsafe",
+                        service: "orders",
+                        timeout_ms: 800,
+                        target_latency_ms: 100,
+                    },
+                    {
+                        name: "r2",
+                        host: "shop.example",
+                        path_prefix: "/b/",
+                        kind: "stream",
+                        split: [{ service: "llm", weight: 90 }, { service: "orders", weight: 0 }],
+                        timeout_ms: 12_000,
+                        target_latency_ms: 600,
+                        target_gap_ms: 300,
+                        max_attempts: 2,
+                        priority: 1,
+                        can_resume: true,
+                    },
+                ],
+                services: [
+                    { name: "orders", connection_limit: 110 },
+                    {
+                        name: "llm",
+                        engine: {
+                            slots: 32,
+                            size_mb: 75_400,
+                            adapter_slots: 18,
+                            loads_per_s: 4.7,
+                            models: [{ name: "base", size_mb: 72_700, adapter_mb: 66, adapters: 3_000 }],
+                        },
+                    },
+                ],
+                limits: { idle_timeout_ms: 15_000 },
+                tenants: [
+                    { name: "acme", api_keys: ["k1"], unit: "tokens", plain_tokens: 200, rate_per_s: 100, burst: 50 },
+                    { name: "free", api_keys: [] },
+                ],
+            }),
+        );
+        expect(decoded.ok && decoded.value.kind).to.equal("configuration");
+        const config = decoded.ok && decoded.value.kind === "configuration" ? decoded.value.config : undefined;
+        expect(config!.routes.map(route => [route.host, route.kind, route.targets])).to.deep.equal([
+            ["shop.example", "once", [{ service: "orders", weight: 1 }]],
+            ["shop.example", "stream", [{ service: "llm", weight: 90 }]],
+        ]);
+        expect(config!.services.get("llm")!.engine).to.deep.include({ batchSlots: 32, adapterSlots: 18 });
+        expect(config!.accounts).to.deep.equal([
+            {
+                name: "acme",
+                keys: ["k1"],
+                priority: undefined,
+                quota: { unit: "tokens", ratePerSecond: 100, burst: 50, plainTokens: 200 },
+            },
+            { name: "free", keys: [], priority: undefined, quota: undefined },
+        ]);
+    });
+
+    it("decodes a named version and leaves other keys alone", () => {
+        const named = { model: "base", adapter: "a3", version: 5 };
+        expect(decodeOperatorRecord("version/base.a3", encodeJson(named))).to.deep.equal({
+            ok: true,
+            value: { kind: "adapterVersion", ...named },
+        });
+        expect(decodeOperatorRecord("notes", Buffer.from("\xff"))).to.deep.equal({
+            ok: true,
+            value: { kind: "other" },
+        });
+        expect(decodeOperatorRecord("config", Buffer.from("{")).ok).to.equal(false);
+    });
+
+    it("decodes a server's entry", () => {
+        const entry = decodeServerEntry(
+            "i-1",
+            encodeJson({
+                service: "llm",
+                address: "10.0.0.9:8080",
+                zone: "a",
+                slots: 32,
+                state: "draining",
+                born: 170,
+                models: [{ name: "base", version: 1, adapters: ["a3@2", "a4"] }],
+            }),
+        );
+        expect(entry).to.deep.equal({
+            ok: true,
+            value: {
+                id: "i-1",
+                startedAt: 170,
+                service: "llm",
+                address: "10.0.0.9:8080",
+                failureDomain: "a",
+                isDraining: true,
+                slots: 32,
+                models: [{
+                    name: "base",
+                    version: 1,
+                    adapters: [{ name: "a3", version: 2 }, { name: "a4", version: 1 }],
+                }],
+            },
+        });
+    });
+
+    it("takes entries of other writers for no server", () => {
+        const good = { service: "llm", address: "10.0.0.9:8080", zone: "a", slots: 1, state: "ready" };
+        const strange: unknown[] = [
+            { ...good, state: "resting" },
+            { ...good, address: 8080 },
+            { ...good, service: undefined },
+            { ...good, address: "server.example:80" },
+            [],
+            "text",
+            17,
+        ];
+        for (const entry of strange) {
+            expect(decodeServerEntry("i-1", encodeJson(entry)).ok, JSON.stringify(entry)).to.equal(false);
+        }
+        expect(decodeServerEntry("i-1", Buffer.from([0xff, 0xfe])).ok).to.equal(false);
+    });
+
+    it("names the mistake in settings", () => {
+        expect(decodeSettings("{")).to.deep.equal({
+            ok: false,
+            error: { kind: "invalidSettings", detail: "the settings file is no JSON" },
+        });
+        const settings = {
+            node_name: "front-1",
+            ip_address: "10.0.0.1",
+            zone: "a",
+            listen_addresses: { front: "10.0.0.1:1", ready: "10.0.0.1:2" },
+            internal_ports: [7600, 7615],
+            heartbeat_ms: 1200,
+            bounds: { grace_s: 8 },
+            platform: { address: "10.0.0.2:3", form: "log", parts: 12 },
+        };
+        const decoded = decodeSettings(JSON.stringify(settings));
+        expect(decoded.ok && decoded.value.bounds.grace).to.equal(8_000);
+        const otherForm = { ...settings, platform: { ...settings.platform, form: "table" } };
+        const refused = decodeSettings(JSON.stringify(otherForm));
+        expect(refused.ok ? "" : refused.error.detail).to.equal(
+            "platform.form: only the log form of the store is spoken",
+        );
+    });
+});
--- /dev/null
+++ b/src/serving/__tests__/accountLimits.test.ts
@@ -0,0 +1,105 @@
+import { expect } from "chai";
+import { type AccountLimits, createAccountLimits } from "../accountLimits.js";
+import type { ServingAccount } from "../types.js";
+
+const ratePerSecond = 1_000;
+const burst = 1_000;
+const account: ServingAccount = {
+    name: "acme",
+    keys: [],
+    priority: undefined,
+    quota: { unit: "tokens", ratePerSecond, burst, plainTokens: 1 },
+};
+const tickMilliseconds = 10;
+const tellMilliseconds = 100;
+
+interface Group {
+    readonly limits: AccountLimits[];
+}
+
+/** Plays demand far above the rate at instances that hear only those of their own group. */
+function playDemand(groups: readonly Group[], share: (group: Group) => number, seconds: number): number {
+    const admittedAt: number[] = [];
+    const all = groups.flatMap(group => group.limits);
+    for (let now = 0; now < seconds * 1_000; now += tickMilliseconds) {
+        for (const limits of all) {
+            for (let request = 0; request < 2; request++) {
+                if (limits.take(account, 20, now).kind === "admitted") {
+                    admittedAt.push(now);
+                }
+            }
+        }
+        if (now % tellMilliseconds === 0) {
+            groups.forEach(group => tellOthers(group, now));
+            groups.forEach(group => group.limits.forEach(limits => limits.setShare(share(group), now)));
+        }
+    }
+    return findMostInWindow(admittedAt, 8_000) * 20;
+}
+
+function tellOthers(group: Group, now: number): void {
+    group.limits.forEach((limits, index) => {
+        const admitted = limits.drainAdmitted();
+        group.limits.forEach((other, otherIndex) => {
+            if (otherIndex !== index) {
+                other.handleUsage(`i-${index}`, { kind: "usage", admitted, inFlight: [] }, now);
+            }
+        });
+    });
+}
+
+function findMostInWindow(times: readonly number[], window: number): number {
+    let most = 0;
+    let start = 0;
+    times.forEach((time, index) => {
+        while (times[start]! <= time - window) {
+            start++;
+        }
+        most = Math.max(most, index - start + 1);
+    });
+    return most;
+}
+
+function createGroup(size: number): Group {
+    const limits = Array.from({ length: size }, createAccountLimits);
+    limits.forEach(one => one.update([account], 0));
+    return { limits };
+}
+
+const bound = (ratePerSecond * 8 + burst) * 1.1;
+
+describe("limits of an account over instances, at sixteen times its rate", () => {
+    it("hold while all hear each other", () => {
+        const most = playDemand([createGroup(8)], () => 1, 30);
+        expect(most).to.be.at.most(bound).and.at.least(ratePerSecond * 8 * 0.95);
+    });
+
+    it("hold when the instances are cut in two that can't hear each other", () => {
+        const groups = [createGroup(3), createGroup(5)];
+        const most = playDemand(groups, group => group.limits.length / 8, 30);
+        expect(most).to.be.at.most(bound).and.at.least(ratePerSecond * 8 * 0.9);
+    });
+
+    it("hold when every instance is alone", () => {
+        const groups = Array.from({ length: 8 }, () => createGroup(1));
+        expect(playDemand(groups, () => 1 / 8, 30)).to.be.at.most(bound);
+    });
+
+    it("follow a lower rate at once", () => {
+        const limits = createAccountLimits();
+        limits.update([account], 0);
+        expect(limits.take(account, 900, 2_000).kind).to.equal("admitted");
+        const lower: ServingAccount = { ...account, quota: { ...account.quota!, ratePerSecond: 10, burst: 10 } };
+        limits.update([lower], 2_000);
+        limits.take(lower, 10, 2_000);
+        const decision = limits.take(lower, 10, 2_000);
+        expect(decision).to.deep.equal({ kind: "exceeded", wait: 1_000 });
+    });
+
+    it("let a request through that is larger than the burst, and then wait for what it owes", () => {
+        const limits = createAccountLimits();
+        limits.update([account], 0);
+        expect(limits.take(account, 3_000, 1_000).kind).to.equal("admitted");
+        expect(limits.take(account, 100, 2_000)).to.deep.equal({ kind: "exceeded", wait: 1_100 });
+    });
+});
