--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -101,6 +101,7 @@
 
 function createKeeper(
     control: EngineControl,
+    findFencingNumber: () => number | undefined = () => 7,
 ): { readonly keeper: EngineKeeper; readonly pass: (time: number) => void; } {
     let now = 0;
     const keeper = createEngineKeeper({
@@ -115,7 +116,7 @@
             },
         },
         holder: "front-1",
-        findFencingNumber: () => 7,
+        findFencingNumber,
         onFenced: () => undefined,
         onChange: () => undefined,
         onTable: () => undefined,
@@ -183,6 +184,19 @@
         expect(engine.readMost()).to.equal(3);
     });
 
+    it("keeps count of an adapter whose repeated load could not be ordered", async () => {
+        const engine = createEngine();
+        ["a1", "a2", "a3"].forEach(adapter => engine.adapters.add(adapter));
+        let fencingNumber: number | undefined;
+        const { keeper, pass } = createKeeper(engine.control, () => fencingNumber);
+        await keeper.refresh();
+        await keeper.ensure({ ...wish("a1"), wasDenied: true });
+        fencingNumber = 8;
+        pass(1_000);
+        await keeper.ensure(wish("a4"));
+        expect(engine.readMost()).to.equal(3);
+    });
+
     it("gives no order after it was stopped", async () => {
         const engine = createEngine();
         const { keeper } = createKeeper(engine.control);
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -445,6 +445,7 @@
                 changes = [];
             }
             publishUses();
+            replaceOutdated();
         },
         greet: peer => {
             const holding = describeHolding();
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -16,12 +16,14 @@
     type ResidencyChange,
 } from "./messages.js";
 import {
+    type AdapterSlot,
     applyReport,
     chooseVictim,
     countPending,
     countUse,
     createSlotBook,
     hasRoom,
+    isQuiet,
     pendingLoadLimit,
 } from "./slotBook.js";
 import type { EngineControl, EngineOrder, OrderOutcome } from "./types.js";
@@ -77,6 +79,8 @@
 const unloadPollMilliseconds = 250;
 const loadLimitMilliseconds = 3_000;
 const orderTries = 3;
+/** An engine that carries out an order refuses others. */
+const busyPauseMilliseconds = 400;
 const estimateWeight = 0.3;
 const log = createDebug("adapters");
 
@@ -95,6 +99,7 @@
     let lastOrderAt = Number.NEGATIVE_INFINITY;
     let isStopped = false;
     let queue: Promise<unknown> = Promise.resolve();
+    let busyUntil = Number.NEGATIVE_INFINITY;
     let loadEstimate: Milliseconds = firstLoadEstimateMilliseconds;
 
     const runAlone = <Value>(job: () => Promise<Value>): Promise<Value> => {
@@ -120,6 +125,13 @@
         // a report is a little old, and so may miss the last orders
         sequence = isSettled ? report.value.sequence : Math.max(sequence ?? 0, report.value.sequence);
         applyReport(book, report.value, clock.now());
+        log.info("engine report", {
+            run,
+            sequence: report.value.sequence,
+            resident: report.value.models.reduce((sum, model) => sum + model.adapters.length, 0),
+            pending: report.value.pending.map(pending => pending.adapter),
+            taken: book.slots.size,
+        });
         options.onTable(describe());
         return true;
     };
@@ -144,7 +156,16 @@
             fencingNumber,
         };
         const outcome = await options.control.order(server, order);
-        log.info("engine order", { run, action, model, adapter, sequence, fencingNumber, ...outcome });
+        log.info("engine order", {
+            run,
+            action,
+            model,
+            adapter,
+            sequence,
+            fencingNumber,
+            taken: book.slots.size,
+            ...outcome,
+        });
         if (outcome.kind === "fenced") {
             options.onFenced();
         }
@@ -158,7 +179,7 @@
             }
         }
     };
-    const refreshAfterConflict = async (): Promise<boolean> => {
+    const refreshSettled = async (): Promise<boolean> => {
         await clock.sleep(reportLagMilliseconds);
         const isRead = await readReport(true);
         if (isRead) {
@@ -171,77 +192,107 @@
         while (!isStopped && book.slots.get(key)?.state === "leaving") {
             await clock.sleep(unloadPollMilliseconds);
             await runAlone(async () => {
-                if (book.slots.get(key)?.state === "leaving") {
-                    const outcome = await sendOrder("unload", model, adapter);
-                    if (outcome.kind === "done") {
-                        book.slots.delete(key);
-                    }
-                    else if (outcome.kind === "conflict") {
-                        await refreshAfterConflict();
-                    }
+                const isWaiting = book.slots.get(key)?.state === "leaving";
+                const outcome = isWaiting ? await sendOrder("unload", model, adapter) : undefined;
+                if (outcome?.kind === "done") {
+                    book.slots.delete(key);
+                    // whether this order or the one before it was counted is not known
+                    await refreshSettled();
                 }
             });
         }
     };
+    const unloadVictim = async (victim: AdapterKey): Promise<EnsureOutcome | undefined> => {
+        const slot = book.slots.get(victim)!;
+        slot.state = "leaving";
+        options.onChange({ run, model: slot.model, adapter: slot.adapter, version: undefined });
+        const outcome = await sendOrder("unload", slot.model, slot.adapter);
+        switch (outcome.kind) {
+            case "done":
+                sequence = sequence! + 1;
+                settleUncertain(undefined);
+                book.slots.delete(victim);
+                return undefined;
+            case "accepted":
+                // its place is free when its runs have ended; until then the engine takes no other order
+                sequence = sequence! + 1;
+                settleUncertain(undefined);
+                void waitForUnload(victim);
+                return "full";
+            case "unknown":
+                void waitForUnload(victim);
+                return "failed";
+            case "conflict":
+                slot.state = "resident";
+                return await handleConflict();
+            case "fenced":
+            case "otherServer":
+            case "refused":
+            case "unreachable":
+                slot.state = "resident";
+                return outcome.kind === "fenced" ? "notHolder" : "failed";
+        }
+    };
+    /** Reads the engine's count of orders; one that still refuses then is carrying out another order. */
+    const handleConflict = async (): Promise<EnsureOutcome | undefined> => {
+        const before = sequence;
+        if (!await refreshSettled()) {
+            return "failed";
+        }
+        if (sequence !== before) {
+            return undefined;
+        }
+        busyUntil = clock.now() + busyPauseMilliseconds;
+        return "full";
+    };
     const makeRoom = async (limits: EngineLimits, model: string): Promise<EnsureOutcome | undefined> => {
         for (let tries = 0; tries < orderTries && !hasRoom(book, limits, model); tries++) {
             const victim = chooseVictim(book, clock.now());
-            if (victim === undefined) {
-                return "full";
-            }
-            const slot = book.slots.get(victim)!;
-            slot.state = "leaving";
-            options.onChange({ run, model: slot.model, adapter: slot.adapter, version: undefined });
-            const outcome = await sendOrder("unload", slot.model, slot.adapter);
-            switch (outcome.kind) {
-                case "done":
-                    sequence = sequence! + 1;
-                    settleUncertain(undefined);
-                    book.slots.delete(victim);
-                    break;
-                case "accepted":
-                    // its place is free when its runs have ended
-                    sequence = sequence! + 1;
-                    settleUncertain(undefined);
-                    void waitForUnload(victim);
-                    break;
-                case "conflict":
-                case "unknown":
-                    void waitForUnload(victim);
-                    if (!await refreshAfterConflict()) {
-                        return "failed";
-                    }
-                    break;
-                case "fenced":
-                case "otherServer":
-                case "refused":
-                case "unreachable":
-                    return outcome.kind === "fenced" ? "notHolder" : "failed";
+            const refusal = victim === undefined ? "full" : await unloadVictim(victim);
+            if (refusal) {
+                return refusal;
             }
         }
         return hasRoom(book, limits, model) ? undefined : "full";
     };
-    const orderLoad = async (model: string, adapter: string, key: AdapterKey): Promise<EnsureOutcome | "loading"> => {
+    const takePlace = async (
+        limits: EngineLimits,
+        model: string,
+        adapter: string,
+        key: AdapterKey,
+    ): Promise<EnsureOutcome | undefined> => {
+        if (countPending(book) >= pendingLoadLimit) {
+            return "full";
+        }
+        const refusal = await makeRoom(limits, model);
+        if (!refusal) {
+            const usedAt = clock.now();
+            const slot = { model, adapter, version: 0, demand: 1, usedAt, inFlight: new Map<string, number>() };
+            book.slots.set(key, { ...slot, state: "uncertain" });
+        }
+        return refusal;
+    };
+    const orderLoad = async (
+        model: string,
+        adapter: string,
+        key: AdapterKey,
+        wasDenied: boolean,
+    ): Promise<EnsureOutcome | "loading"> => {
         const limits = options.findLimits();
         if (!limits || isStopped) {
             return "notHolder";
         }
+        if (clock.now() < busyUntil) {
+            return "full";
+        }
         if (sequence === undefined && !await readReport()) {
             return "failed";
         }
         for (let tries = 0; tries < orderTries; tries++) {
             const known = book.slots.get(key);
-            if (!known) {
-                if (countPending(book) >= pendingLoadLimit) {
-                    return "full";
-                }
-                const refusal = await makeRoom(limits, model);
-                if (refusal) {
-                    return refusal;
-                }
-                const now = clock.now();
-                const state = "uncertain";
-                book.slots.set(key, { model, adapter, state, version: 0, demand: 1, usedAt: now, inFlight: new Map() });
+            const refusal = known ? checkKnown(known, wasDenied) : await takePlace(limits, model, adapter, key);
+            if (refusal) {
+                return refusal;
             }
             const outcome = await sendOrder("load", model, adapter);
             switch (outcome.kind) {
@@ -252,17 +303,22 @@
                     settleUncertain(key);
                     book.slots.get(key)!.state = "loading";
                     return "loading";
-                case "conflict":
-                    if (!await refreshAfterConflict()) {
-                        return "failed";
+                case "conflict": {
+                    // nothing was done
+                    known ?? book.slots.delete(key);
+                    const busy = await handleConflict();
+                    if (busy) {
+                        return busy;
                     }
                     break;
+                }
                 case "unknown":
                     break;
                 case "unreachable":
                 case "refused":
                 case "otherServer":
-                    book.slots.delete(key);
+                    // an adapter that was there before the order is still there
+                    known ?? book.slots.delete(key);
                     return "failed";
                 case "fenced":
                     return "notHolder";
@@ -270,30 +326,57 @@
         }
         return "failed";
     };
+    /** A replacement waits for the adapter's runs, and the engine takes no other order until then. */
+    const checkKnown = (slot: AdapterSlot, wasDenied: boolean): EnsureOutcome | undefined => {
+        switch (slot.state) {
+            case "leaving":
+                return "full";
+            case "resident":
+                return wasDenied || isQuiet(slot, clock.now()) ? undefined : "full";
+            case "loading":
+            case "uncertain":
+                return undefined;
+        }
+    };
     const waitForLoad = async (model: string, adapter: string, key: AdapterKey): Promise<EnsureOutcome> => {
         const startedAt = clock.now();
         // a little early, so that the estimate can fall
         await clock.sleep(loadEstimate * firstPollPart);
         while (!isStopped && clock.now() - startedAt < loadLimitMilliseconds) {
-            const outcome = await runAlone(() => sendOrder("load", model, adapter));
-            if (outcome.kind === "done") {
+            const outcome = await runAlone(() => pollLoad(model, adapter, key));
+            if (outcome === "resident") {
                 const took = clock.now() - startedAt;
                 loadEstimate = loadEstimate * (1 - estimateWeight) + took * estimateWeight;
-                return "resident";
-            }
-            if (outcome.kind === "fenced" || outcome.kind === "otherServer") {
-                return "notHolder";
-            }
-            if (outcome.kind === "unreachable" || outcome.kind === "refused") {
-                return "failed";
             }
-            if (outcome.kind === "conflict") {
-                await runAlone(refreshAfterConflict);
+            if (outcome !== "loading") {
+                return outcome;
             }
             await clock.sleep(loadPollMilliseconds);
         }
         return "failed";
     };
+    /** The same order again tells whether the load has ended; only while its place is taken, as it may load anew. */
+    const pollLoad = async (model: string, adapter: string, key: AdapterKey): Promise<EnsureOutcome | "loading"> => {
+        const state = book.slots.get(key)?.state;
+        if (state !== "loading") {
+            return state === "resident" ? "resident" : "failed";
+        }
+        const outcome = await sendOrder("load", model, adapter);
+        switch (outcome.kind) {
+            case "done":
+                return "resident";
+            case "accepted":
+            case "unknown":
+            case "conflict":
+                return "loading";
+            case "fenced":
+            case "otherServer":
+                return "notHolder";
+            case "unreachable":
+            case "refused":
+                return "failed";
+        }
+    };
     const markResident = (model: string, adapter: string, key: AdapterKey, version: number): void => {
         const slot = book.slots.get(key);
         if (slot) {
@@ -305,7 +388,7 @@
     };
     const load = async (wish: EnsureWish, adapter: string, key: AdapterKey): Promise<EnsureResult> => {
         const version = wish.version ?? 1;
-        let outcome = await runAlone(() => orderLoad(wish.model, adapter, key));
+        let outcome = await runAlone(() => orderLoad(wish.model, adapter, key, wish.wasDenied));
         if (outcome === "loading") {
             outcome = await waitForLoad(wish.model, adapter, key);
         }
--- a/src/adapters/slotBook.ts
+++ b/src/adapters/slotBook.ts
@@ -92,7 +92,8 @@
     book.slots.set(key, {
         ...held,
         demand: known?.demand ?? 0,
-        usedAt: known?.usedAt ?? now - useReportMilliseconds,
+        // one that has just come is wanted
+        usedAt: known?.state === "resident" ? known.usedAt : now,
         inFlight: known?.inFlight ?? new Map(),
     });
 }
@@ -140,8 +141,7 @@
     let least = Number.POSITIVE_INFINITY;
     for (const [key, slot] of book.slots) {
         const demand = readDemand(slot, now);
-        const isQuiet = sumInFlight(slot) === 0 && now - slot.usedAt > useReportMilliseconds;
-        if (slot.state === "resident" && isQuiet && demand < least) {
+        if (slot.state === "resident" && isQuiet(slot, now) && demand < least) {
             victim = key;
             least = demand;
         }
@@ -149,6 +149,17 @@
     return victim;
 }
 
+/**
+ * Tells whether an adapter is surely not in use.
+ *
+ * @param slot - its place
+ * @param now - the present time
+ * @returns whether no instance has told of a use that lasts or has just begun
+ */
+export function isQuiet(slot: AdapterSlot, now: Milliseconds): boolean {
+    return sumInFlight(slot) === 0 && now - slot.usedAt > useReportMilliseconds;
+}
+
 /**
  * Counts uses of an adapter.
  *
