--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import type { BackendServer, EngineLimits } from "../../serving/types.js";
 import { wrapValue } from "../../shared/index.js";
-import { createEngineKeeper, type EngineKeeper } from "../engineKeeper.js";
+import { createEngineKeeper, type EngineKeeper, type EnsureWish } from "../engineKeeper.js";
+import { createLoadGate } from "../loadGate.js";
 import type { EngineControl, EngineOrder, OrderOutcome } from "../types.js";
 
 const server: BackendServer = {
@@ -120,11 +121,21 @@
         onFenced: () => undefined,
         onChange: () => undefined,
         onTable: () => undefined,
+        takeModelLoad: () => true,
+        gate: createLoadGate(),
     });
     return { keeper, pass: time => now += time };
 }
 
-const wish = (adapter: string) => ({ model: "base", adapter, version: undefined, wasDenied: false });
+const wish = (adapter: string): EnsureWish => ({
+    model: "base",
+    adapter,
+    version: undefined,
+    wasDenied: false,
+    priority: 0,
+    usefulFor: 1_000,
+    patience: 2_000,
+});
 
 describe("keeper of an engine", () => {
     it("loads what is wished, and evicts what is used least when places are taken", async () => {
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -23,7 +23,9 @@
 } from "../shared/index.js";
 import { createEngineKeeper, type EngineKeeper, type EnsureResult, type EnsureWish } from "./engineKeeper.js";
 import { type EnginePick, pickEngine } from "./enginePick.js";
+import { createLoadGate } from "./loadGate.js";
 import { type AdapterKey, type AdapterMessage, type AdapterUse, formatAdapterKey } from "./messages.js";
+import { createModelLoadLimit } from "./modelLoadLimit.js";
 import { createResidency } from "./residency.js";
 import type { ShardTask } from "./shardTask.js";
 import type { EngineControl } from "./types.js";
@@ -52,6 +54,10 @@
     readonly servers: readonly BackendServer[];
     readonly excluded: ReadonlySet<ServerRun>;
     readonly until: Milliseconds;
+    /** 0 goes first. */
+    readonly priority: number;
+    /** Until then the request can still be answered within its target. */
+    readonly usefulUntil: Milliseconds;
 }
 
 /** An engine for a request. */
@@ -102,10 +108,13 @@
 }
 
 const ensureTimeoutMilliseconds = 2_500;
-const unloadableMilliseconds = 300;
-const placeTries = 4;
+/** Pause after all engines were asked in vain. */
+const retryPauseMilliseconds = 75;
 /** Part of the version bound after which older versions are no longer begun. */
 const versionBoundPart = 0.6;
+/** A replacement goes after loads that requests wait for. */
+const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
+const emptyPeriodMilliseconds = 500;
 const log = createDebug("adapters");
 
 /**
@@ -117,6 +126,8 @@
 export function createAdapterDesk(options: AdapterDeskOptions): AdapterDesk {
     const { clock } = options;
     const residency = createResidency();
+    const gate = createLoadGate();
+    const modelLoads = createModelLoadLimit(clock, () => options.listPeers().length + 1);
     const keepers = new Map<ServerRun, EngineKeeper>();
     const holders = new Map<number, ShardHolder>();
     const versions = new Map<AdapterKey, NamedVersion>();
@@ -125,6 +136,7 @@
     const denied = new Set<string>();
     let changes: Extract<AdapterMessage, { readonly kind: "changes"; }>["changes"][number][] = [];
     let shards: ShardTask | undefined;
+    let emptyAskedAt = Number.NEGATIVE_INFINITY;
 
     const findShard = (server: BackendServer): number =>
         Number(hashForPlacement(server.id) % BigInt(options.shardCount));
@@ -152,6 +164,8 @@
                 return held && held.activeAt <= clock.now() ? held.fencingNumber : undefined;
             },
             onFenced: () => shards?.markFenced(),
+            gate,
+            takeModelLoad: modelLoads.take,
             onChange: change => {
                 residency.apply(change);
                 changes.push(change);
@@ -188,14 +202,23 @@
         }
         return { outcome: "notHolder", version: undefined };
     };
-    const ensureAdapter = (server: BackendServer, choice: ModelChoice): Promise<EnsureResult> => {
+    const ensureAdapter = (server: BackendServer, request: PlaceRequest): Promise<EnsureResult> => {
+        const { choice } = request;
         const run = formatServerRun(server);
         const key = formatAdapterKey(choice.model, choice.adapter!);
         const wishKey = `${run} ${key}`;
         let pending = wishes.get(wishKey);
         if (!pending) {
             const version = versions.get(key)?.version;
-            const wish: EnsureWish = { ...choice, version, wasDenied: denied.delete(wishKey) };
+            const now = clock.now();
+            const wish: EnsureWish = {
+                ...choice,
+                version,
+                wasDenied: denied.delete(wishKey),
+                priority: request.priority,
+                usefulFor: request.usefulUntil - now,
+                patience: request.until - now,
+            };
             pending = requestEnsure(server, wish).finally(() => wishes.delete(wishKey));
             wishes.set(wishKey, pending);
         }
@@ -221,37 +244,38 @@
             unloadable,
         });
     };
+    const loadThere = async (
+        server: BackendServer,
+        request: PlaceRequest,
+    ): Promise<EnsureResult["outcome"] | "late"> => {
+        const run = formatServerRun(server);
+        const { model, adapter } = request.choice;
+        const result = await waitUntil(ensureAdapter(server, request), request.until);
+        if (result?.outcome === "resident") {
+            residency.apply({ run, model, adapter: adapter!, version: result.version ?? 1 });
+        }
+        else {
+            log.info("adapter not loaded", { run, model, adapter, outcome: result?.outcome ?? "late" });
+        }
+        return result?.outcome ?? "late";
+    };
     const acquire = async (request: PlaceRequest): Promise<Place | undefined> => {
         const unloadable = new Set<ServerRun>();
-        for (let tries = 0; tries < placeTries && clock.now() < request.until; tries++) {
+        while (clock.now() < request.until) {
             const picked = pick(request, unloadable);
             switch (picked.kind) {
                 case "resident": {
                     const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
                     return { server: picked.server, requiredVersion: findOldestVersion(key) };
                 }
-                case "load": {
-                    const result = await waitUntil(ensureAdapter(picked.server, request.choice), request.until);
-                    if (result?.outcome === "resident") {
-                        const run = formatServerRun(picked.server);
-                        residency.apply({
-                            run,
-                            model: request.choice.model,
-                            adapter: request.choice.adapter!,
-                            version: result.version ?? 1,
-                        });
+                case "load":
+                    if (await loadThere(picked.server, request) === "resident") {
                         return { server: picked.server, requiredVersion: undefined };
                     }
-                    log.info("adapter not loaded", {
-                        run: formatServerRun(picked.server),
-                        ...request.choice,
-                        outcome: result?.outcome ?? "late",
-                    });
                     unloadable.add(formatServerRun(picked.server));
                     break;
-                }
                 case "none":
-                    await clock.sleep(unloadableMilliseconds / placeTries);
+                    await clock.sleep(retryPauseMilliseconds);
                     unloadable.clear();
                     break;
             }
@@ -318,7 +342,20 @@
             for (const key of keeper.listOutdated(newest)) {
                 const slash = key.indexOf("/");
                 const choice = { model: key.slice(0, slash), adapter: key.slice(slash + 1) };
-                void keeper.ensure({ ...choice, version: newest.get(key), wasDenied: false });
+                const version = newest.get(key);
+                void keeper.ensure({ ...choice, version, wasDenied: false, ...replacementUrgency });
+            }
+        }
+    };
+    /** Asks engines that had no model whether they have one now. */
+    const refreshEmpty = (): void => {
+        if (clock.now() - emptyAskedAt < emptyPeriodMilliseconds) {
+            return;
+        }
+        emptyAskedAt = clock.now();
+        for (const keeper of keepers.values()) {
+            if (!keeper.hasModel()) {
+                void keeper.refresh();
             }
         }
     };
@@ -446,6 +483,8 @@
             }
             publishUses();
             replaceOutdated();
+            gate.expire(clock.now());
+            refreshEmpty();
         },
         greet: peer => {
             const holding = describeHolding();
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -49,6 +49,9 @@
         readonly version: number | undefined;
         /** The engine has said that it doesn't hold the adapter. */
         readonly wasDenied: boolean;
+        readonly priority: number;
+        readonly usefulFor: Milliseconds;
+        readonly patience: Milliseconds;
     }
     | { readonly kind: "ensured"; readonly outcome: EnsureOutcome; readonly version: number | undefined; }
     | { readonly kind: "tables"; readonly tables: readonly EngineTable[]; }
--- /dev/null
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -0,0 +1,118 @@
+import { expect } from "chai";
+import { connect, type Socket } from "node:net";
+import { type ClientServer, createClientServer, type ReceivedRequest } from "../clientServer.js";
+
+interface Opened {
+    readonly server: ClientServer;
+    readonly port: number;
+    readonly received: ReceivedRequest[];
+    readonly drain: () => void;
+}
+
+async function openServer(handle: (received: ReceivedRequest) => void): Promise<Opened> {
+    let isDraining = false;
+    const received: ReceivedRequest[] = [];
+    const server = createClientServer({
+        host: "127.0.0.1",
+        port: 0,
+        findLimits: () => ({ headerBytes: 1_000, bodyBytes: 50, headerTimeout: 3_000, idleTimeout: 15_000 }),
+        isDraining: () => isDraining,
+        handle: request => {
+            received.push(request);
+            handle(request);
+            return Promise.resolve();
+        },
+    });
+    const port = await server.listen();
+    return {
+        server,
+        port,
+        received,
+        drain: () => {
+            isDraining = true;
+        },
+    };
+}
+
+function collectAnswer(socket: Socket): Promise<string> {
+    let text = "";
+    socket.on("data", (chunk: Buffer) => text += chunk.toString("latin1"));
+    return new Promise(resolve => socket.once("close", () => resolve(text)));
+}
+
+describe("client port", () => {
+    it("hands over body and target unchanged, in chunks or whole", async () => {
+        const { server, port, received } = await openServer(({ answer }) => {
+            answer.writeHead(200, ["X-A", "b"], 2);
+            answer.write(Buffer.from("ok"));
+            answer.end();
+        });
+        const socket = connect(port, "127.0.0.1");
+        const answer = collectAnswer(socket);
+        socket.write("POST /a/%2F?b=c&d HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n\x00a\r\n\xff", "latin1");
+        socket.write(
+            "POST /e HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n2\r\nhe\r\n1\r\ny\r\n0\r\n\r\n",
+        );
+        expect(await answer).to.match(/^HTTP\/1.1 200 OK\r\nX-A: b\r\nContent-Length: 2\r\n[^]*\r\n\r\nokHTTP/);
+        expect(received.map(request => [request.target, request.body?.toString("latin1")])).to.deep.equal([
+            ["/a/%2F?b=c&d", "\x00a\r\n\xff"],
+            ["/e", "hey"],
+        ]);
+        server.close();
+        server.drain();
+    });
+
+    it("refuses a body over the limit", async () => {
+        const { server, port, received } = await openServer(() => undefined);
+        const socket = connect(port, "127.0.0.1");
+        const answer = collectAnswer(socket);
+        socket.write(`POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 60\r\n\r\n${"x".repeat(60)}`);
+        expect(await answer).to.match(/^HTTP\/1.1 413 /);
+        expect(received).to.deep.equal([]);
+        server.drain();
+    });
+
+    it("closes a connection when an answer that began before the drain has ended", async () => {
+        let finish: () => void = () => undefined;
+        const { server, port, drain } = await openServer(({ answer }) => {
+            answer.writeHead(200, [], undefined);
+            answer.write(Buffer.from("first"));
+            finish = () => answer.end();
+        });
+        const socket = connect(port, "127.0.0.1");
+        const answer = collectAnswer(socket);
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        await new Promise(resolve => socket.once("data", resolve));
+        drain();
+        server.drain();
+        finish();
+        expect(await answer).to.match(/first\r\n0\r\n\r\n$/);
+    });
+
+    it("breaks an answer off so that it doesn't look complete", async () => {
+        const { server, port } = await openServer(({ answer }) => {
+            answer.writeHead(200, [], undefined);
+            answer.write(Buffer.from("first"));
+            setTimeout(answer.destroy, 20);
+        });
+        const socket = connect(port, "127.0.0.1");
+        const answer = collectAnswer(socket);
+        socket.on("error", () => undefined);
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        expect(await answer).not.to.match(/0\r\n\r\n$/);
+        server.drain();
+    });
+
+    it("tells when the client has left", async () => {
+        const { server, port, received } = await openServer(() => undefined);
+        const socket = connect(port, "127.0.0.1");
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        while (received.length === 0) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        const left = new Promise(resolve => received[0]!.signal.addEventListener("abort", resolve));
+        socket.destroy();
+        await left;
+        server.drain();
+    });
+});
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -72,6 +72,8 @@
     const receive = (request: IncomingMessage, response: ServerResponse): void => {
         openRequests++;
         response.once("close", () => openRequests--);
+        // an answer that began before the drain told the client nothing of the connection's end
+        response.once("finish", () => options.isDraining() && request.socket.destroySoon());
         receiveRequest(options, request, response);
     };
     const service = restana({ server, defaultRoute: receive as never });
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -240,7 +240,7 @@
         const drainStart = clock.now();
         isDraining = true;
         log.info("draining", { open: clientServer.countOpen() });
-        await Promise.all([shards.leave(), ports.log.append("instances", self.name, undefined)]);
+        const leaving = Promise.all([shards.leave(), ports.log.append("instances", self.name, undefined)]);
         await clock.sleep(noticeMilliseconds);
         clientServer.drain();
         while (
@@ -248,6 +248,7 @@
         ) {
             await clock.sleep(drainPollMilliseconds);
         }
+        await leaving;
         log.info("stopped", { open: clientServer.countOpen() });
     };
     const run = async (signal: AbortSignal): Promise<void> => {
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -10,6 +10,8 @@
 import { type ClientRequest, formatServerRun } from "./types.js";
 
 const sendLimit = 5;
+const leastPatienceMilliseconds = 1_500;
+const patienceTargets = 3;
 const busyStatus = 503;
 const badGatewayStatus = 502;
 const timeoutStatus = 504;
@@ -110,7 +112,15 @@
     const now = parts.clock.now();
     if (state.request.choice && parts.configuration.read()?.config.services.get(service)?.engine) {
         const { choice } = state.request;
-        const place = await parts.adapters.acquire({ choice, servers, excluded: state.excluded, until: state.until });
+        const until = Math.min(state.until, computePatience(state));
+        const place = await parts.adapters.acquire({
+            choice,
+            servers,
+            excluded: state.excluded,
+            until,
+            priority: state.admission.account?.priority ?? route.priority,
+            usefulUntil: state.startedAt + route.targetLatency,
+        });
         state.placeWait += parts.clock.now() - now;
         return place;
     }
@@ -119,6 +129,12 @@
     return server && { server, requiredVersion: undefined };
 }
 
+/** Clients leave a stream that has not begun after some multiples of its target; an answer must come before. */
+function computePatience(state: RequestState): number {
+    const { targetLatency } = state.admission.route;
+    return state.startedAt + Math.max(leastPatienceMilliseconds, targetLatency * patienceTargets);
+}
+
 function endUnanswered(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
     state.lastFault = state.lastFault === "" ? reason : `${reason}: ${state.lastFault}`;
     if (state.headAt !== undefined) {
