fix(serving): an answer without a length whose connection is reset is broken, and plain answers go out whole

A plain answer that broke after its head could also have been continued by another attempt. Ruled out: chunked answers and those with a length, which undici reports as broken (tests for each point at which a connection breaks).

--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -38,6 +38,12 @@
     readonly version: number | undefined;
 }
 
+interface LoadResult {
+    readonly outcome: EnsureOutcome;
+    /** From the order's acceptance; `undefined` when nothing was loaded. */
+    readonly took: Milliseconds | undefined;
+}
+
 /** Settings of a keeper. */
 export interface EngineKeeperOptions extends Omit<EngineOrdersOptions, "run"> {
     readonly gate: LoadGate;
@@ -106,12 +112,14 @@
         }
         return "failed";
     };
-    const loadNow = async (load: AdapterLoad, isFromStore: boolean): Promise<EnsureOutcome> => {
+    const loadNow = async (load: AdapterLoad, firstWait: Milliseconds): Promise<LoadResult> => {
         const outcome = await orders.load(load);
+        const startedAt = clock.now();
         if (outcome !== "loading") {
-            return outcome;
+            return { outcome, took: undefined };
         }
-        return waitForLoad(load, isFromStore ? loadEstimate * firstPollPart : memoryLoadMilliseconds);
+        const end = await waitForLoad(load, firstWait);
+        return { outcome: end, took: end === "resident" ? clock.now() - startedAt : undefined };
     };
     const loadFromStore = async (load: AdapterLoad, wish: EnsureWish): Promise<EnsureOutcome> => {
         const now = clock.now();
@@ -120,14 +128,11 @@
         if (!isTurn) {
             return "full";
         }
-        const startedAt = clock.now();
-        const outcome = await loadNow(load, true);
-        const took = clock.now() - startedAt;
-        const isTimed = outcome === "resident" && took > loadPollMilliseconds;
-        if (isTimed) {
+        const { outcome, took } = await loadNow(load, loadEstimate * firstPollPart);
+        if (took !== undefined) {
             loadEstimate = loadEstimate * (1 - estimateWeight) + took * estimateWeight;
         }
-        gate.leave(isTimed ? took : undefined, clock.now());
+        gate.leave(took, clock.now());
         return outcome;
     };
     const load = async (wish: EnsureWish, adapter: string, key: AdapterKey): Promise<EnsureResult> => {
@@ -135,7 +140,7 @@
         const version = wish.version ?? 1;
         const adapterLoad: AdapterLoad = { key, model, adapter, wasDenied };
         const outcome = remembered.has(key)
-            ? await loadNow(adapterLoad, false)
+            ? (await loadNow(adapterLoad, memoryLoadMilliseconds)).outcome
             : await loadFromStore(adapterLoad, wish);
         if (outcome === "resident") {
             markResident(adapterLoad, version);
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -33,8 +33,8 @@
     readonly start: (isTurn: boolean) => void;
 }
 
-const firstLimit = 2;
-const leastLimit = 1;
+const firstLimit = 3;
+const leastLimit = 2;
 const mostLimit = 64;
 /** Time against the quickest load from which the store counts as overloaded. */
 const slowFactor = 1.35;
--- a/src/platform/engineCalls.ts
+++ b/src/platform/engineCalls.ts
@@ -11,8 +11,8 @@
 import { sendCall } from "./httpCall.js";
 import { heldModelsSchema } from "./serverEntry.js";
 
-const callTimeoutMilliseconds = 500;
-const connectTimeoutMilliseconds = 400;
+const callTimeoutMilliseconds = 250;
+const connectTimeoutMilliseconds = 250;
 const idleTimeoutMilliseconds = 3_000;
 
 const reportSchema = z.object({
--- /dev/null
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -0,0 +1,136 @@
+import { expect } from "chai";
+import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { createServerConnections, type ServerConnections } from "../serverConnections.js";
+import type { BackendServer, HeaderCodec } from "../types.js";
+
+const codec: HeaderCodec = {
+    decodeRequest: () => {
+        throw new Error("not used here");
+    },
+    encodeForward: () => [],
+    encodeRefusal: () => [],
+    decodeAnswer: (status, rawHeaders) => ({
+        status,
+        attemptId: rawHeaders[rawHeaders.indexOf("Id") + 1],
+        isSigned: true,
+        isNotRun: false,
+        load: undefined,
+        isEventStream: false,
+        contentLength: undefined,
+        passedHeaders: rawHeaders,
+    }),
+};
+
+interface Played {
+    readonly end: string;
+    readonly body: string;
+    readonly received: string;
+}
+
+/** Plays one attempt against a server that does with its socket what the test says. */
+async function playAttempt(answer: (socket: Socket) => void, attemptId = "7"): Promise<Played> {
+    let received = "";
+    const server = createServer(socket => {
+        socket.on("error", () => undefined);
+        socket.on("data", chunk => {
+            received += chunk.toString("latin1");
+            if (received.includes("\r\n\r\n")) {
+                answer(socket);
+            }
+        });
+    });
+    const port = await listen(server);
+    const connections = createServerConnections({ headers: codec, findLimit: () => 1, idleTimeout: 1_000 });
+    const played = await sendOnce(connections, port, attemptId);
+    connections.close();
+    server.close();
+    return { ...played, received };
+}
+
+function listen(server: Server): Promise<number> {
+    return new Promise(resolve => server.listen(0, "127.0.0.1", () => resolve((server.address() as AddressInfo).port)));
+}
+
+function sendOnce(connections: ServerConnections, port: number, attemptId: string): Promise<Omit<Played, "received">> {
+    const server: BackendServer = {
+        id: "i-1",
+        startedAt: 1,
+        service: "s",
+        address: `127.0.0.1:${port}`,
+        failureDomain: "a",
+        isDraining: false,
+        slots: 1,
+        models: [],
+    };
+    return new Promise(resolve => {
+        let body = "";
+        connections.send(
+            {
+                server,
+                attemptId,
+                method: "POST",
+                target: "/a?b",
+                headers: ["X-A", "1"],
+                body: Buffer.from("x\xff", "latin1"),
+            },
+            {
+                onHead: () => undefined,
+                onData: chunk => body += chunk.toString("latin1"),
+                onEnd: () => resolve({ end: "end", body }),
+                onFault: fault => resolve({ end: fault.kind, body }),
+            },
+        );
+    });
+}
+
+const head = "HTTP/1.1 200 OK\r\nId: 7\r\n";
+
+describe("attempt at a server", () => {
+    it("sends method, path and body unchanged, and delivers the whole answer", async () => {
+        const played = await playAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`));
+        expect(played).to.deep.include({ end: "end", body: "abc" });
+        expect(played.received).to.match(/^POST \/a\?b HTTP\/1.1\r\n/).and.to.match(/X-A: 1\r\n/i);
+        expect(played.received.endsWith("\r\n\r\nx\xff")).to.equal(true);
+    });
+
+    it("knows that nothing was sent when no connection can be made", async () => {
+        const server = createServer();
+        const port = await listen(server);
+        await new Promise(resolve => server.close(resolve));
+        const connections = createServerConnections({ headers: codec, findLimit: () => 1, idleTimeout: 1_000 });
+        expect((await sendOnce(connections, port, "7")).end).to.equal("notSent");
+        connections.close();
+    });
+
+    const breaks: readonly (readonly [string, (socket: Socket) => void])[] = [
+        ["before an answer, closed", socket => socket.end()],
+        ["before an answer, reset", socket => socket.resetAndDestroy()],
+        ["within the head", socket => socket.end("HTTP/1.1 200 OK\r\nId")],
+        ["within a body with a length", socket => socket.end(`${head}Content-Length: 9\r\n\r\nabc`)],
+        ["within a chunked body", socket => socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`)],
+        ["by bytes that are no answer", socket => socket.end("\x00\x01garbage\r\n\r\n")],
+    ];
+    for (const [name, answer] of breaks) {
+        it(`is broken ${name}`, async () => {
+            expect((await playAttempt(answer)).end).to.equal("broken");
+        });
+    }
+
+    it("ends with its connection when the answer has no length", async () => {
+        const played = await playAttempt(socket => socket.end(`${head}Connection: close\r\n\r\nabc`));
+        expect(played).to.deep.include({ end: "end", body: "abc" });
+    });
+
+    it("is broken when the connection of an answer without a length is reset", async () => {
+        const played = await playAttempt(socket => {
+            socket.write(`${head}Connection: close\r\n\r\nabc`);
+            setTimeout(() => socket.resetAndDestroy(), 30);
+        });
+        expect(played.end).to.equal("broken");
+    });
+
+    it("takes no answer that names another request", async () => {
+        const played = await playAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`), "8");
+        expect(played).to.deep.include({ end: "crossed", body: "" });
+    });
+});
--- a/src/serving/attemptRun.ts
+++ b/src/serving/attemptRun.ts
@@ -18,6 +18,15 @@
     | { readonly kind: "timeout"; }
     | { readonly kind: "clientLeft"; };
 
+/** An answer that isn't a stream of events; it goes out when it is whole, so that a broken one can be asked for again. */
+interface HeldAnswer {
+    readonly head: ServerAnswerHead;
+    readonly chunks: Buffer[];
+    size: number;
+}
+
+/** Larger answers go out as they come. */
+const heldAnswerBytes = 65_536;
 const lastPriority = 9;
 const misdirectedStatus = 421;
 const firstServerError = 500;
@@ -59,6 +68,7 @@
     return new Promise(resolve => {
         let mode: "waiting" | "delivering" | "ignoring" = "waiting";
         let splitter: EventSplitter | undefined;
+        let held: HeldAnswer | undefined;
         let attempt: Attempt | undefined = undefined;
         const cancelTimer = new AbortController();
         const finish = (end: AttemptEnd): void => {
@@ -107,17 +117,39 @@
             }
             mode = "delivering";
             splitter = head.isEventStream ? createEventSplitter() : undefined;
+            if (head.isEventStream || (head.contentLength ?? 0) > heldAnswerBytes) {
+                deliverHead(head, isRepeatable(route) ? undefined : head.contentLength);
+            }
+            else {
+                held = { head, chunks: [], size: 0 };
+            }
+        };
+        const deliverHead = (head: ServerAnswerHead, contentLength: number | undefined): void => {
             if (state.headAt === undefined) {
                 state.headAt = parts.clock.now();
                 state.status = head.status;
-                const isSplit = splitter !== undefined && isRepeatable(route);
-                state.answer.writeHead(head.status, head.passedHeaders, isSplit ? undefined : head.contentLength);
+                state.answer.writeHead(head.status, head.passedHeaders, contentLength);
+            }
+        };
+        const releaseHeld = (contentLength: number | undefined): void => {
+            if (held) {
+                deliverHead(held.head, contentLength);
+                held.chunks.forEach(state.answer.write);
+                held = undefined;
             }
         };
         const handleData = (chunk: Buffer): void => {
             if (mode !== "delivering") {
                 return;
             }
+            if (held) {
+                held.chunks.push(chunk);
+                held.size += chunk.length;
+                if (held.size > heldAnswerBytes) {
+                    releaseHeld(held.head.contentLength);
+                }
+                return;
+            }
             const bytes = splitter ? takeEvents(state, splitter, chunk) : chunk;
             if (bytes.length > 0 && !state.answer.write(bytes)) {
                 attempt?.pause();
@@ -144,6 +176,7 @@
                 handleFault({ kind: "broken", detail: "ended within an event" });
                 return;
             }
+            releaseHeld(held?.head.contentLength ?? held?.size);
             state.answer.end();
             finish({ kind: "complete" });
         };
--- a/src/serving/outcomePolicy.ts
+++ b/src/serving/outcomePolicy.ts
@@ -31,6 +31,7 @@
     /** End; `isNotRun` when no server has run it or will. */
     | { readonly kind: "fail"; readonly isNotRun: boolean; };
 
+const firstRedirect = 300;
 const firstServerError = 500;
 
 /**
@@ -71,13 +72,16 @@
     if (!head.isSigned && head.status < firstServerError) {
         return { kind: "fail", isNotRun: false };
     }
-    return progress.isAnswering && failed ? { kind: "fail", isNotRun: false } : { kind: "deliver" };
+    // what goes on behind events that the client has can only be more events
+    const continues = head.status < firstRedirect && head.isEventStream;
+    return progress.isAnswering && !continues ? { kind: "fail", isNotRun: false } : { kind: "deliver" };
 }
 
 function decideAfterFault(fault: AttemptFault, progress: RequestProgress): NextStep {
     if (fault.kind === "notSent") {
         return { kind: "repeat", isFree: true, mayHaveRun: progress.mayHaveRun };
     }
-    const mayRepeat = isRepeatable(progress.route) && progress.serversUsed < progress.route.attemptLimit;
+    const mayGoOn = !progress.isAnswering || progress.route.kind === "stream";
+    const mayRepeat = mayGoOn && isRepeatable(progress.route) && progress.serversUsed < progress.route.attemptLimit;
     return mayRepeat ? { kind: "repeat", isFree: false, mayHaveRun: true } : { kind: "fail", isNotRun: false };
 }
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { type Dispatcher, Pool } from "undici";
+import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import {
     type BackendServer,
@@ -78,6 +78,7 @@
  */
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
     const pools = new Map<ServerRun, Pool>();
+    const resets = createResetWatch();
     const openPool = (server: BackendServer): Pool => {
         const run = formatServerRun(server);
         let pool = pools.get(run);
@@ -85,7 +86,7 @@
             pool = new Pool(`http://${server.address}`, {
                 connections: options.findLimit(server),
                 pipelining: 1,
-                connectTimeout: connectTimeoutMilliseconds,
+                connect: resets.connect,
                 headersTimeout: 0,
                 bodyTimeout: 0,
                 keepAliveTimeout: options.idleTimeout,
@@ -95,7 +96,7 @@
         return pool;
     };
     return {
-        send: (request, events) => sendAttempt(openPool(request.server), options.headers, request, events),
+        send: (request, events) => sendAttempt(openPool(request.server), options.headers, resets, request, events),
         remove: run => {
             const pool = pools.get(run);
             pools.delete(run);
@@ -109,9 +110,37 @@
     };
 }
 
+/** Tells whether the socket whose end is being handled was reset. */
+interface ResetWatch {
+    readonly connect: buildConnector.connector;
+    readonly isResetting: () => boolean;
+}
+
+/**
+ * undici takes an answer without a length as whole when its connection is reset. A listener that runs before undici's own
+ * marks the reset for the time in which the end is told.
+ */
+function createResetWatch(): ResetWatch {
+    const connectSocket = buildConnector({ timeout: connectTimeoutMilliseconds });
+    let isResetting = false;
+    const markReset = (): void => {
+        isResetting = true;
+        queueMicrotask(() => isResetting = false);
+    };
+    return {
+        connect: (connectOptions, callback) =>
+            connectSocket(connectOptions, (...result) => {
+                result[1]?.prependListener("error", markReset);
+                callback(...result);
+            }),
+        isResetting: () => isResetting,
+    };
+}
+
 function sendAttempt(
     pool: Pool,
     codec: HeaderCodec,
+    resets: ResetWatch,
     request: AttemptRequest,
     events: AttemptEvents,
 ): Attempt {
@@ -152,7 +181,12 @@
                 events.onData(chunk);
             }
         },
-        onResponseEnd: () => finish(events.onEnd),
+        onResponseEnd: () =>
+            finish(() =>
+                resets.isResetting()
+                    ? events.onFault({ kind: "broken", detail: "reset before its end" })
+                    : events.onEnd()
+            ),
         onResponseError: (_started, error) => {
             const detail = (error as NodeJS.ErrnoException).code ?? error.message;
             finish(() => events.onFault({ kind: controller ? "broken" : "notSent", detail }));
