fix(serving): a reset that comes with the last bytes of an answer without a length; loads for each engine

The load gate let a holder of many engines do too little: it now allows one load for each engine. A stream that broke had no patience left for another engine.

--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -122,7 +122,7 @@
         onChange: () => undefined,
         onTable: () => undefined,
         takeModelLoad: () => true,
-        gate: createLoadGate(),
+        gate: createLoadGate(() => 2),
     });
     return { keeper, pass: time => now += time };
 }
--- a/src/adapters/__tests__/loadGate.test.ts
+++ b/src/adapters/__tests__/loadGate.test.ts
@@ -14,7 +14,7 @@
 
 /** A store that shares the speed of a number of loads among all that are on their way. */
 function playStore(fullSpeed: number, perSecond: number, seconds: number, isGated: boolean): number {
-    const gate = createLoadGate();
+    const gate = createLoadGate(() => 2);
     const loads: PlayedLoad[] = [];
     let owed = 0;
     let present = 0;
@@ -66,7 +66,7 @@
     });
 
     it("lets those go first that can still be on time, and of these the more urgent", () => {
-        const gate = createLoadGate();
+        const gate = createLoadGate(() => 2);
         const order: string[] = [];
         const enter = (name: string, priority: number, usefulUntil: number): void =>
             gate.enter({ priority, usefulUntil, until: 10_000 }, () => order.push(name), 0);
@@ -87,7 +87,7 @@
     });
 
     it("tells those whose time is over", () => {
-        const gate = createLoadGate();
+        const gate = createLoadGate(() => 2);
         const told: boolean[] = [];
         let started = 0;
         do {
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -111,7 +111,7 @@
 /** Pause after all engines were asked in vain. */
 const retryPauseMilliseconds = 75;
 /** Part of the version bound after which older versions are no longer begun. */
-const versionBoundPart = 0.6;
+const versionBoundPart = 0.3;
 /** A replacement goes after loads that requests wait for. */
 const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
 const emptyPeriodMilliseconds = 500;
@@ -126,9 +126,9 @@
 export function createAdapterDesk(options: AdapterDeskOptions): AdapterDesk {
     const { clock } = options;
     const residency = createResidency();
-    const gate = createLoadGate();
     const modelLoads = createModelLoadLimit(clock, () => options.listPeers().length + 1);
     const keepers = new Map<ServerRun, EngineKeeper>();
+    const gate = createLoadGate(() => Math.max(1, keepers.size));
     const holders = new Map<number, ShardHolder>();
     const versions = new Map<AdapterKey, NamedVersion>();
     const uses = new Map<ServerRun, Map<AdapterKey, UseCount>>();
--- a/src/adapters/enginePick.ts
+++ b/src/adapters/enginePick.ts
@@ -49,11 +49,12 @@
     }
     const key = formatAdapterKey(choice.model, choice.adapter);
     const resident = pickResident(input, key);
-    if (resident && readLoad(input, resident) < replicaLoad) {
+    const isSound = resident && input.records.find(formatServerRun(resident)).avoidedUntil <= input.now;
+    if (isSound && readLoad(input, resident) < replicaLoad) {
         return describeResident(input, resident, key);
     }
     const target = pickLoadTarget(input, key);
-    if (target && (!resident || readLoad(input, target) < homeLoadLimit)) {
+    if (target && (!isSound || readLoad(input, target) < homeLoadLimit)) {
         return { kind: "load", server: target };
     }
     return resident ? describeResident(input, resident, key) : { kind: "none" };
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -34,7 +34,6 @@
 }
 
 const firstLimit = 3;
-const leastLimit = 2;
 const mostLimit = 64;
 /** Time against the quickest load from which the store counts as overloaded. */
 const slowFactor = 1.35;
@@ -47,14 +46,16 @@
 /**
  * Creates the gate.
  *
+ * @param readLeast - loads that may always be on their way: one for each engine keeps the store busy when the others idle
  * @returns a gate with nothing on its way
  */
-export function createLoadGate(): LoadGate {
+export function createLoadGate(readLeast: () => number): LoadGate {
     const waiting: Entry[] = [];
     let limit = firstLimit;
     let running = 0;
     let wasSlow = false;
     let base = Number.POSITIVE_INFINITY;
+    const readLimit = (): number => Math.max(readLeast(), limit);
     const expire = (now: Milliseconds): void => {
         for (let index = waiting.length - 1; index >= 0; index--) {
             if (waiting[index]!.load.until <= now) {
@@ -64,7 +65,7 @@
     };
     const startNext = (now: Milliseconds): void => {
         expire(now);
-        while (waiting.length > 0 && running < Math.floor(limit)) {
+        while (waiting.length > 0 && running < Math.floor(readLimit())) {
             const [entry] = waiting.splice(findNext(waiting, now), 1);
             running++;
             entry!.start(true);
@@ -80,7 +81,7 @@
             // until it was slow once, the limit doubles with each round
             limit += wasSlow ? increase / limit : increase;
         }
-        limit = Math.min(mostLimit, Math.max(leastLimit, limit));
+        limit = Math.min(mostLimit, readLimit());
     };
     return {
         enter: (load, start, now) => {
@@ -95,7 +96,7 @@
             startNext(now);
         },
         expire,
-        readLimit: () => limit,
+        readLimit,
     };
 }
 
--- a/src/platform/engineCalls.ts
+++ b/src/platform/engineCalls.ts
@@ -11,7 +11,7 @@
 import { sendCall } from "./httpCall.js";
 import { heldModelsSchema } from "./serverEntry.js";
 
-const callTimeoutMilliseconds = 250;
+const callTimeoutMilliseconds = 150;
 const connectTimeoutMilliseconds = 250;
 const idleTimeoutMilliseconds = 3_000;
 
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -7,7 +7,7 @@
 import { readFileSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { createServing } from "../serving/openServing.js";
-import { createSystemClock, setLogLevel } from "../shared/index.js";
+import { createSystemClock, sendLogToSink, setLogLevel } from "../shared/index.js";
 import { decodeOperatorRecord } from "./configuration.js";
 import { createEngineControl } from "./engineCalls.js";
 import { platformHeaders } from "./headers.js";
@@ -25,6 +25,8 @@
     --help               this text
 `;
 const usageExitCode = 2;
+/** Time for the last log lines to be written. */
+const lastLinesMilliseconds = 60;
 const membershipTtlMilliseconds = 1_500;
 
 process.exitCode = await runDaemon(process.argv.slice(2));
@@ -49,6 +51,7 @@
         return usageExitCode;
     }
     setLogLevel(values["log-level"] as Parameters<typeof setLogLevel>[0]);
+    const flushLog = sendLogToSink();
     const file = settings.value;
     const store = createPlatformStore(file.storeAddress);
     const stopping = new AbortController();
@@ -81,7 +84,9 @@
         records: { decodeOperatorRecord, decodeServerEntry },
     });
     await serving.run(stopping.signal);
-    process.exit(0);
+    flushLog();
+    setTimeout(() => process.exit(0), lastLinesMilliseconds);
+    return 0;
 }
 
 function readPort(address: string): number {
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -129,6 +129,13 @@
         expect(played.end).to.equal("broken");
     });
 
+    it("is broken when the reset comes together with the last bytes", async () => {
+        const played = await playAttempt(socket =>
+            socket.write(`${head}Connection: close\r\n\r\nabc`, () => socket.resetAndDestroy())
+        );
+        expect(played.end).to.equal("broken");
+    });
+
     it("takes no answer that names another request", async () => {
         const played = await playAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`), "8");
         expect(played).to.deep.include({ end: "crossed", body: "" });
--- a/src/serving/requestLine.ts
+++ b/src/serving/requestLine.ts
@@ -21,7 +21,8 @@
     report: RequestReport,
     took: Milliseconds,
 ): void {
-    log.info("request", {
+    const writeLine = report.outcome === "answered" ? log.info : log.warn;
+    writeLine("request", {
         id: request.attemptId,
         ...report,
         model: request.choice && `${request.choice.model}/${request.choice.adapter ?? ""}`,
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { Milliseconds } from "../shared/index.js";
 import { admitRequest } from "./admission.js";
 import { runAttempt } from "./attemptRun.js";
 import type { AttemptPlace, ClientAnswer, RequestParts, RequestReport, RequestState } from "./requestState.js";
@@ -112,7 +113,7 @@
     const now = parts.clock.now();
     if (state.request.choice && parts.configuration.read()?.config.services.get(service)?.engine) {
         const { choice } = state.request;
-        const until = Math.min(state.until, computePatience(state));
+        const until = Math.min(state.until, computePatience(state, now));
         const place = await parts.adapters.acquire({
             choice,
             servers,
@@ -130,9 +131,11 @@
 }
 
 /** Clients leave a stream that has not begun after some multiples of its target; an answer must come before. */
-function computePatience(state: RequestState): number {
+function computePatience(state: RequestState, now: Milliseconds): Milliseconds {
     const { targetLatency } = state.admission.route;
-    return state.startedAt + Math.max(leastPatienceMilliseconds, targetLatency * patienceTargets);
+    // a stream that has begun may pause as long again
+    const since = state.headAt === undefined ? state.startedAt : now;
+    return since + Math.max(leastPatienceMilliseconds, targetLatency * patienceTargets);
 }
 
 function endUnanswered(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -117,8 +117,9 @@
 }
 
 /**
- * undici takes an answer without a length as whole when its connection is reset. A listener that runs before undici's own
- * marks the reset for the time in which the end is told.
+ * undici takes an answer without a length as whole when its connection is reset, and a reset that comes together with the
+ * last bytes is told by libuv as an ordinary end. Listeners that run before undici's own mark the reset for the time in which
+ * the end is told; a socket that was reset has no peer any more.
  */
 function createResetWatch(): ResetWatch {
     const connectSocket = buildConnector({ timeout: connectTimeoutMilliseconds });
@@ -130,7 +131,9 @@
     return {
         connect: (connectOptions, callback) =>
             connectSocket(connectOptions, (...result) => {
-                result[1]?.prependListener("error", markReset);
+                const socket = result[1];
+                socket?.prependListener("error", markReset);
+                socket?.prependListener("end", () => socket.remoteAddress ?? markReset());
                 callback(...result);
             }),
         isResetting: () => isResetting,
--- a/src/shared/debug.ts
+++ b/src/shared/debug.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import loglevel from "loglevel";
+import { createLogSink, writeToStandardOutput } from "./logSink.js";
 
 /** Writes one structured line; fields must not hold a caller's key. */
 export type LogLine = (event: string, fields?: Readonly<Record<string, unknown>>) => void;
@@ -16,6 +17,7 @@
     readonly error: LogLine;
 }
 
+const sinkPeriodMilliseconds = 50;
 const debugScopes = (process.env["DEBUG"] ?? "")
     .split(",")
     .filter(scope => scope.startsWith("oriolehatch:"))
@@ -42,6 +44,25 @@
     };
 }
 
+/**
+ * Sends the lines of all scopes to standard output without ever waiting for its reader.
+ *
+ * @returns a function that writes what still waits
+ */
+export function sendLogToSink(): () => void {
+    const sink = createLogSink({ write: writeToStandardOutput, now: () => performance.now() });
+    loglevel.methodFactory = level => (line: string): void => {
+        const event = /"event":"([^"]*)"/.exec(line)?.[1] ?? "";
+        sink.put(`${level} ${event}`, line, level === "warn" || level === "error" ? "important" : "ordinary");
+    };
+    for (const logger of Object.values(loglevel.getLoggers())) {
+        logger.methodFactory = loglevel.methodFactory;
+        logger.rebuild();
+    }
+    setInterval(sink.flush, sinkPeriodMilliseconds).unref();
+    return sink.flush;
+}
+
 /**
  * Sets the level of all scopes.
  *
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -8,6 +8,7 @@
 export * from "./hash.js";
 export * from "./identifiers.js";
 export * from "./json.js";
+export * from "./logSink.js";
 export * from "./random.js";
 export * from "./result.js";
 export * from "./time.js";
