fix(serving): a version found after a restart or an outage counts as named before

A version now counts as named at the last read that didn't show it. Ruled out: the holder's replacement, which had been done.

--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -24,7 +24,7 @@
     models: [{ name: "base", sizeMegabytes: 100, adapterMegabytes: 10 }],
 };
 
-/** An engine that loads at once, waits with unloads while an adapter is in use, and reports as of some time ago. */
+// an engine that loads at once, waits with unloads while an adapter is in use, and reports as of some time ago
 function createEngine() {
     const adapters = new Set<string>();
     const leaving = new Set<string>();
@@ -33,7 +33,7 @@
     let sequence = 0;
     let most = 0;
     let answers: "given" | "lostOnce" | "late" = "given";
-    const carryOut = (order: EngineOrder): OrderOutcome => {
+    const applyOrder = (order: EngineOrder): OrderOutcome => {
         const adapter = order.adapter!;
         const isDone = order.action === "load" ? adapters.has(adapter) : !adapters.has(adapter);
         if (isDone) {
@@ -59,12 +59,12 @@
         return { kind: "done" };
     };
     const control: EngineControl = {
-        order: (_server, order) => {
+        order: (engineServer, order) => {
             if (answers === "late") {
-                late.push(() => carryOut(order));
+                late.push(() => applyOrder(order));
                 return Promise.resolve({ kind: "unknown" });
             }
-            const outcome = carryOut(order);
+            const outcome = applyOrder(order);
             const isLost = answers === "lostOnce";
             answers = "given";
             return Promise.resolve(isLost ? { kind: "unknown" } : outcome);
@@ -103,7 +103,7 @@
 function createKeeper(
     control: EngineControl,
     findFencingNumber: () => number | undefined = () => 7,
-): { readonly keeper: EngineKeeper; readonly pass: (time: number) => void; } {
+): { readonly keeper: EngineKeeper; readonly advance: (time: number) => void; } {
     let now = 0;
     const keeper = createEngineKeeper({
         server,
@@ -124,10 +124,10 @@
         takeModelLoad: () => true,
         gate: createLoadGate(() => 2),
     });
-    return { keeper, pass: time => now += time };
+    return { keeper, advance: time => now += time };
 }
 
-const wish = (adapter: string): EnsureWish => ({
+const createWish = (adapter: string): EnsureWish => ({
     model: "base",
     adapter,
     version: undefined,
@@ -140,10 +140,10 @@
 describe("keeper of an engine", () => {
     it("loads what is wished, and evicts what is used least when places are taken", async () => {
         const engine = createEngine();
-        const { keeper, pass } = createKeeper(engine.control);
+        const { keeper, advance } = createKeeper(engine.control);
         for (const adapter of ["a1", "a2", "a3", "a4"]) {
-            expect((await keeper.ensure(wish(adapter))).outcome).to.equal("resident");
-            pass(1_000);
+            expect((await keeper.ensure(createWish(adapter))).outcome).to.equal("resident");
+            advance(1_000);
         }
         expect([...engine.adapters]).to.deep.equal(["a2", "a3", "a4"]);
         expect(engine.readMost()).to.equal(3);
@@ -151,20 +151,20 @@
 
     it("never orders more than the engine has places for while an adapter waits for its last runs", async () => {
         const engine = createEngine();
-        const { keeper, pass } = createKeeper(engine.control);
+        const { keeper, advance } = createKeeper(engine.control);
         for (const adapter of ["a1", "a2", "a3"]) {
-            await keeper.ensure(wish(adapter));
+            await keeper.ensure(createWish(adapter));
             engine.inUse.add(adapter);
-            pass(1_000);
+            advance(1_000);
         }
-        await keeper.ensure(wish("a4"));
+        await keeper.ensure(createWish("a4"));
         await keeper.refresh();
-        await keeper.ensure(wish("a5"));
+        await keeper.ensure(createWish("a5"));
         expect(engine.readMost()).to.equal(3);
         ["a1", "a2", "a3"].forEach(engine.release);
         await new Promise(resolve => setTimeout(resolve, 20));
-        pass(1_000);
-        expect((await keeper.ensure(wish("a6"))).outcome).to.equal("resident");
+        advance(1_000);
+        expect((await keeper.ensure(createWish("a6"))).outcome).to.equal("resident");
         expect(engine.readMost()).to.equal(3);
         keeper.stop();
     });
@@ -174,37 +174,37 @@
         const { keeper } = createKeeper(engine.control);
         await keeper.refresh();
         engine.setAnswers("lostOnce");
-        expect((await keeper.ensure(wish("a1"))).outcome).to.equal("resident");
+        expect((await keeper.ensure(createWish("a1"))).outcome).to.equal("resident");
         expect([...engine.adapters]).to.deep.equal(["a1"]);
     });
 
     it("keeps the place of an order that may still be carried out", async () => {
         const engine = createEngine();
-        const { keeper, pass } = createKeeper(engine.control);
-        await keeper.ensure(wish("a1"));
-        pass(1_000);
-        await keeper.ensure(wish("a2"));
-        pass(1_000);
+        const { keeper, advance } = createKeeper(engine.control);
+        await keeper.ensure(createWish("a1"));
+        advance(1_000);
+        await keeper.ensure(createWish("a2"));
+        advance(1_000);
         engine.setAnswers("late");
-        expect((await keeper.ensure(wish("a3"))).outcome).to.equal("failed");
+        expect((await keeper.ensure(createWish("a3"))).outcome).to.equal("failed");
         engine.setAnswers("given");
         engine.carryOutLate();
-        pass(1_000);
-        await keeper.ensure(wish("a4"));
-        await keeper.ensure(wish("a5"));
+        advance(1_000);
+        await keeper.ensure(createWish("a4"));
+        await keeper.ensure(createWish("a5"));
         expect(engine.readMost()).to.equal(3);
     });
 
     it("keeps count of an adapter whose repeated load could not be ordered", async () => {
         const engine = createEngine();
         ["a1", "a2", "a3"].forEach(adapter => engine.adapters.add(adapter));
-        let fencingNumber: number | undefined;
-        const { keeper, pass } = createKeeper(engine.control, () => fencingNumber);
+        let fencingNumber: number | undefined = undefined;
+        const { keeper, advance } = createKeeper(engine.control, () => fencingNumber);
         await keeper.refresh();
-        await keeper.ensure({ ...wish("a1"), wasDenied: true });
+        await keeper.ensure({ ...createWish("a1"), wasDenied: true });
         fencingNumber = 8;
-        pass(1_000);
-        await keeper.ensure(wish("a4"));
+        advance(1_000);
+        await keeper.ensure(createWish("a4"));
         expect(engine.readMost()).to.equal(3);
     });
 
@@ -213,7 +213,7 @@
         const { keeper } = createKeeper(engine.control);
         await keeper.refresh();
         keeper.stop();
-        expect((await keeper.ensure(wish("a1"))).outcome).to.equal("notHolder");
+        expect((await keeper.ensure(createWish("a1"))).outcome).to.equal("notHolder");
         expect(engine.adapters.size).to.equal(0);
     });
 });
--- a/src/adapters/__tests__/loadGate.test.ts
+++ b/src/adapters/__tests__/loadGate.test.ts
@@ -12,8 +12,8 @@
 const targetMilliseconds = 600;
 const stepMilliseconds = 5;
 
-/** A store that shares the speed of a number of loads among all that are on their way. */
-function playStore(fullSpeed: number, perSecond: number, seconds: number, isGated: boolean): number {
+// a store that shares the speed of a number of loads among all that are on their way
+function runStore(fullSpeed: number, perSecond: number, seconds: number, isGated: boolean): number {
     const gate = createLoadGate(() => 2);
     const loads: PlayedLoad[] = [];
     let owed = 0;
@@ -56,29 +56,29 @@
 
 describe("load gate, in a burst of requests for cold adapters", () => {
     it("lets more be on time than when the store is shared among all", () => {
-        const shared = playStore(8, 50, 6, false);
-        const gated = playStore(8, 50, 6, true);
+        const shared = runStore(8, 50, 6, false);
+        const gated = runStore(8, 50, 6, true);
         expect(gated, `${shared} are on time when shared among all`).to.be.greaterThan(shared * 1.2);
     });
 
     it("holds back little when the store has room", () => {
-        expect(playStore(8, 16, 6, true)).to.be.greaterThan(0.95);
+        expect(runStore(8, 16, 6, true)).to.be.greaterThan(0.95);
     });
 
     it("lets those go first that can still be on time, and of these the more urgent", () => {
         const gate = createLoadGate(() => 2);
         const order: string[] = [];
-        const enter = (name: string, priority: number, usefulUntil: number): void =>
+        const addLoad = (name: string, priority: number, usefulUntil: number): void =>
             gate.enter({ priority, usefulUntil, until: 10_000 }, () => order.push(name), 0);
         let running = 0;
         do {
             running = order.length;
-            enter(`running ${running}`, 0, 100);
+            addLoad(`running ${running}`, 0, 100);
         }
         while (order.length > running);
-        enter("late", 0, 10);
-        enter("less urgent", 2, 1_000);
-        enter("urgent", 1, 1_000);
+        addLoad("late", 0, 10);
+        addLoad("less urgent", 2, 1_000);
+        addLoad("urgent", 1, 1_000);
         order.length = 0;
         for (let ends = 0; ends < 4; ends++) {
             gate.leave(undefined, 50);
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -29,6 +29,7 @@
 import { createResidency } from "./residency.js";
 import type { ShardTask } from "./shardTask.js";
 import type { EngineControl } from "./types.js";
+import { createUseCounts } from "./useCounts.js";
 
 /** Settings of the desk. */
 export interface AdapterDeskOptions {
@@ -76,7 +77,8 @@
     readonly markDenied: (server: BackendServer, choice: ModelChoice) => void;
     readonly markStarted: (server: BackendServer, choice: ModelChoice) => void;
     readonly markEnded: (server: BackendServer, choice: ModelChoice) => void;
-    readonly markVersion: (model: string, adapter: string, version: number, now: Milliseconds) => void;
+    /** A version was named, at the given time or later. */
+    readonly markVersion: (model: string, adapter: string, version: number, namedAt: Milliseconds) => void;
     readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
     readonly handleGained: (shard: number) => void;
     readonly handleLost: (shard: number, generation: number) => void;
@@ -101,17 +103,11 @@
     readonly namedAt: Milliseconds;
 }
 
-interface UseCount {
-    started: number;
-    inFlight: number;
-    hasChanged: boolean;
-}
-
 const ensureTimeoutMilliseconds = 2_500;
 /** Pause after all engines were asked in vain. */
 const retryPauseMilliseconds = 75;
 /** Part of the version bound after which older versions are no longer begun. */
-const versionBoundPart = 0.3;
+const versionBoundPart = 0.6;
 /** A replacement goes after loads that requests wait for. */
 const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
 const emptyPeriodMilliseconds = 500;
@@ -131,7 +127,7 @@
     const gate = createLoadGate(() => Math.max(1, keepers.size));
     const holders = new Map<number, ShardHolder>();
     const versions = new Map<AdapterKey, NamedVersion>();
-    const uses = new Map<ServerRun, Map<AdapterKey, UseCount>>();
+    const uses = createUseCounts();
     const wishes = new Map<string, Promise<EnsureResult>>();
     const denied = new Set<string>();
     let changes: Extract<AdapterMessage, { readonly kind: "changes"; }>["changes"][number][] = [];
@@ -140,7 +136,7 @@
 
     const findShard = (server: BackendServer): number =>
         Number(hashForPlacement(server.id) % BigInt(options.shardCount));
-    const broadcast = (message: AdapterMessage): void =>
+    const sendToAll = (message: AdapterMessage): void =>
         options.listPeers().forEach(peer => options.network.send(peer, "adapters", message));
     const hasHolder = (server: BackendServer): boolean => {
         const shard = findShard(server);
@@ -172,7 +168,7 @@
             },
             onTable: table => {
                 residency.replace(table);
-                broadcast({ kind: "tables", tables: [table] });
+                sendToAll({ kind: "tables", tables: [table] });
             },
         });
         keepers.set(keeper.run, keeper);
@@ -202,7 +198,7 @@
         }
         return { outcome: "notHolder", version: undefined };
     };
-    const ensureAdapter = (server: BackendServer, request: PlaceRequest): Promise<EnsureResult> => {
+    const requestAdapter = (server: BackendServer, request: PlaceRequest): Promise<EnsureResult> => {
         const { choice } = request;
         const run = formatServerRun(server);
         const key = formatAdapterKey(choice.model, choice.adapter!);
@@ -250,7 +246,7 @@
     ): Promise<EnsureResult["outcome"] | "late"> => {
         const run = formatServerRun(server);
         const { model, adapter } = request.choice;
-        const result = await waitUntil(ensureAdapter(server, request), request.until);
+        const result = await waitUntil(requestAdapter(server, request), request.until);
         if (result?.outcome === "resident") {
             residency.apply({ run, model, adapter: adapter!, version: result.version ?? 1 });
         }
@@ -292,39 +288,11 @@
         cancel.abort();
         return first;
     };
-    const findUse = (server: BackendServer, choice: ModelChoice): UseCount | undefined => {
-        if (choice.adapter === undefined) {
-            return undefined;
-        }
-        const run = formatServerRun(server);
-        const counts = uses.get(run) ?? new Map<AdapterKey, UseCount>();
-        uses.set(run, counts);
-        const key = formatAdapterKey(choice.model, choice.adapter);
-        const use = counts.get(key) ?? { started: 0, inFlight: 0, hasChanged: true };
-        counts.set(key, use);
-        use.hasChanged = true;
-        return use;
-    };
-    const drainUses = (run: ServerRun): AdapterUse[] => {
-        const drained: AdapterUse[] = [];
-        const counts = uses.get(run);
-        for (const [key, use] of counts ?? []) {
-            if (use.hasChanged) {
-                drained.push({ run, key, started: use.started, inFlight: use.inFlight });
-                use.started = 0;
-                use.hasChanged = false;
-            }
-            if (use.inFlight === 0) {
-                counts!.delete(key);
-            }
-        }
-        return drained;
-    };
     const publishUses = (): void => {
         const byHolder = new Map<InstanceId, AdapterUse[]>();
         for (const server of options.listEngines()) {
             const run = formatServerRun(server);
-            const drained = drainUses(run);
+            const drained = uses.drain(run);
             const keeper = keepers.get(run);
             const holder = holders.get(findShard(server))?.instance;
             if (keeper) {
@@ -414,23 +382,12 @@
             denied.add(`${run} ${formatAdapterKey(choice.model, choice.adapter)}`);
             residency.apply({ run, model: choice.model, adapter: choice.adapter, version: undefined });
         },
-        markStarted: (server, choice) => {
-            const use = findUse(server, choice);
-            if (use) {
-                use.started++;
-                use.inFlight++;
-            }
-        },
-        markEnded: (server, choice) => {
-            const use = findUse(server, choice);
-            if (use) {
-                use.inFlight = Math.max(0, use.inFlight - 1);
-            }
-        },
-        markVersion: (model, adapter, version, now) => {
+        markStarted: (server, choice) => uses.markStarted(formatServerRun(server), choice),
+        markEnded: (server, choice) => uses.markEnded(formatServerRun(server), choice),
+        markVersion: (model, adapter, version, namedAt) => {
             const key = formatAdapterKey(model, adapter);
             if (version > (versions.get(key)?.version ?? 0)) {
-                versions.set(key, { version, namedAt: now });
+                versions.set(key, { version, namedAt });
                 replaceOutdated();
             }
         },
@@ -439,7 +396,7 @@
                 const run = formatServerRun(server);
                 closeKeeper(run);
                 residency.remove(run);
-                uses.delete(run);
+                uses.remove(run);
             }
             for (const server of added) {
                 if (options.findLimits(server.service)) {
@@ -467,18 +424,18 @@
                 }
             }
             const sinceLastOrder = Math.min(clock.now() - lastOrderAt, Number.MAX_SAFE_INTEGER);
-            broadcast({ kind: "released", shard, generation, sinceLastOrder });
+            sendToAll({ kind: "released", shard, generation, sinceLastOrder });
         },
         handleGeneration: () => {
             const holding = describeHolding();
             if (holding) {
-                broadcast(holding);
+                sendToAll(holding);
             }
         },
         handleMessage,
         publish: () => {
             if (changes.length > 0) {
-                broadcast({ kind: "changes", changes });
+                sendToAll({ kind: "changes", changes });
                 changes = [];
             }
             publishUses();
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -88,7 +88,7 @@
     const remembered = new Set<AdapterKey>();
     let loadEstimate: Milliseconds = firstLoadEstimateMilliseconds;
 
-    const remember = (key: AdapterKey): void => {
+    const keepInMemory = (key: AdapterKey): void => {
         remembered.delete(key);
         remembered.add(key);
         for (const oldest of remembered) {
@@ -149,7 +149,7 @@
     };
     const markResident = ({ key, model, adapter }: AdapterLoad, version: number): void => {
         const slot = orders.book.slots.get(key);
-        remember(key);
+        keepInMemory(key);
         if (slot) {
             slot.state = "resident";
             slot.version = version;
@@ -157,7 +157,7 @@
             options.onChange({ run, model, adapter, version });
         }
     };
-    const ensure = (wish: EnsureWish): Promise<EnsureResult> => {
+    const serveWish = (wish: EnsureWish): Promise<EnsureResult> => {
         if (wish.adapter === undefined) {
             const outcome = orders.book.models.has(wish.model) ? "resident" : "failed";
             return Promise.resolve({ outcome, version: undefined });
@@ -177,7 +177,7 @@
     return {
         run,
         refresh: orders.refresh,
-        ensure,
+        ensure: serveWish,
         countUse: (from, use) => {
             const slot = orders.book.slots.get(use.key);
             if (slot) {
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -153,7 +153,7 @@
         }
         return outcome;
     };
-    /** An accepted order makes those without an answer void. */
+    // an accepted order makes those without an answer void
     const settleUncertain = (except: AdapterKey | undefined): void => {
         for (const [key, slot] of book.slots) {
             if (slot.state === "uncertain" && key !== except) {
@@ -215,7 +215,7 @@
                 return outcome.kind === "fenced" ? "notHolder" : "failed";
         }
     };
-    /** Reads the engine's count of orders; one that still refuses then is carrying out another order. */
+    // reads the engine's count of orders; one that still refuses then is carrying out another order
     const handleConflict = async (): Promise<EnsureOutcome | undefined> => {
         const before = sequence;
         if (!await refreshSettled()) {
@@ -301,7 +301,7 @@
         }
         return "failed";
     };
-    /** A replacement waits for the adapter's runs, and the engine takes no other order until then. */
+    // a replacement waits for the adapter's runs, and the engine takes no other order until then
     const checkKnown = (slot: AdapterSlot, wasDenied: boolean): EnsureOutcome | undefined => {
         switch (slot.state) {
             case "leaving":
@@ -313,7 +313,7 @@
                 return undefined;
         }
     };
-    /** The same order again tells whether the load has ended; only while its place is taken, as it may load anew. */
+    // the same order again tells whether the load has ended; only while its place is taken, as it may load anew
     const pollLoad = async ({ model, adapter, key }: AdapterLoad): Promise<EnsureOutcome | "loading"> => {
         const state = book.slots.get(key)?.state;
         if (state !== "loading") {
@@ -365,7 +365,7 @@
     };
 }
 
-/** Engines without a model share the models of their service evenly. */
+// engines without a model share the models of their service evenly
 function chooseModel(limits: EngineLimits, run: ServerRun): string | undefined {
     const fitting = limits.models.filter(model => model.sizeMegabytes <= limits.memoryMegabytes);
     return rankByRendezvous(run, fitting.map(model => model.name), 1)[0];
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -71,7 +71,7 @@
             entry!.start(true);
         }
     };
-    const adapt = (took: Milliseconds): void => {
+    const updateLimit = (took: Milliseconds): void => {
         base = Math.min(base * baseRise, took);
         if (took > base * slowFactor) {
             limit *= decrease;
@@ -91,7 +91,7 @@
         leave: (took, now) => {
             running--;
             if (took !== undefined) {
-                adapt(took);
+                updateLimit(took);
             }
             startNext(now);
         },
@@ -110,7 +110,7 @@
     return best;
 }
 
-/** Those that can still be on time go first, the more urgent before others, and else the one that came first. */
+// those that can still be on time go first, the more urgent before others, and else the one that came first
 function isBefore(left: WaitingLoad, right: WaitingLoad, now: Milliseconds): boolean {
     const isLeftUseful = left.usefulUntil > now;
     const isRightUseful = right.usefulUntil > now;
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -64,7 +64,7 @@
     const decideActiveAt = (now: Milliseconds): Milliseconds =>
         // a process that has just started takes over from holders that are gone, or starts with all others
         now - options.startedAt < options.orderLease ? now : now + options.orderLease;
-    const drop = (shard: number): void => {
+    const removeShard = (shard: number): void => {
         held.delete(shard);
         options.onLost(shard, generation);
     };
@@ -74,7 +74,7 @@
         const gained = membership.shards.filter(shard => !held.has(shard));
         const hasChanged = membership.generation !== generation || lost.length + gained.length > 0;
         generation = membership.generation;
-        lost.forEach(drop);
+        lost.forEach(removeShard);
         for (const [shard, known] of held) {
             held.set(shard, { ...known, fencingNumber: generation });
         }
@@ -118,10 +118,10 @@
             }
         },
         markFenced: () => {
-            [...held.keys()].forEach(drop);
+            [...held.keys()].forEach(removeShard);
         },
         leave: async () => {
-            [...held.keys()].forEach(drop);
+            [...held.keys()].forEach(removeShard);
             const answer = await options.group.leave(options.member);
             if (!answer.ok) {
                 log.warn("leaving the shard group failed", { ...answer.error });
--- /dev/null
+++ b/src/adapters/useCounts.ts
@@ -0,0 +1,74 @@
+/**
+ * Uses of adapters by this instance, to be told to the holders of the engines.
+ *
+ * @packageDocumentation
+ */
+import type { ModelChoice, ServerRun } from "../serving/types.js";
+import { type AdapterKey, type AdapterUse, formatAdapterKey } from "./messages.js";
+
+/** Counts of one instance. */
+export interface UseCounts {
+    readonly markStarted: (run: ServerRun, choice: ModelChoice) => void;
+    readonly markEnded: (run: ServerRun, choice: ModelChoice) => void;
+    /** Takes what changed on an engine since the last call. */
+    readonly drain: (run: ServerRun) => readonly AdapterUse[];
+    readonly remove: (run: ServerRun) => void;
+}
+
+interface UseCount {
+    started: number;
+    inFlight: number;
+    hasChanged: boolean;
+}
+
+/**
+ * Creates the counts.
+ *
+ * @returns no uses yet
+ */
+export function createUseCounts(): UseCounts {
+    const engines = new Map<ServerRun, Map<AdapterKey, UseCount>>();
+    const findUse = (run: ServerRun, choice: ModelChoice): UseCount | undefined => {
+        if (choice.adapter === undefined) {
+            return undefined;
+        }
+        const counts = engines.get(run) ?? new Map<AdapterKey, UseCount>();
+        engines.set(run, counts);
+        const key = formatAdapterKey(choice.model, choice.adapter);
+        const use = counts.get(key) ?? { started: 0, inFlight: 0, hasChanged: true };
+        counts.set(key, use);
+        use.hasChanged = true;
+        return use;
+    };
+    return {
+        markStarted: (run, choice) => {
+            const use = findUse(run, choice);
+            if (use) {
+                use.started++;
+                use.inFlight++;
+            }
+        },
+        markEnded: (run, choice) => {
+            const use = findUse(run, choice);
+            if (use) {
+                use.inFlight = Math.max(0, use.inFlight - 1);
+            }
+        },
+        drain: run => {
+            const drained: AdapterUse[] = [];
+            const counts = engines.get(run);
+            for (const [key, use] of counts ?? []) {
+                if (use.hasChanged) {
+                    drained.push({ run, key, started: use.started, inFlight: use.inFlight });
+                    use.started = 0;
+                    use.hasChanged = false;
+                }
+                if (use.inFlight === 0) {
+                    counts!.delete(key);
+                }
+            }
+            return drained;
+        },
+        remove: run => void engines.delete(run),
+    };
+}
--- a/src/platform/engineCalls.ts
+++ b/src/platform/engineCalls.ts
@@ -38,7 +38,7 @@
     });
     return {
         order: async (server, order) => {
-            const answer = await sendCall(agent.compose(redirectTo(server)), {
+            const answer = await sendCall(agent.compose(createRedirect(server)), {
                 method: "POST",
                 path: "/order",
                 headers: { "content-type": "application/json", "x-oriolehatch-expect-instance": server.id },
@@ -51,7 +51,7 @@
             return decodeOutcome(answer.value.status, answer.value.body.toString("utf8"));
         },
         report: async server => {
-            const answer = await sendCall(agent.compose(redirectTo(server)), {
+            const answer = await sendCall(agent.compose(createRedirect(server)), {
                 method: "GET",
                 path: "/report",
                 headers: { "x-oriolehatch-expect-instance": server.id },
@@ -68,7 +68,7 @@
 
 type AgentInterceptor = Parameters<Agent["compose"]>[0];
 
-function redirectTo(server: BackendServer): AgentInterceptor {
+function createRedirect(server: BackendServer): AgentInterceptor {
     return dispatch => (options, handler) => dispatch({ ...options, origin: `http://${server.address}` }, handler);
 }
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -149,7 +149,7 @@
 }
 
 function createShardGroup(call: StoreCall): ShardGroup {
-    const post = (path: string, body: unknown): Promise<Result<Buffer, StoreError>> =>
+    const callGroup = (path: string, body: unknown): Promise<Result<Buffer, StoreError>> =>
         call({
             method: "POST",
             path,
@@ -159,7 +159,7 @@
         });
     return {
         join: async (member: string, generation: number, ttl: Milliseconds) => {
-            const answer = await post("/log-join", {
+            const answer = await callGroup("/log-join", {
                 group: shardGroupName,
                 member_id: member,
                 topics: [shardTopic],
@@ -169,7 +169,7 @@
             return answer.ok ? decodeMembership(answer.value) : answer;
         },
         leave: async (member: string) => {
-            const answer = await post("/log-leave", { group: shardGroupName, member_id: member });
+            const answer = await callGroup("/log-leave", { group: shardGroupName, member_id: member });
             return answer.ok ? wrapValue(undefined) : answer;
         },
     };
--- a/src/serving/__tests__/accountLimits.test.ts
+++ b/src/serving/__tests__/accountLimits.test.ts
@@ -17,8 +17,8 @@
     readonly limits: AccountLimits[];
 }
 
-/** Plays demand far above the rate at instances that hear only those of their own group. */
-function playDemand(groups: readonly Group[], share: (group: Group) => number, seconds: number): number {
+// plays demand far above the rate at instances that hear only those of their own group
+function runDemand(groups: readonly Group[], share: (group: Group) => number, seconds: number): number {
     const admittedAt: number[] = [];
     const all = groups.flatMap(group => group.limits);
     for (let now = 0; now < seconds * 1_000; now += tickMilliseconds) {
@@ -30,14 +30,14 @@
             }
         }
         if (now % tellMilliseconds === 0) {
-            groups.forEach(group => tellOthers(group, now));
+            groups.forEach(group => sendUsage(group, now));
             groups.forEach(group => group.limits.forEach(limits => limits.setShare(share(group), now)));
         }
     }
     return findMostInWindow(admittedAt, 8_000) * 20;
 }
 
-function tellOthers(group: Group, now: number): void {
+function sendUsage(group: Group, now: number): void {
     group.limits.forEach((limits, index) => {
         const admitted = limits.drainAdmitted();
         group.limits.forEach((other, otherIndex) => {
@@ -70,19 +70,19 @@
 
 describe("limits of an account over instances, at sixteen times its rate", () => {
     it("hold while all hear each other", () => {
-        const most = playDemand([createGroup(8)], () => 1, 30);
+        const most = runDemand([createGroup(8)], () => 1, 30);
         expect(most).to.be.at.most(bound).and.at.least(ratePerSecond * 8 * 0.95);
     });
 
     it("hold when the instances are cut in two that can't hear each other", () => {
         const groups = [createGroup(3), createGroup(5)];
-        const most = playDemand(groups, group => group.limits.length / 8, 30);
+        const most = runDemand(groups, group => group.limits.length / 8, 30);
         expect(most).to.be.at.most(bound).and.at.least(ratePerSecond * 8 * 0.9);
     });
 
     it("hold when every instance is alone", () => {
         const groups = Array.from({ length: 8 }, () => createGroup(1));
-        expect(playDemand(groups, () => 1 / 8, 30)).to.be.at.most(bound);
+        expect(runDemand(groups, () => 1 / 8, 30)).to.be.at.most(bound);
     });
 
     it("follow a lower rate at once", () => {
--- a/src/serving/__tests__/decisions.test.ts
+++ b/src/serving/__tests__/decisions.test.ts
@@ -96,7 +96,7 @@
 });
 
 describe("what follows an attempt", () => {
-    const head = (change: Partial<ServerAnswerHead>): ServerAnswerHead => ({
+    const createHead = (change: Partial<ServerAnswerHead>): ServerAnswerHead => ({
         status: 200,
         attemptId: "1",
         isSigned: true,
@@ -113,7 +113,7 @@
         plainStream: { kind: "stream", canResume: false, attemptLimit: 2 },
         resumable: { kind: "stream", canResume: true, attemptLimit: 2 },
     } as const;
-    const progress = (kind: keyof typeof kinds, change: Partial<RequestProgress> = {}): RequestProgress => ({
+    const createProgress = (kind: keyof typeof kinds, change: Partial<RequestProgress> = {}): RequestProgress => ({
         route: kinds[kind],
         serversUsed: 1,
         isAnswering: false,
@@ -125,44 +125,48 @@
     it("never repeats what may run once after its bytes have left", () => {
         for (const kind of ["once", "plainStream"] as const) {
             for (const result of [broken, { kind: "fault", fault: { kind: "crossed", detail: "" } } as const]) {
-                expect(decideNextStep(result, progress(kind)), kind).to.deep.equal({ kind: "fail", isNotRun: false });
+                expect(decideNextStep(result, createProgress(kind)), kind).to.deep.equal({
+                    kind: "fail",
+                    isNotRun: false,
+                });
             }
-            const failed = decideNextStep({ kind: "head", head: head({ status: 500 }) }, progress(kind));
+            const failed = decideNextStep({ kind: "head", head: createHead({ status: 500 }) }, createProgress(kind));
             expect(failed).to.deep.equal({ kind: "deliver" });
         }
     });
 
     it("repeats anything that has not run", () => {
         for (const kind of ["once", "plainStream", "idempotent", "resumable"] as const) {
-            const notRun = { kind: "head", head: head({ status: 503, isNotRun: true }) } as const;
-            expect(decideNextStep(notRun, progress(kind))).to.deep.equal({
+            const notRun = { kind: "head", head: createHead({ status: 503, isNotRun: true }) } as const;
+            expect(decideNextStep(notRun, createProgress(kind))).to.deep.equal({
                 kind: "repeat",
                 isFree: false,
                 mayHaveRun: false,
             });
             const notSent = { kind: "fault", fault: { kind: "notSent", detail: "" } } as const;
-            expect(decideNextStep(notSent, progress(kind)).kind).to.equal("repeat");
+            expect(decideNextStep(notSent, createProgress(kind)).kind).to.equal("repeat");
         }
     });
 
     it("repeats failures of what may be repeated, up to the limit of servers", () => {
         for (const kind of ["idempotent", "resumable"] as const) {
-            expect(decideNextStep(broken, progress(kind)).kind).to.equal("repeat");
-            expect(decideNextStep({ kind: "head", head: head({ status: 500 }) }, progress(kind)).kind).to.equal(
-                "repeat",
-            );
-            expect(decideNextStep(broken, progress(kind, { serversUsed: 2 })).kind).to.equal("fail");
+            expect(decideNextStep(broken, createProgress(kind)).kind).to.equal("repeat");
+            expect(decideNextStep({ kind: "head", head: createHead({ status: 500 }) }, createProgress(kind)).kind).to
+                .equal(
+                    "repeat",
+                );
+            expect(decideNextStep(broken, createProgress(kind, { serversUsed: 2 })).kind).to.equal("fail");
         }
     });
 
     it("delivers no success that bears no signature", () => {
-        const unsigned = { kind: "head", head: head({ isSigned: false }) } as const;
-        expect(decideNextStep(unsigned, progress("once"))).to.deep.equal({ kind: "fail", isNotRun: false });
+        const unsigned = { kind: "head", head: createHead({ isSigned: false }) } as const;
+        expect(decideNextStep(unsigned, createProgress("once"))).to.deep.equal({ kind: "fail", isNotRun: false });
     });
 
     it("remembers that an earlier attempt may have run", () => {
-        const notRun = { kind: "head", head: head({ status: 503, isNotRun: true }) } as const;
-        expect(decideNextStep(notRun, progress("resumable", { mayHaveRun: true }))).to.deep.include({
+        const notRun = { kind: "head", head: createHead({ status: 503, isNotRun: true }) } as const;
+        expect(decideNextStep(notRun, createProgress("resumable", { mayHaveRun: true }))).to.deep.include({
             mayHaveRun: true,
         });
     });
--- /dev/null
+++ b/src/serving/__tests__/followers.test.ts
@@ -0,0 +1,80 @@
+import { expect } from "chai";
+import { wrapError, wrapValue } from "../../shared/index.js";
+import type { Result } from "../../shared/index.js";
+import { createConfigurationState } from "../configurationState.js";
+import { createFollowers } from "../followers.js";
+import { createInstanceDirectory } from "../instanceDirectory.js";
+import { createServerList } from "../serverList.js";
+import type { KeyedRecord, KeyedSnapshot, ServingConfig, StoreError } from "../types.js";
+
+const config: ServingConfig = {
+    version: 3,
+    routes: [],
+    services: new Map(),
+    accounts: undefined,
+    limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
+};
+
+interface Seen {
+    readonly configs: number[];
+    readonly versions: (readonly [version: number, namedAt: number])[];
+}
+
+// follows the operator's topic through the given answers
+async function readOperator(reads: readonly Result<KeyedSnapshot, StoreError>[]): Promise<Seen> {
+    const seen: Seen = { configs: [], versions: [] };
+    const stopping = new AbortController();
+    const answers = [...reads];
+    const takeAnswer = (): Promise<Result<KeyedSnapshot, StoreError>> => {
+        const next = answers.shift();
+        if (!next) {
+            stopping.abort();
+        }
+        return Promise.resolve(next ?? wrapError({ kind: "busy", status: 503 }));
+    };
+    const [follower] = createFollowers({
+        log: { readNewest: takeAnswer, readFrom: takeAnswer, append: () => Promise.resolve(wrapValue(undefined)) },
+        codec: {
+            decodeOperatorRecord: (key, value) => {
+                const version = value[0]!;
+                return wrapValue(
+                    key === "config"
+                        ? { kind: "configuration", config: { ...config, version } }
+                        : { kind: "adapterVersion", model: "base", adapter: key, version },
+                );
+            },
+            decodeServerEntry: () => wrapError({ kind: "unreadable", detail: "" }),
+        },
+        clock: { now: () => 5_000, sleep: () => Promise.resolve() },
+        configuration: createConfigurationState(),
+        servers: createServerList(),
+        directory: createInstanceDirectory({ name: "n", id: "i", address: "a" }),
+        onServers: () => undefined,
+        onConfiguration: taken => seen.configs.push(taken.version),
+        onVersion: (model, adapter, version, namedAt) => seen.versions.push([version, namedAt]),
+    });
+    await follower!.run(stopping.signal);
+    return seen;
+}
+
+const record = (key: string, version: number): KeyedRecord => ({ key, value: Buffer.from([version]), offset: 0 });
+const read = (...records: KeyedRecord[]): Result<KeyedSnapshot, StoreError> => wrapValue({ records, endOffset: 1 });
+
+describe("following the operator", () => {
+    it("never goes back to an older configuration", async () => {
+        const seen = await readOperator([
+            read(record("config", 5)),
+            read(record("config", 4)),
+            wrapError({ kind: "expired" }),
+            read(record("config", 3)),
+            read(record("config", 6)),
+        ]);
+        expect(seen.configs).to.deep.equal([5, 6]);
+    });
+
+    it("takes a version found at the start as named long ago", async () => {
+        const seen = await readOperator([read(record("a3", 2)), read(record("a4", 2))]);
+        expect(seen.versions[0]).to.deep.equal([2, Number.NEGATIVE_INFINITY]);
+        expect(seen.versions[1]![1]).to.be.closeTo(5_000, 500);
+    });
+});
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -27,15 +27,15 @@
     readonly received: string;
 }
 
-/** Plays one attempt against a server that does with its socket what the test says. */
-async function playAttempt(answer: (socket: Socket) => void, attemptId = "7"): Promise<Played> {
+// plays one attempt against a server that does with its socket what the test says
+async function runAttempt(sendAnswer: (socket: Socket) => void, attemptId = "7"): Promise<Played> {
     let received = "";
     const server = createServer(socket => {
         socket.on("error", () => undefined);
         socket.on("data", chunk => {
             received += chunk.toString("latin1");
             if (received.includes("\r\n\r\n")) {
-                answer(socket);
+                sendAnswer(socket);
             }
         });
     });
@@ -87,7 +87,7 @@
 
 describe("attempt at a server", () => {
     it("sends method, path and body unchanged, and delivers the whole answer", async () => {
-        const played = await playAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`));
+        const played = await runAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`));
         expect(played).to.deep.include({ end: "end", body: "abc" });
         expect(played.received).to.match(/^POST \/a\?b HTTP\/1.1\r\n/).and.to.match(/X-A: 1\r\n/i);
         expect(played.received.endsWith("\r\n\r\nx\xff")).to.equal(true);
@@ -110,19 +110,19 @@
         ["within a chunked body", socket => socket.end(`${head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n`)],
         ["by bytes that are no answer", socket => socket.end("\x00\x01garbage\r\n\r\n")],
     ];
-    for (const [name, answer] of breaks) {
+    for (const [name, sendAnswer] of breaks) {
         it(`is broken ${name}`, async () => {
-            expect((await playAttempt(answer)).end).to.equal("broken");
+            expect((await runAttempt(sendAnswer)).end).to.equal("broken");
         });
     }
 
     it("ends with its connection when the answer has no length", async () => {
-        const played = await playAttempt(socket => socket.end(`${head}Connection: close\r\n\r\nabc`));
+        const played = await runAttempt(socket => socket.end(`${head}Connection: close\r\n\r\nabc`));
         expect(played).to.deep.include({ end: "end", body: "abc" });
     });
 
     it("is broken when the connection of an answer without a length is reset", async () => {
-        const played = await playAttempt(socket => {
+        const played = await runAttempt(socket => {
             socket.write(`${head}Connection: close\r\n\r\nabc`);
             setTimeout(() => socket.resetAndDestroy(), 30);
         });
@@ -130,14 +130,14 @@
     });
 
     it("is broken when the reset comes together with the last bytes", async () => {
-        const played = await playAttempt(socket =>
+        const played = await runAttempt(socket =>
             socket.write(`${head}Connection: close\r\n\r\nabc`, () => socket.resetAndDestroy())
         );
         expect(played.end).to.equal("broken");
     });
 
     it("takes no answer that names another request", async () => {
-        const played = await playAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`), "8");
+        const played = await runAttempt(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`), "8");
         expect(played).to.deep.include({ end: "crossed", body: "" });
     });
 });
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -56,7 +56,7 @@
  * @param now - the present time
  * @returns its route, service and account, or why it is refused
  */
-export function admitRequest(parts: AdmissionParts, request: ClientRequest, now: Milliseconds): Admission {
+export function decideAdmission(parts: AdmissionParts, request: ClientRequest, now: Milliseconds): Admission {
     const active = parts.configuration.read();
     if (!active) {
         return refuse(busyStatus, "no configuration yet", unreadyRetrySeconds);
--- a/src/serving/attemptRun.ts
+++ b/src/serving/attemptRun.ts
@@ -73,11 +73,11 @@
         const cancelTimer = new AbortController();
         const finish = (end: AttemptEnd): void => {
             cancelTimer.abort();
-            state.signal.removeEventListener("abort", leave);
+            state.signal.removeEventListener("abort", stopForClient);
             mode = "ignoring";
             resolve(end);
         };
-        const leave = (): void => {
+        const stopForClient = (): void => {
             attempt?.abort();
             finish({ kind: "clientLeft" });
         };
@@ -86,13 +86,13 @@
             state.mayHaveRun = true;
             finish({ kind: "timeout" });
         };
-        const progress = (): RequestProgress => ({
+        const describeProgress = (): RequestProgress => ({
             route,
             serversUsed: state.used.size,
             isAnswering: state.headAt !== undefined,
             mayHaveRun: state.mayHaveRun,
         });
-        const followStep = (step: NextStep, reason: string): void => {
+        const takeStep = (step: NextStep, reason: string): void => {
             state.lastFault = reason;
             if (step.kind === "repeat" && takeRepeat(parts, state, step)) {
                 finish({ kind: "repeat" });
@@ -102,10 +102,10 @@
             finish({ kind: "failed", reason });
         };
         const handleHead = (head: ServerAnswerHead): void => {
-            noteHead(parts, state, place, head);
-            const step = decideNextStep({ kind: "head", head }, progress());
+            recordHead(parts, state, place, head);
+            const step = decideNextStep({ kind: "head", head }, describeProgress());
             const hasOwnAnswer = !head.isNotRun && head.isSigned && state.headAt === undefined;
-            if (step.kind === "repeat" && canRepeat(parts, state) && takeRepeat(parts, state, step)) {
+            if (step.kind === "repeat" && isInTime(parts, state) && takeRepeat(parts, state, step)) {
                 state.lastFault = `status ${head.status}`;
                 finish({ kind: "repeat" });
                 return;
@@ -165,7 +165,7 @@
             if (fault.kind === "notSent") {
                 state.used.delete(run);
             }
-            followStep(decideNextStep({ kind: "fault", fault }, progress()), `${fault.kind} ${fault.detail}`);
+            takeStep(decideNextStep({ kind: "fault", fault }, describeProgress()), `${fault.kind} ${fault.detail}`);
         };
         const handleEnd = (): void => {
             if (mode !== "delivering") {
@@ -180,7 +180,7 @@
             state.answer.end();
             finish({ kind: "complete" });
         };
-        state.signal.addEventListener("abort", leave, { once: true });
+        state.signal.addEventListener("abort", stopForClient, { once: true });
         void parts.clock.sleep(Math.max(0, state.until - parts.clock.now()), cancelTimer.signal).then(() => {
             if (!cancelTimer.signal.aborted) {
                 stopLate();
@@ -218,7 +218,7 @@
     return events.bytes;
 }
 
-function noteHead(parts: RequestParts, state: RequestState, place: AttemptPlace, head: ServerAnswerHead): void {
+function recordHead(parts: RequestParts, state: RequestState, place: AttemptPlace, head: ServerAnswerHead): void {
     const run = formatServerRun(place.server);
     const now = parts.clock.now();
     const record = parts.records.find(run);
@@ -244,7 +244,7 @@
     parts.records.markSuccess(run, now);
 }
 
-function canRepeat(parts: RequestParts, state: RequestState): boolean {
+function isInTime(parts: RequestParts, state: RequestState): boolean {
     return parts.clock.now() < state.until;
 }
 
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -77,7 +77,7 @@
         receiveRequest(options, request, response);
     };
     const service = restana({ server, defaultRoute: receive as never });
-    server.on("clientError", (_error, socket) => socket.destroy());
+    server.on("clientError", (error, socket) => socket.destroy());
     return {
         listen: () =>
             new Promise((resolve, reject) => {
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -6,6 +6,7 @@
 import { type Clock, createDebug, type Milliseconds } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import type { ConfigurationState } from "./configurationState.js";
+import { readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
 import { createKeyedFollower } from "./keyedFollower.js";
 import type { ServerList, ServerListChange } from "./serverList.js";
@@ -29,7 +30,8 @@
     readonly directory: InstanceDirectory;
     readonly onServers: (change: ServerListChange) => void;
     readonly onConfiguration: (config: ServingConfig) => void;
-    readonly onVersion: (model: string, adapter: string, version: number, now: Milliseconds) => void;
+    /** `namedAt` is the earliest time at which the version can have been named. */
+    readonly onVersion: (model: string, adapter: string, version: number, namedAt: Milliseconds) => void;
 }
 
 /** A read that waits longer would hide a silent connection for too long. */
@@ -72,7 +74,8 @@
                 break;
             case "adapterVersion": {
                 const { model, adapter, version } = decoded.value;
-                options.onVersion(model, adapter, version, clock.now());
+                // it may have been named at any time since the read before this one
+                options.onVersion(model, adapter, version, clock.now() - configuration.measureAge(readClocks()));
                 break;
             }
             case "other":
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -38,10 +38,10 @@
  * @returns the task
  */
 export function createKeyedFollower(options: FollowerOptions): Task {
-    return { name: `follow ${options.topic}`, run: signal => followTopic(options, signal) };
+    return { name: `follow ${options.topic}`, run: signal => readTopic(options, signal) };
 }
 
-async function followTopic(options: FollowerOptions, signal: AbortSignal): Promise<void> {
+async function readTopic(options: FollowerOptions, signal: AbortSignal): Promise<void> {
     let position: number | undefined;
     let failures = 0;
     while (!signal.aborted) {
@@ -73,12 +73,12 @@
     if (!read.ok) {
         return read;
     }
-    tellRead(options, position === undefined, read.value);
+    publishRead(options, position === undefined, read.value);
     options.onConfirmed(sentAt);
     return wrapValue(read.value.endOffset);
 }
 
-function tellRead(options: FollowerOptions, isSnapshot: boolean, read: KeyedSnapshot): void {
+function publishRead(options: FollowerOptions, isSnapshot: boolean, read: KeyedSnapshot): void {
     if (isSnapshot) {
         options.onSnapshot(read.records);
     }
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -272,7 +272,7 @@
 
 const announceRetryMilliseconds = 300;
 
-/** Enters this instance in the list of instances, until the store has taken the entry. */
+// enters this instance in the list of instances, until the store has taken the entry
 function createAnnounceTask(options: ServingOptions, ports: ServingPorts, self: InstanceEntry): Task {
     return {
         name: "announce",
--- a/src/serving/readyServer.ts
+++ b/src/serving/readyServer.ts
@@ -28,7 +28,7 @@
  * @returns the port, not yet open
  */
 export function createReadyServer(options: ReadyServerOptions): ReadyServer {
-    const server: Server = createServer((_request, response) => {
+    const server: Server = createServer((request, response) => {
         response.writeHead(options.isReady() ? readyStatus : unreadyStatus, { "Content-Length": 0 });
         response.end();
     });
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { Milliseconds } from "../shared/index.js";
-import { admitRequest } from "./admission.js";
+import { decideAdmission } from "./admission.js";
 import { runAttempt } from "./attemptRun.js";
 import type { AttemptPlace, ClientAnswer, RequestParts, RequestReport, RequestState } from "./requestState.js";
 import { chooseServer } from "./serverChoice.js";
@@ -37,7 +37,7 @@
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
-    const admission = admitRequest(parts, request, startedAt);
+    const admission = decideAdmission(parts, request, startedAt);
     if (admission.kind === "refused") {
         const { status, retryAfter, reason } = admission;
         answer.writeHead(status, parts.headers.encodeRefusal(request.attemptId, retryAfter), 0);
@@ -130,7 +130,7 @@
     return server && { server, requiredVersion: undefined };
 }
 
-/** Clients leave a stream that has not begun after some multiples of its target; an answer must come before. */
+// clients leave a stream that has not begun after some multiples of its target; an answer must come before
 function computePatience(state: RequestState, now: Milliseconds): Milliseconds {
     const { targetLatency } = state.admission.route;
     // a stream that has begun may pause as long again
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -116,11 +116,9 @@
     readonly isResetting: () => boolean;
 }
 
-/**
- * undici takes an answer without a length as whole when its connection is reset, and a reset that comes together with the
- * last bytes is told by libuv as an ordinary end. Listeners that run before undici's own mark the reset for the time in which
- * the end is told; a socket that was reset has no peer any more.
- */
+// undici takes an answer without a length as whole when its connection is reset, and a reset that comes together with the
+// last bytes is told by libuv as an ordinary end. Listeners that run before undici's own mark the reset for the time in which
+// the end is told; a socket that was reset has no peer any more
 function createResetWatch(): ResetWatch {
     const connectSocket = buildConnector({ timeout: connectTimeoutMilliseconds });
     let isResetting = false;
@@ -171,7 +169,7 @@
             if (isOver || status < firstFinalStatus) {
                 return;
             }
-            const head = codec.decodeAnswer(status, flattenHeaders(started.rawHeaders, headers));
+            const head = codec.decodeAnswer(status, convertHeaders(started.rawHeaders, headers));
             if (head.attemptId !== undefined && head.attemptId !== request.attemptId) {
                 finish(() => events.onFault({ kind: "crossed", detail: `answer of ${head.attemptId}` }));
                 started.abort(new Error("answer of another request"));
@@ -179,7 +177,7 @@
             }
             events.onHead(head);
         },
-        onResponseData: (_started, chunk) => {
+        onResponseData: (dispatch, chunk) => {
             if (!isOver) {
                 events.onData(chunk);
             }
@@ -190,7 +188,7 @@
                     ? events.onFault({ kind: "broken", detail: "reset before its end" })
                     : events.onEnd()
             ),
-        onResponseError: (_started, error) => {
+        onResponseError: (dispatch, error) => {
             const detail = (error as NodeJS.ErrnoException).code ?? error.message;
             finish(() => events.onFault({ kind: controller ? "broken" : "notSent", detail }));
         },
@@ -208,7 +206,7 @@
     return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
 }
 
-function flattenHeaders(rawHeaders: unknown, headers: IncomingHttpHeaders): string[] {
+function convertHeaders(rawHeaders: unknown, headers: IncomingHttpHeaders): string[] {
     if (Array.isArray(rawHeaders)) {
         return rawHeaders.map(part => Buffer.isBuffer(part) ? part.toString("latin1") : String(part));
     }
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -64,7 +64,7 @@
         }
         return { added: [server], removed: previous ? [previous] : [] };
     };
-    const drop = (id: string): ServerListChange => {
+    const removeEntry = (id: string): ServerListChange => {
         const server = servers.get(id);
         vanishingUntil.delete(id);
         if (!server) {
@@ -78,7 +78,7 @@
         const server = servers.get(id);
         const mayReturn = now - storeFailedAt < entryReturnMilliseconds;
         if (!server || server.isDraining || !mayReturn) {
-            return drop(id);
+            return removeEntry(id);
         }
         if (!vanishingUntil.has(id)) {
             vanishingUntil.set(id, now + entryReturnMilliseconds);
@@ -101,7 +101,7 @@
         },
         expire: now => {
             const due = [...vanishingUntil].filter(([, until]) => until <= now).map(([id]) => id);
-            return mergeChanges(due.map(drop));
+            return mergeChanges(due.map(removeEntry));
         },
     };
 }
--- a/src/serving/usageBucket.ts
+++ b/src/serving/usageBucket.ts
@@ -39,14 +39,14 @@
     let share = 1;
     let level = 0;
     let updatedAt = now;
-    const refill = (present: Milliseconds): void => {
+    const fillLevel = (present: Milliseconds): void => {
         const seconds = Math.max(0, present - updatedAt) / millisecondsPerSecond;
         level = Math.min(limits.burst, level + limits.ratePerSecond * share * seconds);
         updatedAt = present;
     };
     return {
         take: (amount, present) => {
-            refill(present);
+            fillLevel(present);
             // a request larger than the burst must not wait for ever
             const needed = Math.min(amount, limits.burst);
             if (level >= needed) {
@@ -57,16 +57,16 @@
             return { kind: "exceeded", wait: (needed - level) / rate * millisecondsPerSecond };
         },
         charge: (amount, present) => {
-            refill(present);
+            fillLevel(present);
             level = Math.max(-debtLimitSeconds * limits.ratePerSecond, level - amount);
         },
         update: (newLimits, present) => {
-            refill(present);
+            fillLevel(present);
             limits = newLimits;
             level = Math.min(level, limits.burst);
         },
         setShare: (newShare, present) => {
-            refill(present);
+            fillLevel(present);
             share = newShare;
         },
     };
--- a/src/shared/__tests__/logSink.test.ts
+++ b/src/shared/__tests__/logSink.test.ts
@@ -17,7 +17,7 @@
         sink,
         written,
         read: () => waiting.splice(0).forEach(done => done()),
-        pass: (time: number) => now += time,
+        advance: (time: number) => now += time,
     };
 }
 
@@ -31,14 +31,14 @@
     });
 
     it("leaves out what exceeds a kind's rate, says so, and goes on later", () => {
-        const { sink, written, read, pass } = openSink({ linesPerSecond: 2 });
+        const { sink, written, read, advance } = openSink({ linesPerSecond: 2 });
         for (let line = 0; line < 5; line++) {
             sink.put("a", `a${line}`, "ordinary");
         }
         sink.put("b", "b0", "ordinary");
         sink.flush();
         read();
-        pass(500);
+        advance(500);
         sink.put("a", "a5", "ordinary");
         sink.flush();
         const leftOut = JSON.stringify({ level: "warn", scope: "log", event: "lines left out", kind: "a", count: 3 });
--- a/src/shared/logSink.ts
+++ b/src/shared/logSink.ts
@@ -72,7 +72,7 @@
         waiting.push(line);
         waitingBytes += line.length + 1;
     };
-    const reportLeftOut = (): void => {
+    const appendLeftOut = (): void => {
         for (const [kind, state] of kinds) {
             if (state.leftOut > 0 && waitingBytes < limitBytes) {
                 append(
@@ -92,7 +92,7 @@
         if (isWriting) {
             return;
         }
-        reportLeftOut();
+        appendLeftOut();
         if (waiting.length === 0) {
             return;
         }
