feat(serving): metrics on the platform; engines chosen against the mean load

Now up to 1.25 of the mean load, and a replica from twice the mean. Orders that can't reach an engine mark it as avoided. Tests: a request's way with fake connections, the spread of adapters of skewed popularity.

--- /dev/null
+++ b/src/adapters/__tests__/enginePick.test.ts
@@ -0,0 +1,108 @@
+import { expect } from "chai";
+import { createServerRecords, type ServerRecords } from "../../serving/serverRecords.js";
+import { type BackendServer, formatServerRun } from "../../serving/types.js";
+import { createSeededRandom } from "../../shared/index.js";
+import { type EnginePick, pickEngine } from "../enginePick.js";
+import { createResidency, type Residency } from "../residency.js";
+
+const engineCount = 13;
+const servers: readonly BackendServer[] = Array.from({ length: engineCount }, (unused, index) => ({
+    id: `i-${index}`,
+    startedAt: 1,
+    service: "llm",
+    address: `10.0.0.${index}:1`,
+    failureDomain: "a",
+    isDraining: false,
+    slots: 32,
+    models: [],
+}));
+
+interface Fleet {
+    readonly residency: Residency;
+    readonly records: ServerRecords;
+    readonly pick: (adapter: string | undefined, oldestVersion?: number) => EnginePick;
+}
+
+function createFleet(): Fleet {
+    const residency = createResidency();
+    const records = createServerRecords();
+    servers.forEach(server =>
+        residency.replace({ run: formatServerRun(server), models: [{ name: "base", adapters: [] }] })
+    );
+    return {
+        residency,
+        records,
+        pick: (adapter, oldestVersion) =>
+            pickEngine({
+                servers,
+                records,
+                failureDomain: "a",
+                excluded: new Set(),
+                now: 0,
+                choice: { model: "base", adapter },
+                residency,
+                oldestVersion,
+                hasHolder: () => true,
+                unloadable: new Set(),
+            }),
+    };
+}
+
+function loadAdapter(fleet: Fleet, server: BackendServer, adapter: string, version = 1): void {
+    fleet.residency.apply({ run: formatServerRun(server), model: "base", adapter, version });
+}
+
+describe("choice of an engine", () => {
+    it("spreads adapters of skewed popularity: no engine has twice the mean load", () => {
+        const fleet = createFleet();
+        const random = createSeededRandom(1);
+        const running: string[] = [];
+        for (let request = 0; request < 4_000; request++) {
+            const adapter = `a${Math.floor(1 / (random.next() ** 0.8 + 0.002))}`;
+            const picked = fleet.pick(adapter);
+            if (picked.kind === "none") {
+                throw new Error("no engine");
+            }
+            picked.kind === "load" && loadAdapter(fleet, picked.server, adapter);
+            const run = formatServerRun(picked.server);
+            fleet.records.find(run).inFlight++;
+            running.push(run);
+            if (running.length > 150) {
+                fleet.records.find(running.shift()!).inFlight--;
+            }
+        }
+        const loads = servers.map(server => fleet.records.find(formatServerRun(server)).inFlight);
+        expect(Math.max(...loads)).to.be.lessThan(2 * 150 / engineCount);
+    });
+
+    it("keeps to the engine that holds the adapter while that has room", () => {
+        const fleet = createFleet();
+        loadAdapter(fleet, servers[4]!, "a1");
+        fleet.records.find("i-4/1").inFlight = 10;
+        expect(fleet.pick("a1")).to.deep.include({ kind: "resident", server: servers[4] });
+    });
+
+    it("makes a replica when the engine that holds it is full", () => {
+        const fleet = createFleet();
+        loadAdapter(fleet, servers[4]!, "a1");
+        fleet.records.find("i-4/1").inFlight = 32;
+        expect(fleet.pick("a1").kind).to.equal("load");
+    });
+
+    it("doesn't wait for an engine that is avoided", () => {
+        const fleet = createFleet();
+        loadAdapter(fleet, servers[4]!, "a1");
+        fleet.records.markFailure("i-4/1", true, 0);
+        const picked = fleet.pick("a1");
+        expect(picked.kind).to.equal("load");
+        expect(picked.kind === "load" && picked.server.id).not.to.equal("i-4");
+    });
+
+    it("takes no engine whose version is too old", () => {
+        const fleet = createFleet();
+        loadAdapter(fleet, servers[4]!, "a1", 1);
+        loadAdapter(fleet, servers[5]!, "a1", 2);
+        expect(fleet.pick("a1", 2)).to.deep.equal({ kind: "resident", server: servers[5], version: 2 });
+        expect(fleet.pick("a1", 3).kind).to.equal("load");
+    });
+});
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -82,7 +82,7 @@
     readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
     readonly handleGained: (shard: number) => void;
     readonly handleLost: (shard: number, generation: number) => void;
-    readonly handleGeneration: (generation: number, shards: readonly number[]) => void;
+    readonly handleGeneration: () => void;
     readonly handleMessage: (
         from: InstanceId,
         message: AdapterMessage,
@@ -252,6 +252,9 @@
         }
         else {
             log.info("adapter not loaded", { run, model, adapter, outcome: result?.outcome ?? "late" });
+            if (result?.outcome === "unreachable") {
+                options.records.markFailure(run, true, clock.now());
+            }
         }
         return result?.outcome ?? "late";
     };
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -294,7 +294,7 @@
                 case "otherServer":
                     // an adapter that was there before the order is still there
                     known ?? book.slots.delete(key);
-                    return "failed";
+                    return outcome.kind === "refused" ? "failed" : "unreachable";
                 case "fenced":
                     return "notHolder";
             }
@@ -328,9 +328,10 @@
             case "conflict":
                 return "loading";
             case "fenced":
-            case "otherServer":
                 return "notHolder";
+            case "otherServer":
             case "unreachable":
+                return "unreachable";
             case "refused":
                 return "failed";
         }
--- a/src/adapters/enginePick.ts
+++ b/src/adapters/enginePick.ts
@@ -29,10 +29,14 @@
     | { readonly kind: "load"; readonly server: BackendServer; }
     | { readonly kind: "none"; };
 
-/** Load from which one more engine takes the adapter. */
-const replicaLoad = 1;
-/** Load up to which an adapter's own engine is preferred to others. */
-const homeLoadLimit = 0.9;
+/** Load, against the mean of all engines, from which one more engine takes an adapter. */
+const replicaLoadFactor = 2;
+/** No replica is made below this load, in full engines. */
+const leastReplicaLoad = 0.5;
+/** Load, against the mean, up to which an adapter's own engine is preferred to others. */
+const homeLoadFactor = 1.25;
+/** Load that is never too much for an adapter's own engine. */
+const leastHomeLoad = 0.1;
 
 /**
  * Chooses an engine.
@@ -49,12 +53,15 @@
     }
     const key = formatAdapterKey(choice.model, choice.adapter);
     const resident = pickResident(input, key);
+    const meanLoad = computeMeanLoad(input);
+    const homeLimit = Math.max(leastHomeLoad, meanLoad * homeLoadFactor);
+    const replicaLimit = Math.min(1, Math.max(leastReplicaLoad, meanLoad * replicaLoadFactor));
     const isSound = resident && input.records.find(formatServerRun(resident)).avoidedUntil <= input.now;
-    if (isSound && readLoad(input, resident) < replicaLoad) {
+    if (isSound && readLoad(input, resident) < replicaLimit) {
         return describeResident(input, resident, key);
     }
-    const target = pickLoadTarget(input, key);
-    if (target && (!isSound || readLoad(input, target) < homeLoadLimit)) {
+    const target = pickLoadTarget(input, key, homeLimit);
+    if (target && (!isSound || readLoad(input, target) < homeLimit)) {
         return { kind: "load", server: target };
     }
     return resident ? describeResident(input, resident, key) : { kind: "none" };
@@ -76,7 +83,7 @@
     return chooseServer({ ...input, servers });
 }
 
-function pickLoadTarget(input: EnginePickInput, key: AdapterKey): BackendServer | undefined {
+function pickLoadTarget(input: EnginePickInput, key: AdapterKey, homeLimit: number): BackendServer | undefined {
     const byRun = new Map<ServerRun, BackendServer>();
     for (const server of input.servers) {
         const run = formatServerRun(server);
@@ -88,7 +95,12 @@
         }
     }
     const ranked = rankByRendezvous(key, [...byRun.keys()]).map(run => byRun.get(run)!);
-    return ranked.find(server => readLoad(input, server) < homeLoadLimit) ?? pickLeastLoaded(input, ranked);
+    return ranked.find(server => readLoad(input, server) <= homeLimit) ?? pickLeastLoaded(input, ranked);
+}
+
+function computeMeanLoad(input: EnginePickInput): number {
+    const loads = input.servers.map(server => readLoad(input, server));
+    return loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
 }
 
 function pickLeastLoaded(input: EnginePickInput, servers: readonly BackendServer[]): BackendServer | undefined {
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -36,7 +36,7 @@
 }
 
 /** What became of a wish to have an adapter on an engine. */
-export type EnsureOutcome = "resident" | "notHolder" | "full" | "failed";
+export type EnsureOutcome = "resident" | "notHolder" | "full" | "failed" | "unreachable";
 
 /** Message about adapters. */
 export type AdapterMessage =
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -19,7 +19,7 @@
 export interface ShardEvents {
     readonly onGained: (shard: number) => void;
     readonly onLost: (shard: number, generation: number) => void;
-    readonly onGeneration: (generation: number, shards: readonly number[]) => void;
+    readonly onGeneration: () => void;
 }
 
 /** Settings of the membership. */
@@ -84,7 +84,7 @@
         }
         if (hasChanged) {
             log.info("shards", { generation, shards: membership.shards, gained, lost });
-            options.onGeneration(generation, membership.shards);
+            options.onGeneration();
         }
         return hasChanged;
     };
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -20,7 +20,6 @@
     readonly readyAddress: string;
     /** First of the ports for connections between instances. */
     readonly peerPort: number;
-    readonly metricsPort: number;
     readonly storeAddress: string;
     readonly storeShards: number;
     readonly membershipTtlMinimum: Milliseconds;
@@ -99,7 +98,6 @@
         clientAddress: file.listen_addresses.front,
         readyAddress: file.listen_addresses.ready,
         peerPort: file.internal_ports[0],
-        metricsPort: file.internal_ports[0] + 1,
         storeAddress: file.platform.address,
         storeShards: file.platform.parts,
         membershipTtlMinimum: file.platform.min_ttl_ms,
--- a/src/serving/__tests__/followers.test.ts
+++ b/src/serving/__tests__/followers.test.ts
@@ -49,6 +49,7 @@
         configuration: createConfigurationState(),
         servers: createServerList(),
         directory: createInstanceDirectory({ name: "n", id: "i", address: "a" }),
+        onStoreFailure: () => undefined,
         onServers: () => undefined,
         onConfiguration: taken => seen.configs.push(taken.version),
         onVersion: (model, adapter, version, namedAt) => seen.versions.push([version, namedAt]),
--- a/src/serving/attemptRun.ts
+++ b/src/serving/attemptRun.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import type { Milliseconds } from "../shared/index.js";
 import { createEventSplitter, type EventSplitter } from "./eventSplitter.js";
 import { decideNextStep, isRepeatable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { AttemptPlace, RequestParts, RequestState } from "./requestState.js";
@@ -150,7 +151,7 @@
                 }
                 return;
             }
-            const bytes = splitter ? takeEvents(state, splitter, chunk) : chunk;
+            const bytes = splitter ? takeEvents(state, splitter, chunk, parts.clock.now()) : chunk;
             if (bytes.length > 0 && !state.answer.write(bytes)) {
                 attempt?.pause();
                 state.answer.onDrain(() => attempt?.resume());
@@ -212,8 +213,10 @@
     return state.request.choice && Math.min(lastPriority, account?.priority ?? route.priority);
 }
 
-function takeEvents(state: RequestState, splitter: EventSplitter, chunk: Buffer): Buffer {
+function takeEvents(state: RequestState, splitter: EventSplitter, chunk: Buffer, now: Milliseconds): Buffer {
     const events = splitter.push(chunk);
+    state.longestPause = Math.max(state.longestPause, now - (state.dataAt ?? now));
+    state.dataAt = now;
     state.lastEventId = events.lastId ?? state.lastEventId;
     return events.bytes;
 }
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -28,6 +28,7 @@
     readonly configuration: ConfigurationState;
     readonly servers: ServerList;
     readonly directory: InstanceDirectory;
+    readonly onStoreFailure: (topic: KeyedTopic) => void;
     readonly onServers: (change: ServerListChange) => void;
     readonly onConfiguration: (config: ServingConfig) => void;
     /** `namedAt` is the earliest time at which the version can have been named. */
@@ -91,13 +92,13 @@
         onSnapshot: applyAll,
         onRecords: applyAll,
         onConfirmed: configuration.markConfirmed,
-        onFailure: createFailureLog("configuration"),
+        onFailure: createFailureLog(options, "configuration"),
     });
 }
 
 function createServerFollower(options: FollowersOptions): Task {
     const { clock, servers } = options;
-    const writeFailure = createFailureLog("servers");
+    const writeFailure = createFailureLog(options, "servers");
     const decode = (record: KeyedRecord): BackendServer | undefined => {
         const decoded = record.value && options.codec.decodeServerEntry(record.key, record.value);
         if (decoded && !decoded.ok) {
@@ -149,10 +150,13 @@
         onSnapshot: options.directory.replaceAll,
         onRecords: records => records.forEach(options.directory.applyRecord),
         onConfirmed: () => undefined,
-        onFailure: createFailureLog("instances"),
+        onFailure: createFailureLog(options, "instances"),
     });
 }
 
-function createFailureLog(topic: KeyedTopic): (error: StoreError) => void {
-    return error => log.warn("store read failed", { topic, ...error });
+function createFailureLog(options: FollowersOptions, topic: KeyedTopic): (error: StoreError) => void {
+    return error => {
+        options.onStoreFailure(topic);
+        log.warn("store read failed", { topic, ...error });
+    };
 }
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import { type AdapterDesk, createAdapterDesk } from "../adapters/adapterDesk.js";
-import { createShardTask, type ShardTask } from "../adapters/shardTask.js";
+import { createAdapterDesk } from "../adapters/adapterDesk.js";
+import { createShardTask } from "../adapters/shardTask.js";
 import type { EngineControl, ShardGroup } from "../adapters/types.js";
 import { createPeerTask } from "../peers/peerTask.js";
 import {
@@ -15,20 +15,21 @@
     type Milliseconds,
 } from "../shared/index.js";
 import { createSupervisor, type Task } from "../supervision/index.js";
-import { type AccountLimits, createAccountLimits } from "./accountLimits.js";
+import { createAccountLimits } from "./accountLimits.js";
 import { createClientServer, type ReceivedRequest } from "./clientServer.js";
-import { type ConfigurationState, createConfigurationState } from "./configurationState.js";
+import { createConfigurationState } from "./configurationState.js";
 import { createFollowers } from "./followers.js";
 import { readClocks } from "./freshness.js";
-import { createInstanceDirectory, type InstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
+import { createInstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
 import { createReadyServer } from "./readyServer.js";
 import { writeRequestLine } from "./requestLine.js";
 import { runRequest } from "./requestRun.js";
 import type { RequestParts } from "./requestState.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { createServerConnections } from "./serverConnections.js";
-import { createServerList, type ServerList, type ServerListChange } from "./serverList.js";
-import { createServerRecords, type ServerRecords } from "./serverRecords.js";
+import { createServerList, type ServerListChange } from "./serverList.js";
+import { createServerRecords } from "./serverRecords.js";
+import { createMetricsServer, createServingMetrics } from "./servingMetrics.js";
 import type { BackendServer, HeaderCodec, KeyedLog, RecordCodec } from "./types.js";
 import { createUsageTask } from "./usageTask.js";
 
@@ -49,6 +50,8 @@
     readonly clientPort: number;
     readonly readyPort: number;
     readonly peerPort: number;
+    /** Port that serves `/metrics`. */
+    readonly metricsPort: number;
     readonly shardCount: number;
     readonly shardTtl: Milliseconds;
     readonly orderLease: Milliseconds;
@@ -103,6 +106,7 @@
     const directory = createInstanceDirectory(self);
     const limits = createAccountLimits();
     const retryBudget = createRetryBudget(options.retry);
+    const metrics = createServingMetrics();
     const random = createSeededRandom(startTime % 2 ** 31);
     const peers = createPeerTask({
         self: self.id,
@@ -180,7 +184,9 @@
         const request = ports.headers.decodeRequest(received.method, received.target, received.rawHeaders);
         const arrivedAt = clock.now();
         const report = await runRequest(requestParts, request, received.body, received.answer, received.signal);
-        writeRequestLine(log, request, report, clock.now() - arrivedAt);
+        const took = clock.now() - arrivedAt;
+        metrics.countRequest(report, took);
+        writeRequestLine(log, request, report, took);
     };
     const clientServer = createClientServer({
         host: options.host,
@@ -189,6 +195,7 @@
         isDraining: () => isDraining,
         handle: handleRequest,
     });
+    const metricsServer = createMetricsServer({ host: options.host, port: options.metricsPort }, metrics);
     const readyServer = createReadyServer({
         host: options.host,
         port: options.readyPort,
@@ -203,6 +210,7 @@
         servers,
         directory,
         onServers: applyServerChange,
+        onStoreFailure: metrics.countStoreFailure,
         onConfiguration: config => {
             limits.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
@@ -255,7 +263,7 @@
         const stopping = new AbortController();
         await peers.listen();
         const running = supervisor.run(stopping.signal);
-        await Promise.all([clientServer.listen(), readyServer.listen()]);
+        await Promise.all([clientServer.listen(), readyServer.listen(), metricsServer.listen()]);
         log.info("started", { id: self.id, host: options.host, domain: options.failureDomain });
         await new Promise<void>(resolve => {
             signal.addEventListener("abort", () => resolve(), { once: true });
@@ -265,6 +273,7 @@
         stopping.abort();
         clientServer.close();
         readyServer.close();
+        metricsServer.close();
         connections.close();
     };
     return { run };
@@ -289,5 +298,3 @@
         },
     };
 }
-
-export type { AccountLimits, AdapterDesk, ConfigurationState, InstanceDirectory, ServerList, ServerRecords, ShardTask };
--- a/src/serving/requestLine.ts
+++ b/src/serving/requestLine.ts
@@ -26,6 +26,7 @@
         id: request.attemptId,
         ...report,
         model: request.choice && `${request.choice.model}/${request.choice.adapter ?? ""}`,
+        tokens: request.tokens && request.tokens.prompt + request.tokens.output,
         took: Math.round(took),
     });
 }
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -52,6 +52,7 @@
             servers: [],
             placeWait: 0,
             headAfter: undefined,
+            longestPause: 0,
         };
     }
     const { route } = admission;
@@ -71,6 +72,8 @@
         status: undefined,
         lastEventId: request.lastEventId,
         placeWait: 0,
+        dataAt: undefined,
+        longestPause: 0,
         lastFault: "",
     };
     const outcome = await runAttempts(parts, state);
@@ -170,5 +173,6 @@
         servers: [...state.used],
         placeWait: Math.round(state.placeWait),
         headAfter: state.headAt === undefined ? undefined : Math.round(state.headAt - state.startedAt),
+        longestPause: Math.round(state.longestPause),
     };
 }
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -45,6 +45,8 @@
     readonly servers: readonly ServerRun[];
     readonly placeWait: Milliseconds;
     readonly headAfter: Milliseconds | undefined;
+    /** Longest time between two pieces of a stream. */
+    readonly longestPause: Milliseconds;
 }
 
 /** State of a request on its way. */
@@ -67,6 +69,8 @@
     status: number | undefined;
     lastEventId: number | undefined;
     placeWait: Milliseconds;
+    dataAt: Milliseconds | undefined;
+    longestPause: Milliseconds;
     lastFault: string;
 }
 
--- /dev/null
+++ b/src/serving/servingMetrics.ts
@@ -0,0 +1,130 @@
+/**
+ * Counters and histograms of an instance on the platform, and the port that serves them.
+ *
+ * @packageDocumentation
+ */
+import { createServer, type Server } from "node:http";
+import { Counter, Histogram, Registry } from "prom-client";
+import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+import type { RequestReport } from "./requestState.js";
+
+/** Metrics of an instance. */
+export interface ServingMetrics {
+    readonly countRequest: (report: RequestReport, took: Milliseconds) => void;
+    readonly countStoreFailure: (topic: string) => void;
+    readonly render: () => Promise<string>;
+}
+
+/** Port that serves metrics. */
+export interface MetricsServer {
+    readonly listen: () => Promise<void>;
+    readonly close: () => void;
+}
+
+const latencyBuckets = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10];
+/** Client accounts beyond this number share one label. */
+const accountLabelLimit = 50;
+const notFoundStatus = 404;
+
+/**
+ * Creates the metrics.
+ *
+ * @returns metrics at zero
+ */
+export function createServingMetrics(): ServingMetrics {
+    const registry = new Registry();
+    const registers = [registry];
+    const accounts = new Set<string>();
+    const requests = new Counter({
+        name: "oriolehatch_requests_total",
+        help: "Requests by outcome and status",
+        labelNames: ["outcome", "status", "account"],
+        registers,
+    });
+    const refusals = new Counter({
+        name: "oriolehatch_refusals_total",
+        help: "Refused requests by reason",
+        labelNames: ["reason"],
+        registers,
+    });
+    const seconds = new Histogram({
+        name: "oriolehatch_request_seconds",
+        help: "Time until the end of an answer",
+        labelNames: ["account"],
+        buckets: latencyBuckets,
+        registers,
+    });
+    const headSeconds = new Histogram({
+        name: "oriolehatch_first_byte_seconds",
+        help: "Time until the head of an answer",
+        labelNames: ["account"],
+        buckets: latencyBuckets,
+        registers,
+    });
+    const placeSeconds = new Histogram({
+        name: "oriolehatch_place_wait_seconds",
+        help: "Wait for an engine that holds the adapter",
+        buckets: latencyBuckets,
+        registers,
+    });
+    const storeFailures = new Counter({
+        name: "oriolehatch_store_failures_total",
+        help: "Reads of the platform's store without a result",
+        labelNames: ["topic"],
+        registers,
+    });
+    const limitAccount = (name: string | undefined): string => {
+        if (name === undefined) {
+            return "none";
+        }
+        if (!accounts.has(name) && accounts.size >= accountLabelLimit) {
+            return "other";
+        }
+        accounts.add(name);
+        return name;
+    };
+    return {
+        countRequest: (report, took) => {
+            const account = limitAccount(report.account);
+            requests.inc({ outcome: report.outcome, status: String(report.status ?? ""), account });
+            if (report.outcome === "refused") {
+                refusals.inc({ reason: report.reason.split(":")[0] });
+            }
+            seconds.observe({ account }, took / millisecondsPerSecond);
+            if (report.headAfter !== undefined) {
+                headSeconds.observe({ account }, report.headAfter / millisecondsPerSecond);
+                placeSeconds.observe(report.placeWait / millisecondsPerSecond);
+            }
+        },
+        countStoreFailure: topic => storeFailures.inc({ topic }),
+        render: () => registry.metrics(),
+    };
+}
+
+/**
+ * Creates the port.
+ *
+ * @param address - IP and port
+ * @param metrics - what it serves, at `/metrics`
+ * @returns the port, not yet open
+ */
+export function createMetricsServer(
+    address: { readonly host: string; readonly port: number; },
+    metrics: ServingMetrics,
+): MetricsServer {
+    const server: Server = createServer((request, response) => {
+        if (request.url !== "/metrics") {
+            response.writeHead(notFoundStatus).end();
+            return;
+        }
+        void metrics.render().then(text => response.writeHead(200, { "Content-Type": "text/plain" }).end(text));
+    });
+    return {
+        listen: () =>
+            new Promise((resolve, reject) => {
+                server.once("error", reject);
+                server.listen(address, resolve);
+            }),
+        close: () => server.closeAllConnections(),
+    };
+}
