fix(adapters): a request that waited for a load goes to no engine that began to leave meanwhile

Ruled out: the list itself, which had the engine out at once. The list is read again after each wait. The wish and its result have one type.

--- /dev/null
+++ b/src/adapters/__tests__/adapterDesk.test.ts
@@ -0,0 +1,105 @@
+import { expect } from "chai";
+import type { PeerNetwork } from "../../peers/index.js";
+import { createServerRecords } from "../../serving/serverRecords.js";
+import { type BackendServer, type EngineLimits, formatServerRun } from "../../serving/types.js";
+import { wrapError, wrapValue } from "../../shared/index.js";
+import { type AdapterDesk, createAdapterDesk, type PlaceRequest } from "../adapterDesk.js";
+import type { ShardTask } from "../shardTask.js";
+
+const limits: EngineLimits = {
+    batchSlots: 4,
+    kvCacheTokens: 1_000,
+    memoryMegabytes: 1_000,
+    adapterSlots: 3,
+    modelLoadsPerSecond: 1,
+    models: [{ name: "base", sizeMegabytes: 100, adapterMegabytes: 10 }],
+};
+
+function createServer(id: string): BackendServer {
+    return {
+        id,
+        startedAt: 1,
+        service: "llm",
+        address: "10.0.0.1:1",
+        failureDomain: "a",
+        isDraining: false,
+        slots: 4,
+        models: [{ name: "base", version: 1, adapters: [] }],
+    };
+}
+
+// a desk that holds the shards of all engines; `onOrder` is called at each order
+function openDesk(servers: readonly BackendServer[], onOrder: (server: BackendServer) => void): AdapterDesk {
+    let now = 0;
+    const loaded = new Set<string>();
+    const network: PeerNetwork = {
+        self: "i",
+        send: () => undefined,
+        request: () => Promise.resolve(wrapError({ kind: "timeout" })),
+        handle: () => undefined,
+    };
+    const desk = createAdapterDesk({
+        self: "i",
+        holder: "i",
+        failureDomain: "a",
+        shardCount: 1,
+        control: {
+            order: (server, order) => {
+                onOrder(server);
+                const place = `${server.id} ${order.adapter}`;
+                const isDone = loaded.has(place);
+                loaded.add(place);
+                return Promise.resolve({ kind: isDone ? "done" : "accepted" });
+            },
+            report: server =>
+                Promise.resolve(wrapValue({ startedAt: 1, sequence: 0, models: server.models, pending: [] })),
+        },
+        clock: {
+            now: () => now,
+            // the request's own time limit doesn't pass here
+            sleep: duration => {
+                now += duration < 1_000 ? duration : 0;
+                return new Promise(resolve => duration < 1_000 && setImmediate(resolve));
+            },
+        },
+        records: createServerRecords(),
+        network,
+        listPeers: () => [],
+        listEngines: () => servers,
+        findLimits: () => limits,
+        versionBound: 5_000,
+    });
+    const shards = { find: () => ({ fencingNumber: 1, activeAt: 0 }), list: () => [0] } as unknown as ShardTask;
+    desk.attachShards(shards);
+    desk.handleServers(servers, []);
+    return desk;
+}
+
+function createRequest(listServers: () => readonly BackendServer[]): PlaceRequest {
+    return {
+        choice: { model: "base", adapter: "a1" },
+        listServers,
+        excluded: new Set(),
+        until: 5_000,
+        priority: 0,
+        usefulUntil: 600,
+    };
+}
+
+describe("place for a request", () => {
+    it("is an engine on which the adapter was loaded", async () => {
+        const servers = [createServer("i-1"), createServer("i-2")];
+        const place = await openDesk(servers, () => undefined).acquire(createRequest(() => servers));
+        expect(servers).to.include(place!.server);
+    });
+
+    it("is no engine that began to leave while the adapter was being loaded there", async () => {
+        const servers = [createServer("i-1"), createServer("i-2")];
+        const leaving = new Set<string>();
+        const desk = openDesk(servers, server => leaving.size === 0 && leaving.add(formatServerRun(server)));
+        const request = createRequest(() => servers.filter(server => !leaving.has(formatServerRun(server))));
+        const place = await desk.acquire(request);
+        expect(leaving.size).to.equal(1);
+        expect(leaving.has(formatServerRun(place!.server))).to.equal(false);
+    });
+});
--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -1,8 +1,9 @@
 import { expect } from "chai";
 import type { BackendServer, EngineLimits } from "../../serving/types.js";
 import { wrapValue } from "../../shared/index.js";
-import { createEngineKeeper, type EngineKeeper, type EnsureWish } from "../engineKeeper.js";
+import { createEngineKeeper, type EngineKeeper } from "../engineKeeper.js";
 import { createLoadGate } from "../loadGate.js";
+import type { EnsureWish } from "../messages.js";
 import type { EngineControl, EngineOrder, OrderOutcome } from "../types.js";
 
 const server: BackendServer = {
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -21,10 +21,17 @@
     type InstanceId,
     type Milliseconds,
 } from "../shared/index.js";
-import { createEngineKeeper, type EngineKeeper, type EnsureResult, type EnsureWish } from "./engineKeeper.js";
+import { createEngineKeeper, type EngineKeeper } from "./engineKeeper.js";
 import { type EnginePick, pickEngine } from "./enginePick.js";
 import { createLoadGate } from "./loadGate.js";
-import { type AdapterKey, type AdapterMessage, type AdapterUse, formatAdapterKey } from "./messages.js";
+import {
+    type AdapterKey,
+    type AdapterMessage,
+    type AdapterUse,
+    type EnsureResult,
+    type EnsureWish,
+    formatAdapterKey,
+} from "./messages.js";
 import { createModelLoadLimit } from "./modelLoadLimit.js";
 import { createResidency } from "./residency.js";
 import type { ShardTask } from "./shardTask.js";
@@ -52,7 +59,8 @@
 /** A request's wish for an engine. */
 export interface PlaceRequest {
     readonly choice: ModelChoice;
-    readonly servers: readonly BackendServer[];
+    /** Servers that the request may go to now; read again after each wait, as one may have begun to leave. */
+    readonly listServers: () => readonly BackendServer[];
     readonly excluded: ReadonlySet<ServerRun>;
     readonly until: Milliseconds;
     /** 0 goes first. */
@@ -113,6 +121,11 @@
 const emptyPeriodMilliseconds = 500;
 const log = createDebug("adapters");
 
+function isListed(request: PlaceRequest, server: BackendServer): boolean {
+    const run = formatServerRun(server);
+    return request.listServers().some(listed => formatServerRun(listed) === run);
+}
+
 /**
  * Creates the desk.
  *
@@ -228,7 +241,7 @@
     const pick = (request: PlaceRequest, unloadable: ReadonlySet<ServerRun>): EnginePick => {
         const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
         return pickEngine({
-            servers: request.servers,
+            servers: request.listServers(),
             records: options.records,
             failureDomain: options.failureDomain,
             excluded: request.excluded,
@@ -268,10 +281,12 @@
                     return { server: picked.server, requiredVersion: findOldestVersion(key) };
                 }
                 case "load":
-                    if (await loadThere(picked.server, request) === "resident") {
+                    if (await loadThere(picked.server, request) !== "resident") {
+                        unloadable.add(formatServerRun(picked.server));
+                    }
+                    else if (isListed(request, picked.server)) {
                         return { server: picked.server, requiredVersion: undefined };
                     }
-                    unloadable.add(formatServerRun(picked.server));
                     break;
                 case "none":
                     await clock.sleep(retryPauseMilliseconds);
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -17,27 +17,6 @@
 } from "./messages.js";
 import { countUse } from "./slotBook.js";
 
-/** What an instance wants to have on an engine. */
-export interface EnsureWish {
-    readonly model: string;
-    readonly adapter: string | undefined;
-    readonly version: number | undefined;
-    /** The engine has said that it doesn't hold the adapter. */
-    readonly wasDenied: boolean;
-    /** Of the request that waits; 0 goes first. */
-    readonly priority: number;
-    /** Time in which the request can still be answered within its target. */
-    readonly usefulFor: Milliseconds;
-    /** Time that the request waits. */
-    readonly patience: Milliseconds;
-}
-
-/** Result of a wish. */
-export interface EnsureResult {
-    readonly outcome: EnsureOutcome;
-    readonly version: number | undefined;
-}
-
 interface LoadResult {
     readonly outcome: EnsureOutcome;
     /** From the order's acceptance; `undefined` when nothing was loaded. */
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -38,22 +38,31 @@
 /** What became of a wish to have an adapter on an engine. */
 export type EnsureOutcome = "resident" | "notHolder" | "full" | "failed" | "unreachable";
 
+/** What an instance wants to have on an engine. */
+export interface EnsureWish {
+    readonly model: string;
+    readonly adapter: string | undefined;
+    readonly version: number | undefined;
+    /** The engine has said that it doesn't hold the adapter. */
+    readonly wasDenied: boolean;
+    /** Of the request that waits; 0 goes first. */
+    readonly priority: number;
+    /** Time in which the request can still be answered within its target. */
+    readonly usefulFor: Milliseconds;
+    /** Time that the request waits. */
+    readonly patience: Milliseconds;
+}
+
+/** Result of a wish. */
+export interface EnsureResult {
+    readonly outcome: EnsureOutcome;
+    readonly version: number | undefined;
+}
+
 /** Message about adapters. */
 export type AdapterMessage =
-    | {
-        readonly kind: "ensure";
-        readonly run: ServerRun;
-        readonly model: string;
-        /** `undefined` for the model itself. */
-        readonly adapter: string | undefined;
-        readonly version: number | undefined;
-        /** The engine has said that it doesn't hold the adapter. */
-        readonly wasDenied: boolean;
-        readonly priority: number;
-        readonly usefulFor: Milliseconds;
-        readonly patience: Milliseconds;
-    }
-    | { readonly kind: "ensured"; readonly outcome: EnsureOutcome; readonly version: number | undefined; }
+    | EnsureWish & { readonly kind: "ensure"; readonly run: ServerRun; }
+    | EnsureResult & { readonly kind: "ensured"; }
     | { readonly kind: "tables"; readonly tables: readonly EngineTable[]; }
     | { readonly kind: "changes"; readonly changes: readonly ResidencyChange[]; }
     | { readonly kind: "uses"; readonly uses: readonly AdapterUse[]; }
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -20,7 +20,7 @@
 import { createConfigurationState } from "./configurationState.js";
 import { createFollowers } from "./followers.js";
 import { readClocks } from "./freshness.js";
-import { createInstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
+import { createInstanceDirectory, encodeInstanceEntry, type InstanceEntry } from "./instanceDirectory.js";
 import { createReadyServer } from "./readyServer.js";
 import { writeRequestLine } from "./requestLine.js";
 import { runRequest } from "./requestRun.js";
@@ -289,8 +289,7 @@
             let isEntered = false;
             while (!signal.aborted) {
                 if (!isEntered) {
-                    const value = Buffer.from(JSON.stringify({ id: self.id, address: self.address }), "utf8");
-                    const answer = await ports.log.append("instances", self.name, value);
+                    const answer = await ports.log.append("instances", self.name, encodeInstanceEntry(self));
                     isEntered = answer.ok;
                 }
                 await options.clock.sleep(announceRetryMilliseconds, signal);
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -8,7 +8,7 @@
 import { runAttempt } from "./attemptRun.js";
 import type { AttemptPlace, ClientAnswer, RequestParts, RequestReport, RequestState } from "./requestState.js";
 import { chooseServer } from "./serverChoice.js";
-import { type ClientRequest, formatServerRun } from "./types.js";
+import { type BackendServer, type ClientRequest, formatServerRun } from "./types.js";
 
 const sendLimit = 5;
 const leastPatienceMilliseconds = 1_500;
@@ -108,18 +108,20 @@
 
 async function findPlace(parts: RequestParts, state: RequestState): Promise<AttemptPlace | undefined> {
     const { route, service } = state.admission;
-    const usable = parts.servers.listUsable(service);
     // a request that has had all the servers that it may have goes back to these
-    const servers = state.used.size < route.attemptLimit
-        ? usable
-        : usable.filter(server => state.used.has(formatServerRun(server)));
+    const listServers = (): readonly BackendServer[] => {
+        const usable = parts.servers.listUsable(service);
+        return state.used.size < route.attemptLimit
+            ? usable
+            : usable.filter(server => state.used.has(formatServerRun(server)));
+    };
     const now = parts.clock.now();
     if (state.request.choice && parts.configuration.read()?.config.services.get(service)?.engine) {
         const { choice } = state.request;
         const until = Math.min(state.until, computePatience(state, now));
         const place = await parts.adapters.acquire({
             choice,
-            servers,
+            listServers,
             excluded: state.excluded,
             until,
             priority: state.admission.account?.priority ?? route.priority,
@@ -129,7 +131,7 @@
         return place;
     }
     const { records, failureDomain } = parts;
-    const server = chooseServer({ servers, records, failureDomain, excluded: state.excluded, now });
+    const server = chooseServer({ servers: listServers(), records, failureDomain, excluded: state.excluded, now });
     return server && { server, requiredVersion: undefined };
 }
 
