--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -13,6 +13,8 @@
     type AdapterUse,
     type EngineTable,
     type EnsureOutcome,
+    type EnsureResult,
+    type EnsureWish,
     formatAdapterKey,
 } from "./messages.js";
 import { countUse } from "./slotBook.js";
