--- /dev/null
+++ b/src/serving/__tests__/instanceDirectory.test.ts
@@ -0,0 +1,46 @@
+import { expect } from "chai";
+import { createAccountLimits } from "../accountLimits.js";
+import { createInstanceDirectory, encodeInstanceEntry, type InstanceDirectory } from "../instanceDirectory.js";
+import type { ServingAccount } from "../types.js";
+
+function createDirectory(others: number, now: number): InstanceDirectory {
+    const directory = createInstanceDirectory({ name: "front-0", id: "front-0@1", address: "10.0.0.0:1" });
+    for (let index = 1; index <= others; index++) {
+        const entry = { name: `front-${index}`, id: `front-${index}@1`, address: `10.0.0.${index}:1` };
+        directory.applyRecord({ key: entry.name, value: encodeInstanceEntry(entry), offset: index }, now);
+    }
+    return directory;
+}
+
+describe("directory of instances", () => {
+    it("counts those in hearing, and those that were just entered as half", () => {
+        const directory = createDirectory(7, 0);
+        expect(directory.computeShare(100)).to.equal((1 + 7 / 2) / 8);
+        directory.markHeard("front-1@1", 800);
+        expect(directory.computeShare(900)).to.equal(2 / 8);
+        expect(directory.computeShare(2_100)).to.equal(1 / 8);
+    });
+
+    it("takes no entry that can't be read, nor its own", () => {
+        const directory = createDirectory(1, 0);
+        directory.applyRecord({ key: "front-9", value: Buffer.from("{"), offset: 9 }, 0);
+        directory.applyRecord({ key: "front-0", value: Buffer.from("{}"), offset: 10 }, 0);
+        expect(directory.listOthers()).to.deep.equal(["front-1@1"]);
+    });
+
+    // all instances were killed at once and start again, at the usual half of the rate
+    it("lets accounts within their rate through after all instances have started anew", () => {
+        const quota = { unit: "tokens", ratePerSecond: 24_000, burst: 24_000, plainTokens: 1 } as const;
+        const account: ServingAccount = { name: "acme", keys: [], priority: undefined, quota };
+        const limits = createAccountLimits();
+        const directory = createDirectory(5, 300);
+        limits.update([account], 0);
+        let admitted = 0;
+        for (let now = 300; now < 1_000; now += 100) {
+            limits.setShare(directory.computeShare(now), now);
+            // an instance of six gets a request of 1,300 tokens each 0.65 s at half the rate; this one gets more than thrice as many
+            admitted += now % 200 === 100 && limits.take(account, 1_300, now).kind === "admitted" ? 1 : 0;
+        }
+        expect(admitted).to.equal(4);
+    });
+});
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -147,8 +147,8 @@
         topic: "instances",
         wait: directoryWaitMilliseconds,
         sleep: options.clock.sleep,
-        onSnapshot: options.directory.replaceAll,
-        onRecords: records => records.forEach(options.directory.applyRecord),
+        onSnapshot: records => options.directory.replaceAll(records, options.clock.now()),
+        onRecords: records => records.forEach(record => options.directory.applyRecord(record, options.clock.now())),
         onConfirmed: () => undefined,
         onFailure: createFailureLog(options, "instances"),
     });
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -22,17 +22,23 @@
     readonly listHeard: (now: Milliseconds) => readonly InstanceId[];
     readonly listOthers: () => readonly InstanceId[];
     readonly findAddress: (id: InstanceId) => string | undefined;
-    readonly applyRecord: (record: KeyedRecord) => void;
-    readonly replaceAll: (records: readonly KeyedRecord[]) => void;
+    readonly applyRecord: (record: KeyedRecord, now: Milliseconds) => void;
+    readonly replaceAll: (records: readonly KeyedRecord[], now: Milliseconds) => void;
     /** Tells whether the instance was out of hearing before. */
     readonly markHeard: (id: InstanceId, now: Milliseconds) => boolean;
-    /** Part of all instances, this one included, that are in hearing. */
+    /**
+     * Part of all instances, this one included, that are in hearing. One that has just been entered counts as half, as it
+     * could not be heard yet.
+     */
     readonly computeShare: (now: Milliseconds) => number;
     readonly countAll: () => number;
 }
 
 /** Silence after which an instance counts as out of hearing. */
 const hearingMilliseconds = 1_200;
+/** Time in which a new instance makes its connections. */
+const introductionMilliseconds = 700;
+const introductionPart = 0.5;
 const entrySchema = z.object({ id: z.string(), address: z.string() });
 
 /**
@@ -44,13 +50,15 @@
 export function createInstanceDirectory(self: InstanceEntry): InstanceDirectory {
     const entries = new Map<string, InstanceEntry>();
     const heardAt = new Map<InstanceId, Milliseconds>();
-    const applyRecord = (record: KeyedRecord): void => {
+    const enteredAt = new Map<InstanceId, Milliseconds>();
+    const applyRecord = (record: KeyedRecord, now: Milliseconds): void => {
         if (record.key === self.name) {
             return;
         }
         const entry = record.value && decodeEntry(record.key, record.value);
         if (entry) {
             entries.set(record.key, entry);
+            enteredAt.set(entry.id, enteredAt.get(entry.id) ?? now);
         }
         else {
             entries.delete(record.key);
@@ -65,16 +73,22 @@
         listOthers,
         findAddress: id => [...entries.values()].find(entry => entry.id === id)?.address,
         applyRecord,
-        replaceAll: records => {
+        replaceAll: (records, now) => {
             entries.clear();
-            records.forEach(applyRecord);
+            records.forEach(record => applyRecord(record, now));
         },
         markHeard: (id, now) => {
             const wasHeard = isHeard(id, now);
             heardAt.set(id, now);
             return !wasHeard;
         },
-        computeShare: now => (listHeard(now).length + 1) / (entries.size + 1),
+        computeShare: now => {
+            const heard = listHeard(now);
+            const isNew = (id: InstanceId): boolean =>
+                now - (enteredAt.get(id) ?? Number.NEGATIVE_INFINITY) < introductionMilliseconds;
+            const unheardNew = listOthers().filter(id => isNew(id) && !heard.includes(id));
+            return (1 + heard.length + unheardNew.length * introductionPart) / (entries.size + 1);
+        },
         countAll: () => entries.size + 1,
     };
 }
