fix(adapters): a request that waited for a load names the version too; each named version binds

Cause: acquire returned no required version after a load, so that a request went out without one however long ago a version was named; and a newer name within the bound of the one before put the older bound off (both read from the code). Loads named no version, so that 'already there' could mean an older one.

--- a/src/adapters/__tests__/adapterDesk.test.ts
+++ b/src/adapters/__tests__/adapterDesk.test.ts
@@ -102,4 +102,12 @@
         expect(leaving.size).to.equal(1);
         expect(leaving.has(formatServerRun(place!.server))).to.equal(false);
     });
+
+    it("holds an engine to the version once older ones may not be begun, also just after a load there", async () => {
+        const servers = [createServer("i-1")];
+        const desk = openDesk(servers, () => undefined);
+        desk.markVersion("base", "a1", 2, -4_000);
+        const place = await desk.acquire(createRequest(() => servers));
+        expect(place!.requiredVersion).to.equal(2);
+    });
 });
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -21,6 +21,7 @@
     type InstanceId,
     type Milliseconds,
 } from "../shared/index.js";
+import { createAdapterVersions } from "./adapterVersions.js";
 import { createEngineKeeper, type EngineKeeper } from "./engineKeeper.js";
 import { type EnginePick, pickEngine } from "./enginePick.js";
 import { createLoadGate } from "./loadGate.js";
@@ -106,16 +107,9 @@
     readonly generation: number;
 }
 
-interface NamedVersion {
-    readonly version: number;
-    readonly namedAt: Milliseconds;
-}
-
 const ensureTimeoutMilliseconds = 2_500;
 /** Pause after all engines were asked in vain. */
 const retryPauseMilliseconds = 75;
-/** Part of the version bound after which older versions are no longer begun. */
-const versionBoundPart = 0.6;
 /** A replacement goes after loads that requests wait for. */
 const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
 const emptyPeriodMilliseconds = 500;
@@ -139,7 +133,7 @@
     const keepers = new Map<ServerRun, EngineKeeper>();
     const gate = createLoadGate(() => Math.max(1, keepers.size));
     const holders = new Map<number, ShardHolder>();
-    const versions = new Map<AdapterKey, NamedVersion>();
+    const versions = createAdapterVersions(options.versionBound);
     const uses = createUseCounts();
     const wishes = new Map<string, Promise<EnsureResult>>();
     const denied = new Set<string>();
@@ -218,7 +212,7 @@
         const wishKey = `${run} ${key}`;
         let pending = wishes.get(wishKey);
         if (!pending) {
-            const version = versions.get(key)?.version;
+            const version = versions.findNewest(key);
             const now = clock.now();
             const wish: EnsureWish = {
                 ...choice,
@@ -233,11 +227,15 @@
         }
         return pending;
     };
-    const findOldestVersion = (key: AdapterKey): number | undefined => {
-        const named = versions.get(key);
-        const isRequired = named && clock.now() - named.namedAt > options.versionBound * versionBoundPart;
-        return isRequired ? named.version : undefined;
+    // an engine is held to the version that it is known to have only where older ones may not be begun any more
+    const findRequiredVersion = (run: ServerRun, key: AdapterKey): number | undefined => {
+        const oldest = versions.findOldest(key, clock.now());
+        return oldest && Math.max(oldest, residency.findVersion(run, key) ?? oldest);
     };
+    const describePlace = (server: BackendServer, key: AdapterKey): Place => ({
+        server,
+        requiredVersion: findRequiredVersion(formatServerRun(server), key),
+    });
     const pick = (request: PlaceRequest, unloadable: ReadonlySet<ServerRun>): EnginePick => {
         const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
         return pickEngine({
@@ -248,7 +246,7 @@
             now: clock.now(),
             choice: request.choice,
             residency,
-            oldestVersion: findOldestVersion(key),
+            oldestVersion: versions.findOldest(key, clock.now()),
             hasHolder,
             unloadable,
         });
@@ -272,20 +270,19 @@
         return result?.outcome ?? "late";
     };
     const acquire = async (request: PlaceRequest): Promise<Place | undefined> => {
+        const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
         const unloadable = new Set<ServerRun>();
         while (clock.now() < request.until) {
             const picked = pick(request, unloadable);
             switch (picked.kind) {
-                case "resident": {
-                    const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
-                    return { server: picked.server, requiredVersion: findOldestVersion(key) };
-                }
+                case "resident":
+                    return describePlace(picked.server, key);
                 case "load":
                     if (await loadThere(picked.server, request) !== "resident") {
                         unloadable.add(formatServerRun(picked.server));
                     }
                     else if (isListed(request, picked.server)) {
-                        return { server: picked.server, requiredVersion: undefined };
+                        return describePlace(picked.server, key);
                     }
                     break;
                 case "none":
@@ -323,7 +320,7 @@
         byHolder.forEach((list, holder) => options.network.send(holder, "adapters", { kind: "uses", uses: list }));
     };
     const replaceOutdated = (): void => {
-        const newest = new Map([...versions].map(([key, named]) => [key, named.version]));
+        const newest = versions.listNewest();
         for (const keeper of keepers.values()) {
             for (const key of keeper.listOutdated(newest)) {
                 const slash = key.indexOf("/");
@@ -404,8 +401,7 @@
         markEnded: (server, choice) => uses.markEnded(formatServerRun(server), choice),
         markVersion: (model, adapter, version, namedAt) => {
             const key = formatAdapterKey(model, adapter);
-            if (version > (versions.get(key)?.version ?? 0)) {
-                versions.set(key, { version, namedAt });
+            if (versions.name(key, version, namedAt)) {
                 replaceOutdated();
             }
         },
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -119,7 +119,7 @@
     const load = async (wish: EnsureWish, adapter: string, key: AdapterKey): Promise<EnsureResult> => {
         const { model, wasDenied } = wish;
         const version = wish.version ?? 1;
-        const adapterLoad: AdapterLoad = { key, model, adapter, wasDenied };
+        const adapterLoad: AdapterLoad = { key, model, adapter, version: wish.version, wasDenied };
         const outcome = remembered.has(key)
             ? (await loadNow(adapterLoad, memoryLoadMilliseconds)).outcome
             : await loadFromStore(adapterLoad, wish);
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -43,6 +43,8 @@
     readonly key: AdapterKey;
     readonly model: string;
     readonly adapter: string;
+    /** Version that must be there at the end; `undefined` for the newest. */
+    readonly version: number | undefined;
     /** The engine has said that it doesn't hold the adapter. */
     readonly wasDenied: boolean;
 }
@@ -252,7 +254,7 @@
         return refusal;
     };
     const orderLoad = async (load: AdapterLoad): Promise<EnsureOutcome | "loading"> => {
-        const { model, adapter, key, wasDenied } = load;
+        const { model, adapter, key, version, wasDenied } = load;
         const limits = options.findLimits();
         if (!limits || isStopped) {
             return "notHolder";
@@ -269,7 +271,7 @@
             if (refusal) {
                 return refusal;
             }
-            const outcome = await sendOrder("load", model, adapter);
+            const outcome = await sendOrder("load", model, adapter, version);
             switch (outcome.kind) {
                 case "done":
                     return "resident";
@@ -314,12 +316,12 @@
         }
     };
     // the same order again tells whether the load has ended; only while its place is taken, as it may load anew
-    const pollLoad = async ({ model, adapter, key }: AdapterLoad): Promise<EnsureOutcome | "loading"> => {
+    const pollLoad = async ({ model, adapter, key, version }: AdapterLoad): Promise<EnsureOutcome | "loading"> => {
         const state = book.slots.get(key)?.state;
         if (state !== "loading") {
             return state === "resident" ? "resident" : "failed";
         }
-        const outcome = await sendOrder("load", model, adapter);
+        const outcome = await sendOrder("load", model, adapter, version);
         switch (outcome.kind) {
             case "done":
                 return "resident";
