feat(adapters): one load gate over all instances; loads that can't be on time go last

And a load counted as useful as long as its target wasn't over, so that those that came just too late went before those that could be on time. Change: instances tell each other their loads on the way and those that wait and can be on time; each takes a part in proportion. The store's capacity is measured from durations against the quickest. Requests that wait for the same load extend it. Ruled out: demand beyond the store's rate (it gave 25 to 28 loads a second where it can give 32).

--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -123,7 +123,7 @@
         onChange: () => undefined,
         onTable: () => undefined,
         takeModelLoad: () => true,
-        gate: createLoadGate(() => 2),
+        gate: createLoadGate(() => undefined),
     });
     return { keeper, advance: time => now += time };
 }
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -22,6 +22,7 @@
     type Milliseconds,
 } from "../shared/index.js";
 import { createAdapterVersions } from "./adapterVersions.js";
+import { createAdapterWishes } from "./adapterWishes.js";
 import { createEngineKeeper, type EngineKeeper } from "./engineKeeper.js";
 import { type EnginePick, pickEngine } from "./enginePick.js";
 import { createLoadGate } from "./loadGate.js";
@@ -113,6 +114,9 @@
 /** A replacement goes after loads that requests wait for. */
 const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
 const emptyPeriodMilliseconds = 500;
+/** Counts of loads are told at most once in this time for each instance that is told. */
+const loadTellMillisecondsEach = 2;
+const leastLoadTellMilliseconds = 10;
 const log = createDebug("adapters");
 
 function isListed(request: PlaceRequest, server: BackendServer): boolean {
@@ -131,15 +135,14 @@
     const residency = createResidency();
     const modelLoads = createModelLoadLimit(clock, () => options.listPeers().length + 1);
     const keepers = new Map<ServerRun, EngineKeeper>();
-    const gate = createLoadGate(() => Math.max(1, keepers.size));
+    const gate = createLoadGate(() => void publishLoads());
     const holders = new Map<number, ShardHolder>();
     const versions = createAdapterVersions(options.versionBound);
     const uses = createUseCounts();
-    const wishes = new Map<string, Promise<EnsureResult>>();
-    const denied = new Set<string>();
     let changes: Extract<AdapterMessage, { readonly kind: "changes"; }>["changes"][number][] = [];
     let shards: ShardTask | undefined;
     let emptyAskedAt = Number.NEGATIVE_INFINITY;
+    let isPublishingLoads = false;
 
     const findShard = (server: BackendServer): number =>
         Number(hashForPlacement(server.id) % BigInt(options.shardCount));
@@ -205,28 +208,7 @@
         }
         return { outcome: "notHolder", version: undefined };
     };
-    const requestAdapter = (server: BackendServer, request: PlaceRequest): Promise<EnsureResult> => {
-        const { choice } = request;
-        const run = formatServerRun(server);
-        const key = formatAdapterKey(choice.model, choice.adapter!);
-        const wishKey = `${run} ${key}`;
-        let pending = wishes.get(wishKey);
-        if (!pending) {
-            const version = versions.findNewest(key);
-            const now = clock.now();
-            const wish: EnsureWish = {
-                ...choice,
-                version,
-                wasDenied: denied.delete(wishKey),
-                priority: request.priority,
-                usefulFor: request.usefulUntil - now,
-                patience: request.until - now,
-            };
-            pending = requestEnsure(server, wish).finally(() => wishes.delete(wishKey));
-            wishes.set(wishKey, pending);
-        }
-        return pending;
-    };
+    const wishes = createAdapterWishes(requestEnsure);
     // an engine is held to the version that it is known to have only where older ones may not be begun any more
     const findRequiredVersion = (run: ServerRun, key: AdapterKey): number | undefined => {
         const oldest = versions.findOldest(key, clock.now());
@@ -257,7 +239,9 @@
     ): Promise<EnsureResult["outcome"] | "late"> => {
         const run = formatServerRun(server);
         const { model, adapter } = request.choice;
-        const result = await waitUntil(requestAdapter(server, request), request.until);
+        const version = versions.findNewest(formatAdapterKey(model, adapter!));
+        const wish = { ...request, choice: { model, adapter: adapter! }, version };
+        const result = await waitUntil(wishes.request(server, wish, clock.now()), request.until);
         if (result?.outcome === "resident") {
             residency.apply({ run, model, adapter: adapter!, version: result.version ?? 1 });
         }
@@ -277,14 +261,17 @@
             switch (picked.kind) {
                 case "resident":
                     return describePlace(picked.server, key);
-                case "load":
-                    if (await loadThere(picked.server, request) !== "resident") {
-                        unloadable.add(formatServerRun(picked.server));
-                    }
-                    else if (isListed(request, picked.server)) {
+                case "load": {
+                    const outcome = await loadThere(picked.server, request);
+                    if (outcome === "resident" && isListed(request, picked.server)) {
                         return describePlace(picked.server, key);
                     }
+                    // one that others gave up waiting for is asked for again
+                    if (outcome !== "resident" && outcome !== "expired") {
+                        unloadable.add(formatServerRun(picked.server));
+                    }
                     break;
+                }
                 case "none":
                     await clock.sleep(retryPauseMilliseconds);
                     unloadable.clear();
@@ -319,6 +306,15 @@
         }
         byHolder.forEach((list, holder) => options.network.send(holder, "adapters", { kind: "uses", uses: list }));
     };
+    const publishLoads = async (): Promise<void> => {
+        if (isPublishingLoads) {
+            return;
+        }
+        isPublishingLoads = true;
+        await clock.sleep(Math.max(leastLoadTellMilliseconds, options.listPeers().length * loadTellMillisecondsEach));
+        isPublishingLoads = false;
+        sendToAll({ kind: "loads", ...gate.readCounts(clock.now()) });
+    };
     const replaceOutdated = (): void => {
         const newest = versions.listNewest();
         for (const keeper of keepers.values()) {
@@ -370,6 +366,9 @@
             case "uses":
                 message.uses.forEach(use => keepers.get(use.run)?.countUse(from, use));
                 return undefined;
+            case "loads":
+                gate.handleCounts(from, message, clock.now());
+                return undefined;
             case "holding":
                 for (const shard of message.shards) {
                     if ((holders.get(shard)?.generation ?? 0) <= message.generation) {
@@ -394,7 +393,7 @@
                 return;
             }
             const run = formatServerRun(server);
-            denied.add(`${run} ${formatAdapterKey(choice.model, choice.adapter)}`);
+            wishes.markDenied(server, choice);
             residency.apply({ run, model: choice.model, adapter: choice.adapter, version: undefined });
         },
         markStarted: (server, choice) => uses.markStarted(formatServerRun(server), choice),
@@ -454,6 +453,7 @@
             }
             publishUses();
             replaceOutdated();
+            gate.keepHeard(options.listPeers(), clock.now());
             gate.expire(clock.now());
             refreshEmpty();
         },
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -7,7 +7,7 @@
 import { formatServerRun, type ServerRun } from "../serving/types.js";
 import type { InstanceId, Milliseconds } from "../shared/index.js";
 import { type AdapterLoad, createEngineOrders, type EngineOrdersOptions } from "./engineOrders.js";
-import type { LoadGate, WaitingLoad } from "./loadGate.js";
+import type { GateEntry, LoadGate, WaitingLoad } from "./loadGate.js";
 import {
     type AdapterKey,
     type AdapterUse,
@@ -45,13 +45,12 @@
     readonly stop: () => void;
 }
 
-const firstLoadEstimateMilliseconds = 200;
-/** A load that comes from the engine's own memory ends well before the estimate. */
-const memoryLoadMilliseconds = 30;
+/** A load that comes from the engine's own memory takes a tenth of one from the store. */
+const memoryLoadPart = 0.1;
 const loadPollMilliseconds = 35;
-const firstPollPart = 0.95;
+/** Kept for the way of an order to the engine. */
+const pollSlackMilliseconds = 5;
 const loadLimitMilliseconds = 3_000;
-const estimateWeight = 0.3;
 const rememberedLimit = 100;
 
 /**
@@ -67,7 +66,8 @@
     const loads = new Map<AdapterKey, Promise<EnsureResult>>();
     // adapters that the engine had a while ago and keeps in its memory, oldest first
     const remembered = new Set<AdapterKey>();
-    let loadEstimate: Milliseconds = firstLoadEstimateMilliseconds;
+    // loads that wait for their turn
+    const turns = new Map<AdapterKey, GateEntry>();
 
     const keepInMemory = (key: AdapterKey): void => {
         remembered.delete(key);
@@ -79,8 +79,18 @@
             remembered.delete(oldest);
         }
     };
-    const waitForTurn = (load: WaitingLoad): Promise<boolean> =>
-        new Promise(resolve => gate.enter(load, resolve, clock.now()));
+    const waitForTurn = (key: AdapterKey, load: WaitingLoad): Promise<GateEntry | undefined> =>
+        new Promise(resolve => {
+            let isOver = false;
+            const entry = gate.enter(load, isTurn => {
+                isOver = true;
+                turns.delete(key);
+                queueMicrotask(() => resolve(isTurn ? entry : undefined));
+            }, clock.now());
+            if (!isOver) {
+                turns.set(key, entry);
+            }
+        });
     const waitForLoad = async (load: AdapterLoad, firstWait: Milliseconds): Promise<EnsureOutcome> => {
         const startedAt = clock.now();
         await clock.sleep(firstWait);
@@ -102,18 +112,17 @@
         const end = await waitForLoad(load, firstWait);
         return { outcome: end, took: end === "resident" ? clock.now() - startedAt : undefined };
     };
-    const loadFromStore = async (load: AdapterLoad, wish: EnsureWish): Promise<EnsureOutcome> => {
+    const describeWaiting = (wish: EnsureWish): WaitingLoad => {
         const now = clock.now();
-        const { priority } = wish;
-        const isTurn = await waitForTurn({ priority, usefulUntil: now + wish.usefulFor, until: now + wish.patience });
-        if (!isTurn) {
-            return "full";
-        }
-        const { outcome, took } = await loadNow(load, loadEstimate * firstPollPart);
-        if (took !== undefined) {
-            loadEstimate = loadEstimate * (1 - estimateWeight) + took * estimateWeight;
+        return { priority: wish.priority, usefulUntil: now + wish.usefulFor, until: now + wish.patience };
+    };
+    const loadFromStore = async (load: AdapterLoad, wish: EnsureWish): Promise<EnsureOutcome> => {
+        const turn = await waitForTurn(load.key, describeWaiting(wish));
+        if (!turn) {
+            return "expired";
         }
-        gate.leave(took, clock.now());
+        const { outcome, took } = await loadNow(load, gate.estimateDuration() + pollSlackMilliseconds);
+        turn.leave(took, clock.now());
         return outcome;
     };
     const load = async (wish: EnsureWish, adapter: string, key: AdapterKey): Promise<EnsureResult> => {
@@ -121,7 +130,7 @@
         const version = wish.version ?? 1;
         const adapterLoad: AdapterLoad = { key, model, adapter, version: wish.version, wasDenied };
         const outcome = remembered.has(key)
-            ? (await loadNow(adapterLoad, memoryLoadMilliseconds)).outcome
+            ? (await loadNow(adapterLoad, gate.estimateDuration() * memoryLoadPart + pollSlackMilliseconds)).outcome
             : await loadFromStore(adapterLoad, wish);
         if (outcome === "resident") {
             markResident(adapterLoad, version);
@@ -148,6 +157,7 @@
         if (slot?.state === "resident" && !wish.wasDenied && slot.version >= (wish.version ?? 0)) {
             return Promise.resolve({ outcome: "resident", version: slot.version });
         }
+        turns.get(key)?.extend(describeWaiting(wish));
         let pending = loads.get(key);
         if (!pending) {
             pending = load(wish, wish.adapter, key).finally(() => loads.delete(key));
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -1,61 +1,107 @@
 /**
- * Limits the loads that an instance has on their way, and says which goes next. The weight store serves a number of loads at
- * full speed and shares its speed among more: then all come late, where some could have been on time. The number is not
- * told; it is found from how long loads take against the quickest ones. Answers a burst of requests for cold adapters.
+ * Limits the loads that all instances have on their way together, and says which goes next here. The weight store serves a
+ * number of loads at full speed and shares its speed among more: then all come late, where some could have been on time.
+ * Instances tell each other their counts; each takes a part of the store in proportion to what waits there. Answers a burst
+ * of requests for cold adapters, however the engines are dealt to instances.
  *
  * @packageDocumentation
  */
-import type { Milliseconds } from "../shared/index.js";
+import type { InstanceId, Milliseconds } from "../shared/index.js";
+import { createStoreCapacity } from "./storeCapacity.js";
 
 /** A load that waits for its turn. */
 export interface WaitingLoad {
     /** Of the most urgent request that waits for it; 0 goes first. */
     readonly priority: number;
-    /** Until then its requests can still be answered within their target. */
+    /** Until then the adapter must be there for an answer within its target. */
     readonly usefulUntil: Milliseconds;
     /** After it the load is of no use any more. */
     readonly until: Milliseconds;
 }
 
+/** Loads of one instance, as it tells the others. */
+export interface LoadCounts {
+    readonly running: number;
+    /** Loads that wait and can still be on time. */
+    readonly waiting: number;
+}
+
+/** A load at the gate. */
+export interface GateEntry {
+    /** One more request waits for the load. */
+    readonly extend: (load: WaitingLoad) => void;
+    /** The load has ended. `took` is `undefined` when it failed or didn't come from the store. */
+    readonly leave: (took: Milliseconds | undefined, now: Milliseconds) => void;
+}
+
 /** Gate before the weight store. */
 export interface LoadGate {
     /** Asks for a turn; `start` is called with `true` when it has come, and with `false` when the time is over. */
-    readonly enter: (load: WaitingLoad, start: (isTurn: boolean) => void, now: Milliseconds) => void;
-    /** A load has ended. `took` is `undefined` when it failed or didn't come from the store. */
-    readonly leave: (took: Milliseconds | undefined, now: Milliseconds) => void;
+    readonly enter: (load: WaitingLoad, start: (isTurn: boolean) => void, now: Milliseconds) => GateEntry;
+    /** Takes in the counts of another instance. */
+    readonly handleCounts: (from: InstanceId, counts: LoadCounts, now: Milliseconds) => void;
+    /** Drops the counts of instances that are out of hearing. */
+    readonly keepHeard: (heard: readonly InstanceId[], now: Milliseconds) => void;
+    readonly readCounts: (now: Milliseconds) => LoadCounts;
     /** Drops loads whose time is over. */
     readonly expire: (now: Milliseconds) => void;
-    readonly readLimit: () => number;
+    /** Time that a load takes which begins now. */
+    readonly estimateDuration: () => Milliseconds;
 }
 
 interface Entry {
-    readonly load: WaitingLoad;
+    load: WaitingLoad;
     readonly start: (isTurn: boolean) => void;
+    startedAt: Milliseconds;
+    /** Sum over time of the loads on their way, at this one's start. */
+    areaAtStart: number;
 }
 
-const firstLimit = 3;
-const mostLimit = 64;
-/** Time against the quickest load from which the store counts as overloaded. */
-const slowFactor = 1.35;
-const decrease = 0.85;
-/** Rise of the limit for each round of loads that were quick. */
-const increase = 1;
-/** Lets the quickest time follow a store that has become slower for good. */
-const baseRise = 1.001;
+/** Loads that would be on time only just are as good as late: more may begin before they end. */
+const durationMargin = 1.2;
 
 /**
  * Creates the gate.
  *
- * @param readLeast - loads that may always be on their way: one for each engine keeps the store busy when the others idle
+ * @param onCounts - called when the counts of this instance may have changed
  * @returns a gate with nothing on its way
  */
-export function createLoadGate(readLeast: () => number): LoadGate {
+export function createLoadGate(onCounts: () => void): LoadGate {
+    const capacity = createStoreCapacity();
+    const others = new Map<InstanceId, LoadCounts>();
     const waiting: Entry[] = [];
-    let limit = firstLimit;
     let running = 0;
-    let wasSlow = false;
-    let base = Number.POSITIVE_INFINITY;
-    const readLimit = (): number => Math.max(readLeast(), limit);
+    let area = 0;
+    let areaAt: Milliseconds | undefined;
+    const sumOthers = (read: (counts: LoadCounts) => number): number =>
+        [...others.values()].reduce((sum, counts) => sum + read(counts), 0);
+    const countInFlight = (): number => running + sumOthers(counts => counts.running);
+    // to be called before each change of the counts
+    const updateArea = (now: Milliseconds): void => {
+        area += countInFlight() * Math.max(0, now - (areaAt ?? now));
+        areaAt = now;
+    };
+    // end of a load that begins now
+    const estimateEnd = (now: Milliseconds): Milliseconds =>
+        now + capacity.estimateDuration(countInFlight() + 1) * durationMargin;
+    const countUseful = (now: Milliseconds): number => {
+        const end = estimateEnd(now);
+        return waiting.reduce((sum, entry) => sum + (entry.load.usefulUntil >= end ? 1 : 0), 0);
+    };
+    const isAllowed = (now: Milliseconds): boolean => {
+        const useful = countUseful(now);
+        const othersUseful = sumOthers(counts => counts.waiting);
+        const isFree = countInFlight() < Math.floor(capacity.read());
+        if (useful === 0) {
+            // those that come late anyway go when nobody else needs the store
+            return othersUseful === 0 && (isFree || running === 0);
+        }
+        const own = running + useful;
+        const all = own + othersUseful + sumOthers(counts => counts.running);
+        const share = Math.max(1, Math.ceil(capacity.read() * own / all));
+        // one load may always be on its way, so that no instance waits for others for ever
+        return running === 0 || (isFree && running < share);
+    };
     const expire = (now: Milliseconds): void => {
         for (let index = waiting.length - 1; index >= 0; index--) {
             if (waiting[index]!.load.until <= now) {
@@ -65,57 +111,79 @@
     };
     const startNext = (now: Milliseconds): void => {
         expire(now);
-        while (waiting.length > 0 && running < Math.floor(readLimit())) {
-            const [entry] = waiting.splice(findNext(waiting, now), 1);
+        while (waiting.length > 0 && isAllowed(now)) {
+            const [entry] = waiting.splice(findNext(waiting, estimateEnd(now)), 1);
+            updateArea(now);
+            entry!.startedAt = now;
+            entry!.areaAtStart = area;
             running++;
             entry!.start(true);
         }
     };
-    const updateLimit = (took: Milliseconds): void => {
-        base = Math.min(base * baseRise, took);
-        if (took > base * slowFactor) {
-            limit *= decrease;
-            wasSlow = true;
+    const endLoad = (entry: Entry, took: Milliseconds | undefined, now: Milliseconds): void => {
+        updateArea(now);
+        running--;
+        if (took !== undefined && took > 0) {
+            capacity.addLoad(took, (area - entry.areaAtStart) / Math.max(1, now - entry.startedAt));
         }
-        else if (waiting.length > 0) {
-            // until it was slow once, the limit doubles with each round
-            limit += wasSlow ? increase / limit : increase;
-        }
-        limit = Math.min(mostLimit, readLimit());
+        startNext(now);
+        onCounts();
     };
     return {
         enter: (load, start, now) => {
-            waiting.push({ load, start });
+            const entry: Entry = { load, start, startedAt: now, areaAtStart: 0 };
+            waiting.push(entry);
             startNext(now);
+            onCounts();
+            return {
+                extend: more => entry.load = mergeLoads(entry.load, more),
+                leave: (took, endedAt) => endLoad(entry, took, endedAt),
+            };
         },
-        leave: (took, now) => {
-            running--;
-            if (took !== undefined) {
-                updateLimit(took);
-            }
+        handleCounts: (from, counts, now) => {
+            updateArea(now);
+            others.set(from, counts);
             startNext(now);
         },
+        keepHeard: (heard, now) => {
+            updateArea(now);
+            const kept = new Set(heard);
+            [...others.keys()].filter(instance => !kept.has(instance)).forEach(instance => others.delete(instance));
+            startNext(now);
+        },
+        readCounts: now => ({ running, waiting: countUseful(now) }),
         expire,
-        readLimit,
+        estimateDuration: () => capacity.estimateDuration(countInFlight()),
     };
 }
 
-function findNext(waiting: readonly Entry[], now: Milliseconds): number {
+function mergeLoads(left: WaitingLoad, right: WaitingLoad): WaitingLoad {
+    return {
+        priority: Math.min(left.priority, right.priority),
+        usefulUntil: Math.max(left.usefulUntil, right.usefulUntil),
+        until: Math.max(left.until, right.until),
+    };
+}
+
+function findNext(waiting: readonly Entry[], inTime: Milliseconds): number {
     let best = 0;
     for (let index = 1; index < waiting.length; index++) {
-        if (isBefore(waiting[index]!.load, waiting[best]!.load, now)) {
+        if (isBefore(waiting[index]!.load, waiting[best]!.load, inTime)) {
             best = index;
         }
     }
     return best;
 }
 
-// those that can still be on time go first, the more urgent before others, and else the one that came first
-function isBefore(left: WaitingLoad, right: WaitingLoad, now: Milliseconds): boolean {
-    const isLeftUseful = left.usefulUntil > now;
-    const isRightUseful = right.usefulUntil > now;
+// those that can still be on time go first, the more urgent before others, and else the one whose time ends first
+function isBefore(left: WaitingLoad, right: WaitingLoad, inTime: Milliseconds): boolean {
+    const isLeftUseful = left.usefulUntil >= inTime;
+    const isRightUseful = right.usefulUntil >= inTime;
     if (isLeftUseful !== isRightUseful) {
         return isLeftUseful;
     }
-    return left.priority < right.priority;
+    if (left.priority !== right.priority) {
+        return left.priority < right.priority;
+    }
+    return left.usefulUntil < right.usefulUntil;
 }
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -5,6 +5,7 @@
  */
 import type { ServerRun } from "../serving/types.js";
 import type { Milliseconds } from "../shared/index.js";
+import type { LoadCounts } from "./loadGate.js";
 
 /** Name of an adapter of a model: `MODEL/ADAPTER`. */
 export type AdapterKey = string;
@@ -35,8 +36,11 @@
     readonly inFlight: number;
 }
 
-/** What became of a wish to have an adapter on an engine. */
-export type EnsureOutcome = "resident" | "notHolder" | "full" | "failed" | "unreachable";
+/**
+ * What became of a wish to have an adapter on an engine. `full`: the engine has no place or is busy; `expired`: the load's turn
+ * did not come in the time of those that waited for it.
+ */
+export type EnsureOutcome = "resident" | "notHolder" | "full" | "expired" | "failed" | "unreachable";
 
 /** What an instance wants to have on an engine. */
 export interface EnsureWish {
@@ -66,6 +70,7 @@
     | { readonly kind: "tables"; readonly tables: readonly EngineTable[]; }
     | { readonly kind: "changes"; readonly changes: readonly ResidencyChange[]; }
     | { readonly kind: "uses"; readonly uses: readonly AdapterUse[]; }
+    | LoadCounts & { readonly kind: "loads"; }
     | { readonly kind: "holding"; readonly shards: readonly number[]; readonly generation: number; }
     /** A shard was given up; tells how long ago its last order was sent. */
     | {
--- /dev/null
+++ b/src/adapters/storeCapacity.ts
@@ -0,0 +1,59 @@
+/**
+ * How many adapters the weight store loads at full speed. It isn't told; it follows from how long loads take against the
+ * quickest ones, and how many were on their way meanwhile: a store that shares its speed takes longer in proportion.
+ *
+ * @packageDocumentation
+ */
+import type { Milliseconds } from "../shared/index.js";
+
+/** Estimate of the store's capacity. */
+export interface StoreCapacity {
+    /** Loads at full speed. */
+    readonly read: () => number;
+    /** Takes in a load that has ended, and the mean count of loads on their way in its time. */
+    readonly addLoad: (took: Milliseconds, meanInFlight: number) => void;
+    /** Time that a load takes while so many are on their way. */
+    readonly estimateDuration: (inFlight: number) => Milliseconds;
+}
+
+const firstCapacity = 10;
+const leastCapacity = 1;
+const mostCapacity = 256;
+const firstDurationMilliseconds = 250;
+/** Time against the quickest load from which the store counts as overloaded. */
+const slowFactor = 1.1;
+/** Part of the capacity that was in use when a quick load says that there is more. */
+const fullPart = 0.8;
+const firstGrowth = 1.5;
+/** Growth after the store was slow once, when its capacity is about known. */
+const laterGrowth = 1.05;
+const estimateWeight = 0.5;
+/** Lets the quickest time follow a store that has become slower for good. */
+const baseRise = 1.001;
+
+/**
+ * Creates the estimate.
+ *
+ * @returns a cautious first estimate
+ */
+export function createStoreCapacity(): StoreCapacity {
+    let capacity = firstCapacity;
+    let base: Milliseconds | undefined;
+    let wasSlow = false;
+    return {
+        read: () => capacity,
+        addLoad: (took, meanInFlight) => {
+            base = base === undefined ? took : Math.min(base * baseRise, took);
+            if (took > base * slowFactor) {
+                const measured = meanInFlight * base / took;
+                wasSlow = true;
+                capacity += (measured - capacity) * estimateWeight;
+            }
+            else if (meanInFlight >= capacity * fullPart) {
+                capacity *= wasSlow ? laterGrowth : firstGrowth;
+            }
+            capacity = Math.min(mostCapacity, Math.max(leastCapacity, capacity));
+        },
+        estimateDuration: inFlight => (base ?? firstDurationMilliseconds) * Math.max(1, inFlight / capacity),
+    };
+}
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -13,6 +13,8 @@
 const sendLimit = 5;
 const leastPatienceMilliseconds = 1_500;
 const patienceTargets = 3;
+/** Part of the target that an engine takes from the adapter's arrival to the first event. */
+const firstEventPart = 0.15;
 const busyStatus = 503;
 const badGatewayStatus = 502;
 const timeoutStatus = 504;
@@ -125,7 +127,7 @@
             excluded: state.excluded,
             until,
             priority: state.admission.account?.priority ?? route.priority,
-            usefulUntil: state.startedAt + route.targetLatency,
+            usefulUntil: state.startedAt + route.targetLatency * (1 - firstEventPart),
         });
         state.placeWait += parts.clock.now() - now;
         return place;
