fix(adapters): loads that wait are told anew when they become late

Cause: counts went out with events only; a load that became late while it waited stayed in the others' counts, and held theirs back.

--- a/src/adapters/__tests__/adapterDesk.test.ts
+++ b/src/adapters/__tests__/adapterDesk.test.ts
@@ -4,6 +4,7 @@
 import { type BackendServer, type EngineLimits, formatServerRun } from "../../serving/types.js";
 import { wrapError, wrapValue } from "../../shared/index.js";
 import { type AdapterDesk, createAdapterDesk, type PlaceRequest } from "../adapterDesk.js";
+import type { AdapterMessage } from "../messages.js";
 import type { ShardTask } from "../shardTask.js";
 
 const limits: EngineLimits = {
@@ -28,13 +29,19 @@
     };
 }
 
-// a desk that holds the shards of all engines; `onOrder` is called at each order
-function openDesk(servers: readonly BackendServer[], onOrder: (server: BackendServer) => void): AdapterDesk {
+interface DeskEvents {
+    /** Called at each order; an order is never answered after `"silence"`. */
+    readonly onOrder?: (server: BackendServer) => unknown;
+    readonly onMessage?: (message: AdapterMessage) => void;
+}
+
+// a desk that holds the shards of all engines
+function openDesk(servers: readonly BackendServer[], events: DeskEvents = {}): AdapterDesk {
     let now = 0;
     const loaded = new Set<string>();
     const network: PeerNetwork = {
         self: "i",
-        send: () => undefined,
+        send: (to, topic, message) => events.onMessage?.(message as AdapterMessage),
         request: () => Promise.resolve(wrapError({ kind: "timeout" })),
         handle: () => undefined,
     };
@@ -45,7 +52,9 @@
         shardCount: 1,
         control: {
             order: (server, order) => {
-                onOrder(server);
+                if (events.onOrder?.(server) === "silence") {
+                    return new Promise(() => undefined);
+                }
                 const place = `${server.id} ${order.adapter}`;
                 const isDone = loaded.has(place);
                 loaded.add(place);
@@ -64,7 +73,7 @@
         },
         records: createServerRecords(),
         network,
-        listPeers: () => [],
+        listPeers: () => ["other"],
         listEngines: () => servers,
         findLimits: () => limits,
         versionBound: 5_000,
@@ -89,14 +98,16 @@
 describe("place for a request", () => {
     it("is an engine on which the adapter was loaded", async () => {
         const servers = [createServer("i-1"), createServer("i-2")];
-        const place = await openDesk(servers, () => undefined).acquire(createRequest(() => servers));
+        const place = await openDesk(servers).acquire(createRequest(() => servers));
         expect(servers).to.include(place!.server);
     });
 
     it("is no engine that began to leave while the adapter was being loaded there", async () => {
         const servers = [createServer("i-1"), createServer("i-2")];
         const leaving = new Set<string>();
-        const desk = openDesk(servers, server => leaving.size === 0 && leaving.add(formatServerRun(server)));
+        const desk = openDesk(servers, {
+            onOrder: server => leaving.size === 0 && leaving.add(formatServerRun(server)),
+        });
         const request = createRequest(() => servers.filter(server => !leaving.has(formatServerRun(server))));
         const place = await desk.acquire(request);
         expect(leaving.size).to.equal(1);
@@ -105,9 +116,27 @@
 
     it("holds an engine to the version once older ones may not be begun, also just after a load there", async () => {
         const servers = [createServer("i-1")];
-        const desk = openDesk(servers, () => undefined);
+        const desk = openDesk(servers);
         desk.markVersion("base", "a1", 2, -4_000);
         const place = await desk.acquire(createRequest(() => servers));
         expect(place!.requiredVersion).to.equal(2);
     });
+
+    it("tells the others when loads that wait have become late, so that these don't wait for them", async () => {
+        const servers = [createServer("i-1")];
+        const told: AdapterMessage[] = [];
+        const desk = openDesk(servers, { onOrder: () => "silence", onMessage: message => told.push(message) });
+        const readWaiting = (): number | undefined => told.filter(message => message.kind === "loads").at(-1)?.waiting;
+        for (let adapter = 0; adapter < 20; adapter++) {
+            void desk.acquire({ ...createRequest(() => servers), choice: { model: "base", adapter: `a${adapter}` } });
+        }
+        const waitTurns = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 5));
+        await waitTurns();
+        expect(readWaiting()).to.be.greaterThan(0);
+        for (let tick = 0; tick < 100; tick++) {
+            desk.publish();
+            await waitTurns();
+        }
+        expect(readWaiting()).to.equal(0);
+    });
 });
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -25,7 +25,7 @@
 import { createAdapterWishes } from "./adapterWishes.js";
 import { createEngineKeeper, type EngineKeeper } from "./engineKeeper.js";
 import { type EnginePick, pickEngine } from "./enginePick.js";
-import { createLoadGate } from "./loadGate.js";
+import { createLoadGate, type LoadCounts } from "./loadGate.js";
 import {
     type AdapterKey,
     type AdapterMessage,
@@ -109,7 +109,9 @@
 }
 
 const ensureTimeoutMilliseconds = 2_500;
-/** Pause after all engines were asked in vain. */
+/** Engines that are asked in vain without a pause. */
+const enginesAskedAtOnce = 4;
+/** Pause after engines were asked in vain. */
 const retryPauseMilliseconds = 75;
 /** A replacement goes after loads that requests wait for. */
 const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
@@ -143,6 +145,7 @@
     let shards: ShardTask | undefined;
     let emptyAskedAt = Number.NEGATIVE_INFINITY;
     let isPublishingLoads = false;
+    let toldLoads: LoadCounts = { running: 0, waiting: 0 };
 
     const findShard = (server: BackendServer): number =>
         Number(hashForPlacement(server.id) % BigInt(options.shardCount));
@@ -269,6 +272,8 @@
                     // one that others gave up waiting for is asked for again
                     if (outcome !== "resident" && outcome !== "expired") {
                         unloadable.add(formatServerRun(picked.server));
+                        // where many engines are full, asking all of them at once brings nothing
+                        unloadable.size % enginesAskedAtOnce === 0 && await clock.sleep(retryPauseMilliseconds);
                     }
                     break;
                 }
@@ -313,7 +318,11 @@
         isPublishingLoads = true;
         await clock.sleep(Math.max(leastLoadTellMilliseconds, options.listPeers().length * loadTellMillisecondsEach));
         isPublishingLoads = false;
-        sendToAll({ kind: "loads", ...gate.readCounts(clock.now()) });
+        const counts = gate.readCounts(clock.now());
+        if (counts.running !== toldLoads.running || counts.waiting !== toldLoads.waiting) {
+            toldLoads = counts;
+            sendToAll({ kind: "loads", ...counts });
+        }
     };
     const replaceOutdated = (): void => {
         const newest = versions.listNewest();
@@ -347,6 +356,17 @@
         const first = list[0] === undefined ? undefined : shards?.find(list[0]);
         return first && { kind: "holding", shards: list, generation: first.fencingNumber };
     };
+    const setHolder = (shard: number, instance: InstanceId, generation: number): void => {
+        const known = holders.get(shard);
+        if ((known?.generation ?? 0) > generation) {
+            return;
+        }
+        holders.set(shard, { instance, generation });
+        if (known?.instance !== instance) {
+            options.listEngines().filter(server => findShard(server) === shard)
+                .forEach(server => uses.renew(formatServerRun(server)));
+        }
+    };
     const handleMessage: AdapterDesk["handleMessage"] = (from, message) => {
         switch (message.kind) {
             case "ensure": {
@@ -370,11 +390,7 @@
                 gate.handleCounts(from, message, clock.now());
                 return undefined;
             case "holding":
-                for (const shard of message.shards) {
-                    if ((holders.get(shard)?.generation ?? 0) <= message.generation) {
-                        holders.set(shard, { instance: from, generation: message.generation });
-                    }
-                }
+                message.shards.forEach(shard => setHolder(shard, from, message.generation));
                 return undefined;
             case "released":
                 shards?.markReleased(message.shard, message.generation, clock.now() - message.sinceLastOrder);
@@ -455,6 +471,8 @@
             replaceOutdated();
             gate.keepHeard(options.listPeers(), clock.now());
             gate.expire(clock.now());
+            // loads that wait become late without an event
+            void publishLoads();
             refreshEmpty();
         },
         greet: peer => {
@@ -463,6 +481,7 @@
                 options.network.send(peer, "adapters", holding);
                 options.network.send(peer, "adapters", describeAll());
             }
+            options.network.send(peer, "adapters", { kind: "loads", ...toldLoads });
         },
     };
 }
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -121,9 +121,15 @@
         if (!turn) {
             return "expired";
         }
-        const { outcome, took } = await loadNow(load, gate.estimateDuration() + pollSlackMilliseconds);
-        turn.leave(took, clock.now());
-        return outcome;
+        let took: Milliseconds | undefined;
+        try {
+            const result = await loadNow(load, gate.estimateDuration() + pollSlackMilliseconds);
+            took = result.took;
+            return result.outcome;
+        }
+        finally {
+            turn.leave(took, clock.now());
+        }
     };
     const load = async (wish: EnsureWish, adapter: string, key: AdapterKey): Promise<EnsureResult> => {
         const { model, wasDenied } = wish;
--- a/src/adapters/slotBook.ts
+++ b/src/adapters/slotBook.ts
@@ -33,6 +33,8 @@
 const demandHalfLifeMilliseconds = 10_000;
 /** Uses are told with a delay, so that an adapter used a moment ago may still be in use. */
 const useReportMilliseconds = 500;
+/** Time in which the instances tell a new holder what they have in use. */
+const firstUseReportMilliseconds = 250;
 /** Loads that may be on their way to one engine at a time. */
 export const pendingLoadLimit = 4;
 
@@ -54,17 +56,20 @@
  */
 export function applyReport(book: SlotBook, report: EngineReport, now: Milliseconds): void {
     const previous = new Map(book.slots);
+    // one that has just come is wanted; of those found by a new holder the instances tell soon whether they are
+    const isFirst = book.models.size === 0 && previous.size === 0;
+    const newUsedAt = isFirst ? now - (useReportMilliseconds - firstUseReportMilliseconds) : now;
     book.models.clear();
     book.slots.clear();
     for (const model of report.models) {
         book.models.add(model.name);
         model.adapters.forEach(adapter =>
-            keepSlot(book, previous, { model: model.name, ...describeHeld(adapter), state: "resident" }, now)
+            keepSlot(book, previous, { model: model.name, ...describeHeld(adapter), state: "resident" }, newUsedAt)
         );
     }
     for (const pending of report.pending) {
         const { model, adapter, version } = pending;
-        keepSlot(book, previous, { model, adapter, version, state: "loading" }, now);
+        keepSlot(book, previous, { model, adapter, version, state: "loading" }, newUsedAt);
     }
     for (const [key, slot] of previous) {
         // a report leaves out adapters that wait for their last runs, and orders that are still on their way
@@ -85,15 +90,14 @@
     book: SlotBook,
     previous: ReadonlyMap<AdapterKey, AdapterSlot>,
     held: Pick<AdapterSlot, "model" | "adapter" | "version" | "state">,
-    now: Milliseconds,
+    newUsedAt: Milliseconds,
 ): void {
     const key = formatAdapterKey(held.model, held.adapter);
     const known = previous.get(key);
     book.slots.set(key, {
         ...held,
         demand: known?.demand ?? 0,
-        // one that has just come is wanted
-        usedAt: known?.state === "resident" ? known.usedAt : now,
+        usedAt: known?.state === "resident" ? known.usedAt : newUsedAt,
         inFlight: known?.inFlight ?? new Map(),
     });
 }
--- a/src/adapters/useCounts.ts
+++ b/src/adapters/useCounts.ts
@@ -12,6 +12,8 @@
     readonly markEnded: (run: ServerRun, choice: ModelChoice) => void;
     /** Takes what changed on an engine since the last call. */
     readonly drain: (run: ServerRun) => readonly AdapterUse[];
+    /** What is in use on an engine has to be told again, to another holder. */
+    readonly renew: (run: ServerRun) => void;
     readonly remove: (run: ServerRun) => void;
 }
 
@@ -69,6 +71,7 @@
             }
             return drained;
         },
+        renew: run => engines.get(run)?.forEach(use => use.hasChanged = true),
         remove: run => void engines.delete(run),
     };
 }
