fix(adapters): the store's capacity follows from loads whose end is known exactly

Polls waited for the duration that the capacity implied, so a capacity that was taken for too low made loads look slow, which lowered it further; polls without an answer did the same. Change: the first poll comes when a load at full speed has ended, and a duration counts only where polls were close together and answered.

--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -2,7 +2,7 @@
 import type { BackendServer, EngineLimits } from "../../serving/types.js";
 import { wrapValue } from "../../shared/index.js";
 import { createEngineKeeper, type EngineKeeper } from "../engineKeeper.js";
-import { createLoadGate } from "../loadGate.js";
+import { createLoadGate, type LoadGate } from "../loadGate.js";
 import type { EnsureWish } from "../messages.js";
 import type { EngineControl, EngineOrder, OrderOutcome } from "../types.js";
 
@@ -104,6 +104,7 @@
 function createKeeper(
     control: EngineControl,
     findFencingNumber: () => number | undefined = () => 7,
+    gate: LoadGate = createLoadGate(() => undefined),
 ): { readonly keeper: EngineKeeper; readonly advance: (time: number) => void; } {
     let now = 0;
     const keeper = createEngineKeeper({
@@ -123,7 +124,7 @@
         onChange: () => undefined,
         onTable: () => undefined,
         takeModelLoad: () => true,
-        gate: createLoadGate(() => undefined),
+        gate,
     });
     return { keeper, advance: time => now += time };
 }
@@ -209,6 +210,32 @@
         expect(engine.readMost()).to.equal(3);
     });
 
+    // the gate would take the store for slow, hold loads back, and so poll later still
+    it("tells the gate no duration of a load whose polls were not answered", async () => {
+        const engine = createEngine();
+        const took: (number | undefined)[] = [];
+        const gate = createLoadGate(() => undefined);
+        const measuredGate: LoadGate = {
+            ...gate,
+            enter: (...request) => ({ ...gate.enter(...request), leave: duration => took.push(duration) }),
+        };
+        let silentPolls = 0;
+        const control: EngineControl = {
+            ...engine.control,
+            order: (engineServer, order) =>
+                engine.adapters.has(order.adapter!) && silentPolls-- > 0
+                    ? Promise.resolve({ kind: "unknown" })
+                    : engine.control.order(engineServer, order),
+        };
+        const { keeper } = createKeeper(control, () => 7, measuredGate);
+        await keeper.ensure(createWish("a1"));
+        silentPolls = 3;
+        await keeper.ensure(createWish("a2"));
+        expect(took).to.have.length(2);
+        expect(took[0]).to.be.a("number");
+        expect(took[1]).to.equal(undefined);
+    });
+
     it("gives no order after it was stopped", async () => {
         const engine = createEngine();
         const { keeper } = createKeeper(engine.control);
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -21,7 +21,7 @@
 
 interface LoadResult {
     readonly outcome: EnsureOutcome;
-    /** From the order's acceptance; `undefined` when nothing was loaded. */
+    /** From the order's acceptance; `undefined` when nothing was loaded, or its end isn't known exactly. */
     readonly took: Milliseconds | undefined;
 }
 
@@ -48,6 +48,8 @@
 /** A load that comes from the engine's own memory takes a tenth of one from the store. */
 const memoryLoadPart = 0.1;
 const loadPollMilliseconds = 35;
+/** Answer of a poll that didn't wait for other orders. */
+const promptPollMilliseconds = 30;
 /** Kept for the way of an order to the engine. */
 const pollSlackMilliseconds = 5;
 const loadLimitMilliseconds = 3_000;
@@ -91,26 +93,34 @@
                 turns.set(key, entry);
             }
         });
-    const waitForLoad = async (load: AdapterLoad, firstWait: Milliseconds): Promise<EnsureOutcome> => {
+    // `took` is told only where polls were close together and answered at once, as others say little of the store
+    const waitForLoad = async (load: AdapterLoad, waits: readonly Milliseconds[]): Promise<LoadResult> => {
         const startedAt = clock.now();
-        await clock.sleep(firstWait);
-        while (!orders.isStopped() && clock.now() - startedAt < loadLimitMilliseconds) {
+        let isExact = true;
+        for (let polls = 0; !orders.isStopped() && clock.now() - startedAt < loadLimitMilliseconds; polls++) {
+            const pollWait = waits[polls] ?? loadPollMilliseconds;
+            await clock.sleep(pollWait);
+            const polledAt = clock.now();
             const outcome = await orders.poll(load);
-            if (outcome !== "loading") {
-                return outcome;
+            const now = clock.now();
+            const isPrompt = now - polledAt <= promptPollMilliseconds;
+            if (outcome !== "loading" && outcome !== "unanswered") {
+                isExact &&= isPrompt && (polls === 0 || pollWait <= loadPollMilliseconds);
+                return { outcome, took: outcome === "resident" && isExact ? now - startedAt : undefined };
             }
-            await clock.sleep(loadPollMilliseconds);
+            isExact = isPrompt && outcome === "loading";
         }
-        return "failed";
+        return { outcome: "failed", took: undefined };
     };
-    const loadNow = async (load: AdapterLoad, firstWait: Milliseconds): Promise<LoadResult> => {
+    const loadNow = async (load: AdapterLoad, waits: readonly Milliseconds[]): Promise<LoadResult> => {
         const outcome = await orders.load(load);
-        const startedAt = clock.now();
-        if (outcome !== "loading") {
-            return { outcome, took: undefined };
-        }
-        const end = await waitForLoad(load, firstWait);
-        return { outcome: end, took: end === "resident" ? clock.now() - startedAt : undefined };
+        return outcome === "loading" ? waitForLoad(load, waits) : { outcome, took: undefined };
+    };
+    // the first poll comes when a load at full speed has ended, the second when one at the present speed should have
+    const listStoreWaits = (): readonly Milliseconds[] => {
+        const quickest = gate.readQuickest() + pollSlackMilliseconds;
+        const slowdown = gate.estimateDuration() - gate.readQuickest();
+        return slowdown > loadPollMilliseconds ? [quickest, slowdown - loadPollMilliseconds / 2] : [quickest];
     };
     const describeWaiting = (wish: EnsureWish): WaitingLoad => {
         const now = clock.now();
@@ -123,7 +133,7 @@
         }
         let took: Milliseconds | undefined;
         try {
-            const result = await loadNow(load, gate.estimateDuration() + pollSlackMilliseconds);
+            const result = await loadNow(load, listStoreWaits());
             took = result.took;
             return result.outcome;
         }
@@ -136,7 +146,7 @@
         const version = wish.version ?? 1;
         const adapterLoad: AdapterLoad = { key, model, adapter, version: wish.version, wasDenied };
         const outcome = remembered.has(key)
-            ? (await loadNow(adapterLoad, gate.estimateDuration() * memoryLoadPart + pollSlackMilliseconds)).outcome
+            ? (await loadNow(adapterLoad, [gate.readQuickest() * memoryLoadPart + pollSlackMilliseconds])).outcome
             : await loadFromStore(adapterLoad, wish);
         if (outcome === "resident") {
             markResident(adapterLoad, version);
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -55,8 +55,8 @@
     /** Reads what the engine holds, and gives it a model when it holds none. */
     readonly refresh: () => Promise<void>;
     readonly load: (load: AdapterLoad) => Promise<EnsureOutcome | "loading">;
-    /** Tells whether a load has ended. */
-    readonly poll: (load: AdapterLoad) => Promise<EnsureOutcome | "loading">;
+    /** Tells whether a load has ended; `unanswered` when that isn't known. */
+    readonly poll: (load: AdapterLoad) => Promise<EnsureOutcome | "loading" | "unanswered">;
     readonly describe: () => EngineTable;
     readonly readLastOrderAt: () => Milliseconds;
     readonly isStopped: () => boolean;
@@ -316,7 +316,7 @@
         }
     };
     // the same order again tells whether the load has ended; only while its place is taken, as it may load anew
-    const pollLoad = async ({ model, adapter, key, version }: AdapterLoad): Promise<EnsureOutcome | "loading"> => {
+    const pollLoad: EngineOrders["poll"] = async ({ model, adapter, key, version }) => {
         const state = book.slots.get(key)?.state;
         if (state !== "loading") {
             return state === "resident" ? "resident" : "failed";
@@ -326,9 +326,10 @@
             case "done":
                 return "resident";
             case "accepted":
+                return "loading";
             case "unknown":
             case "conflict":
-                return "loading";
+                return "unanswered";
             case "fenced":
                 return "notHolder";
             case "otherServer":
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -30,7 +30,7 @@
 export interface GateEntry {
     /** One more request waits for the load. */
     readonly extend: (load: WaitingLoad) => void;
-    /** The load has ended. `took` is `undefined` when it failed or didn't come from the store. */
+    /** The load has ended. `took` is `undefined` when it failed or its end isn't known exactly. */
     readonly leave: (took: Milliseconds | undefined, now: Milliseconds) => void;
 }
 
@@ -45,6 +45,8 @@
     readonly readCounts: (now: Milliseconds) => LoadCounts;
     /** Drops loads whose time is over. */
     readonly expire: (now: Milliseconds) => void;
+    /** Time that a load takes when the store has room. */
+    readonly readQuickest: () => Milliseconds;
     /** Time that a load takes which begins now. */
     readonly estimateDuration: () => Milliseconds;
 }
@@ -153,6 +155,7 @@
         },
         readCounts: now => ({ running, waiting: countUseful(now) }),
         expire,
+        readQuickest: capacity.readQuickest,
         estimateDuration: () => capacity.estimateDuration(countInFlight()),
     };
 }
--- a/src/adapters/storeCapacity.ts
+++ b/src/adapters/storeCapacity.ts
@@ -12,12 +12,14 @@
     readonly read: () => number;
     /** Takes in a load that has ended, and the mean count of loads on their way in its time. */
     readonly addLoad: (took: Milliseconds, meanInFlight: number) => void;
+    /** Time that a load takes when the store has room. */
+    readonly readQuickest: () => Milliseconds;
     /** Time that a load takes while so many are on their way. */
     readonly estimateDuration: (inFlight: number) => Milliseconds;
 }
 
 const firstCapacity = 10;
-const leastCapacity = 1;
+const leastCapacity = 2;
 const mostCapacity = 256;
 const firstDurationMilliseconds = 250;
 /** Time against the quickest load from which the store counts as overloaded. */
@@ -27,7 +29,7 @@
 const firstGrowth = 1.5;
 /** Growth after the store was slow once, when its capacity is about known. */
 const laterGrowth = 1.05;
-const estimateWeight = 0.5;
+const estimateWeight = 0.25;
 /** Lets the quickest time follow a store that has become slower for good. */
 const baseRise = 1.001;
 
@@ -40,8 +42,10 @@
     let capacity = firstCapacity;
     let base: Milliseconds | undefined;
     let wasSlow = false;
+    const readQuickest = (): Milliseconds => base ?? firstDurationMilliseconds;
     return {
         read: () => capacity,
+        readQuickest,
         addLoad: (took, meanInFlight) => {
             base = base === undefined ? took : Math.min(base * baseRise, took);
             if (took > base * slowFactor) {
@@ -54,6 +58,6 @@
             }
             capacity = Math.min(mostCapacity, Math.max(leastCapacity, capacity));
         },
-        estimateDuration: inFlight => (base ?? firstDurationMilliseconds) * Math.max(1, inFlight / capacity),
+        estimateDuration: inFlight => readQuickest() * Math.max(1, inFlight / capacity),
     };
 }
