fix(adapters): an instance that drains joins the shard group no more

A join on its way when the group is left is disregarded. Before: the new test fails (joins follow the leave).

--- /dev/null
+++ b/src/adapters/__tests__/shardTask.test.ts
@@ -0,0 +1,62 @@
+import { expect } from "chai";
+import { wrapValue } from "../../shared/index.js";
+import { createShardTask, type ShardTask } from "../shardTask.js";
+
+interface PlayedGroup {
+    readonly task: ShardTask;
+    readonly calls: string[];
+    readonly lost: number[];
+}
+
+// a member to which the group deals two shards
+function openTask(): PlayedGroup {
+    const calls: string[] = [];
+    const lost: number[] = [];
+    let now = 0;
+    const task = createShardTask({
+        group: {
+            join: () => {
+                calls.push("join");
+                return Promise.resolve(wrapValue({ generation: 3, shards: [4, 5] }));
+            },
+            leave: () => {
+                calls.push("leave");
+                return Promise.resolve(wrapValue(undefined));
+            },
+        },
+        member: "front-1",
+        ttl: 1_500,
+        orderLease: 3_000,
+        clock: {
+            now: () => now,
+            sleep: duration => {
+                now += duration;
+                return new Promise(resolve => setImmediate(resolve));
+            },
+        },
+        startedAt: 0,
+        onGained: () => undefined,
+        onLost: shard => lost.push(shard),
+        onGeneration: () => undefined,
+    });
+    return { task, calls, lost };
+}
+
+const waitTurns = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 10));
+
+describe("membership of the group that holds the shards", () => {
+    it("gives the shards up once when the instance drains, and joins no more", async () => {
+        const { task, calls, lost } = openTask();
+        const stopping = new AbortController();
+        const running = task.run(stopping.signal);
+        await waitTurns();
+        expect(task.list()).to.deep.equal([4, 5]);
+        await task.leave();
+        await waitTurns();
+        expect(calls.slice(calls.indexOf("leave"))).to.deep.equal(["leave"]);
+        expect(lost).to.deep.equal([4, 5]);
+        expect(task.list()).to.deep.equal([]);
+        stopping.abort();
+        await running;
+    });
+});
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import { type Clock, createDebug, type Milliseconds } from "../shared/index.js";
-import type { Task } from "../supervision/index.js";
+import { type Task, waitForAbort } from "../supervision/index.js";
 import type { ShardGroup, ShardMembership } from "./types.js";
 
 /** A shard that this instance holds. */
@@ -60,6 +60,7 @@
     const held = new Map<number, HeldShard>();
     let generation = 0;
     let hasFailed = false;
+    let isLeaving = false;
 
     const decideActiveAt = (now: Milliseconds): Milliseconds =>
         // a process that has just started takes over from holders that are gone, or starts with all others
@@ -90,6 +91,9 @@
     };
     const joinOnce = async (): Promise<boolean> => {
         const answer = await options.group.join(options.member, generation, options.ttl);
+        if (isLeaving) {
+            return false;
+        }
         if (answer.ok) {
             hasFailed = false;
             return applyMembership(answer.value, clock.now());
@@ -101,10 +105,11 @@
         return false;
     };
     const run = async (signal: AbortSignal): Promise<void> => {
-        while (!signal.aborted) {
+        while (!signal.aborted && !isLeaving) {
             const hasChanged = await joinOnce();
             await clock.sleep(hasChanged ? settlingPauseMilliseconds : options.ttl / joinsInTtl, signal);
         }
+        await waitForAbort(signal);
     };
     return {
         name: "shards",
@@ -121,6 +126,7 @@
             [...held.keys()].forEach(removeShard);
         },
         leave: async () => {
+            isLeaving = true;
             [...held.keys()].forEach(removeShard);
             const answer = await options.group.leave(options.member);
             if (!answer.ok) {
