fix(adapters): orders without an answer hold an engine up less; newer versions are loaded elsewhere

And an adapter with a newer version was asked for on the engine that had the old one in use, in vain, by each request (a2671 on 4b40b0, 19 times). Change: an unload is sent again at once (both orders name the same count, so only one is carried out); silence ends after 100 ms; an engine that holds an outdated version is no target of a load while there are others. Ruled out: the store's rate (16 loads a second of 64). Tests fail without the changes.

--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -180,6 +180,18 @@
         expect([...engine.adapters]).to.deep.equal(["a1"]);
     });
 
+    it("evicts at once when the answer of the first order to unload is lost", async () => {
+        const engine = createEngine();
+        const { keeper, advance } = createKeeper(engine.control);
+        for (const adapter of ["a1", "a2", "a3"]) {
+            await keeper.ensure(createWish(adapter));
+            advance(1_000);
+        }
+        engine.setAnswers("lostOnce");
+        expect((await keeper.ensure(createWish("a4"))).outcome).to.equal("resident");
+        expect(engine.readMost()).to.equal(3);
+    });
+
     it("keeps the place of an order that may still be carried out", async () => {
         const engine = createEngine();
         const { keeper, advance } = createKeeper(engine.control);
--- a/src/adapters/__tests__/enginePick.test.ts
+++ b/src/adapters/__tests__/enginePick.test.ts
@@ -105,4 +105,16 @@
         expect(fleet.pick("a1", 2)).to.deep.equal({ kind: "resident", server: servers[5], version: 2 });
         expect(fleet.pick("a1", 3).kind).to.equal("load");
     });
+
+    it("loads a newer version elsewhere, as an engine replaces an old one only when its runs have ended", () => {
+        const fleet = createFleet();
+        const home = fleet.pick("a1");
+        if (home.kind !== "load") {
+            throw new Error("nothing is loaded yet");
+        }
+        loadAdapter(fleet, home.server, "a1", 1);
+        const picked = fleet.pick("a1", 2);
+        expect(picked.kind).to.equal("load");
+        expect(picked.kind === "load" && picked.server.id).not.to.equal(home.server.id);
+    });
 });
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -186,11 +186,19 @@
             });
         }
     };
+    // sent again at once when there is no answer: only one of the orders can be carried out, as all name the same count
+    const sendUnload = async (slot: AdapterSlot): Promise<OrderOutcome> => {
+        let outcome = await sendOrder("unload", slot.model, slot.adapter);
+        for (let tries = 1; tries < orderTries && outcome.kind === "unknown"; tries++) {
+            outcome = await sendOrder("unload", slot.model, slot.adapter);
+        }
+        return outcome;
+    };
     const unloadVictim = async (victim: AdapterKey): Promise<EnsureOutcome | undefined> => {
         const slot = book.slots.get(victim)!;
         slot.state = "leaving";
         options.onChange({ run, model: slot.model, adapter: slot.adapter, version: undefined });
-        const outcome = await sendOrder("unload", slot.model, slot.adapter);
+        const outcome = await sendUnload(slot);
         switch (outcome.kind) {
             case "done":
                 sequence = sequence! + 1;
--- a/src/adapters/enginePick.ts
+++ b/src/adapters/enginePick.ts
@@ -94,7 +94,11 @@
             byRun.set(run, server);
         }
     }
-    const ranked = rankByRendezvous(key, [...byRun.keys()]).map(run => byRun.get(run)!);
+    // an engine that has an outdated version can't replace it before the last runs on it have ended
+    const holding = input.residency.listEngines(key);
+    const others = [...byRun.keys()].filter(run => !holding.has(run));
+    const candidates = others.length > 0 ? others : [...byRun.keys()];
+    const ranked = rankByRendezvous(key, candidates).map(run => byRun.get(run)!);
     return ranked.find(server => readLoad(input, server) <= homeLimit) ?? pickLeastLoaded(input, ranked);
 }
 
--- a/src/platform/engineCalls.ts
+++ b/src/platform/engineCalls.ts
@@ -11,7 +11,8 @@
 import { sendCall } from "./httpCall.js";
 import { heldModelsSchema } from "./serverEntry.js";
 
-const callTimeoutMilliseconds = 150;
+/** Engines answer at once; one that is silent holds up all other orders to it. */
+const callTimeoutMilliseconds = 100;
 const connectTimeoutMilliseconds = 250;
 const idleTimeoutMilliseconds = 3_000;
 
