feat(serving,adapters): quick starts: one bundle, an allowance of each start, shards taken over at once

Change: the daemon is bundled (0.30 s of processor time to start where files take 0.60 s, busy machine); an instance may admit a part of the slack at its start; a shard whose holder did not change within the lease is taken over at once where engines check fences. Streams that were broken off go before requests that are late anyway; the quickest load is sought below what polls show.

--- /dev/null
+++ b/deploy/bundle.js
@@ -0,0 +1,22 @@
+// Bundles the daemon for the users' platform into one file: a process that starts reads and compiles half as much code as
+// from separate files, and all instances may have to start at once.
+import { build } from "esbuild";
+
+const outfile = process.argv[2] ?? "target/platform/main.js";
+
+// packages in the CommonJS form need a `require`
+const requireBanner = [
+    'import { createRequire as createBundleRequire } from "node:module";',
+    "const require = createBundleRequire(import.meta.url);",
+].join("\n");
+
+await build({
+    entryPoints: ["src/platform/main.ts"],
+    outfile,
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "esm",
+    banner: { js: requireBanner },
+    logLevel: "warning",
+});
--- a/src/adapters/__tests__/shardTask.test.ts
+++ b/src/adapters/__tests__/shardTask.test.ts
@@ -9,10 +9,10 @@
 }
 
 // a member to which the group deals two shards
-function openTask(): PlayedGroup {
+function openTask(changedAt?: number, isFenced = true): PlayedGroup {
     const calls: string[] = [];
     const lost: number[] = [];
-    let now = 0;
+    let now = 20_000;
     const task = createShardTask({
         group: {
             join: () => {
@@ -27,6 +27,7 @@
         member: "front-1",
         ttl: 1_500,
         orderLease: 3_000,
+        isFenced,
         clock: {
             now: () => now,
             sleep: duration => {
@@ -35,6 +36,7 @@
             },
         },
         startedAt: 0,
+        findChangedAt: () => changedAt,
         onGained: () => undefined,
         onLost: shard => lost.push(shard),
         onGeneration: () => undefined,
@@ -59,4 +61,18 @@
         stopping.abort();
         await running;
     });
+
+    it("takes a shard over at once, but not within the lease of another change", async () => {
+        const stopping = new AbortController();
+        const quiet = openTask(10_000);
+        const changing = openTask(19_000);
+        const unfenced = openTask(undefined, false);
+        const running = [quiet, changing, unfenced].map(({ task }) => task.run(stopping.signal));
+        await waitTurns();
+        expect(quiet.task.find(4)!.activeAt).to.equal(20_000);
+        expect(changing.task.find(4)!.activeAt).to.equal(22_000);
+        expect(unfenced.task.find(4)!.activeAt).to.equal(23_000);
+        stopping.abort();
+        await Promise.all(running);
+    });
 });
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -93,6 +93,8 @@
     readonly handleGained: (shard: number) => void;
     readonly handleLost: (shard: number, generation: number) => void;
     readonly handleGeneration: () => void;
+    /** Time at which a shard was last seen to change its holder. */
+    readonly findHolderChange: (shard: number) => Milliseconds | undefined;
     readonly handleMessage: (
         from: InstanceId,
         message: AdapterMessage,
@@ -139,6 +141,7 @@
     const keepers = new Map<ServerRun, EngineKeeper>();
     const gate = createLoadGate(() => void publishLoads());
     const holders = new Map<number, ShardHolder>();
+    const holderChangedAt = new Map<number, Milliseconds>();
     const versions = createAdapterVersions(options.versionBound);
     const uses = createUseCounts();
     let changes: Extract<AdapterMessage, { readonly kind: "changes"; }>["changes"][number][] = [];
@@ -363,6 +366,7 @@
         }
         holders.set(shard, { instance, generation });
         if (known?.instance !== instance) {
+            known && holderChangedAt.set(shard, clock.now());
             options.listEngines().filter(server => findShard(server) === shard)
                 .forEach(server => uses.renew(formatServerRun(server)));
         }
@@ -444,7 +448,9 @@
                 }
             }
         },
+        findHolderChange: shard => holderChangedAt.get(shard),
         handleLost: (shard, generation) => {
+            holderChangedAt.set(shard, clock.now());
             let lastOrderAt = Number.NEGATIVE_INFINITY;
             for (const server of options.listEngines()) {
                 if (findShard(server) === shard) {
--- a/src/adapters/engineKeeper.ts
+++ b/src/adapters/engineKeeper.ts
@@ -48,6 +48,8 @@
 /** A load that comes from the engine's own memory takes a tenth of one from the store. */
 const memoryLoadPart = 0.1;
 const loadPollMilliseconds = 35;
+/** A load that has nearly ended at the first poll. */
+const secondPollMilliseconds = 12;
 /** Answer of a poll that didn't wait for other orders. */
 const promptPollMilliseconds = 30;
 /** Kept for the way of an order to the engine. */
@@ -120,7 +122,10 @@
     const listStoreWaits = (): readonly Milliseconds[] => {
         const quickest = gate.readQuickest() + pollSlackMilliseconds;
         const slowdown = gate.estimateDuration() - gate.readQuickest();
-        return slowdown > loadPollMilliseconds ? [quickest, slowdown - loadPollMilliseconds / 2] : [quickest];
+        return [
+            quickest,
+            slowdown > loadPollMilliseconds ? slowdown - loadPollMilliseconds / 2 : secondPollMilliseconds,
+        ];
     };
     const describeWaiting = (wish: EnsureWish): WaitingLoad => {
         const now = clock.now();
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -29,8 +29,12 @@
     readonly ttl: Milliseconds;
     /** Time between the orders of two holders to one engine. */
     readonly orderLease: Milliseconds;
+    /** Whether engines refuse orders with an old fencing number. */
+    readonly isFenced: boolean;
     readonly clock: Clock;
     readonly startedAt: Milliseconds;
+    /** Time at which a shard was last seen to change its holder. */
+    readonly findChangedAt: (shard: number) => Milliseconds | undefined;
 }
 
 /** The task and what it knows. */
@@ -62,9 +66,12 @@
     let hasFailed = false;
     let isLeaving = false;
 
-    const decideActiveAt = (now: Milliseconds): Milliseconds =>
-        // a process that has just started takes over from holders that are gone, or starts with all others
-        now - options.startedAt < options.orderLease ? now : now + options.orderLease;
+    // where old fencing numbers are refused a shard may be taken over at once; but holders must not take turns within the lease
+    const decideActiveAt = (shard: number, now: Milliseconds): Milliseconds => {
+        const changedAt = options.isFenced ? options.findChangedAt(shard) ?? Number.NEGATIVE_INFINITY : now;
+        const hasJustStarted = now - options.startedAt < options.orderLease;
+        return hasJustStarted ? now : Math.max(now, changedAt + options.orderLease);
+    };
     const removeShard = (shard: number): void => {
         held.delete(shard);
         options.onLost(shard, generation);
@@ -80,7 +87,7 @@
             held.set(shard, { ...known, fencingNumber: generation });
         }
         for (const shard of gained) {
-            held.set(shard, { fencingNumber: generation, activeAt: decideActiveAt(now) });
+            held.set(shard, { fencingNumber: generation, activeAt: decideActiveAt(shard, now) });
             options.onGained(shard);
         }
         if (hasChanged) {
--- a/src/adapters/storeCapacity.ts
+++ b/src/adapters/storeCapacity.ts
@@ -23,15 +23,19 @@
 const mostCapacity = 256;
 const firstDurationMilliseconds = 250;
 /** Time against the quickest load from which the store counts as overloaded. */
-const slowFactor = 1.1;
+const slowFactor = 1.15;
 /** Part of the capacity that was in use when a quick load says that there is more. */
 const fullPart = 0.8;
 const firstGrowth = 1.5;
 /** Growth after the store was slow once, when its capacity is about known. */
 const laterGrowth = 1.05;
 const estimateWeight = 0.25;
-/** Lets the quickest time follow a store that has become slower for good. */
-const baseRise = 1.001;
+/** A load counts as one of the quickest up to this time against them. */
+const quickFactor = 1.05;
+/** The quickest time is sought below what was seen, as loads are seen to end when they are polled. */
+const baseFall = 0.995;
+/** Rise when a load took longer though the store had room. */
+const baseRise = 1.01;
 
 /**
  * Creates the estimate.
@@ -47,13 +51,14 @@
         read: () => capacity,
         readQuickest,
         addLoad: (took, meanInFlight) => {
-            base = base === undefined ? took : Math.min(base * baseRise, took);
-            if (took > base * slowFactor) {
+            const isFull = meanInFlight >= capacity * fullPart;
+            base = adjustBase(base ?? took, took, isFull);
+            if (took > base * slowFactor && meanInFlight > leastCapacity) {
                 const measured = meanInFlight * base / took;
                 wasSlow = true;
                 capacity += (measured - capacity) * estimateWeight;
             }
-            else if (meanInFlight >= capacity * fullPart) {
+            else if (isFull) {
                 capacity *= wasSlow ? laterGrowth : firstGrowth;
             }
             capacity = Math.min(mostCapacity, Math.max(leastCapacity, capacity));
@@ -61,3 +66,10 @@
         estimateDuration: inFlight => readQuickest() * Math.max(1, inFlight / capacity),
     };
 }
+
+function adjustBase(base: Milliseconds, took: Milliseconds, isFull: boolean): Milliseconds {
+    if (took <= base * quickFactor) {
+        return Math.min(base, took) * baseFall;
+    }
+    return isFull ? base : base * baseRise;
+}
--- /dev/null
+++ b/src/platform/__tests__/bundle.test.ts
@@ -0,0 +1,20 @@
+import { expect } from "chai";
+import { execFileSync } from "node:child_process";
+import { mkdtempSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+describe("the daemon's bundle", () => {
+    it("is built by the deploy file's command, and starts without the packages' own files", () => {
+        const folder = mkdtempSync(join(tmpdir(), "oriolehatch-"));
+        try {
+            const file = join(folder, "main.mjs");
+            execFileSync(process.execPath, ["deploy/bundle.js", file]);
+            const help = execFileSync(process.execPath, [file, "--help"], { cwd: folder, encoding: "utf8" });
+            expect(help).to.contain("ORIOLEHATCH_NODE_FILE");
+        }
+        finally {
+            rmSync(folder, { recursive: true });
+        }
+    });
+});
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -74,9 +74,15 @@
         shardCount: file.storeShards,
         shardTtl: Math.max(membershipTtlMilliseconds, file.membershipTtlMinimum),
         orderLease: file.bounds.orderLease,
+        areOrdersFenced: file.bounds.areOrdersFenced,
         revocationBound: file.bounds.revocation,
         versionBound: file.bounds.adapterVersion,
         grace: file.bounds.grace,
+        quota: {
+            window: file.bounds.quotaWindow,
+            over: file.bounds.quotaOver,
+            slack: file.bounds.quotaSlack,
+        },
         retry: {
             window: file.bounds.retryWindow,
             ratio: file.bounds.retryRatio,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -33,11 +33,17 @@
     readonly grace: Milliseconds;
     readonly revocation: Milliseconds;
     readonly orderLease: Milliseconds;
+    /** Whether engines refuse orders with an old fencing number. */
+    readonly areOrdersFenced: boolean;
     readonly adapterVersion: Milliseconds;
     readonly retryRatio: number;
     readonly retryWindow: Milliseconds;
     readonly retrySlack: number;
     readonly quotaWindow: Milliseconds;
+    /** Part of a client account's limit by which it may be exceeded in the window. */
+    readonly quotaOver: number;
+    /** Requests or tokens, as the limit counts, by which it may be exceeded besides. */
+    readonly quotaSlack: number;
     readonly modelLoadWindow: Milliseconds;
 }
 
@@ -59,11 +65,14 @@
         grace_s: z.number().default(8),
         revoke_ms: z.number().default(5_000),
         lease_ms: z.number().default(3_000),
+        require_fencing: z.boolean().default(false),
         version_ms: z.number().default(5_000),
         budget_ratio: z.number().default(0.2),
         budget_window_s: z.number().default(10),
         budget_slack: z.number().default(0),
         quota_window_s: z.number().default(8),
+        quota_over: z.number().default(0),
+        quota_slack: z.number().default(0),
         ceiling_window_s: z.number().default(5),
     }),
     platform: z.object({
@@ -107,11 +116,14 @@
             grace: file.bounds.grace_s * millisecondsPerSecond,
             revocation: file.bounds.revoke_ms,
             orderLease: file.bounds.lease_ms,
+            areOrdersFenced: file.bounds.require_fencing,
             adapterVersion: file.bounds.version_ms,
             retryRatio: file.bounds.budget_ratio,
             retryWindow: file.bounds.budget_window_s * millisecondsPerSecond,
             retrySlack: file.bounds.budget_slack,
             quotaWindow: file.bounds.quota_window_s * millisecondsPerSecond,
+            quotaOver: file.bounds.quota_over,
+            quotaSlack: file.bounds.quota_slack,
             modelLoadWindow: file.bounds.ceiling_window_s * millisecondsPerSecond,
         },
     });
--- a/src/serving/__tests__/accountLimits.test.ts
+++ b/src/serving/__tests__/accountLimits.test.ts
@@ -10,6 +10,7 @@
     priority: undefined,
     quota: { unit: "tokens", ratePerSecond, burst, plainTokens: 1 },
 };
+const bounds = { window: 8_000, over: 0.1, slack: 0 };
 const tickMilliseconds = 10;
 const tellMilliseconds = 100;
 
@@ -61,7 +62,7 @@
 }
 
 function createGroup(size: number): Group {
-    const limits = Array.from({ length: size }, createAccountLimits);
+    const limits = Array.from({ length: size }, () => createAccountLimits(bounds));
     limits.forEach(one => one.update([account], 0));
     return { limits };
 }
@@ -85,8 +86,58 @@
         expect(runDemand(groups, () => 1 / 8, 30)).to.be.at.most(bound);
     });
 
+    it("hold when the instances are started anew one after the other", () => {
+        const group = createGroup(8);
+        const startedAt = group.limits.map(() => 0);
+        const admittedAt: number[] = [];
+        for (let now = 0; now < 30_000; now += tickMilliseconds) {
+            const restarted = now / 1_000 - 10;
+            if (Number.isInteger(restarted) && restarted >= 0 && restarted < 8) {
+                group.limits[restarted] = createAccountLimits(bounds);
+                startedAt[restarted] = now + 1_000;
+            }
+            group.limits.forEach((limits, index) => {
+                if (now === startedAt[index]) {
+                    limits.update([account], now);
+                    limits.grantStart(600, 8, now);
+                }
+                for (let request = 0; request < 2 && now >= startedAt[index]!; request++) {
+                    limits.take(account, 20, now).kind === "admitted" && admittedAt.push(now);
+                }
+            });
+            if (now % tellMilliseconds === 0) {
+                sendUsage(group, now);
+            }
+        }
+        expect(findMostInWindow(admittedAt, 8_000) * 20).to.be.at.most(bound);
+    });
+
+    // clients that found nobody for a second return, so that twice the rate is asked for
+    it("let the clients through that return when all instances have started anew", () => {
+        const group = createGroup(8);
+        let admitted = 0;
+        let asked = 0;
+        group.limits.forEach(limits => {
+            // each hears nobody yet
+            limits.setShare(1 / 8 + 7 / 16, 0);
+            limits.grantStart(600, 8, 0);
+        });
+        for (let now = 0; now < 500; now += tickMilliseconds) {
+            group.limits.forEach((limits, index) => {
+                const isAsked = (now / tickMilliseconds + index) % 4 === 0;
+                asked += isAsked ? 1 : 0;
+                admitted += isAsked && limits.take(account, 10, now).kind === "admitted" ? 1 : 0;
+            });
+            if (now % tellMilliseconds === 0 && now > 200) {
+                sendUsage(group, now);
+            }
+        }
+        expect(asked * 10).to.equal(ratePerSecond);
+        expect(admitted / asked).to.be.greaterThan(0.95);
+    });
+
     it("follow a lower rate at once", () => {
-        const limits = createAccountLimits();
+        const limits = createAccountLimits(bounds);
         limits.update([account], 0);
         expect(limits.take(account, 900, 2_000).kind).to.equal("admitted");
         const lower: ServingAccount = { ...account, quota: { ...account.quota!, ratePerSecond: 10, burst: 10 } };
@@ -97,7 +148,7 @@
     });
 
     it("let a request through that is larger than the burst, and then wait for what it owes", () => {
-        const limits = createAccountLimits();
+        const limits = createAccountLimits(bounds);
         limits.update([account], 0);
         expect(limits.take(account, 3_000, 1_000).kind).to.equal("admitted");
         expect(limits.take(account, 100, 2_000)).to.deep.equal({ kind: "exceeded", wait: 1_100 });
--- a/src/serving/__tests__/instanceDirectory.test.ts
+++ b/src/serving/__tests__/instanceDirectory.test.ts
@@ -32,7 +32,7 @@
     it("lets accounts within their rate through after all instances have started anew", () => {
         const quota = { unit: "tokens", ratePerSecond: 24_000, burst: 24_000, plainTokens: 1 } as const;
         const account: ServingAccount = { name: "acme", keys: [], priority: undefined, quota };
-        const limits = createAccountLimits();
+        const limits = createAccountLimits({ window: 8_000, over: 0.1, slack: 0 });
         const directory = createDirectory(5, 300);
         limits.update([account], 0);
         let admitted = 0;
--- a/src/serving/__tests__/requestRun.test.ts
+++ b/src/serving/__tests__/requestRun.test.ts
@@ -129,7 +129,7 @@
     const running = runRequest(
         {
             configuration,
-            limits: createAccountLimits(),
+            limits: createAccountLimits({ window: 8_000, over: 0.1, slack: 0 }),
             retryBudget: createRetryBudget({ window: 10_000, ratio: 0.2, slack: 50 }),
             random: createSeededRandom(1),
             keyFreshness: 4_000,
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -6,7 +6,8 @@
  */
 import type { ClientAccountId, InstanceId, Milliseconds } from "../shared/index.js";
 import type { UsageMessage } from "./messages.js";
-import type { ClientRequest, ServingAccount } from "./types.js";
+import { computeStartAllowance, type QuotaBounds } from "./startAllowance.js";
+import type { AccountQuota, ClientRequest, ServingAccount } from "./types.js";
 import { createUsageBucket, type QuotaDecision, type UsageBucket } from "./usageBucket.js";
 
 /** Limits of all client accounts. */
@@ -19,6 +20,8 @@
     readonly drainAdmitted: () => UsageMessage["admitted"];
     /** All own admissions, for a peer that hears of them the first time. */
     readonly listAdmitted: () => UsageMessage["admitted"];
+    /** Gives accounts what an instance may admit at its start; once, and when all instances are known. */
+    readonly grantStart: (startTime: Milliseconds, instanceCount: number, now: Milliseconds) => void;
     /** Sets the part of the rate that the instances in hearing have together. */
     readonly setShare: (share: number, now: Milliseconds) => void;
 }
@@ -26,14 +29,17 @@
 /**
  * Creates the limits.
  *
+ * @param bounds - how exactly limits are to be kept
  * @returns no accounts yet
  */
-export function createAccountLimits(): AccountLimits {
+export function createAccountLimits(bounds: QuotaBounds): AccountLimits {
     const buckets = new Map<ClientAccountId, UsageBucket>();
+    const quotas = new Map<ClientAccountId, AccountQuota>();
     const admitted = new Map<ClientAccountId, number>();
     const changed = new Set<ClientAccountId>();
     const heard = new Map<InstanceId, Map<ClientAccountId, number>>();
     let share = 1;
+    let hasStarted = false;
     const findBucket = (account: ServingAccount, now: Milliseconds): UsageBucket | undefined => {
         if (!account.quota) {
             return undefined;
@@ -56,8 +62,15 @@
             return decision;
         },
         update: (accounts, now) => {
+            quotas.clear();
             for (const account of accounts) {
-                account.quota ? findBucket(account, now)!.update(account.quota, now) : buckets.delete(account.name);
+                if (account.quota) {
+                    quotas.set(account.name, account.quota);
+                    findBucket(account, now)!.update(account.quota, now);
+                }
+                else {
+                    buckets.delete(account.name);
+                }
             }
         },
         handleUsage: (from, message, now) => {
@@ -78,6 +91,16 @@
             return drained;
         },
         listAdmitted: () => [...admitted],
+        grantStart: (startTime, instanceCount, now) => {
+            if (hasStarted || buckets.size === 0) {
+                return;
+            }
+            hasStarted = true;
+            for (const [name, bucket] of buckets) {
+                const quota = quotas.get(name);
+                quota && bucket.grant(computeStartAllowance(quota, bounds, startTime, instanceCount), now);
+            }
+        },
         setShare: (newShare, now) => {
             share = newShare;
             buckets.forEach(bucket => bucket.setShare(newShare, now));
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -32,6 +32,8 @@
      */
     readonly computeShare: (now: Milliseconds) => number;
     readonly countAll: () => number;
+    /** Whether the list has been read. */
+    readonly isKnown: () => boolean;
 }
 
 /** Silence after which an instance counts as out of hearing. */
@@ -51,6 +53,7 @@
     const entries = new Map<string, InstanceEntry>();
     const heardAt = new Map<InstanceId, Milliseconds>();
     const enteredAt = new Map<InstanceId, Milliseconds>();
+    let isKnown = false;
     const applyRecord = (record: KeyedRecord, now: Milliseconds): void => {
         if (record.key === self.name) {
             return;
@@ -74,6 +77,7 @@
         findAddress: id => [...entries.values()].find(entry => entry.id === id)?.address,
         applyRecord,
         replaceAll: (records, now) => {
+            isKnown = true;
             entries.clear();
             records.forEach(record => applyRecord(record, now));
         },
@@ -90,6 +94,7 @@
             return (1 + heard.length + unheardNew.length * introductionPart) / (entries.size + 1);
         },
         countAll: () => entries.size + 1,
+        isKnown: () => isKnown,
     };
 }
 
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -13,6 +13,7 @@
     createSeededRandom,
     type FailureDomainId,
     type Milliseconds,
+    millisecondsPerSecond,
 } from "../shared/index.js";
 import { createSupervisor, type Task } from "../supervision/index.js";
 import { createAccountLimits } from "./accountLimits.js";
@@ -30,6 +31,7 @@
 import { createServerList, type ServerListChange } from "./serverList.js";
 import { createServerRecords } from "./serverRecords.js";
 import { createMetricsServer, createServingMetrics } from "./servingMetrics.js";
+import type { QuotaBounds } from "./startAllowance.js";
 import type { BackendServer, HeaderCodec, KeyedLog, RecordCodec } from "./types.js";
 import { createUsageTask } from "./usageTask.js";
 
@@ -55,11 +57,14 @@
     readonly shardCount: number;
     readonly shardTtl: Milliseconds;
     readonly orderLease: Milliseconds;
+    /** Whether engines refuse orders with an old fencing number. */
+    readonly areOrdersFenced: boolean;
     /** Time after which a withdrawn key must not work. */
     readonly revocationBound: Milliseconds;
     readonly versionBound: Milliseconds;
     /** Time from SIGTERM until the process is ended. */
     readonly grace: Milliseconds;
+    readonly quota: QuotaBounds;
     readonly retry: { readonly window: Milliseconds; readonly ratio: number; readonly slack: number; };
     readonly clock: Clock;
 }
@@ -104,7 +109,7 @@
     const servers = createServerList();
     const records = createServerRecords();
     const directory = createInstanceDirectory(self);
-    const limits = createAccountLimits();
+    const limits = createAccountLimits(options.quota);
     const retryBudget = createRetryBudget(options.retry);
     const metrics = createServingMetrics();
     const random = createSeededRandom(startTime % 2 ** 31);
@@ -135,8 +140,10 @@
         member: options.instanceName,
         ttl: options.shardTtl,
         orderLease: options.orderLease,
+        isFenced: options.areOrdersFenced,
         clock,
         startedAt,
+        findChangedAt: adapters.findHolderChange,
         onGained: adapters.handleGained,
         onLost: adapters.handleLost,
         onGeneration: adapters.handleGeneration,
@@ -231,6 +238,7 @@
         records,
         retryBudget,
         network: peers.network,
+        startTime: process.uptime() * millisecondsPerSecond,
         onTick: adapters.publish,
         onFirstHeard: adapters.greet,
     });
--- a/src/serving/requestRun.ts
+++ b/src/serving/requestRun.ts
@@ -3,18 +3,14 @@
  *
  * @packageDocumentation
  */
-import type { Milliseconds } from "../shared/index.js";
 import { decideAdmission } from "./admission.js";
 import { runAttempt } from "./attemptRun.js";
+import { computePlaceTimes } from "./placeTimes.js";
 import type { AttemptPlace, ClientAnswer, RequestParts, RequestReport, RequestState } from "./requestState.js";
 import { chooseServer } from "./serverChoice.js";
 import { type BackendServer, type ClientRequest, formatServerRun } from "./types.js";
 
 const sendLimit = 5;
-const leastPatienceMilliseconds = 1_500;
-const patienceTargets = 3;
-/** Part of the target that an engine takes from the adapter's arrival to the first event. */
-const firstEventPart = 0.15;
 const busyStatus = 503;
 const badGatewayStatus = 502;
 const timeoutStatus = 504;
@@ -120,14 +116,18 @@
     const now = parts.clock.now();
     if (state.request.choice && parts.configuration.read()?.config.services.get(service)?.engine) {
         const { choice } = state.request;
-        const until = Math.min(state.until, computePatience(state, now));
+        const times = computePlaceTimes({
+            startedAt: state.startedAt,
+            until: state.until,
+            hasBegun: state.headAt !== undefined,
+            targetLatency: route.targetLatency,
+        }, now);
         const place = await parts.adapters.acquire({
             choice,
             listServers,
             excluded: state.excluded,
-            until,
             priority: state.admission.account?.priority ?? route.priority,
-            usefulUntil: state.startedAt + route.targetLatency * (1 - firstEventPart),
+            ...times,
         });
         state.placeWait += parts.clock.now() - now;
         return place;
@@ -137,14 +137,6 @@
     return server && { server, requiredVersion: undefined };
 }
 
-// clients leave a stream that has not begun after some multiples of its target; an answer must come before
-function computePatience(state: RequestState, now: Milliseconds): Milliseconds {
-    const { targetLatency } = state.admission.route;
-    // a stream that has begun may pause as long again
-    const since = state.headAt === undefined ? state.startedAt : now;
-    return since + Math.max(leastPatienceMilliseconds, targetLatency * patienceTargets);
-}
-
 function endUnanswered(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
     state.lastFault = state.lastFault === "" ? reason : `${reason}: ${state.lastFault}`;
     if (state.headAt !== undefined) {
--- /dev/null
+++ b/src/serving/startAllowance.ts
@@ -0,0 +1,42 @@
+/**
+ * What an instance that has just started may admit before its bucket has filled. It doesn't know what was admitted before,
+ * but nothing was while it started, and the limit leaves some slack. Answers the return of all clients after all instances
+ * were killed at once.
+ *
+ * @packageDocumentation
+ */
+import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+import type { AccountQuota } from "./types.js";
+
+/** How exactly the limits of accounts are to be kept over all instances. */
+export interface QuotaBounds {
+    readonly window: Milliseconds;
+    /** Part of the limit by which it may be exceeded. */
+    readonly over: number;
+    /** Units by which it may be exceeded besides. */
+    readonly slack: number;
+}
+
+/** Part of the slack that starts use up; the rest is for admissions that the others hear of late. */
+const slackPart = 0.4;
+
+/**
+ * Computes one instance's allowance. All instances may start within one window.
+ *
+ * @param quota - the account's limit
+ * @param bounds - how exactly it is to be kept
+ * @param startTime - time that this instance took to start
+ * @param instanceCount - all instances
+ * @returns units
+ */
+export function computeStartAllowance(
+    quota: AccountQuota,
+    bounds: QuotaBounds,
+    startTime: Milliseconds,
+    instanceCount: number,
+): number {
+    const unused = Math.min(quota.burst, quota.ratePerSecond * startTime / millisecondsPerSecond);
+    const most = quota.ratePerSecond * bounds.window / millisecondsPerSecond + quota.burst;
+    const slack = most * bounds.over + bounds.slack;
+    return (unused + slack * slackPart) / instanceCount;
+}
--- a/src/serving/usageBucket.ts
+++ b/src/serving/usageBucket.ts
@@ -17,6 +17,8 @@
 /** Bucket of one client account. */
 export interface UsageBucket {
     readonly take: (amount: number, now: Milliseconds) => QuotaDecision;
+    /** Adds what may be used besides the rate. */
+    readonly grant: (amount: number, now: Milliseconds) => void;
     /** Takes out what another instance has admitted. */
     readonly charge: (amount: number, now: Milliseconds) => void;
     readonly update: (quota: AccountQuota, now: Milliseconds) => void;
@@ -56,6 +58,10 @@
             const rate = Math.max(1, limits.ratePerSecond * share);
             return { kind: "exceeded", wait: (needed - level) / rate * millisecondsPerSecond };
         },
+        grant: (amount, present) => {
+            fillLevel(present);
+            level = Math.min(limits.burst, level + amount);
+        },
         charge: (amount, present) => {
             fillLevel(present);
             level = Math.max(-debtLimitSeconds * limits.ratePerSecond, level - amount);
--- a/src/serving/usageTask.ts
+++ b/src/serving/usageTask.ts
@@ -21,6 +21,8 @@
     readonly records: ServerRecords;
     readonly retryBudget: RetryBudget;
     readonly network: PeerNetwork;
+    /** Time from the start of the process until this instance could admit anything. */
+    readonly startTime: Milliseconds;
     readonly onTick: () => void;
     /** An instance is in hearing that was not before. */
     readonly onFirstHeard: (instance: InstanceId) => void;
@@ -83,6 +85,9 @@
                 const now = clock.now();
                 forgetSilent(new Set(directory.listHeard(now)));
                 limits.setShare(directory.computeShare(now), now);
+                if (directory.isKnown()) {
+                    limits.grantStart(options.startTime, directory.countAll(), now);
+                }
                 options.retryBudget.setInstanceCount(directory.countAll());
                 sendChanges(now);
                 options.onTick();
