fix(adapters): loads are spread over the engines that are left after a crash

Orders without an answer held an engine up for 100 ms each. Change: the mean is that of sound engines; an engine that was full isn't asked again for 60 ms; silence ends after 60 ms. Test fails without the change (all 100 loads to one engine).

--- a/src/adapters/__tests__/enginePick.test.ts
+++ b/src/adapters/__tests__/enginePick.test.ts
@@ -117,4 +117,23 @@
         expect(picked.kind).to.equal("load");
         expect(picked.kind === "load" && picked.server.id).not.to.equal(home.server.id);
     });
+
+    // a third of the engines has crashed, one has just come back empty
+    it("spreads loads over the engines that are left, and doesn't send all to the emptiest", () => {
+        const fleet = createFleet();
+        servers.forEach(server => fleet.records.find(formatServerRun(server)).inFlight = 12);
+        servers.slice(0, 5).forEach(server => {
+            fleet.records.find(formatServerRun(server)).inFlight = 0;
+            fleet.records.markFailure(formatServerRun(server), true, 0);
+        });
+        fleet.records.find(formatServerRun(servers[12]!)).inFlight = 0;
+        const targets = new Map<string, number>();
+        for (let adapter = 0; adapter < 100; adapter++) {
+            const picked = fleet.pick(`a${adapter}`);
+            const id = picked.kind === "none" ? "none" : picked.server.id;
+            targets.set(id, (targets.get(id) ?? 0) + 1);
+        }
+        expect(targets.size).to.equal(8);
+        expect(Math.max(...targets.values())).to.be.lessThan(30);
+    });
 });
--- a/src/adapters/__tests__/shardTask.test.ts
+++ b/src/adapters/__tests__/shardTask.test.ts
@@ -5,6 +5,7 @@
 interface PlayedGroup {
     readonly task: ShardTask;
     readonly calls: string[];
+    readonly joinedAt: number[];
     readonly lost: number[];
 }
 
@@ -12,11 +13,13 @@
 function openTask(changedAt?: number, isFenced = true): PlayedGroup {
     const calls: string[] = [];
     const lost: number[] = [];
+    const joinedAt: number[] = [];
     let now = 20_000;
     const task = createShardTask({
         group: {
             join: () => {
                 calls.push("join");
+                joinedAt.push(now);
                 return Promise.resolve(wrapValue({ generation: 3, shards: [4, 5] }));
             },
             leave: () => {
@@ -41,7 +44,7 @@
         onLost: shard => lost.push(shard),
         onGeneration: () => undefined,
     });
-    return { task, calls, lost };
+    return { task, calls, joinedAt, lost };
 }
 
 const waitTurns = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 10));
@@ -75,4 +78,18 @@
         stopping.abort();
         await Promise.all(running);
     });
+
+    // the shards of instances that were all killed are dealt to the first that joins, and taken from it one after the other
+    it("joins quickly until the dealing after a start has settled, and then thrice in the ttl", async () => {
+        const { task, joinedAt } = openTask();
+        const stopping = new AbortController();
+        const running = task.run(stopping.signal);
+        while (joinedAt.length < 12) {
+            await waitTurns();
+        }
+        stopping.abort();
+        await running;
+        expect(joinedAt[6]! - joinedAt[0]!).to.be.at.most(500);
+        expect(joinedAt[11]! - joinedAt[10]!).to.equal(500);
+    });
 });
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -111,8 +111,8 @@
 }
 
 const ensureTimeoutMilliseconds = 2_500;
-/** Engines that are asked in vain without a pause. */
-const enginesAskedAtOnce = 4;
+/** Time for which an engine that was full is not asked for other adapters. */
+const fullPauseMilliseconds = 60;
 /** Pause after engines were asked in vain. */
 const retryPauseMilliseconds = 75;
 /** A replacement goes after loads that requests wait for. */
@@ -148,6 +148,7 @@
     let shards: ShardTask | undefined;
     let emptyAskedAt = Number.NEGATIVE_INFINITY;
     let isPublishingLoads = false;
+    const fullUntil = new Map<ServerRun, Milliseconds>();
     let toldLoads: LoadCounts = { running: 0, waiting: 0 };
 
     const findShard = (server: BackendServer): number =>
@@ -224,6 +225,11 @@
         server,
         requiredVersion: findRequiredVersion(formatServerRun(server), key),
     });
+    const listFull = (): readonly ServerRun[] => {
+        const now = clock.now();
+        [...fullUntil].filter(([, until]) => until <= now).forEach(([run]) => fullUntil.delete(run));
+        return [...fullUntil.keys()];
+    };
     const pick = (request: PlaceRequest, unloadable: ReadonlySet<ServerRun>): EnginePick => {
         const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
         return pickEngine({
@@ -236,7 +242,7 @@
             residency,
             oldestVersion: versions.findOldest(key, clock.now()),
             hasHolder,
-            unloadable,
+            unloadable: fullUntil.size === 0 ? unloadable : new Set([...unloadable, ...listFull()]),
         });
     };
     const loadThere = async (
@@ -253,6 +259,9 @@
         }
         else {
             log.info("adapter not loaded", { run, model, adapter, outcome: result?.outcome ?? "late" });
+            if (result?.outcome === "full") {
+                fullUntil.set(run, clock.now() + fullPauseMilliseconds);
+            }
             if (result?.outcome === "unreachable") {
                 options.records.markFailure(run, true, clock.now());
             }
@@ -275,8 +284,6 @@
                     // one that others gave up waiting for is asked for again
                     if (outcome !== "resident" && outcome !== "expired") {
                         unloadable.add(formatServerRun(picked.server));
-                        // where many engines are full, asking all of them at once brings nothing
-                        unloadable.size % enginesAskedAtOnce === 0 && await clock.sleep(retryPauseMilliseconds);
                     }
                     break;
                 }
--- a/src/adapters/enginePick.ts
+++ b/src/adapters/enginePick.ts
@@ -102,8 +102,10 @@
     return ranked.find(server => readLoad(input, server) <= homeLimit) ?? pickLeastLoaded(input, ranked);
 }
 
+// engines that are avoided have lost their load, and would make the others look full
 function computeMeanLoad(input: EnginePickInput): number {
-    const loads = input.servers.map(server => readLoad(input, server));
+    const sound = input.servers.filter(server => input.records.find(formatServerRun(server)).avoidedUntil <= input.now);
+    const loads = (sound.length > 0 ? sound : input.servers).map(server => readLoad(input, server));
     return loads.reduce((sum, load) => sum + load, 0) / Math.max(1, loads.length);
 }
 
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -49,8 +49,9 @@
 }
 
 const joinsInTtl = 3;
-/** Joins before the dealing of a start or a change has settled follow one another quickly. */
-const settlingPauseMilliseconds = 100;
+/** Joins follow one another quickly until the dealing after a start or a change has settled. */
+const settlingPauseMilliseconds = 80;
+const settlingMilliseconds = 600;
 const log = createDebug("adapters");
 
 /**
@@ -112,9 +113,11 @@
         return false;
     };
     const run = async (signal: AbortSignal): Promise<void> => {
+        let changedAt = clock.now();
         while (!signal.aborted && !isLeaving) {
-            const hasChanged = await joinOnce();
-            await clock.sleep(hasChanged ? settlingPauseMilliseconds : options.ttl / joinsInTtl, signal);
+            changedAt = await joinOnce() ? clock.now() : changedAt;
+            const isSettling = clock.now() - changedAt < settlingMilliseconds;
+            await clock.sleep(isSettling ? settlingPauseMilliseconds : options.ttl / joinsInTtl, signal);
         }
         await waitForAbort(signal);
     };
--- a/src/adapters/storeCapacity.ts
+++ b/src/adapters/storeCapacity.ts
@@ -33,7 +33,7 @@
 /** A load counts as one of the quickest up to this time against them. */
 const quickFactor = 1.05;
 /** The quickest time is sought below what was seen, as loads are seen to end when they are polled. */
-const baseFall = 0.995;
+const baseFall = 0.998;
 /** Rise when a load took longer though the store had room. */
 const baseRise = 1.01;
 
@@ -52,13 +52,13 @@
         readQuickest,
         addLoad: (took, meanInFlight) => {
             const isFull = meanInFlight >= capacity * fullPart;
-            base = adjustBase(base ?? took, took, isFull);
+            base = updateBase(base ?? took, took, isFull);
             if (took > base * slowFactor && meanInFlight > leastCapacity) {
                 const measured = meanInFlight * base / took;
                 wasSlow = true;
                 capacity += (measured - capacity) * estimateWeight;
             }
-            else if (isFull) {
+            else if (isFull && took <= base * quickFactor) {
                 capacity *= wasSlow ? laterGrowth : firstGrowth;
             }
             capacity = Math.min(mostCapacity, Math.max(leastCapacity, capacity));
@@ -67,7 +67,7 @@
     };
 }
 
-function adjustBase(base: Milliseconds, took: Milliseconds, isFull: boolean): Milliseconds {
+function updateBase(base: Milliseconds, took: Milliseconds, isFull: boolean): Milliseconds {
     if (took <= base * quickFactor) {
         return Math.min(base, took) * baseFall;
     }
--- a/src/platform/engineCalls.ts
+++ b/src/platform/engineCalls.ts
@@ -12,7 +12,7 @@
 import { heldModelsSchema } from "./serverEntry.js";
 
 /** Engines answer at once; one that is silent holds up all other orders to it. */
-const callTimeoutMilliseconds = 100;
+const callTimeoutMilliseconds = 60;
 const connectTimeoutMilliseconds = 250;
 const idleTimeoutMilliseconds = 3_000;
 
