--- a/src/adapters/__tests__/adapterDesk.test.ts
+++ b/src/adapters/__tests__/adapterDesk.test.ts
@@ -3,8 +3,9 @@
 import { createServerRecords } from "../../serving/serverRecords.js";
 import { type BackendServer, type EngineLimits, formatServerRun } from "../../serving/types.js";
 import { wrapError, wrapValue } from "../../shared/index.js";
-import { type AdapterDesk, createAdapterDesk, type PlaceRequest } from "../adapterDesk.js";
+import { type AdapterDesk, createAdapterDesk } from "../adapterDesk.js";
 import type { AdapterMessage } from "../messages.js";
+import type { PlaceRequest } from "../placeFinder.js";
 import type { ShardTask } from "../shardTask.js";
 
 const limits: EngineLimits = {
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -15,7 +15,6 @@
 } from "../serving/types.js";
 import {
     type Clock,
-    createDebug,
     type FailureDomainId,
     hashForPlacement,
     type InstanceId,
@@ -24,10 +23,8 @@
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createAdapterWishes } from "./adapterWishes.js";
 import { createEngineKeeper, type EngineKeeper } from "./engineKeeper.js";
-import { type EnginePick, pickEngine } from "./enginePick.js";
 import { createLoadGate, type LoadCounts } from "./loadGate.js";
 import {
-    type AdapterKey,
     type AdapterMessage,
     type AdapterUse,
     type EnsureResult,
@@ -35,6 +32,7 @@
     formatAdapterKey,
 } from "./messages.js";
 import { createModelLoadLimit } from "./modelLoadLimit.js";
+import { createPlaceFinder, type Place, type PlaceRequest } from "./placeFinder.js";
 import { createResidency } from "./residency.js";
 import type { ShardTask } from "./shardTask.js";
 import type { EngineControl } from "./types.js";
@@ -58,26 +56,6 @@
     readonly versionBound: Milliseconds;
 }
 
-/** A request's wish for an engine. */
-export interface PlaceRequest {
-    readonly choice: ModelChoice;
-    /** Servers that the request may go to now; read again after each wait, as one may have begun to leave. */
-    readonly listServers: () => readonly BackendServer[];
-    readonly excluded: ReadonlySet<ServerRun>;
-    readonly until: Milliseconds;
-    /** 0 goes first. */
-    readonly priority: number;
-    /** Until then the request can still be answered within its target. */
-    readonly usefulUntil: Milliseconds;
-}
-
-/** An engine for a request. */
-export interface Place {
-    readonly server: BackendServer;
-    /** Version that the engine must have, where older ones are no longer allowed. */
-    readonly requiredVersion: number | undefined;
-}
-
 /** The desk. */
 export interface AdapterDesk {
     readonly attachShards: (shards: ShardTask) => void;
@@ -111,22 +89,12 @@
 }
 
 const ensureTimeoutMilliseconds = 2_500;
-/** Time for which an engine that was full is not asked for other adapters. */
-const fullPauseMilliseconds = 60;
-/** Pause after engines were asked in vain. */
-const retryPauseMilliseconds = 75;
 /** A replacement goes after loads that requests wait for. */
 const replacementUrgency = { priority: 10, usefulFor: 0, patience: 1_000 };
 const emptyPeriodMilliseconds = 500;
 /** Counts of loads are told at most once in this time for each instance that is told. */
 const loadTellMillisecondsEach = 2;
 const leastLoadTellMilliseconds = 10;
-const log = createDebug("adapters");
-
-function isListed(request: PlaceRequest, server: BackendServer): boolean {
-    const run = formatServerRun(server);
-    return request.listServers().some(listed => formatServerRun(listed) === run);
-}
 
 /**
  * Creates the desk.
@@ -148,7 +116,6 @@
     let shards: ShardTask | undefined;
     let emptyAskedAt = Number.NEGATIVE_INFINITY;
     let isPublishingLoads = false;
-    const fullUntil = new Map<ServerRun, Milliseconds>();
     let toldLoads: LoadCounts = { running: 0, waiting: 0 };
 
     const findShard = (server: BackendServer): number =>
@@ -216,95 +183,15 @@
         return { outcome: "notHolder", version: undefined };
     };
     const wishes = createAdapterWishes(requestEnsure);
-    // an engine is held to the version that it is known to have only where older ones may not be begun any more
-    const findRequiredVersion = (run: ServerRun, key: AdapterKey): number | undefined => {
-        const oldest = versions.findOldest(key, clock.now());
-        return oldest && Math.max(oldest, residency.findVersion(run, key) ?? oldest);
-    };
-    const describePlace = (server: BackendServer, key: AdapterKey): Place => ({
-        server,
-        requiredVersion: findRequiredVersion(formatServerRun(server), key),
+    const places = createPlaceFinder({
+        clock,
+        failureDomain: options.failureDomain,
+        records: options.records,
+        residency,
+        versions,
+        wishes,
+        hasHolder,
     });
-    const listFull = (): readonly ServerRun[] => {
-        const now = clock.now();
-        [...fullUntil].filter(([, until]) => until <= now).forEach(([run]) => fullUntil.delete(run));
-        return [...fullUntil.keys()];
-    };
-    const pick = (request: PlaceRequest, unloadable: ReadonlySet<ServerRun>): EnginePick => {
-        const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
-        return pickEngine({
-            servers: request.listServers(),
-            records: options.records,
-            failureDomain: options.failureDomain,
-            excluded: request.excluded,
-            now: clock.now(),
-            choice: request.choice,
-            residency,
-            oldestVersion: versions.findOldest(key, clock.now()),
-            hasHolder,
-            unloadable: fullUntil.size === 0 ? unloadable : new Set([...unloadable, ...listFull()]),
-        });
-    };
-    const loadThere = async (
-        server: BackendServer,
-        request: PlaceRequest,
-    ): Promise<EnsureResult["outcome"] | "late"> => {
-        const run = formatServerRun(server);
-        const { model, adapter } = request.choice;
-        const version = versions.findNewest(formatAdapterKey(model, adapter!));
-        const wish = { ...request, choice: { model, adapter: adapter! }, version };
-        const result = await waitUntil(wishes.request(server, wish, clock.now()), request.until);
-        if (result?.outcome === "resident") {
-            residency.apply({ run, model, adapter: adapter!, version: result.version ?? 1 });
-        }
-        else {
-            log.info("adapter not loaded", { run, model, adapter, outcome: result?.outcome ?? "late" });
-            if (result?.outcome === "full") {
-                fullUntil.set(run, clock.now() + fullPauseMilliseconds);
-            }
-            if (result?.outcome === "unreachable") {
-                options.records.markFailure(run, true, clock.now());
-            }
-        }
-        return result?.outcome ?? "late";
-    };
-    const acquire = async (request: PlaceRequest): Promise<Place | undefined> => {
-        const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
-        const unloadable = new Set<ServerRun>();
-        while (clock.now() < request.until) {
-            const picked = pick(request, unloadable);
-            switch (picked.kind) {
-                case "resident":
-                    return describePlace(picked.server, key);
-                case "load": {
-                    const outcome = await loadThere(picked.server, request);
-                    if (outcome === "resident" && isListed(request, picked.server)) {
-                        return describePlace(picked.server, key);
-                    }
-                    // one that others gave up waiting for is asked for again
-                    if (outcome !== "resident" && outcome !== "expired") {
-                        unloadable.add(formatServerRun(picked.server));
-                    }
-                    break;
-                }
-                case "none":
-                    await clock.sleep(retryPauseMilliseconds);
-                    unloadable.clear();
-                    break;
-            }
-        }
-        return undefined;
-    };
-    const waitUntil = async (
-        result: Promise<EnsureResult>,
-        until: Milliseconds,
-    ): Promise<EnsureResult | undefined> => {
-        const cancel = new AbortController();
-        const late = clock.sleep(Math.max(0, until - clock.now()), cancel.signal).then(() => undefined);
-        const first = await Promise.race([result, late]);
-        cancel.abort();
-        return first;
-    };
     const publishUses = (): void => {
         const byHolder = new Map<InstanceId, AdapterUse[]>();
         for (const server of options.listEngines()) {
@@ -414,7 +301,7 @@
         attachShards: task => {
             shards = task;
         },
-        acquire,
+        acquire: places.acquire,
         markDenied: (server, choice) => {
             if (choice.adapter === undefined) {
                 return;
