--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -17,6 +17,9 @@
     platform: "node",
     target: "node20",
     format: "esm",
+    // names stay, for stack traces
+    minifyWhitespace: true,
+    minifySyntax: true,
     banner: { js: requireBanner },
     logLevel: "warning",
 });
