--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -21,11 +21,16 @@
     /** All own admissions, for a peer that hears of them the first time. */
     readonly listAdmitted: () => UsageMessage["admitted"];
     /** Gives accounts what an instance may admit at its start; once, and when all instances are known. */
-    readonly grantStart: (startTime: Milliseconds, instanceCount: number, now: Milliseconds) => void;
+    readonly grantStart: (startTime: Milliseconds, instanceCount: number) => void;
     /** Sets the part of the rate that the instances in hearing have together. */
     readonly setShare: (share: number, now: Milliseconds) => void;
 }
 
+interface HeardUsage {
+    readonly totals: Map<ClientAccountId, number>;
+    isComplete: boolean;
+}
+
 /**
  * Creates the limits.
  *
@@ -37,7 +42,7 @@
     const quotas = new Map<ClientAccountId, AccountQuota>();
     const admitted = new Map<ClientAccountId, number>();
     const changed = new Set<ClientAccountId>();
-    const heard = new Map<InstanceId, Map<ClientAccountId, number>>();
+    const heard = new Map<InstanceId, HeardUsage>();
     let share = 1;
     let hasStarted = false;
     const findBucket = (account: ServingAccount, now: Milliseconds): UsageBucket | undefined => {
@@ -54,9 +59,9 @@
     };
     return {
         take: (account, amount, now) => {
-            const decision = findBucket(account, now)?.take(amount, now) ?? { kind: "admitted" };
+            const decision = findBucket(account, now)?.take(amount, now) ?? { kind: "admitted", counted: amount };
             if (decision.kind === "admitted") {
-                admitted.set(account.name, (admitted.get(account.name) ?? 0) + amount);
+                admitted.set(account.name, (admitted.get(account.name) ?? 0) + decision.counted);
                 changed.add(account.name);
             }
             return decision;
@@ -74,16 +79,17 @@
             }
         },
         handleUsage: (from, message, now) => {
-            const known = heard.get(from);
-            const totals = known ?? new Map<ClientAccountId, number>();
+            const usage = heard.get(from) ?? { totals: new Map(), isComplete: false };
             for (const [account, total] of message.admitted) {
-                const more = total - (totals.get(account) ?? (known ? 0 : total));
+                // what an instance admitted before its whole list was heard may be long ago
+                const more = total - (usage.totals.get(account) ?? (usage.isComplete ? 0 : total));
                 if (more > 0) {
                     buckets.get(account)?.charge(more, now);
                 }
-                totals.set(account, total);
+                usage.totals.set(account, total);
             }
-            heard.set(from, totals);
+            usage.isComplete ||= message.isWhole;
+            heard.set(from, usage);
         },
         drainAdmitted: () => {
             const drained = [...changed].map(account => [account, admitted.get(account) ?? 0] as const);
@@ -91,14 +97,14 @@
             return drained;
         },
         listAdmitted: () => [...admitted],
-        grantStart: (startTime, instanceCount, now) => {
+        grantStart: (startTime, instanceCount) => {
             if (hasStarted || buckets.size === 0) {
                 return;
             }
             hasStarted = true;
             for (const [name, bucket] of buckets) {
                 const quota = quotas.get(name);
-                quota && bucket.grant(computeStartAllowance(quota, bounds, startTime, instanceCount), now);
+                quota && bucket.grant(computeStartAllowance(quota, bounds, startTime, instanceCount));
             }
         },
         setShare: (newShare, now) => {
--- a/src/serving/messages.ts
+++ b/src/serving/messages.ts
@@ -9,8 +9,10 @@
 /** Sent whenever something changed, and now and then as a sign of life. */
 export interface UsageMessage {
     readonly kind: "usage";
-    /** Units admitted for client accounts since the instance started; only those that changed. */
+    /** Whether it lists all accounts and servers, and not only what changed. */
+    readonly isWhole: boolean;
+    /** Units admitted for client accounts since the instance started. */
     readonly admitted: readonly (readonly [ClientAccountId, number])[];
-    /** Requests that the instance has at servers; only those that changed. */
+    /** Requests that the instance has at servers. */
     readonly inFlight: readonly (readonly [ServerRun, number])[];
 }
--- a/src/serving/usageBucket.ts
+++ b/src/serving/usageBucket.ts
@@ -10,15 +10,16 @@
 
 /** Result of asking for room. */
 export type QuotaDecision =
-    | { readonly kind: "admitted"; }
+    /** `counted` is what comes out of the rate, and so is told to the others. */
+    | { readonly kind: "admitted"; readonly counted: number; }
     /** Time until there is room again. */
     | { readonly kind: "exceeded"; readonly wait: Milliseconds; };
 
 /** Bucket of one client account. */
 export interface UsageBucket {
     readonly take: (amount: number, now: Milliseconds) => QuotaDecision;
-    /** Adds what may be used besides the rate. */
-    readonly grant: (amount: number, now: Milliseconds) => void;
+    /** Adds what this instance alone may use besides the rate. */
+    readonly grant: (amount: number) => void;
     /** Takes out what another instance has admitted. */
     readonly charge: (amount: number, now: Milliseconds) => void;
     readonly update: (quota: AccountQuota, now: Milliseconds) => void;
@@ -40,6 +41,7 @@
     let limits = quota;
     let share = 1;
     let level = 0;
+    let reserve = 0;
     let updatedAt = now;
     const fillLevel = (present: Milliseconds): void => {
         const seconds = Math.max(0, present - updatedAt) / millisecondsPerSecond;
@@ -51,16 +53,18 @@
             fillLevel(present);
             // a request larger than the burst must not wait for ever
             const needed = Math.min(amount, limits.burst);
-            if (level >= needed) {
-                level -= amount;
-                return { kind: "admitted" };
+            if (level + reserve >= needed) {
+                const granted = Math.min(reserve, amount);
+                const counted = amount - granted;
+                reserve -= granted;
+                level -= counted;
+                return { kind: "admitted", counted };
             }
             const rate = Math.max(1, limits.ratePerSecond * share);
             return { kind: "exceeded", wait: (needed - level) / rate * millisecondsPerSecond };
         },
-        grant: (amount, present) => {
-            fillLevel(present);
-            level = Math.min(limits.burst, level + amount);
+        grant: amount => {
+            reserve += amount;
         },
         charge: (amount, present) => {
             fillLevel(present);
--- a/src/serving/usageTask.ts
+++ b/src/serving/usageTask.ts
@@ -70,7 +70,12 @@
         }
     };
     const sendChanges = (now: Milliseconds): void => {
-        const message: UsageMessage = { kind: "usage", admitted: limits.drainAdmitted(), inFlight: drainInFlight() };
+        const message: UsageMessage = {
+            kind: "usage",
+            isWhole: false,
+            admitted: limits.drainAdmitted(),
+            inFlight: drainInFlight(),
+        };
         const hasChanges = message.admitted.length + message.inFlight.length > 0;
         if (hasChanges || now - sentAt >= silenceLimitMilliseconds) {
             sentAt = now;
@@ -86,7 +91,7 @@
                 forgetSilent(new Set(directory.listHeard(now)));
                 limits.setShare(directory.computeShare(now), now);
                 if (directory.isKnown()) {
-                    limits.grantStart(options.startTime, directory.countAll(), now);
+                    limits.grantStart(options.startTime, directory.countAll());
                 }
                 options.retryBudget.setInstanceCount(directory.countAll());
                 sendChanges(now);
@@ -106,6 +111,7 @@
             if (directory.markHeard(from, now)) {
                 const whole: UsageMessage = {
                     kind: "usage",
+                    isWhole: true,
                     admitted: limits.listAdmitted(),
                     inFlight: listInFlight(),
                 };
