--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -77,6 +77,8 @@
         from: InstanceId,
         message: AdapterMessage,
     ) => AdapterMessage | undefined | Promise<AdapterMessage>;
+    /** Loads of the engines held, and the weight store's capacity. */
+    readonly readLoads: () => LoadCounts & { readonly capacity: number; };
     /** Tells the others what changed since the last call. */
     readonly publish: () => void;
     /** Tells a peer that has just been seen all that this instance holds. */
@@ -362,6 +364,7 @@
             }
         },
         handleMessage,
+        readLoads: () => ({ ...gate.readCounts(clock.now()), capacity: gate.readCapacity() }),
         publish: () => {
             if (changes.length > 0) {
                 sendToAll({ kind: "changes", changes });
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -43,6 +43,8 @@
     /** Drops the counts of instances that are out of hearing. */
     readonly keepHeard: (heard: readonly InstanceId[], now: Milliseconds) => void;
     readonly readCounts: (now: Milliseconds) => LoadCounts;
+    /** Loads that the store is taken to serve at full speed. */
+    readonly readCapacity: () => number;
     /** Drops loads whose time is over. */
     readonly expire: (now: Milliseconds) => void;
     /** Time that a load takes when the store has room. */
@@ -154,6 +156,7 @@
             startNext(now);
         },
         readCounts: now => ({ running, waiting: countUseful(now) }),
+        readCapacity: capacity.read,
         expire,
         readQuickest: capacity.readQuickest,
         estimateDuration: () => capacity.estimateDuration(countInFlight()),
--- a/src/serving/openServing.ts
+++ b/src/serving/openServing.ts
@@ -111,7 +111,7 @@
     const directory = createInstanceDirectory(self);
     const limits = createAccountLimits(options.quota);
     const retryBudget = createRetryBudget(options.retry);
-    const metrics = createServingMetrics();
+    const metrics = createServingMetrics(() => adapters.readLoads());
     const random = createSeededRandom(startTime % 2 ** 31);
     const peers = createPeerTask({
         self: self.id,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { createServer, type Server } from "node:http";
-import { Counter, Histogram, Registry } from "prom-client";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import type { RequestReport } from "./requestState.js";
 
@@ -21,6 +21,15 @@
     readonly close: () => void;
 }
 
+/** Adapter loads of the engines that this instance holds. */
+export interface LoadReading {
+    readonly running: number;
+    /** Waiting loads that can still be on time. */
+    readonly waiting: number;
+    /** Loads that the weight store is taken to serve at full speed, over all instances. */
+    readonly capacity: number;
+}
+
 const latencyBuckets = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10];
 /** Client accounts beyond this number share one label. */
 const accountLabelLimit = 50;
@@ -29,9 +38,10 @@
 /**
  * Creates the metrics.
  *
+ * @param readLoads - adapter loads at the time of the call
  * @returns metrics at zero
  */
-export function createServingMetrics(): ServingMetrics {
+export function createServingMetrics(readLoads: () => LoadReading): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
     const accounts = new Set<string>();
@@ -73,6 +83,15 @@
         labelNames: ["topic"],
         registers,
     });
+    new Gauge({
+        name: "oriolehatch_adapter_loads",
+        help: "Adapter loads on their way and waiting, and those that the weight store serves at full speed",
+        labelNames: ["state"],
+        registers,
+        collect() {
+            Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
+        },
+    });
     const limitAccount = (name: string | undefined): string => {
         if (name === undefined) {
             return "none";
