--- a/src/serving/__tests__/servingMetrics.test.ts
+++ b/src/serving/__tests__/servingMetrics.test.ts
@@ -5,10 +5,10 @@
     it("tell the adapter loads at the time of the reading", async () => {
         let waiting = 1;
         const metrics = createServingMetrics(() => ({ running: 2, waiting, capacity: 8 }));
-        expect(await metrics.render()).to.contain("oriolehatch_adapter_loads{state=\"waiting\"} 1");
+        expect(await metrics.render()).to.contain('oriolehatch_adapter_loads{state="waiting"} 1');
         waiting = 5;
         const text = await metrics.render();
-        expect(text).to.contain("oriolehatch_adapter_loads{state=\"waiting\"} 5");
-        expect(text).to.contain("oriolehatch_adapter_loads{state=\"capacity\"} 8");
+        expect(text).to.contain('oriolehatch_adapter_loads{state="waiting"} 5');
+        expect(text).to.contain('oriolehatch_adapter_loads{state="capacity"} 8');
     });
 });
