--- a/eslint.config.js
+++ b/eslint.config.js
@@ -14,7 +14,7 @@
 const functionName = { format: ["camelCase"], custom: { regex: verbPattern, match: true } };
 
 export default tseslint.config(
-    { ignores: ["dist/**", "node_modules/**", "eslint.config.js"] },
+    { ignores: ["dist/**", "target/**", "node_modules/**", "eslint.config.js"] },
     ...tseslint.configs.recommended,
     {
         files: ["src/**/*.ts"],
