fix(adapters): a report frees no place that was ordered after it

Change: loads and residents ordered within the last second stay, whatever a report says. Ruled out: a lost or late order (all were answered); the load gate and the takeover (one holder, one fencing number throughout).

--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -255,9 +255,9 @@
     ): Promise<EnsureOutcome | undefined> => {
         const refusal = countPending(book) >= pendingLoadLimit ? "full" : await makeRoom(limits, model);
         if (!refusal) {
-            const usedAt = clock.now();
-            const slot = { model, adapter, version: 0, demand: 1, usedAt, inFlight: new Map<string, number>() };
-            book.slots.set(key, { ...slot, state: "uncertain" });
+            const now = clock.now();
+            const slot = { model, adapter, version: 0, demand: 1, inFlight: new Map<string, number>() };
+            book.slots.set(key, { ...slot, usedAt: now, orderedAt: now, state: "uncertain" });
         }
         return refusal;
     };
@@ -286,7 +286,7 @@
                 case "accepted":
                     sequence = sequence! + 1;
                     settleUncertain(key);
-                    book.slots.get(key)!.state = "loading";
+                    markLoading(key);
                     return "loading";
                 case "conflict": {
                     // nothing was done
@@ -311,6 +311,11 @@
         }
         return "failed";
     };
+    const markLoading = (key: AdapterKey): void => {
+        const slot = book.slots.get(key)!;
+        slot.state = "loading";
+        slot.orderedAt = clock.now();
+    };
     // a replacement waits for the adapter's runs, and the engine takes no other order until then
     const checkKnown = (slot: AdapterSlot, wasDenied: boolean): EnsureOutcome | undefined => {
         switch (slot.state) {
--- a/src/adapters/slotBook.ts
+++ b/src/adapters/slotBook.ts
@@ -22,6 +22,8 @@
     demand: number;
     usedAt: Milliseconds;
     readonly inFlight: Map<InstanceId, number>;
+    /** Time of the last order to load it. */
+    orderedAt: Milliseconds;
 }
 
 /** Places of one engine. */
@@ -35,6 +37,8 @@
 const useReportMilliseconds = 500;
 /** Time in which the instances tell a new holder what they have in use. */
 const firstUseReportMilliseconds = 250;
+/** A report may be so much older than the last orders, with some reserve. */
+const reportAgeMilliseconds = 1_000;
 /** Loads that may be on their way to one engine at a time. */
 export const pendingLoadLimit = 4;
 
@@ -72,8 +76,12 @@
         keepSlot(book, previous, { model, adapter, version, state: "loading" }, newUsedAt);
     }
     for (const [key, slot] of previous) {
-        // a report leaves out adapters that wait for their last runs, and orders that are still on their way
-        if (slot.state === "leaving" || (slot.state === "uncertain" && !book.slots.has(key))) {
+        const isListed = book.slots.has(key);
+        const isNewer = now - slot.orderedAt < reportAgeMilliseconds;
+        // a report leaves out adapters that wait for their last runs, orders that are still on their way, and what came after it
+        const isKept = slot.state === "leaving" || (slot.state === "uncertain" && !isListed) ||
+            (slot.state === "loading" && isNewer && !isListed) || (slot.state === "resident" && isNewer);
+        if (isKept) {
             book.slots.set(key, slot);
         }
     }
@@ -99,6 +107,7 @@
         demand: known?.demand ?? 0,
         usedAt: known?.state === "resident" ? known.usedAt : newUsedAt,
         inFlight: known?.inFlight ?? new Map(),
+        orderedAt: known?.orderedAt ?? Number.NEGATIVE_INFINITY,
     });
 }
 
