refactor(adapters): counts are told whenever a load begins; one type of load reading; one test engine

Read in the diff: the gate told its counts when a load entered or ended, but not when another instance's counts let one begin; the others heard of it with the next tick (up to 100 ms). The new test fails without the change. LoadReading stood twice, the entry and limits of a test engine three times; the sum behind a load's mean count is named for what it holds.

--- a/src/adapters/__tests__/adapterDesk.test.ts
+++ b/src/adapters/__tests__/adapterDesk.test.ts
@@ -1,34 +1,13 @@
 import { expect } from "chai";
 import type { PeerNetwork } from "../../peers/index.js";
 import { createServerRecords } from "../../serving/serverRecords.js";
-import { type BackendServer, type EngineLimits, formatServerRun } from "../../serving/types.js";
+import { type BackendServer, formatServerRun } from "../../serving/types.js";
 import { wrapError, wrapValue } from "../../shared/index.js";
 import { type AdapterDesk, createAdapterDesk } from "../adapterDesk.js";
 import type { AdapterMessage } from "../messages.js";
 import type { PlaceRequest } from "../placeFinder.js";
 import type { ShardTask } from "../shardTask.js";
-
-const limits: EngineLimits = {
-    batchSlots: 4,
-    kvCacheTokens: 1_000,
-    memoryMegabytes: 1_000,
-    adapterSlots: 3,
-    modelLoadsPerSecond: 1,
-    models: [{ name: "base", sizeMegabytes: 100, adapterMegabytes: 10 }],
-};
-
-function createServer(id: string): BackendServer {
-    return {
-        id,
-        startedAt: 1,
-        service: "llm",
-        address: "10.0.0.1:1",
-        failureDomain: "a",
-        isDraining: false,
-        slots: 4,
-        models: [{ name: "base", version: 1, adapters: [] }],
-    };
-}
+import { createTestServer, testLimits } from "./testEngine.js";
 
 interface DeskEvents {
     /** Called at each order; an order is never answered after `"silence"`. */
@@ -76,7 +55,7 @@
         network,
         listPeers: () => ["other"],
         listEngines: () => servers,
-        findLimits: () => limits,
+        findLimits: () => testLimits,
         versionBound: 5_000,
     });
     const shards = { find: () => ({ fencingNumber: 1, activeAt: 0 }), list: () => [0] } as unknown as ShardTask;
@@ -98,13 +77,13 @@
 
 describe("place for a request", () => {
     it("is an engine on which the adapter was loaded", async () => {
-        const servers = [createServer("i-1"), createServer("i-2")];
+        const servers = [createTestServer("i-1"), createTestServer("i-2")];
         const place = await openDesk(servers).acquire(createRequest(() => servers));
         expect(servers).to.include(place!.server);
     });
 
     it("is no engine that began to leave while the adapter was being loaded there", async () => {
-        const servers = [createServer("i-1"), createServer("i-2")];
+        const servers = [createTestServer("i-1"), createTestServer("i-2")];
         const leaving = new Set<string>();
         const desk = openDesk(servers, {
             onOrder: server => leaving.size === 0 && leaving.add(formatServerRun(server)),
@@ -116,7 +95,7 @@
     });
 
     it("holds an engine to the version once older ones may not be begun, also just after a load there", async () => {
-        const servers = [createServer("i-1")];
+        const servers = [createTestServer("i-1")];
         const desk = openDesk(servers);
         desk.markVersion("base", "a1", 2, -4_000);
         const place = await desk.acquire(createRequest(() => servers));
@@ -124,7 +103,7 @@
     });
 
     it("tells the others when loads that wait have become late, so that these don't wait for them", async () => {
-        const servers = [createServer("i-1")];
+        const servers = [createTestServer("i-1")];
         const told: AdapterMessage[] = [];
         const desk = openDesk(servers, { onOrder: () => "silence", onMessage: message => told.push(message) });
         const readWaiting = (): number | undefined => told.filter(message => message.kind === "loads").at(-1)?.waiting;
--- a/src/adapters/__tests__/engineKeeper.test.ts
+++ b/src/adapters/__tests__/engineKeeper.test.ts
@@ -1,29 +1,10 @@
 import { expect } from "chai";
-import type { BackendServer, EngineLimits } from "../../serving/types.js";
 import { wrapValue } from "../../shared/index.js";
 import { createEngineKeeper, type EngineKeeper } from "../engineKeeper.js";
 import { createLoadGate, type LoadGate } from "../loadGate.js";
 import type { EnsureWish } from "../messages.js";
 import type { EngineControl, EngineOrder, OrderOutcome } from "../types.js";
-
-const server: BackendServer = {
-    id: "i-1",
-    startedAt: 1,
-    service: "llm",
-    address: "10.0.0.1:1",
-    failureDomain: "a",
-    isDraining: false,
-    slots: 4,
-    models: [],
-};
-const limits: EngineLimits = {
-    batchSlots: 4,
-    kvCacheTokens: 1_000,
-    memoryMegabytes: 1_000,
-    adapterSlots: 3,
-    modelLoadsPerSecond: 1,
-    models: [{ name: "base", sizeMegabytes: 100, adapterMegabytes: 10 }],
-};
+import { createTestServer, testLimits } from "./testEngine.js";
 
 // an engine that loads at once, waits with unloads while an adapter is in use, and reports as of some time ago
 function createEngine() {
@@ -108,8 +89,8 @@
 ): { readonly keeper: EngineKeeper; readonly advance: (time: number) => void; } {
     let now = 0;
     const keeper = createEngineKeeper({
-        server,
-        findLimits: () => limits,
+        server: createTestServer("i-1"),
+        findLimits: () => testLimits,
         control,
         clock: {
             now: () => now,
--- a/src/adapters/__tests__/engineOrders.test.ts
+++ b/src/adapters/__tests__/engineOrders.test.ts
@@ -2,31 +2,16 @@
 import { wrapValue } from "../../shared/index.js";
 import { type AdapterLoad, createEngineOrders, type EngineOrders } from "../engineOrders.js";
 import type { EngineOrder } from "../types.js";
+import { createTestServer, testLimits } from "./testEngine.js";
 
 const load: AdapterLoad = { key: "base/a1", model: "base", adapter: "a1", version: undefined, wasDenied: false };
 
 // orders to an engine that accepts each
 function openOrders(sent: EngineOrder[]): EngineOrders {
     return createEngineOrders({
-        server: {
-            id: "i-1",
-            startedAt: 1,
-            service: "llm",
-            address: "10.0.0.1:1",
-            failureDomain: "a",
-            isDraining: false,
-            slots: 4,
-            models: [],
-        },
+        server: createTestServer("i-1"),
         run: "i-1/1",
-        findLimits: () => ({
-            batchSlots: 4,
-            kvCacheTokens: 1_000,
-            memoryMegabytes: 1_000,
-            adapterSlots: 3,
-            modelLoadsPerSecond: 1,
-            models: [{ name: "base", sizeMegabytes: 100, adapterMegabytes: 10 }],
-        }),
+        findLimits: () => testLimits,
         control: {
             order: (server, order) => {
                 sent.push(order);
--- a/src/adapters/__tests__/loadGate.test.ts
+++ b/src/adapters/__tests__/loadGate.test.ts
@@ -133,4 +133,18 @@
         gate.expire(100);
         expect(told).to.deep.equal([false]);
     });
+
+    it("tells its counts when another instance's counts let a load begin", () => {
+        let told = 0;
+        let started = 0;
+        const gate = createLoadGate(() => told++);
+        gate.handleCounts("other", { running: 40, waiting: 0 }, 0);
+        for (let load = 0; load < 2; load++) {
+            gate.enter({ priority: 0, usefulUntil: 5_000, until: 5_000 }, () => started++, 0);
+        }
+        expect(started).to.equal(1);
+        told = 0;
+        gate.handleCounts("other", { running: 0, waiting: 0 }, 10);
+        expect([started, told]).to.deep.equal([2, 1]);
+    });
 });
--- a/src/adapters/adapterDesk.ts
+++ b/src/adapters/adapterDesk.ts
@@ -23,7 +23,7 @@
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createAdapterWishes } from "./adapterWishes.js";
 import { createEngineKeeper, type EngineKeeper } from "./engineKeeper.js";
-import { createLoadGate, type LoadCounts } from "./loadGate.js";
+import { createLoadGate, type LoadCounts, type LoadReading } from "./loadGate.js";
 import {
     type AdapterMessage,
     type AdapterUse,
@@ -78,7 +78,7 @@
         message: AdapterMessage,
     ) => AdapterMessage | undefined | Promise<AdapterMessage>;
     /** Loads of the engines held, and the weight store's capacity. */
-    readonly readLoads: () => LoadCounts & { readonly capacity: number; };
+    readonly readLoads: () => LoadReading;
     /** Tells the others what changed since the last call. */
     readonly publish: () => void;
     /** Tells a peer that has just been seen all that this instance holds. */
@@ -364,7 +364,7 @@
             }
         },
         handleMessage,
-        readLoads: () => ({ ...gate.readCounts(clock.now()), capacity: gate.readCapacity() }),
+        readLoads: () => gate.read(clock.now()),
         publish: () => {
             if (changes.length > 0) {
                 sendToAll({ kind: "changes", changes });
--- a/src/adapters/loadGate.ts
+++ b/src/adapters/loadGate.ts
@@ -26,6 +26,11 @@
     readonly waiting: number;
 }
 
+/** Loads of one instance, and what the store is taken to serve at full speed. */
+export interface LoadReading extends LoadCounts {
+    readonly capacity: number;
+}
+
 /** A load at the gate. */
 export interface GateEntry {
     /** One more request waits for the load. */
@@ -43,8 +48,7 @@
     /** Drops the counts of instances that are out of hearing. */
     readonly keepHeard: (heard: readonly InstanceId[], now: Milliseconds) => void;
     readonly readCounts: (now: Milliseconds) => LoadCounts;
-    /** Loads that the store is taken to serve at full speed. */
-    readonly readCapacity: () => number;
+    readonly read: (now: Milliseconds) => LoadReading;
     /** Drops loads whose time is over. */
     readonly expire: (now: Milliseconds) => void;
     /** Time that a load takes when the store has room. */
@@ -57,8 +61,8 @@
     load: WaitingLoad;
     readonly start: (isTurn: boolean) => void;
     startedAt: Milliseconds;
-    /** Sum over time of the loads on their way, at this one's start. */
-    areaAtStart: number;
+    /** Loads on their way, summed over time up to this one's start. */
+    loadTimeAtStart: number;
 }
 
 /** Loads that would be on time only just are as good as late: more may begin before they end. */
@@ -75,15 +79,16 @@
     const others = new Map<InstanceId, LoadCounts>();
     const waiting: Entry[] = [];
     let running = 0;
-    let area = 0;
-    let areaAt: Milliseconds | undefined;
+    // loads on their way, summed over time; what a load adds to it, over its duration, is the mean count in its time
+    let loadTime = 0;
+    let loadTimeAt: Milliseconds | undefined;
     const sumOthers = (read: (counts: LoadCounts) => number): number =>
         [...others.values()].reduce((sum, counts) => sum + read(counts), 0);
     const countInFlight = (): number => running + sumOthers(counts => counts.running);
     // to be called before each change of the counts
-    const updateArea = (now: Milliseconds): void => {
-        area += countInFlight() * Math.max(0, now - (areaAt ?? now));
-        areaAt = now;
+    const updateLoadTime = (now: Milliseconds): void => {
+        loadTime += countInFlight() * Math.max(0, now - (loadTimeAt ?? now));
+        loadTimeAt = now;
     };
     // end of a load that begins now
     const estimateEnd = (now: Milliseconds): Milliseconds =>
@@ -92,6 +97,7 @@
         const end = estimateEnd(now);
         return waiting.reduce((sum, entry) => sum + (entry.load.usefulUntil >= end ? 1 : 0), 0);
     };
+    const readCounts = (now: Milliseconds): LoadCounts => ({ running, waiting: countUseful(now) });
     const isAllowed = (now: Milliseconds): boolean => {
         const useful = countUseful(now);
         const othersUseful = sumOthers(counts => counts.waiting);
@@ -117,25 +123,26 @@
         expire(now);
         while (waiting.length > 0 && isAllowed(now)) {
             const [entry] = waiting.splice(findNext(waiting, estimateEnd(now)), 1);
-            updateArea(now);
+            updateLoadTime(now);
             entry!.startedAt = now;
-            entry!.areaAtStart = area;
+            entry!.loadTimeAtStart = loadTime;
             running++;
             entry!.start(true);
+            onCounts();
         }
     };
     const endLoad = (entry: Entry, took: Milliseconds | undefined, now: Milliseconds): void => {
-        updateArea(now);
+        updateLoadTime(now);
         running--;
         if (took !== undefined && took > 0) {
-            capacity.addLoad(took, (area - entry.areaAtStart) / Math.max(1, now - entry.startedAt));
+            capacity.addLoad(took, (loadTime - entry.loadTimeAtStart) / Math.max(1, now - entry.startedAt));
         }
         startNext(now);
         onCounts();
     };
     return {
         enter: (load, start, now) => {
-            const entry: Entry = { load, start, startedAt: now, areaAtStart: 0 };
+            const entry: Entry = { load, start, startedAt: now, loadTimeAtStart: 0 };
             waiting.push(entry);
             startNext(now);
             onCounts();
@@ -145,18 +152,18 @@
             };
         },
         handleCounts: (from, counts, now) => {
-            updateArea(now);
+            updateLoadTime(now);
             others.set(from, counts);
             startNext(now);
         },
         keepHeard: (heard, now) => {
-            updateArea(now);
+            updateLoadTime(now);
             const kept = new Set(heard);
             [...others.keys()].filter(instance => !kept.has(instance)).forEach(instance => others.delete(instance));
             startNext(now);
         },
-        readCounts: now => ({ running, waiting: countUseful(now) }),
-        readCapacity: capacity.read,
+        readCounts,
+        read: now => ({ ...readCounts(now), capacity: capacity.read() }),
         expire,
         readQuickest: capacity.readQuickest,
         estimateDuration: () => capacity.estimateDuration(countInFlight()),
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { LoadReading } from "../adapters/loadGate.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import type { RequestReport } from "./requestState.js";
 
@@ -21,15 +22,6 @@
     readonly close: () => void;
 }
 
-/** Adapter loads of the engines that this instance holds. */
-export interface LoadReading {
-    readonly running: number;
-    /** Waiting loads that can still be on time. */
-    readonly waiting: number;
-    /** Loads that the weight store is taken to serve at full speed, over all instances. */
-    readonly capacity: number;
-}
-
 const latencyBuckets = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10];
 /** Client accounts beyond this number share one label. */
 const accountLabelLimit = 50;
