feat(serving): the log tells which parts of a prompt a broken answer had

Which of three causes it was the logs couldn't tell: requests that end their server, orders beyond an engine's memory, or servers ended from outside. A request's line had no parts of its prompt, and an answer that broke left no line of its own: only the last fault of its request.

Now each answer that a server breaks off leaves a line with its run, the account, the parts that other requests may share, the time since it was sent, the time since its answer began, and the last event delivered; a request's line has the parts; oriolehatch_broken_answers_total counts them. Were the first hypothesis false, the parts of answers broken within a moment of their beginning would differ from crash to crash; were the second true, each end would follow a load order to that run; were the third true, answers would break at any age.

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -83,6 +83,21 @@
         });
     });
 
+    it("tells the parts of a prompt that requests share from the part of the request itself", () => {
+        const decode = (value: string): ClientRequest["prompt"] =>
+            platformHeaderCodec.decodeRequest("GET", "/", ["X-Oriolehatch-Prompt-Prefix", value]).prompt;
+        expect(decode("5C1e:800, 91bd:410,e440:250")).to.deep.equal({ shared: ["5c1e", "91bd"], own: "e440" });
+        expect(decode("5c1e:800")).to.deep.equal({ shared: [], own: "5c1e" });
+        expect(["", "x:1", "5c1e", "5c1e:1,,7:1"].map(decode)).to.deep.equal([
+            undefined,
+            undefined,
+            undefined,
+            undefined,
+        ]);
+        const many = Array.from({ length: 3_000 }, (unused, index) => `${index.toString(16)}:1`).join();
+        expect(decode(many)!.shared).to.have.length(16);
+    });
+
     it("treats invalid values as missing", () => {
         const raw = ["X-Oriolehatch-Deadline-Ms", "soon", "X-Oriolehatch-Token-Counts", "1", "X-Oriolehatch-Model", ""];
         const request = platformHeaderCodec.decodeRequest("GET", "/", raw);
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -8,6 +8,7 @@
     ForwardedHeaders,
     HeaderCodec,
     ModelChoice,
+    PromptParts,
     ServerLoad,
     ServerResponseHead,
 } from "../serving/types.js";
@@ -34,6 +35,8 @@
     model: "x-oriolehatch-model",
     // PROMPT,OUTPUT, where the output is an upper bound
     tokens: "x-oriolehatch-token-counts",
+    // ID:TOKENS of each part, separated by commas; the last part belongs to the request alone
+    promptParts: "x-oriolehatch-prompt-prefix",
     priority: "x-oriolehatch-request-priority",
     // version of the adapter if the request names one, else of the model weights
     expectedVersion: "x-oriolehatch-expect-version",
@@ -81,6 +84,10 @@
 /** Headers that are removed from a server's response, because they are not meant for the client. */
 const internalResponseHeaders: ReadonlySet<string> = new Set([names.load, names.serverId]);
 
+/** Parts of a prompt beyond this number are not looked at, so that a client can't have any number of them kept. */
+const maximumPromptParts = 16;
+const promptPartPattern = /^([0-9a-f]{1,64}):\d+$/i;
+
 /** The server at this address is not the one that the request expects, so it has not run the request. */
 const misdirectedRequestStatus = 421;
 
@@ -103,6 +110,7 @@
         deadline: decodeWholeNumber(values.get(names.deadline)),
         choice: decodeModelChoice(values.get(names.model)),
         tokens: decodeTokenCounts(values.get(names.tokens)),
+        prompt: decodePromptParts(values.get(names.promptParts)),
         lastEventId: decodeWholeNumber(values.get(names.lastEventId)),
         passedHeaders: filterHeaders(rawHeaders, values.get("connection"), unforwardedRequestHeaders),
     };
@@ -209,6 +217,16 @@
     return prompt === undefined || output === undefined ? undefined : { prompt, output };
 }
 
+// a text that names no parts is passed on as it is and decodes to nothing
+function decodePromptParts(text: string | undefined): PromptParts | undefined {
+    const ids = (text ?? "").split(",").map(part => promptPartPattern.exec(part.trim())?.[1]?.toLowerCase());
+    const own = ids.pop();
+    if (own === undefined || ids.includes(undefined)) {
+        return undefined;
+    }
+    return { shared: [...new Set(ids.slice(0, maximumPromptParts) as string[])], own };
+}
+
 function decodeServerLoad(text: string | undefined): ServerLoad | undefined {
     const [running, waiting, slots] = (text ?? "").split(",").map(part => decodeWholeNumber(part));
     return running === undefined || waiting === undefined || slots === undefined
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -122,6 +122,7 @@
         deadline: 1_000,
         choice: undefined,
         tokens: undefined,
+        prompt: undefined,
         lastEventId: undefined,
         passedHeaders: [],
     };
@@ -159,6 +160,7 @@
             },
             headers,
             adapters: {} as PlaceClient,
+            onBroken: () => undefined,
         },
         request,
         Buffer.from("body"),
--- a/src/serving/requestLog.ts
+++ b/src/serving/requestLog.ts
@@ -27,6 +27,7 @@
         ...report,
         model: request.choice && `${request.choice.model}/${request.choice.adapter ?? ""}`,
         tokens: request.tokens && request.tokens.prompt + request.tokens.output,
+        parts: request.prompt && [...request.prompt.shared, request.prompt.own].join(),
         took: Math.round(took),
     });
 }
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -33,6 +33,8 @@
     readonly connections: ServerConnections;
     readonly headers: HeaderCodec;
     readonly adapters: PlaceClient;
+    /** Counts an answer that a server broke off. */
+    readonly onBroken: () => void;
 }
 
 /** Report on a request that has ended, for log and metrics; all fields are written to the log under their names. */
@@ -91,6 +93,10 @@
     lastDataAt: Milliseconds | undefined;
     /** Longest time between two chunks of an event stream. */
     longestPause: Milliseconds;
+    /** Time at which the present attempt was sent. */
+    sentAt: Milliseconds;
+    /** Time at which the answer of the present attempt began; `undefined` before. */
+    beganAt: Milliseconds | undefined;
     /** What the present attempt has shown of its server. */
     placeOutcome: PlaceOutcome;
     /** Description of the last failure for the log; empty when there was none. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import type { Milliseconds } from "../shared/index.js";
+import { createLogger, type Milliseconds } from "../shared/index.js";
 import { createEventSplitter, type EventSplitter } from "./eventSplitter.js";
 import { decideNextStep, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
@@ -39,6 +39,7 @@
 /** Status of a server that doesn't hold the model or adapter that the request selects. */
 const misdirectedStatus = 421;
 const lowestServerErrorStatus = 500;
+const log = createLogger("serving");
 
 /**
  * Sends a request to a server and delivers the response to the client.
@@ -59,6 +60,8 @@
     state.attemptCount++;
     state.triedServers.add(run);
     state.placeOutcome = "unknown";
+    state.sentAt = parts.clock.now();
+    state.beganAt = undefined;
     record.inFlight++;
     try {
         return await deliverResponse(parts, state, selected);
@@ -124,6 +127,7 @@
                 return;
             }
             mode = "delivering";
+            state.beganAt = parts.clock.now();
             splitter = head.isEventStream ? createEventSplitter() : undefined;
             if (head.isEventStream || (head.contentLength ?? 0) > responseBufferBytes) {
                 deliverHead(head, isRetryable(route) ? undefined : head.contentLength);
@@ -169,6 +173,10 @@
                 return;
             }
             parts.records.markFailure(run, fault.kind === "notSent", parts.clock.now());
+            if (fault.kind !== "notSent") {
+                parts.onBroken();
+                writeBrokenLog(state, run, fault, parts.clock.now());
+            }
             state.placeOutcome = fault.kind === "notSent" ? "unreachable" : "failed";
             state.excludedServers.add(run);
             if (fault.kind === "notSent") {
@@ -261,6 +269,22 @@
     parts.records.markSuccess(run, now);
 }
 
+// tells requests that may have ended their server from those that were only running on it
+function writeBrokenLog(state: RequestState, run: string, fault: AttemptFault, now: Milliseconds): void {
+    log.warn("answer broken off", {
+        id: state.request.attemptId,
+        run,
+        fault: fault.kind,
+        detail: fault.detail,
+        route: state.admission.route.name,
+        account: state.admission.account?.name,
+        parts: state.request.prompt?.shared.join(),
+        sinceSent: Math.round(now - state.sentAt),
+        sinceBegun: state.beganAt === undefined ? undefined : Math.round(now - state.beganAt),
+        lastEventId: state.lastEventId,
+    });
+}
+
 function isBeforeDeadline(parts: RequestParts, state: RequestState): boolean {
     return parts.clock.now() < state.deadlineAt;
 }
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -77,6 +77,8 @@
         placeWait: 0,
         lastDataAt: undefined,
         longestPause: 0,
+        sentAt: startedAt,
+        beganAt: undefined,
         placeOutcome: "unknown",
         lastFault: "",
     };
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -266,6 +266,7 @@
         connections,
         headers: dependencies.headers,
         adapters,
+        onBroken: metrics.countBrokenAnswer,
     };
     let isDraining = false;
     const handleRequest = async (received: ReceivedRequest): Promise<void> => {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -14,6 +14,8 @@
     /** Counts a request that has ended; `took` is the time since its arrival. */
     readonly countRequest: (report: RequestReport, took: Milliseconds) => void;
     readonly countStoreFailure: (topic: string) => void;
+    /** Counts an answer that a server broke off, or a request that it left without one. */
+    readonly countBrokenAnswer: () => void;
     /** Returns all metrics in the text format of Prometheus. */
     readonly render: () => Promise<string>;
 }
@@ -79,6 +81,11 @@
         labelNames: ["topic"],
         registers,
     });
+    const brokenAnswers = new Counter({
+        name: "oriolehatch_broken_answers_total",
+        help: "Requests that a server received and whose answer it broke off or never began",
+        registers,
+    });
     new Gauge({
         name: "oriolehatch_adapter_loads",
         help: "Adapter loads on their way and waiting, and those that the weight store serves at full speed",
@@ -112,6 +119,7 @@
             }
         },
         countStoreFailure: topic => storeFailures.inc({ topic }),
+        countBrokenAnswer: () => brokenAnswers.inc(),
         render: () => registry.metrics(),
     };
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -166,6 +166,17 @@
     readonly adapter: string | undefined;
 }
 
+/** Identifier of a part of a prompt, as its client named it. */
+export type PromptPartId = string;
+
+/** Parts that the prompt of a request consists of. */
+export interface PromptParts {
+    /** Parts that other requests may have too, in their order. */
+    readonly shared: readonly PromptPartId[];
+    /** Part that belongs to the request or its session alone. */
+    readonly own: PromptPartId;
+}
+
 /** A client's request, decoded from its request line and headers. */
 export interface ClientRequest {
     /** Identifier that the client chose; responses repeat it. */
@@ -182,6 +193,8 @@
     readonly choice: ModelChoice | undefined;
     /** Prompt tokens, and the maximum of output tokens. */
     readonly tokens: { readonly prompt: number; readonly output: number; } | undefined;
+    /** `undefined` when the client named no parts. */
+    readonly prompt: PromptParts | undefined;
     /** Last event that the client received of an earlier stream. */
     readonly lastEventId: number | undefined;
     /** Names and values in turn to forward to the server, without hop-by-hop headers and those that this layer sets. */
