--- /dev/null
+++ b/src/serving/__tests__/testFleet.ts
@@ -0,0 +1,376 @@
+/**
+ * A few whole instances on local ports, with a store in memory and servers that can end under a request or name a limit.
+ */
+import {
+    createServer,
+    type IncomingMessage,
+    request as sendHttpRequest,
+    type Server,
+    type ServerResponse,
+} from "node:http";
+import { type AddressInfo, createServer as createNetServer, type Socket } from "node:net";
+import type { EngineControl, ShardGroup } from "../../adapters/types.js";
+import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
+import { createServingInstance } from "../servingInstance.js";
+import type { BackendServer, HeaderCodec, KeyedLog, KeyedRecord, KeyedTopic, ServingConfig } from "../types.js";
+
+/** Requests that a client of the fleet sends. */
+export interface TestRequest {
+    readonly id: string;
+    /** Parts of the prompt; the last one is the request's own. */
+    readonly parts: readonly string[];
+    readonly key: string;
+}
+
+/** What a client got. */
+export interface TestAnswer {
+    /** `undefined` when the connection was closed without an answer. */
+    readonly status: number | undefined;
+    readonly isComplete: boolean;
+    readonly retryAfter: string | undefined;
+    readonly took: number;
+}
+
+/** An arrival at a server. */
+export interface TestArrival {
+    readonly at: number;
+    readonly server: string;
+    readonly parts: readonly string[];
+}
+
+/** Behaviour of the servers. */
+export interface TestFleetOptions {
+    readonly instances: number;
+    readonly servers: number;
+    /** A server that begins to answer a request with this part ends. */
+    readonly crashingPart?: string;
+    /** Time until a server that ended is back as a new run. */
+    readonly restartDelay?: number;
+    readonly answerDuration: number;
+    /** Limit in requests a second that the first server names, once it is set. */
+    readonly readLimit?: () => string | undefined;
+}
+
+/** A running fleet. */
+export interface TestFleet {
+    /** Sends a request to an instance, counted from 0. */
+    readonly send: (instance: number, request: TestRequest) => Promise<TestAnswer>;
+    readonly arrivals: readonly TestArrival[];
+    /** Times at which servers ended. */
+    readonly crashes: readonly number[];
+    readonly stop: () => Promise<void>;
+}
+
+const service = "llm";
+const config: ServingConfig = {
+    version: 1,
+    routes: [{
+        name: "draft",
+        host: "a.example",
+        pathPrefix: "/",
+        kind: "stream",
+        targets: [{ service, weight: 1 }],
+        timeout: 4_000,
+        targetLatency: 600,
+        targetEventGap: 300,
+        attemptLimit: 3,
+        priority: 0,
+        isPublic: false,
+        canResume: true,
+    }],
+    services: new Map([[service, { name: service, connectionLimit: 200, engine: undefined }]]),
+    accounts: ["acme", "bolt"].map(name => ({ name, keys: [`${name}-key`], priority: undefined, quota: undefined })),
+    limits: { headerBytes: 8_000, bodyBytes: 8_000, headerTimeout: 2_000, idleTimeout: 5_000 },
+};
+
+/** Codec of simple headers of its own. */
+const testCodec: HeaderCodec = {
+    decodeRequest: (method, target, raw) => {
+        const headers = readHeaders(raw);
+        const parts = (headers.get("parts") ?? "").split(",");
+        return {
+            attemptId: headers.get("id"),
+            method,
+            target,
+            host: "a.example",
+            key: headers.get("key"),
+            deadline: 4_000,
+            choice: undefined,
+            tokens: undefined,
+            prompt: { shared: parts.slice(0, -1), own: parts.at(-1)! },
+            lastEventId: undefined,
+            passedHeaders: ["id", headers.get("id")!, "parts", headers.get("parts")!],
+        };
+    },
+    encodeForwardedHeaders: (request, forwarded) => [...request.passedHeaders, "expected", forwarded.server],
+    decodeResponseHead: (status, raw) => {
+        const headers = readHeaders(raw);
+        return {
+            status,
+            attemptId: headers.get("id"),
+            isSigned: headers.has("signed"),
+            isNotRun: headers.has("not-run"),
+            load: undefined,
+            isEventStream: true,
+            contentLength: undefined,
+            passedHeaders: [],
+        };
+    },
+    encodeRefusalHeaders: (id, retryAfter) => retryAfter === undefined ? [] : ["retry-after", String(retryAfter)],
+};
+
+function readHeaders(raw: readonly string[]): Map<string, string> {
+    const pairs = raw.flatMap((name, index) => index % 2 === 0 ? [[name.toLowerCase(), raw[index + 1]!] as const] : []);
+    return new Map(pairs);
+}
+
+/** Store in memory: keyed topics with delayed reads, and shards dealt to its members in turn. */
+export interface MemoryStore extends KeyedLog {
+    readonly put: (topic: KeyedTopic, key: string, value: Uint8Array | undefined) => void;
+    readonly group: ShardGroup;
+}
+
+/**
+ * Creates an empty store.
+ *
+ * @param shardCount - shards that are dealt to the members
+ * @returns the store
+ */
+export function createMemoryStore(shardCount: number): MemoryStore {
+    const topics = new Map<KeyedTopic, { readonly records: Map<string, KeyedRecord>; end: number; }>();
+    const getTopic = (topic: KeyedTopic) => {
+        const state = topics.get(topic) ?? { records: new Map<string, KeyedRecord>(), end: 0 };
+        topics.set(topic, state);
+        return state;
+    };
+    const members: string[] = [];
+    let generation = 0;
+    const findOwner = (shard: number): string => members[shard % members.length]!;
+    const listShards = (): readonly number[] => Array.from({ length: shardCount }, (unused, shard) => shard);
+    const put: MemoryStore["put"] = (topic, key, value) => {
+        const state = getTopic(topic);
+        state.records.set(key, { key, value, offset: state.end });
+        state.end++;
+    };
+    return {
+        put,
+        readNewest: async topic => {
+            const { records, end } = getTopic(topic);
+            return wrapValue({ records: [...records.values()].filter(({ value }) => value), endOffset: end });
+        },
+        readFrom: async (topic, offset, wait) => {
+            const until = performance.now() + wait;
+            while (getTopic(topic).end <= offset && performance.now() < until) {
+                await pause(10);
+            }
+            const { records, end } = getTopic(topic);
+            return wrapValue({ records: [...records.values()].filter(each => each.offset >= offset), endOffset: end });
+        },
+        append: async (topic, key, value) => {
+            put(topic, key, value);
+            return wrapValue(undefined);
+        },
+        group: {
+            join: async member => {
+                if (!members.includes(member)) {
+                    members.push(member);
+                    generation++;
+                }
+                return wrapValue({ generation, shards: listShards().filter(shard => findOwner(shard) === member) });
+            },
+            leave: async () => wrapValue(undefined),
+            listOwners: async () => wrapValue(listShards().map(shard => ({ shard, member: findOwner(shard) }))),
+        },
+    };
+}
+
+function pause(duration: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, duration));
+}
+
+/**
+ * Starts instances and servers.
+ *
+ * @param options - numbers and behaviour
+ * @returns the fleet, ready for requests; the caller stops it
+ */
+export async function startTestFleet(options: TestFleetOptions): Promise<TestFleet> {
+    const store = createMemoryStore(4);
+    const arrivals: TestArrival[] = [];
+    const crashes: number[] = [];
+    const stopping = new AbortController();
+    const servers = await Promise.all(
+        Array.from(
+            { length: options.servers },
+            (unused, index) => startServer(index, { options, store, arrivals, crashes, stopping: stopping.signal }),
+        ),
+    );
+    store.put("configuration", "config", Buffer.from("{}"));
+    const control: EngineControl = {
+        order: async () => ({ kind: "unreachable" }),
+        report: async () => wrapError({ kind: "unanswered", detail: "no engine" }),
+    };
+    const ports = await findFreePorts(options.instances * 4);
+    const running = Array.from({ length: options.instances }, (unused, index) => {
+        const [clientPort, readyPort, peerPort, metricsPort] = ports.slice(index * 4, index * 4 + 4);
+        const instance = createServingInstance({
+            instanceName: `front-${index}`,
+            host: "127.0.0.1",
+            failureDomain: "a",
+            cores: 1,
+            clientPort: clientPort!,
+            readyPort: readyPort!,
+            peerPort: peerPort!,
+            metricsPort: metricsPort!,
+            shardCount: 4,
+            shardTtl: 1_500,
+            orderLease: 3_000,
+            areOrdersFenced: true,
+            revocationBound: 5_000,
+            versionBound: 5_000,
+            grace: 1_000,
+            quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
+            retry: { window: 10_000, ratio: 0.2, slack: 50 },
+            clock: createSystemClock(),
+        }, {
+            log: store,
+            shards: store.group,
+            control,
+            headers: testCodec,
+            records: {
+                decodeOperatorRecord: () => wrapValue({ kind: "configuration", config }),
+                decodeServerEntry: (id, value) => wrapValue(JSON.parse(Buffer.from(value).toString()) as BackendServer),
+            },
+        });
+        return instance.run(stopping.signal);
+    });
+    await pause(1_200);
+    return {
+        send: (instance, request) => sendRequest(ports[instance * 4]!, request),
+        arrivals,
+        crashes,
+        stop: async () => {
+            stopping.abort();
+            servers.forEach(stop => stop());
+            await Promise.all(running);
+        },
+    };
+}
+
+interface ServerWorld {
+    readonly options: TestFleetOptions;
+    readonly store: MemoryStore;
+    readonly arrivals: TestArrival[];
+    readonly crashes: number[];
+    readonly stopping: AbortSignal;
+}
+
+async function startServer(index: number, world: ServerWorld): Promise<() => void> {
+    const { options, store } = world;
+    const sockets = new Set<Socket>();
+    let run = 0;
+    let port = 0;
+    let server: Server | undefined;
+    const readId = (): string => `s-${index}-${run}`;
+    const end = (endedRun: number): void => {
+        if (endedRun !== run || world.stopping.aborted) {
+            return;
+        }
+        run++;
+        world.crashes.push(performance.now());
+        server?.close();
+        sockets.forEach(socket => socket.resetAndDestroy());
+        store.put("servers", `s-${index}-${endedRun}`, undefined);
+        setTimeout(() => world.stopping.aborted || void listen(), options.restartDelay ?? 1_000);
+    };
+    const respond = (request: IncomingMessage, response: ServerResponse): void => {
+        const parts = String(request.headers.parts).split(",");
+        world.arrivals.push({ at: performance.now(), server: readId(), parts });
+        const limit = index === 0 ? options.readLimit?.() : undefined;
+        const headers: Record<string, string> = { id: String(request.headers.id), signed: "1" };
+        if (limit !== undefined) {
+            headers["limit"] = limit;
+        }
+        if (request.headers.expected !== readId()) {
+            response.writeHead(421, { ...headers, "not-run": "1" });
+            response.end();
+            return;
+        }
+        response.writeHead(200, headers);
+        response.write("id: 1\ndata: a\n\n");
+        if (options.crashingPart !== undefined && parts.includes(options.crashingPart)) {
+            setTimeout(end, 20, run);
+            return;
+        }
+        setTimeout(() => response.end("id: 2\ndata: b\n\n"), options.answerDuration);
+    };
+    const listen = async (): Promise<void> => {
+        server = createServer((request, response) =>
+            void request.resume().once("end", () => respond(request, response))
+        );
+        server.on("connection", socket => {
+            sockets.add(socket);
+            socket.on("error", () => undefined);
+            socket.once("close", () => sockets.delete(socket));
+        });
+        await new Promise<void>(resolve => server!.listen(port, "127.0.0.1", resolve));
+        port = (server.address() as AddressInfo).port;
+        const entry: BackendServer = {
+            id: readId(),
+            startedAt: run,
+            service,
+            address: `127.0.0.1:${port}`,
+            failureDomain: "a",
+            isDraining: false,
+            slots: 32,
+            models: [],
+        };
+        store.put("servers", readId(), Buffer.from(JSON.stringify(entry)));
+    };
+    await listen();
+    return () => {
+        server?.close();
+        sockets.forEach(socket => socket.destroy());
+    };
+}
+
+async function findFreePorts(count: number): Promise<readonly number[]> {
+    const probes = Array.from({ length: count }, () => createNetServer());
+    const ports = await Promise.all(
+        probes.map(probe =>
+            new Promise<number>(resolve =>
+                probe.listen(0, "127.0.0.1", () => resolve((probe.address() as AddressInfo).port))
+            )
+        ),
+    );
+    await Promise.all(probes.map(probe => new Promise(resolve => probe.close(resolve))));
+    return ports;
+}
+
+function sendRequest(port: number, { id, parts, key }: TestRequest): Promise<TestAnswer> {
+    const sentAt = performance.now();
+    return new Promise(resolve => {
+        const finish = (answer: Omit<TestAnswer, "took">): void =>
+            resolve({ ...answer, took: performance.now() - sentAt });
+        const sent = sendHttpRequest(
+            {
+                host: "127.0.0.1",
+                port,
+                method: "POST",
+                path: "/x",
+                agent: false,
+                headers: { id, parts: parts.join(), key },
+            },
+            response => {
+                const { statusCode: status, headers } = response;
+                response.resume();
+                response.once(
+                    "close",
+                    () => finish({ status, isComplete: response.complete, retryAfter: headers["retry-after"] }),
+                );
+            },
+        );
+        sent.once("error", () => finish({ status: undefined, isComplete: false, retryAfter: undefined }));
+        sent.end("body");
+    });
+}
