fix(serving): a stopped instance closes its readiness and metrics ports

close() ended the connections and left both servers listening, so that a process that only stops its instance never ends; the daemon hides it, as it exits by itself. Seen when the new test of whole instances kept mocha from ending (six listening servers of three instances left).

--- a/src/serving/readinessServer.ts
+++ b/src/serving/readinessServer.ts
@@ -40,6 +40,9 @@
                 server.once("error", reject);
                 server.listen({ host: options.host, port: options.port }, resolve);
             }),
-        close: () => server.closeAllConnections(),
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
     };
 }
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -148,6 +148,9 @@
                 server.once("error", reject);
                 server.listen(address, resolve);
             }),
-        close: () => server.closeAllConnections(),
+        close: () => {
+            server.close();
+            server.closeAllConnections();
+        },
     };
 }
