feat(serving): the log tells the limit that a server names

Whether an instance had read the limit couldn't be told: the header was passed on to clients undecoded, and no line showed it. It is decoded now (a negative number or no number counts as none), kept from clients, and a line shows each change by run. If the limit had reached all instances and they kept it, the sums of arrivals would stay below; if only some had read it, lines would be missing at the others.

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -98,6 +98,16 @@
         expect(decode(many)!.shared).to.have.length(16);
     });
 
+    it("decodes the limit that a server names, and keeps it from the client", () => {
+        const decode = (value: string): number | undefined =>
+            platformHeaderCodec.decodeResponseHead(200, ["Server-Limit", value]).requestLimit;
+        expect(["1.25", "0.4", "0", "250"].map(decode)).to.deep.equal([1.25, 0.4, 0, 250]);
+        expect(["-1", "soon", "", "1e9", "9999999999"].map(decode)).to.satisfy((all: unknown[]) =>
+            all.every(limit => limit === undefined)
+        );
+        expect(platformHeaderCodec.decodeResponseHead(200, ["Server-Limit", "2"]).passedHeaders).to.deep.equal([]);
+    });
+
     it("treats invalid values as missing", () => {
         const raw = ["X-Oriolehatch-Deadline-Ms", "soon", "X-Oriolehatch-Token-Counts", "1", "X-Oriolehatch-Model", ""];
         const request = platformHeaderCodec.decodeRequest("GET", "/", raw);
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -27,6 +27,8 @@
     expectedServer: "x-oriolehatch-expect-instance",
     // RUNNING,WAITING,SLOTS
     load: "x-oriolehatch-server-load",
+    // requests a second from all instances together
+    requestLimit: "server-limit",
     // the server has not executed the request and will not
     notRun: "x-oriolehatch-not-executed",
     // id of the backend server that responds
@@ -82,7 +84,11 @@
 ]);
 
 /** Headers that are removed from a server's response, because they are not meant for the client. */
-const internalResponseHeaders: ReadonlySet<string> = new Set([names.load, names.serverId]);
+const internalResponseHeaders: ReadonlySet<string> = new Set([
+    names.load,
+    names.requestLimit,
+    names.serverId,
+]);
 
 /** Parts of a prompt beyond this number are not looked at, so that a client can't have any number of them kept. */
 const maximumPromptParts = 16;
@@ -142,6 +148,7 @@
         isSigned: values.has(names.signature),
         isNotRun: values.has(names.notRun) || status === misdirectedRequestStatus,
         load: decodeServerLoad(values.get(names.load)),
+        requestLimit: decodeRequestLimit(values.get(names.requestLimit)),
         isEventStream: (values.get("content-type") ?? "").startsWith("text/event-stream"),
         contentLength: decodeWholeNumber(values.get("content-length")),
         passedHeaders: filterHeaders(rawHeaders, values.get("connection"), internalResponseHeaders),
@@ -217,6 +224,11 @@
     return prompt === undefined || output === undefined ? undefined : { prompt, output };
 }
 
+// a negative number, or a text that is none, can't be kept and counts as no limit
+function decodeRequestLimit(text: string | undefined): number | undefined {
+    return text !== undefined && /^\d{1,9}(\.\d{1,9})?$/.test(text.trim()) ? Number(text) : undefined;
+}
+
 // a text that names no parts is passed on as it is and decodes to nothing
 function decodePromptParts(text: string | undefined): PromptParts | undefined {
     const ids = (text ?? "").split(",").map(part => promptPartPattern.exec(part.trim())?.[1]?.toLowerCase());
--- a/src/serving/__tests__/decisions.test.ts
+++ b/src/serving/__tests__/decisions.test.ts
@@ -102,6 +102,7 @@
         isSigned: true,
         isNotRun: false,
         load: undefined,
+        requestLimit: undefined,
         isEventStream: false,
         contentLength: 1,
         passedHeaders: [],
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -53,6 +53,7 @@
         isSigned: true,
         isNotRun: false,
         load: undefined,
+        requestLimit: undefined,
         isEventStream: false,
         contentLength: undefined,
         passedHeaders: [],
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -15,6 +15,7 @@
         isSigned: true,
         isNotRun: false,
         load: undefined,
+        requestLimit: undefined,
         isEventStream: false,
         contentLength: undefined,
         passedHeaders: rawHeaders,
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -111,6 +111,7 @@
             isSigned: headers.has("signed"),
             isNotRun: headers.has("not-run"),
             load: undefined,
+            requestLimit: headers.has("limit") ? Number(headers.get("limit")) : undefined,
             isEventStream: true,
             contentLength: undefined,
             passedHeaders: [],
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -262,6 +262,10 @@
         record.load = head.load;
         record.loadReceivedAt = now;
     }
+    if (record.requestLimit !== head.requestLimit) {
+        log.info("limit of a server", { run, previous: record.requestLimit, requestsPerSecond: head.requestLimit });
+        record.requestLimit = head.requestLimit;
+    }
     if (head.isNotRun) {
         if (state.request.choice && head.status === misdirectedStatus) {
             state.placeOutcome = "missing";
--- a/src/serving/serverRecords.ts
+++ b/src/serving/serverRecords.ts
@@ -13,6 +13,8 @@
     /** Last load that the server reported. */
     load: ServerLoad | undefined;
     loadReceivedAt: Milliseconds;
+    /** Requests a second that the server's last response allowed to all instances together; `undefined` for no limit. */
+    requestLimit: number | undefined;
     /** Moving average of failed requests as of `failureRatioAt`, 0 to 1. */
     failureRatio: number;
     failureRatioAt: Milliseconds;
@@ -59,6 +61,7 @@
                 inFlight: 0,
                 load: undefined,
                 loadReceivedAt: 0,
+                requestLimit: undefined,
                 failureRatio: 0,
                 failureRatioAt: 0,
                 consecutiveFailures: 0,
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -233,6 +233,8 @@
     /** Whether the server states that it has not run the request and will not run it. */
     readonly isNotRun: boolean;
     readonly load: ServerLoad | undefined;
+    /** Requests a second that the server takes from all instances together; `undefined` when it names no limit. */
+    readonly requestLimit: number | undefined;
     readonly isEventStream: boolean;
     /** `undefined` when the body ends with its last chunk or with the connection. */
     readonly contentLength: number | undefined;
