fix(adapters,serving): a server's limit holds for the requests of all instances together

Class: a distributed rate limit. For client accounts there is one (a bucket at a holder that all ask); for servers there was none.

Change: an instance tells the holder of the server's shard which limit a response named. The holder gives places on an engine only as its bucket allows; for servers without places instances ask it for a permit. What doesn't fit goes to other servers; without a holder nothing is sent to a limited server. A limit ends when a response names none; every ten seconds without a word one request is let go. Each attempt counts, so repeats and resumed streams do too.

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -118,6 +118,29 @@
         expect(acquired!.requiredVersion).to.equal(2);
     });
 
+    // guards against a limit that only the instances keep to which the server has named it
+    it("leaves out an engine that named a limit once it has no room, for the requests of all instances", async () => {
+        const servers = [createTestServer("i-1"), createTestServer("i-2")];
+        const coordinator = await createCoordinator(servers);
+        const limited = (await coordinator.acquire(createRequest(() => servers)))!;
+        limited.release("answered");
+        const run = formatServerRunId(limited.server);
+        const other = servers.find(server => server !== limited.server)!;
+        void coordinator.handleMessage("other", { kind: "limit", run, requestsPerSecond: 0.001 });
+        for (let count = 0; count < 5; count++) {
+            const acquired = await coordinator.acquire({
+                ...createRequest(() => servers),
+                until: 1e9,
+                deadlineAt: 1e9,
+            });
+            expect(acquired!.server).to.equal(other);
+            acquired!.release("answered");
+        }
+        void coordinator.handleMessage("other", { kind: "limit", run, requestsPerSecond: undefined });
+        const again = await coordinator.acquire({ ...createRequest(() => servers), until: 1e9, deadlineAt: 1e9 });
+        expect(again!.server).to.equal(limited.server);
+    });
+
     it("publishes the load counts when waiting loads become late, so that other holders don't wait", async () => {
         const servers = [createTestServer("i-1")];
         const published: AdapterMessage[] = [];
--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -48,6 +48,7 @@
         shards,
         holders,
         versions: createAdapterVersions(5_000),
+        isLimited: () => false,
         ask: (holder, shard, request) => {
             now += 1;
             asked.push(`${holder}${request.isLoadIgnored ? " again" : ""}`);
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -24,9 +24,11 @@
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
 import { type AdapterMessage, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
 import { createModelLoadLimiter } from "./modelLoadLimiter.js";
+import { createPermitClient, type PermitClient } from "./permitClient.js";
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient } from "./placeClient.js";
 import { createPlaceService } from "./placeService.js";
 import { createResidencyIndex } from "./residencyIndex.js";
+import { createServerPermits } from "./serverPermits.js";
 import { createShardHolders, type ShardHolder, type ShardHolders } from "./shardHolders.js";
 import type { ShardTask } from "./shardTask.js";
 import type { EngineControl } from "./types.js";
@@ -64,6 +66,8 @@
      * `undefined` when the request's `until` has passed.
      */
     readonly acquire: (request: AcquireRequest) => Promise<AcquiredEngine | undefined>;
+    /** Limits that servers have named, and permits for servers without places. */
+    readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
     /** Records a version of an adapter; `announcedAt` is the earliest time of its announcement. */
     readonly recordVersion: (model: string, adapter: string, version: number, announcedAt: Milliseconds) => void;
     readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
@@ -103,6 +107,7 @@
     const records = createServerRecords();
     const residency = createResidencyIndex();
     const managers = new Map<ServerRunId, EngineManager>();
+    const serverPermits = createServerPermits();
     const versions = createAdapterVersions(options.versionGracePeriod);
     const engineShards = createEngineShards(options.shardCount);
     const { findShard } = engineShards;
@@ -143,7 +148,10 @@
         records,
         residency,
         versions,
-        listEngines: listHeldEngines,
+        listEngines: service =>
+            listHeldEngines(service).filter(server =>
+                serverPermits.measureWait(formatServerRunId(server), clock.now()) === 0
+            ),
         isOrderAllowed,
         ensure: (run, request) => managers.get(run)?.ensure(request),
         readMeanLoad: service => holderLoads.readMeanLoad(service),
@@ -159,7 +167,13 @@
             finder.markFree(run);
         },
     });
-    const placeService = createPlaceService({ clock, finder, places, records });
+    const placeService = createPlaceService({
+        clock,
+        finder,
+        places,
+        records,
+        takePermit: run => serverPermits.take(run, clock.now()),
+    });
     const holders = createShardHolders({
         self,
         clock,
@@ -262,15 +276,59 @@
         }
         network.send(holder, "adapters", { kind: "ended", id, outcome });
     };
+    const permitClient = createPermitClient({
+        clock,
+        findHolder: server => {
+            const holder = holders.find(findShard(server.id));
+            return holder !== undefined && holder !== self && holders.isSilent(holder) ? undefined : holder;
+        },
+        tell: (holder, server, requestsPerSecond) => {
+            const run = formatServerRunId(server);
+            if (holder === self) {
+                serverPermits.setLimit(run, requestsPerSecond, clock.now());
+                return;
+            }
+            network.send(holder, "adapters", { kind: "limit", run, requestsPerSecond });
+        },
+        ask: async (holder, server, requestsPerSecond) => {
+            const run = formatServerRunId(server);
+            const shard = findShard(server.id);
+            if (holder === self) {
+                return decidePermit(shard, run, requestsPerSecond);
+            }
+            const message: AdapterMessage = { kind: "askPermit", shard, run, requestsPerSecond };
+            const response = await network.request(holder, "adapters", message, holderTimeoutMilliseconds);
+            if (!response.ok) {
+                holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
+            }
+            const wait = response.ok && response.value.kind === "permit" ? response.value.wait : undefined;
+            if (wait === undefined) {
+                void holders.refresh();
+            }
+            return wait;
+        },
+    });
     const placeClient = createPlaceClient({
         runId: options.runId,
         clock,
         shards: engineShards,
         holders,
         versions,
+        isLimited: permitClient.isLimited,
         ask: requestPlace,
         end,
     });
+    // `undefined` when this instance doesn't hold the server's shard
+    const decidePermit = (shard: number, run: ServerRunId, requestsPerSecond: number): Milliseconds | undefined => {
+        if (!shards?.find(shard)) {
+            return undefined;
+        }
+        const now = clock.now();
+        if (!serverPermits.isLimited(run)) {
+            serverPermits.setLimit(run, requestsPerSecond, now);
+        }
+        return serverPermits.take(run, now) ? 0 : serverPermits.measureWait(run, now);
+    };
     const replaceOutdatedAdapters = (): void => {
         const newest = versions.listNewest();
         for (const manager of managers.values()) {
@@ -302,6 +360,11 @@
             case "ended":
                 placeService.end(message.id, message.outcome);
                 return undefined;
+            case "limit":
+                serverPermits.setLimit(message.run, message.requestsPerSecond, clock.now());
+                return undefined;
+            case "askPermit":
+                return { kind: "permit", wait: decidePermit(message.shard, message.run, message.requestsPerSecond) };
             case "askHolders":
                 return { kind: "holders", holders: holders.list().map(entry => [...entry]) };
             case "loads":
@@ -310,6 +373,7 @@
             case "released":
                 shards?.markReleased(message.shard, message.generation, clock.now() - message.sinceLastOrder);
                 return undefined;
+            case "permit":
             case "placed":
             case "waiting":
             case "busy":
@@ -325,12 +389,17 @@
         },
         holders,
         acquire: placeClient.acquire,
+        permits: permitClient,
         recordVersion: (model, adapter, version, announcedAt) => {
             if (versions.record(formatAdapterKey(model, adapter), version, announcedAt)) {
                 replaceOutdatedAdapters();
             }
         },
         handleServers: (added, removed) => {
+            removed.map(formatServerRunId).forEach(run => {
+                serverPermits.remove(run);
+                permitClient.remove(run);
+            });
             removed.forEach(closeManager);
             openManagers(added);
         },
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -144,6 +144,16 @@
     z.object({ kind: z.literal("notHolder") }),
     // the request with this id has ended, or gave up waiting for a place
     z.object({ kind: z.literal("ended"), id: z.string(), outcome: placeOutcomeSchema }),
+    // requests a second that a server takes from all instances together; missing when it no longer names a limit
+    z.object({ kind: z.literal("limit"), run: z.string(), requestsPerSecond: z.number().nonnegative().optional() }),
+    z.object({
+        kind: z.literal("askPermit"),
+        shard: shardNumber,
+        run: z.string(),
+        requestsPerSecond: z.number().nonnegative(),
+    }),
+    // time until the server takes a request; 0 grants it now
+    z.object({ kind: z.literal("permit"), wait: duration.optional() }),
     z.object({ kind: z.literal("askHolders") }),
     z.object({ kind: z.literal("holders"), holders: z.array(z.tuple([shardNumber, z.string()])) }),
     z.object({
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -58,6 +58,8 @@
     readonly shards: EngineShards;
     readonly holders: ShardHolders;
     readonly versions: AdapterVersions;
+    /** Whether a server has named a limit, so that only its holder may let requests go there. */
+    readonly isLimited: (run: ServerRunId) => boolean;
     /** Asks a holder, also when that is this instance itself; `undefined` when it doesn't respond in time. */
     readonly ask: (holder: InstanceId, shard: number, request: PlaceRequest) => Promise<PlaceResponse | undefined>;
     /** Tells a holder that a request has ended. */
@@ -183,7 +185,8 @@
         guessed: Set<ServerRunId>,
     ): AcquiredEngine | undefined => {
         const run = lastEngines.get(key);
-        const isUsable = run !== undefined && !guessed.has(run) && (!request.allowed || request.allowed.has(run));
+        const isUsable = run !== undefined && !guessed.has(run) && !options.isLimited(run) &&
+            (!request.allowed || request.allowed.has(run));
         if (!isUsable) {
             return undefined;
         }
--- a/src/adapters/placeService.ts
+++ b/src/adapters/placeService.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import type { ServerRecords } from "../serving/serverRecords.js";
-import { formatServerRunId, type PlaceOutcome } from "../serving/types.js";
+import { formatServerRunId, type PlaceOutcome, type ServerRunId } from "../serving/types.js";
 import type { Clock, Milliseconds } from "../shared/index.js";
 import type { EngineFinder, FoundEngine } from "./engineFinder.js";
 import type { EnginePlace, EnginePlaces } from "./enginePlaces.js";
@@ -27,6 +27,8 @@
     readonly finder: EngineFinder;
     readonly places: EnginePlaces;
     readonly records: ServerRecords;
+    /** Takes a permit for a request to a server, and returns whether its limit has room for it. */
+    readonly takePermit: (run: ServerRunId) => boolean;
 }
 
 interface UndecidedRequest {
@@ -56,6 +58,10 @@
         if (entry.isCancelled) {
             return { kind: "unavailable" };
         }
+        // another request may have taken the last permit since the engine was selected
+        if (!options.takePermit(formatServerRunId(found.server))) {
+            return { kind: "unavailable" };
+        }
         const { id, startedAt, address } = found.server;
         places.take(request.id, {
             run: formatServerRunId(found.server),
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -161,6 +161,7 @@
             },
             headers,
             adapters: {} as PlaceClient,
+            permits: { recordLimit: () => undefined, acquirePermit: () => Promise.resolve(true) },
             guard: {
                 decide: () => ({ kind: "open" }),
                 requestTrial: () => Promise.resolve(false),
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { PermitClient } from "../adapters/permitClient.js";
 import type { PlaceClient } from "../adapters/placeClient.js";
 import type { PromptGuard } from "../quarantine/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
@@ -34,6 +35,7 @@
     readonly connections: ServerConnections;
     readonly headers: HeaderCodec;
     readonly adapters: PlaceClient;
+    readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
     readonly guard: PromptGuard;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -10,7 +10,7 @@
 import { decideNextStep, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
 import type { Attempt, AttemptFault } from "./serverConnections.js";
-import { formatServerRunId, type ServerResponseHead } from "./types.js";
+import { type BackendServer, formatServerRunId, type ServerResponseHead } from "./types.js";
 
 /**
  * How an attempt ended: `complete` when the whole response was delivered, `repeat` when the request may be sent again,
@@ -262,9 +262,8 @@
         record.load = head.load;
         record.loadReceivedAt = now;
     }
-    if (record.requestLimit !== head.requestLimit) {
-        log.info("limit of a server", { run, previous: record.requestLimit, requestsPerSecond: head.requestLimit });
-        record.requestLimit = head.requestLimit;
+    if (head.status !== misdirectedStatus) {
+        recordLimit(parts, selected.server, head.requestLimit);
     }
     if (head.isNotRun) {
         if (state.request.choice && head.status === misdirectedStatus) {
@@ -319,6 +318,16 @@
     });
 }
 
+function recordLimit(parts: RequestParts, server: BackendServer, requestsPerSecond: number | undefined): void {
+    const run = formatServerRunId(server);
+    const record = parts.records.getRecord(run);
+    if (record.requestLimit !== requestsPerSecond) {
+        log.info("limit of a server", { run, previous: record.requestLimit, requestsPerSecond });
+        record.requestLimit = requestsPerSecond;
+    }
+    parts.permits.recordLimit(server, requestsPerSecond);
+}
+
 function isBeforeDeadline(parts: RequestParts, state: RequestState): boolean {
     return parts.clock.now() < state.deadlineAt;
 }
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -158,14 +158,16 @@
     const candidates = allowed
         ? listServers().filter(server => allowed.has(formatServerRunId(server)))
         : listServers();
-    const server = chooseServer({
-        servers: moveStart(candidates, parts.random.next()),
-        records,
-        failureDomain,
-        excluded: state.excludedServers,
-        now,
-    });
-    return server && { server, requiredVersion: undefined, release: undefined };
+    const servers = moveStart(candidates, parts.random.next());
+    // servers whose limit has no room are left out for this attempt only
+    const excluded = new Set(state.excludedServers);
+    for (;;) {
+        const server = chooseServer({ servers, records, failureDomain, excluded, now });
+        if (!server || await parts.permits.acquirePermit(server)) {
+            return server && { server, requiredVersion: undefined, release: undefined };
+        }
+        excluded.add(formatServerRunId(server));
+    }
 }
 
 // an instance with few requests finds most servers idle: the first of equal ones must not be the same for all instances
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -275,6 +275,7 @@
         connections,
         headers: dependencies.headers,
         adapters,
+        permits: adapters.permits,
         guard,
         onBroken: metrics.countBrokenAnswer,
     };
