fix(serving,platform): bytes without end are given up

Calls now give a body up after 16 MB; a stream is given up after 1 MB without a next event, counted as its server's fault, and resumed elsewhere where it may be. Where events have ids, others don't count as progress.

--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -34,6 +34,9 @@
     readonly detail: string;
 }
 
+/** Largest body that is read: a page of a topic and its overhead have a megabyte, the records of one read a few. */
+const maximumBodyBytes = 16 * 1_048_576;
+
 /**
  * Sends a request and reads the complete response.
  *
@@ -53,8 +56,7 @@
             body: httpRequest.body,
             signal: AbortSignal.timeout(httpRequest.timeout),
         });
-        const body = Buffer.from(await answer.body.arrayBuffer());
-        return wrapValue({ status: answer.statusCode, body });
+        return wrapValue({ status: answer.statusCode, body: await readBody(answer.body) });
     }
     catch (error) {
         const detail = (error as NodeJS.ErrnoException).code ?? String(error);
@@ -62,3 +64,17 @@
         return wrapError({ kind: "unanswered", wasSent, detail });
     }
 }
+
+// a body without end is given up; leaving the loop closes its connection
+async function readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    for await (const chunk of body) {
+        size += chunk.length;
+        if (size > maximumBodyBytes) {
+            throw new Error(`body of more than ${maximumBodyBytes} bytes`);
+        }
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+}
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -277,6 +277,26 @@
         expect([single.sent.length, single.end]).to.deep.equal([1, "destroyed"]);
     });
 
+    // guards against memory that fills with an event that never ends, or with bytes that are no events
+    it("gives a stream up that sends bytes without end, and resumes it on another server", async () => {
+        const chunk = Buffer.alloc(65_536, "x");
+        for (const filler of [chunk, Buffer.concat([chunk, Buffer.from("\n\n")])]) {
+            const sendWithoutEnd: AttemptScript = handlers => {
+                handlers.onHead(createHead({ isEventStream: true }));
+                handlers.onData(Buffer.from("id: 1\ndata: a\n\n"));
+                Array.from({ length: 20 }, () => handlers.onData(filler));
+            };
+            const sendRest: AttemptScript = handlers => {
+                handlers.onHead(createHead({ isEventStream: true }));
+                handlers.onData(Buffer.from("id: 2\ndata: b\n\n"));
+                handlers.onEnd();
+            };
+            const outcome = await runCase({ route: resumable, attempts: [sendWithoutEnd, sendRest] });
+            expect([outcome.sent.length, outcome.aborted, outcome.end]).to.deep.equal([2, 1, "end"]);
+            expect(outcome.sent[1]!.headers[2]).to.equal("1");
+        }
+    });
+
     it("is aborted at its deadline and answered 504 when a server has received it", async () => {
         const outcome = await runCase({ route: { ...once, timeout: 30 }, attempts: [() => undefined] });
         expect([outcome.status, outcome.aborted]).to.deep.equal([504, 1]);
--- a/src/serving/eventSplitter.ts
+++ b/src/serving/eventSplitter.ts
@@ -22,6 +22,8 @@
     readonly push: (chunk: Buffer) => SplitEvents;
     /** Returns the bytes of an event that is not complete yet; empty when there is none. */
     readonly readIncomplete: () => Buffer;
+    /** Returns the number of bytes since the last event; once events have numeric ids, others don't count as events. */
+    readonly countUselessBytes: () => number;
 }
 
 const lineFeed = 0x0a;
@@ -36,15 +38,22 @@
  */
 export function createEventSplitter(): EventSplitter {
     let rest: Buffer = noBytes;
+    let uselessBytes = 0;
+    let hasIds = false;
     return {
         push: chunk => {
             const joined = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
             const end = findLastEventEnd(joined);
             rest = joined.subarray(end);
             const bytes = joined.subarray(0, end);
-            return { bytes, ...readIds(bytes) };
+            const ids = readIds(bytes);
+            hasIds ||= ids.count > 0;
+            const isProgress = hasIds ? ids.count > 0 : bytes.length > 0;
+            uselessBytes = isProgress ? rest.length : uselessBytes + chunk.length;
+            return { bytes, ...ids };
         },
         readIncomplete: () => rest,
+        countUselessBytes: () => uselessBytes,
     };
 }
 
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -37,6 +37,8 @@
 const responseBufferBytes = 65_536;
 /** Time after its beginning from which on an answer counts as one that doesn't end its server. */
 const soundAnswerMilliseconds = 500;
+/** Bytes of a stream without a next event after which its server counts as faulty. */
+const uselessBytesLimit = 1_048_576;
 /** Lowest priority that servers know; lower ones are raised to it. */
 const lowestPriority = 9;
 /** Status of a server that doesn't hold the model or adapter that the request selects. */
@@ -171,6 +173,11 @@
                 return;
             }
             const bytes = splitter ? takeCompleteEvents(state, splitter, chunk, parts.clock.now()) : chunk;
+            if (splitter && splitter.countUselessBytes() > uselessBytesLimit) {
+                attempt?.abort();
+                handleFault({ kind: "broken", detail: `${uselessBytesLimit} bytes without an event` });
+                return;
+            }
             if (bytes.length > 0 && !state.answer.write(bytes)) {
                 attempt?.pause();
                 state.answer.onDrain(() => attempt?.resume());
