--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -8,6 +8,7 @@
 import { adapterMessageSchema } from "../../adapters/messages.js";
 import type { ShardHolder } from "../../adapters/shardHolders.js";
 import { createShardTask } from "../../adapters/shardTask.js";
+import { createPromptGuard, type PromptGuard, quarantineMessageSchema } from "../../quarantine/index.js";
 import { type AccountLimits, createAccountLimits } from "../../serving/accountLimits.js";
 import type { ClockReading } from "../../serving/freshness.js";
 import { createInstanceDirectory, encodeInstanceEntry, type InstanceEntry } from "../../serving/instanceDirectory.js";
@@ -45,6 +46,11 @@
 export interface FleetFaults {
     readonly random: SeededRandom;
     readonly instances: readonly InstanceId[];
+    /** Guards of prompts of the instances, in the same order. */
+    readonly guards: readonly PromptGuard[];
+    readonly now: () => Milliseconds;
+    /** Runs an action after a delay. */
+    readonly schedule: (delay: Milliseconds, action: () => void) => void;
     /** Keeps an instance from sending and receiving messages for a time; what is sent to it arrives later. */
     readonly pause: (instance: InstanceId, duration: Milliseconds) => void;
     /** Loses all messages between an instance and all others for a time. */
@@ -98,6 +104,7 @@
 
 interface Instance {
     readonly network: FleetNetwork;
+    readonly guard: PromptGuard;
     readonly accountLimits: AccountLimits;
     readonly requestPlace: (adapter: string) => Promise<boolean>;
 }
@@ -129,7 +136,7 @@
     const joinsBefore = world.store.counts.joins;
     const load = startLoad(world, instances);
     const cpuBefore = process.cpuUsage();
-    const faults = createFaults(world);
+    const faults = createFaults(world, instances.map(({ guard }) => guard));
     const lastSecond = options.duration / 1_000;
     let beforeLast = { ...load };
     for (let second = 1; second <= lastSecond; second++) {
@@ -188,12 +195,15 @@
     };
 }
 
-function createFaults(world: World): FleetFaults {
+function createFaults(world: World, guards: readonly PromptGuard[]): FleetFaults {
     const { history, store } = world;
     const instances = [...world.networks.keys()];
     return {
         random: createSeededRandom(world.options.seed + 500),
         instances,
+        guards,
+        now: history.now,
+        schedule: history.schedule,
         pause: history.pause,
         cut: (instance, duration) => history.cut([instance], instances.filter(other => other !== instance), duration),
         cutFromStore: (instance, duration) => {
@@ -264,17 +274,31 @@
     });
     network.handle("adapters", (from, message) => adapters.handleMessage(from, adapterMessageSchema.parse(message)));
     network.handle("quotas", quotas.handleMessage);
-    startFollowers(world, directory, network);
+    const guard = createPromptGuard({
+        self: self.id,
+        clock,
+        network,
+        holders: adapters.holders,
+        isHeld: shard => shards.find(shard) !== undefined,
+        append: store.log.append,
+    });
+    network.handle(
+        "quarantines",
+        (from, message) => guard.handleMessage(from, quarantineMessageSchema.parse(message)),
+    );
+    startFollowers(world, directory, network, guard);
     store.append("instances", self.id, encodeInstanceEntry(self));
     void shards.run(new AbortController().signal);
     const runTick = (): void => {
         quotas.tick();
         adapters.tick();
+        guard.tick();
         history.schedule(tickMilliseconds, runTick);
     };
     history.schedule(index % tickMilliseconds, runTick);
     return {
         network,
+        guard,
         accountLimits: createAccountLimits({
             now: clock.now,
             random,
@@ -310,6 +334,7 @@
     world: World,
     directory: ReturnType<typeof createInstanceDirectory>,
     network: FleetNetwork,
+    guard: PromptGuard,
 ): void {
     const { clock, store } = world;
     const readNow = (): ClockReading => ({ monotonic: clock.now(), timeOfDay: clock.now() });
@@ -335,6 +360,7 @@
     network.handle("relay", (from, message) => relayed.handleMessage(message));
     const startFollower = (topic: KeyedTopic, wait: Milliseconds, pause: Milliseconds): void => {
         const isDirectory = topic === "instances";
+        const isQuarantines = topic === "quarantines";
         const follower = createKeyedFollower({
             log: relayed.log,
             topic,
@@ -343,8 +369,22 @@
             cache: caches[topic],
             sleep: clock.sleep,
             readClocks: readNow,
-            onSnapshot: records => isDirectory && directory.replaceAll(records),
-            onRecords: records => isDirectory && records.forEach(directory.applyRecord),
+            onSnapshot: records => {
+                if (isDirectory) {
+                    directory.replaceAll(records);
+                }
+                if (isQuarantines) {
+                    guard.replaceAll(records);
+                }
+            },
+            onRecords: records => {
+                if (isDirectory) {
+                    records.forEach(directory.applyRecord);
+                }
+                if (isQuarantines) {
+                    records.forEach(guard.applyRecord);
+                }
+            },
             onConfirmed: () => undefined,
             onFailure: () => undefined,
         });
--- a/src/bench/fleet/storeModel.ts
+++ b/src/bench/fleet/storeModel.ts
@@ -12,7 +12,7 @@
 export interface StoreModel {
     readonly log: KeyedLog;
     readonly group: ShardGroup;
-    readonly append: (topic: KeyedTopic, key: string, value: Uint8Array) => void;
+    readonly append: (topic: KeyedTopic, key: string, value: Uint8Array | undefined) => void;
     /** Reads of topics, and joins of the group, which count as a tenth of a call. */
     readonly counts: { reads: number; joins: number; };
     /** Instances whose joins fail; after their lifetime their shards are dealt to other members. */
@@ -83,7 +83,11 @@
                 const records = [...state.records.values()].filter(record => record.offset >= offset);
                 return wrapValue({ records, endOffset: state.endOffset });
             },
-            append: () => Promise.resolve(wrapValue(undefined)),
+            append: async (topic, key, value) => {
+                await clock.sleep(callMilliseconds);
+                append(topic, key, value);
+                return wrapValue(undefined);
+            },
         },
         group: {
             join: async (member, known, ttl) => {
