fix(serving): quarantined requests use nothing of a quota, and garbage blames no prompt

A caller's sound requests were refused with 429 while requests of the same account with a quarantined part, which reached no server, used its units (test: quota asked once, 503 after it; now not asked). Requests whose stream was given up for bytes that are no events, or answered with another request's answer, no longer count as evidence that a prompt ended its server: the server is alive and faulty.

Test: runRequest.test.ts, "uses nothing of its account's quota"; it fails without the change. The second half has no test of its own.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -21,6 +21,8 @@
     readonly attempts: readonly AttemptScript[];
     readonly disconnectAfter?: number;
     readonly seed?: number;
+    /** Whether the request's prompt is quarantined. */
+    readonly isQuarantined?: boolean;
 }
 
 interface CaseResult {
@@ -30,6 +32,8 @@
     readonly body: string;
     readonly end: "end" | "destroyed" | "open";
     readonly aborted: number;
+    /** Times that the account's quota was asked for units. */
+    readonly quotaUses: number;
 }
 
 const headers: HeaderCodec = {
@@ -77,12 +81,14 @@
         canResume: false,
         ...requestCase.route,
     };
+    const quota = { unit: "requests", ratePerSecond: 1, burst: 1, defaultTokens: 1 } as const;
+    let quotaUses = 0;
     const configuration = createConfigurationState();
     configuration.apply({
         version: 1,
         routes: [route],
         services: new Map([["s", { name: "s", connectionLimit: 1, engine: undefined }]]),
-        accounts: [{ name: "acme", keys: ["k"], priority: undefined, quota: undefined }],
+        accounts: [{ name: "acme", keys: ["k"], priority: undefined, quota }],
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
     });
     if (!requestCase.isStale) {
@@ -131,7 +137,7 @@
     const running = runRequest(
         {
             configuration,
-            limits: { take: () => Promise.resolve({ kind: "admitted", delay: 0 }) },
+            limits: { take: () => Promise.resolve({ kind: "admitted", delay: 0 * ++quotaUses }) },
             retryBudget: createRetryBudget({ window: 10_000, ratio: 0.2, slack: 50 }),
             random: createSeededRandom(requestCase.seed ?? 1),
             maximumConfigAge: 4_000,
@@ -163,7 +169,10 @@
             adapters: {} as PlaceClient,
             permits: { recordLimit: () => undefined, acquirePermit: () => Promise.resolve(true) },
             guard: {
-                decide: () => ({ kind: "open" }),
+                decide: () =>
+                    requestCase.isQuarantined
+                        ? { kind: "quarantined", scope: { part: "bad", account: undefined }, remaining: 20_000 }
+                        : { kind: "open" },
                 requestTrial: () => Promise.resolve(false),
                 markBroken: () => undefined,
                 markServerAnswered: () => undefined,
@@ -185,7 +194,7 @@
         setTimeout(() => leaving.abort(), requestCase.disconnectAfter);
     }
     const report = await running;
-    return { report, sent, status, body: written.join(""), end, aborted };
+    return { report, sent, status, body: written.join(""), end, aborted, quotaUses };
 }
 
 const sendComplete = (body: string): AttemptScript => handlers => {
@@ -218,6 +227,13 @@
         expect([open.status, open.sent.length]).to.deep.equal([200, 1]);
     });
 
+    // guards against requests that reach no server and still use up what the account's sound requests need
+    it("is refused at once and uses nothing of its account's quota while its prompt is quarantined", async () => {
+        const outcome = await runCase({ isQuarantined: true, attempts: [sendComplete("x")] });
+        expect([outcome.status, outcome.sent.length, outcome.quotaUses]).to.deep.equal([503, 0, 0]);
+        expect(outcome.report).to.deep.include({ outcome: "refused", reason: "quarantined prompt" });
+    });
+
     it("is sent once and fails with 502 when it is not idempotent and its connection breaks", async () => {
         const outcome = await runCase({ route: once, attempts: [failConnection, sendComplete("again")] });
         expect([outcome.status, outcome.sent.length]).to.deep.equal([502, 1]);
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -87,6 +87,7 @@
         let mode: "waiting" | "delivering" | "ignoring" = "waiting";
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
+        let isUseless = false;
         let attempt: Attempt | undefined = undefined;
         const cancelTimer = new AbortController();
         const finish = (end: AttemptOutcome): void => {
@@ -175,6 +176,7 @@
             const bytes = splitter ? takeCompleteEvents(state, splitter, chunk, parts.clock.now()) : chunk;
             if (splitter && splitter.countUselessBytes() > uselessBytesLimit) {
                 attempt?.abort();
+                isUseless = true;
                 handleFault({ kind: "broken", detail: `${uselessBytesLimit} bytes without an event` });
                 return;
             }
@@ -191,7 +193,8 @@
             if (fault.kind !== "notSent") {
                 parts.onBroken();
                 writeBrokenLog(state, run, fault, parts.clock.now());
-                if (!state.isSound) {
+                // bytes that are no answer say that the server is faulty, not that the prompt ended it
+                if (!state.isSound && fault.kind === "broken" && !isUseless) {
                     parts.guard.markBroken(run, describeGuarded(state), parts.clock.now());
                 }
             }
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import { millisecondsPerSecond } from "../shared/index.js";
-import { applyQuota, decideAdmission } from "./admission.js";
+import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+import { type Admission, applyQuota, decideAdmission } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
 import { describeGuarded, runAttempt } from "./runAttempt.js";
@@ -16,6 +16,7 @@
 const serviceUnavailableStatus = 503;
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
+const quarantineReason = "quarantined prompt";
 /**
  * Retry delay sent to clients when no server has run their request: the minimum plus a random part of the jitter, so
  * that they don't all retry at the same time.
@@ -40,7 +41,7 @@
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
-    const decided = decideAdmission(parts, request);
+    const decided = refuseIfQuarantined(parts, decideAdmission(parts, request), request, startedAt);
     const admission = decided.kind === "admitted" ? await applyQuota(parts, decided, request) : decided;
     if (admission.kind === "refused") {
         const { status, retryAfter, reason } = admission;
@@ -89,6 +90,30 @@
     return createReport(state, outcome);
 }
 
+// before the quota, so that requests which reach no server use nothing of it
+function refuseIfQuarantined(
+    parts: RequestParts,
+    admission: Admission,
+    request: ClientRequest,
+    now: Milliseconds,
+): Admission {
+    if (admission.kind === "refused") {
+        return admission;
+    }
+    const account = admission.account?.name;
+    const decision = parts.guard.decide({ prompt: request.prompt, account }, now);
+    return decision.kind === "quarantined"
+        ? {
+            kind: "refused",
+            status: serviceUnavailableStatus,
+            reason: quarantineReason,
+            retryAfter: decision.remaining / millisecondsPerSecond + retryAfterSeconds.jitter * parts.random.next(),
+            route: admission.route.name,
+            account,
+        }
+        : admission;
+}
+
 async function runAttempts(parts: RequestParts, state: RequestState): Promise<RequestReport["outcome"]> {
     parts.retryBudget.countRequest(state.admission.service, state.startedAt);
     for (;;) {
@@ -193,7 +218,7 @@
 function refuseQuarantined(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
     const decision = parts.guard.decide(describeGuarded(state), parts.clock.now());
     const remaining = decision.kind === "quarantined" ? decision.remaining / millisecondsPerSecond : 0;
-    return finishWithoutResponse(parts, state, "quarantined prompt", remaining);
+    return finishWithoutResponse(parts, state, quarantineReason, remaining);
 }
 
 function finishWithoutResponse(
