--- a/src/quarantine/promptGuard.ts
+++ b/src/quarantine/promptGuard.ts
@@ -51,8 +51,6 @@
     /** Replaces all quarantines by those of a snapshot of the store. */
     readonly replaceAll: (records: readonly KeyedRecord[]) => void;
     readonly applyRecord: (record: KeyedRecord) => void;
-    /** Number of quarantines in force. */
-    readonly countQuarantines: () => number;
     /** Sends what is to be reported, and decides where this instance does; call it regularly. */
     readonly tick: () => void;
 }
@@ -176,7 +174,6 @@
             const added = list.apply(record, clock.now());
             trackAdded(added ? [added] : []);
         },
-        countQuarantines: () => list.list().length,
         tick: () => {
             void sendReport();
             if (isDecider()) {
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -180,7 +180,6 @@
                 handleMessage: () => undefined,
                 replaceAll: () => undefined,
                 applyRecord: () => undefined,
-                countQuarantines: () => 0,
                 tick: () => undefined,
             },
             onBroken: () => undefined,
