feat(serving,platform): the log tells that a server's response says it leaves

The hypotheses: the notice in responses isn't read; it is known, and a way to the server asks too early; it is known and undone by a later entry. No log line tells when an instance was told, so none of them could be told from the others. The header is decoded in responses to requests, orders and reports, logged once a run and counted; nothing is decided by it yet.

--- a/src/adapters/types.ts
+++ b/src/adapters/types.ts
@@ -83,10 +83,18 @@
     readonly detail: string;
 }
 
+/** What any response of an engine may say about the engine itself. */
+export interface EngineNotice {
+    /** Whether the engine announces that it is about to stop. @default false */
+    readonly isLeaving?: boolean;
+}
+
 /** Client for the control interface of engines. */
 export interface EngineControl {
     /** Sends an order to an engine. */
-    readonly order: (server: BackendServer, order: EngineOrder) => Promise<OrderOutcome>;
+    readonly order: (server: BackendServer, order: EngineOrder) => Promise<OrderOutcome & EngineNotice>;
     /** Fetches an engine's report. */
-    readonly report: (server: BackendServer) => Promise<Result<EngineReport, ReportError>>;
+    readonly report: (
+        server: BackendServer,
+    ) => Promise<Result<EngineReport & EngineNotice, ReportError & EngineNotice>>;
 }
--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -188,6 +188,18 @@
         ]);
     });
 
+    // guards against a notice in responses that is passed over, so that a server that stops gets requests until its end
+    it("recognizes responses of a server that is about to stop, and doesn't pass the notice on", () => {
+        const decode = (value: string) => platformHeaderCodec.decodeResponseHead(200, ["Server-Leaving", value]);
+        expect([decode("1"), decode(" 1 "), decode("0")].map(head => head.isLeaving)).to.deep.equal([
+            true,
+            true,
+            false,
+        ]);
+        expect(platformHeaderCodec.decodeResponseHead(503, []).isLeaving).to.equal(false);
+        expect(decode("1").passedHeaders).to.deep.equal([]);
+    });
+
     it("recognizes responses which state that the request has not run", () => {
         const isNotRun = (status: number, headers: string[] = []): boolean =>
             platformHeaderCodec.decodeResponseHead(status, headers).isNotRun;
--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -6,10 +6,18 @@
  */
 import { Agent } from "undici";
 import * as z from "zod";
-import type { EngineControl, EngineOrder, EngineReport, OrderOutcome, ReportError } from "../adapters/types.js";
+import type {
+    EngineControl,
+    EngineNotice,
+    EngineOrder,
+    EngineReport,
+    OrderOutcome,
+    ReportError,
+} from "../adapters/types.js";
 import type { BackendServer } from "../serving/types.js";
 import { type Result, wrapError, wrapValue } from "../shared/index.js";
-import { sendHttpRequest } from "./httpRequest.js";
+import { decodeLeavingNotice } from "./headers.js";
+import { type HttpResponse, sendHttpRequest } from "./httpRequest.js";
 import { loadedModelsSchema } from "./serverEntry.js";
 
 /** Engines respond immediately, and an order without a response delays all later orders to its engine. */
@@ -51,7 +59,8 @@
             if (!answer.ok) {
                 return answer.error.wasSent ? { kind: "unknown" } : { kind: "unreachable" };
             }
-            return decodeOrderOutcome(answer.value.status, answer.value.body.toString("utf8"));
+            const outcome = decodeOrderOutcome(answer.value.status, answer.value.body.toString("utf8"));
+            return { ...outcome, ...decodeNotice(answer.value) };
         },
         report: async server => {
             const answer = await sendHttpRequest(agent.compose(createOriginInterceptor(server)), {
@@ -63,7 +72,11 @@
             if (!answer.ok) {
                 return wrapError({ kind: "unanswered", detail: answer.error.detail });
             }
-            return decodeReport(answer.value.status, answer.value.body.toString("utf8"));
+            const notice = decodeNotice(answer.value);
+            const report = decodeReport(answer.value.status, answer.value.body.toString("utf8"));
+            return report.ok
+                ? wrapValue({ ...report.value, ...notice })
+                : wrapError({ ...report.error, ...notice });
         },
         close: () => void agent.destroy(),
     };
@@ -75,6 +88,11 @@
     return dispatch => (options, handler) => dispatch({ ...options, origin: `http://${server.address}` }, handler);
 }
 
+function decodeNotice({ headers }: HttpResponse): EngineNotice {
+    const text = headers["server-leaving"];
+    return decodeLeavingNotice(Array.isArray(text) ? text[0] : text) ? { isLeaving: true } : {};
+}
+
 function encodeOrder(order: EngineOrder): Record<string, unknown> {
     return {
         operation: order.action,
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -29,6 +29,8 @@
     load: "x-oriolehatch-server-load",
     // requests a second from all instances together
     requestLimit: "server-limit",
+    // 1 in all responses of a server that is about to stop
+    leaving: "server-leaving",
     // the server has not executed the request and will not
     notRun: "x-oriolehatch-not-executed",
     // id of the backend server that responds
@@ -87,6 +89,7 @@
 const internalResponseHeaders: ReadonlySet<string> = new Set([
     names.load,
     names.requestLimit,
+    names.leaving,
     names.serverId,
 ]);
 
@@ -149,6 +152,7 @@
         isNotRun: values.has(names.notRun) || status === misdirectedRequestStatus,
         load: decodeServerLoad(values.get(names.load)),
         requestLimit: decodeRequestLimit(values.get(names.requestLimit)),
+        isLeaving: decodeLeavingNotice(values.get(names.leaving)),
         isEventStream: (values.get("content-type") ?? "").startsWith("text/event-stream"),
         contentLength: decodeWholeNumber(values.get("content-length")),
         passedHeaders: filterHeaders(rawHeaders, values.get("connection"), internalResponseHeaders),
@@ -229,6 +233,16 @@
     return text !== undefined && /^\d{1,9}(\.\d{1,9})?$/.test(text.trim()) ? Number(text) : undefined;
 }
 
+/**
+ * Decodes the header by which a server announces that it is about to stop.
+ *
+ * @param text - value of the header; `undefined` when the response has none
+ * @returns whether the server leaves; any value but 0 counts, as a request that is sent elsewhere loses nothing
+ */
+export function decodeLeavingNotice(text: string | undefined): boolean {
+    return text !== undefined && text.trim() !== "0";
+}
+
 // a text that names no parts is passed on as it is and decodes to nothing
 function decodePromptParts(text: string | undefined): PromptParts | undefined {
     const ids = (text ?? "").split(",").map(part => promptPartPattern.exec(part.trim())?.[1]?.toLowerCase());
--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
 import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 
@@ -22,6 +23,8 @@
 /** A response with its complete body. */
 export interface HttpResponse {
     readonly status: number;
+    /** By lower-case name. */
+    readonly headers: IncomingHttpHeaders;
     readonly body: Buffer;
 }
 
@@ -56,7 +59,7 @@
             body: httpRequest.body,
             signal: AbortSignal.timeout(httpRequest.timeout),
         });
-        return wrapValue({ status: answer.statusCode, body: await readBody(answer.body) });
+        return wrapValue({ status: answer.statusCode, headers: answer.headers, body: await readBody(answer.body) });
     }
     catch (error) {
         const detail = (error as NodeJS.ErrnoException).code ?? String(error);
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -16,6 +16,7 @@
         isNotRun: false,
         load: undefined,
         requestLimit: undefined,
+        isLeaving: false,
         isEventStream: false,
         contentLength: undefined,
         passedHeaders: rawHeaders,
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -112,6 +112,7 @@
             isNotRun: headers.has("not-run"),
             load: undefined,
             requestLimit: headers.has("limit") ? Number(headers.get("limit")) : undefined,
+            isLeaving: headers.has("leaving"),
             isEventStream: true,
             contentLength: undefined,
             passedHeaders: [],
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -272,6 +272,11 @@
         record.load = head.load;
         record.loadReceivedAt = now;
     }
+    if (head.isLeaving && !record.isLeaving) {
+        record.isLeaving = true;
+        parts.onLeaving();
+        log.info("server leaves", { run, learnedFrom: "response", status: head.status, id: state.request.attemptId });
+    }
     if (head.status !== misdirectedStatus) {
         recordLimit(parts, selected.server, head.requestLimit);
     }
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -278,6 +278,7 @@
         permits: adapters.permits,
         guard,
         onBroken: metrics.countBrokenAnswer,
+        onLeaving: metrics.countLeavingServer,
     };
     let isDraining = false;
     const handleRequest = async (received: ReceivedRequest): Promise<void> => {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -16,6 +16,8 @@
     readonly countStoreFailure: (topic: string) => void;
     /** Counts an answer that a server broke off, or a request that it left without one. */
     readonly countBrokenAnswer: () => void;
+    /** Counts a server whose responses announce that it is about to stop. */
+    readonly countLeavingServer: () => void;
     /** Returns all metrics in the text format of Prometheus. */
     readonly render: () => Promise<string>;
 }
@@ -86,6 +88,11 @@
         help: "Requests that a server received and whose answer it broke off or never began",
         registers,
     });
+    const leavingServers = new Counter({
+        name: "oriolehatch_leaving_servers_total",
+        help: "Servers that announced in a response that they are about to stop",
+        registers,
+    });
     new Gauge({
         name: "oriolehatch_adapter_loads",
         help: "Adapter loads on their way and waiting, and those that the weight store serves at full speed",
@@ -120,6 +127,7 @@
         },
         countStoreFailure: topic => storeFailures.inc({ topic }),
         countBrokenAnswer: () => brokenAnswers.inc(),
+        countLeavingServer: () => leavingServers.inc(),
         render: () => registry.metrics(),
     };
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -235,6 +235,8 @@
     readonly load: ServerLoad | undefined;
     /** Requests a second that the server takes from all instances together; `undefined` when it names no limit. */
     readonly requestLimit: number | undefined;
+    /** Whether the server announces that it is about to stop and wants no new requests. */
+    readonly isLeaving: boolean;
     readonly isEventStream: boolean;
     /** `undefined` when the body ends with its last chunk or with the connection. */
     readonly contentLength: number | undefined;
