test(serving): servers that say in their responses that they leave, known to fail

Two whole instances on local ports and three servers, of which one says so in its responses while its entry stays ready, is deleted and comes back.

--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -35,6 +35,8 @@
 export interface TestArrival {
     readonly at: number;
     readonly server: string;
+    /** Id of the request. */
+    readonly id: string;
     readonly parts: readonly string[];
 }
 
@@ -49,6 +51,18 @@
     readonly answerDuration: number;
     /** Limit in requests a second that the first server names, once it is set. */
     readonly readLimit?: () => string | undefined;
+    /** Whether a server, counted from 0, says in its responses that it leaves. */
+    readonly isLeaving?: (server: number) => boolean;
+}
+
+/** A server of the fleet, whatever its present run. */
+export interface TestServer {
+    /** Writes the entry of the present run to the store again, as servers do regularly. */
+    readonly writeEntry: () => void;
+    /** Deletes the entry of the present run, which goes on serving. */
+    readonly deleteEntry: () => void;
+    /** Ends the present run; the next one starts after the restart delay. */
+    readonly restart: () => void;
 }
 
 /** A running fleet. */
@@ -58,6 +72,7 @@
     readonly arrivals: readonly TestArrival[];
     /** Times at which servers ended. */
     readonly crashes: readonly number[];
+    readonly servers: readonly TestServer[];
     readonly stop: () => Promise<void>;
 }
 
@@ -251,9 +266,10 @@
         send: (instance, request) => sendRequest(ports[instance * 4]!, request),
         arrivals,
         crashes,
+        servers,
         stop: async () => {
             stopping.abort();
-            servers.forEach(stop => stop());
+            servers.forEach(server => server.close());
             await Promise.all(running);
         },
     };
@@ -267,7 +283,10 @@
     readonly stopping: AbortSignal;
 }
 
-async function startServer(index: number, world: ServerWorld): Promise<() => void> {
+async function startServer(
+    index: number,
+    world: ServerWorld,
+): Promise<TestServer & { readonly close: () => void; }> {
     const { options, store } = world;
     const sockets = new Set<Socket>();
     let run = 0;
@@ -287,12 +306,16 @@
     };
     const respond = (request: IncomingMessage, response: ServerResponse): void => {
         const parts = String(request.headers.parts).split(",");
-        world.arrivals.push({ at: performance.now(), server: readId(), parts });
+        const id = String(request.headers.id);
+        world.arrivals.push({ at: performance.now(), server: readId(), id, parts });
         const limit = index === 0 ? options.readLimit?.() : undefined;
-        const headers: Record<string, string> = { id: String(request.headers.id), signed: "1" };
+        const headers: Record<string, string> = { id, signed: "1" };
         if (limit !== undefined) {
             headers["limit"] = limit;
         }
+        if (options.isLeaving?.(index)) {
+            headers["leaving"] = "1";
+        }
         if (request.headers.expected !== readId()) {
             response.writeHead(421, { ...headers, "not-run": "1" });
             response.end();
@@ -317,6 +340,9 @@
         });
         await new Promise<void>(resolve => server!.listen(port, "127.0.0.1", resolve));
         port = (server.address() as AddressInfo).port;
+        writeEntry();
+    };
+    const writeEntry = (): void => {
         const entry: BackendServer = {
             id: readId(),
             startedAt: run,
@@ -330,9 +356,14 @@
         store.put("servers", readId(), Buffer.from(JSON.stringify(entry)));
     };
     await listen();
-    return () => {
-        server?.close();
-        sockets.forEach(socket => socket.destroy());
+    return {
+        writeEntry,
+        deleteEntry: () => store.put("servers", readId(), undefined),
+        restart: () => end(run),
+        close: () => {
+            server?.close();
+            sockets.forEach(socket => socket.destroy());
+        },
     };
 }
 
