feat(adapters): adapters of an engine that takes no more requests are loaded elsewhere, busiest first

Since no request goes to an engine once it has said that it leaves, each adapter that was busy there cost the callers who asked for it next the wait for a load, although the engine goes on answering for a while. The holder of its shard asks the holders at which these requests will arrive to load them, behind all loads that requests wait for. Adapters that were used once in the last seconds are left to be asked for. Also for engines whose entry says that they drain. Test: adapterCoordinator.test.ts, "finds the adapters that were busy".

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -13,6 +13,8 @@
     readonly onOrder?: (server: BackendServer) => unknown;
     readonly onMessage?: (message: AdapterMessage) => void;
     readonly listUsable?: () => readonly BackendServer[];
+    /** Called with each order that loads an adapter. */
+    readonly onLoad?: (server: BackendServer, adapter: string) => void;
 }
 
 // a coordinator that holds the shards of all engines, beside another instance that holds a shard without engines
@@ -40,6 +42,9 @@
                 }
                 const key = `${server.id} ${order.adapter}`;
                 const isDone = loaded.has(key);
+                if (!isDone) {
+                    hooks.onLoad?.(server, order.adapter!);
+                }
                 loaded.add(key);
                 return Promise.resolve({ kind: isDone ? "done" : "accepted" });
             },
@@ -59,7 +64,7 @@
         readHolders: () => Promise.resolve([[0, "i"], [1, "other"]]),
         listEngines: () => servers,
         listUsable: hooks.listUsable ?? (() => servers),
-        mayReceive: () => true,
+        mayReceive: run => hooks.listUsable?.().some(server => formatServerRunId(server) === run) ?? true,
         isLeaving: () => false,
         onLeaving: () => undefined,
         findLimits: () => testLimits,
@@ -113,6 +118,31 @@
         expect(leaving.has(formatServerRunId(acquired!.server))).to.equal(false);
     });
 
+    // guards against callers who wait for a load each when an engine leaves, though it went on answering meanwhile
+    it("finds the adapters that were busy on a leaving engine on another one, the busiest loaded first", async () => {
+        const servers = [createTestServer("i-1"), createTestServer("i-2")];
+        let usable: readonly BackendServer[] = [servers[0]!];
+        const loads: string[] = [];
+        const coordinator = await createCoordinator(servers, {
+            listUsable: () => usable,
+            onLoad: (server, adapter) => loads.push(`${server.id} ${adapter}`),
+        });
+        for (const [adapter, uses] of [["a1", 2], ["a2", 1], ["a3", 4]] as const) {
+            for (let use = 0; use < uses; use++) {
+                const request = { ...createRequest(() => usable), choice: { model: "base", adapter } };
+                (await coordinator.acquire(request))!.release("answered");
+            }
+        }
+        usable = [servers[1]!];
+        loads.length = 0;
+        coordinator.tick();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(loads).to.deep.equal(["i-2 a3", "i-2 a1"]);
+        coordinator.tick();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        expect(loads).to.have.length(2);
+    });
+
     it("requires the version once requests may not start on older ones, also right after a load", async () => {
         const servers = [createTestServer("i-1")];
         const coordinator = await createCoordinator(servers);
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -16,6 +16,7 @@
     type ServerRunId,
 } from "../serving/types.js";
 import type { Clock, FailureDomainId, InstanceId, Milliseconds, SeededRandom } from "../shared/index.js";
+import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createEngineFinder } from "./engineFinder.js";
 import { createEngineManager, type EngineManager } from "./engineManager.js";
@@ -23,7 +24,13 @@
 import { createEngineShards } from "./engineShards.js";
 import { createHolderLoads } from "./holderLoads.js";
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
-import { type AdapterMessage, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
+import {
+    type AdapterMessage,
+    formatAdapterKey,
+    parseAdapterKey,
+    type PlaceRequest,
+    type PlaceResponse,
+} from "./messages.js";
 import { createModelLoadLimiter } from "./modelLoadLimiter.js";
 import { createPermitClient, type PermitClient } from "./permitClient.js";
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient } from "./placeClient.js";
@@ -264,6 +271,7 @@
         const manager = managers.get(run);
         manager?.stop();
         managers.delete(run);
+        withdrawn.delete(run);
         heldEngines.clear();
         places.removeEngine(run);
         residency.remove(run);
@@ -337,6 +345,24 @@
         ask: requestPlace,
         end,
     });
+    const adapterMover = createAdapterMover({
+        self,
+        shards: engineShards,
+        finder,
+        listUsable: options.listUsable,
+        findHolder: holders.find,
+        send: (holder, message) => network.send(holder, "adapters", message),
+    });
+    // runs that take no more requests, whose loads were dropped and whose adapters were moved
+    const withdrawn = new Set<ServerRunId>();
+    const withdrawEngine = (run: ServerRunId): void => {
+        const manager = managers.get(run);
+        if (manager && !withdrawn.has(run)) {
+            withdrawn.add(run);
+            manager.dropWaitingLoads();
+            adapterMover.move(manager.service, manager.listBusiest());
+        }
+    };
     // `undefined` when this instance doesn't hold the server's shard
     const decidePermit = (shard: number, run: ServerRunId, requestsPerSecond: number): Milliseconds | undefined => {
         if (!shards?.find(shard)) {
@@ -352,10 +378,13 @@
         const newest = versions.listNewest();
         for (const manager of managers.values()) {
             for (const key of manager.listOutdated(newest)) {
-                const slash = key.indexOf("/");
-                const choice = { model: key.slice(0, slash), adapter: key.slice(slash + 1) };
                 const version = newest.get(key);
-                void manager.ensure({ ...choice, version, wasDenied: false, ...replacementLoadParameters });
+                void manager.ensure({
+                    ...parseAdapterKey(key),
+                    version,
+                    wasDenied: false,
+                    ...replacementLoadParameters,
+                });
             }
         }
     };
@@ -385,6 +414,9 @@
             case "leaving":
                 options.onLeaving(message.run, "instance");
                 return undefined;
+            case "prepare":
+                adapterMover.loadAhead(message);
+                return undefined;
             case "askPermit":
                 return { kind: "permit", wait: decidePermit(message.shard, message.run, message.requestsPerSecond) };
             case "askHolders":
@@ -418,7 +450,7 @@
             }
         },
         handleLeaving: (run, learnedFrom) => {
-            managers.get(run)?.dropWaitingLoads();
+            withdrawEngine(run);
             const holder = holders.find(findShard(parseServerId(run)));
             if (learnedFrom === "response" && holder !== undefined && holder !== self) {
                 network.send(holder, "adapters", { kind: "leaving", run });
@@ -445,6 +477,7 @@
         handleMessage,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
+            [...managers.keys()].filter(run => !options.mayReceive(run)).forEach(withdrawEngine);
             placeService.expire(clock.now());
             replaceOutdatedAdapters();
             loadScheduler.expire(clock.now());
--- a/src/adapters/engineManager.ts
+++ b/src/adapters/engineManager.ts
@@ -15,7 +15,7 @@
     type EnsureResult,
     formatAdapterKey,
 } from "./messages.js";
-import { markUseEnded, markUseStarted } from "./slotTable.js";
+import { listBusiest, markUseEnded, markUseStarted } from "./slotTable.js";
 
 interface LoadResult {
     readonly outcome: EnsureOutcome;
@@ -31,6 +31,7 @@
 /** Manager of one engine's adapters. */
 export interface EngineManager {
     readonly run: ServerRunId;
+    readonly service: string;
     /** Fetches the engine's report, and orders the load of a base model when the engine has none. */
     readonly refresh: () => Promise<void>;
     /**
@@ -45,6 +46,8 @@
     /** Resident adapters whose version is older than the given one. */
     readonly listOutdated: (newest: ReadonlyMap<AdapterKey, number>) => readonly AdapterKey[];
     readonly hasModel: () => boolean;
+    /** Resident adapters that were used lately, most demanded first. */
+    readonly listBusiest: () => readonly AdapterKey[];
     /** Drops the loads that have not been ordered, as the engine takes no more orders. */
     readonly dropWaitingLoads: () => void;
     /** Time at which the last order was sent; negative infinity when none was. */
@@ -201,6 +204,7 @@
     };
     return {
         run,
+        service: options.server.service,
         refresh: orders.refresh,
         ensure: handleEnsure,
         markUseStarted: key => {
@@ -220,6 +224,7 @@
                 .filter(([key, slot]) => slot.state === "resident" && slot.version < (newest.get(key) ?? 0))
                 .map(([key]) => key),
         hasModel: () => orders.slotTable.models.size > 0,
+        listBusiest: () => listBusiest(orders.slotTable, clock.now()),
         dropWaitingLoads: () => [...waitingLoads.values()].forEach(load => load.drop()),
         readLastOrderAt: orders.readLastOrderAt,
         stop: orders.stop,
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -153,6 +153,8 @@
     z.object({ kind: z.literal("limit"), run: z.string(), requestsPerSecond: z.number().nonnegative().optional() }),
     // a server has announced that it is about to stop
     z.object({ kind: z.literal("leaving"), run: z.string() }),
+    // asks to have adapters of an engine that takes no more requests loaded elsewhere, busiest first
+    z.object({ kind: z.literal("prepare"), service: z.string(), adapters: z.array(z.string()) }),
     z.object({
         kind: z.literal("askPermit"),
         shard: shardNumber,
@@ -191,3 +193,14 @@
 export function formatAdapterKey(model: string, adapter: string): AdapterKey {
     return `${model}/${adapter}`;
 }
+
+/**
+ * Parses the key of an adapter.
+ *
+ * @param key - key as `formatAdapterKey` returns it
+ * @returns names of its base model, which has no slash, and of the adapter
+ */
+export function parseAdapterKey(key: AdapterKey): { readonly model: string; readonly adapter: string; } {
+    const slash = key.indexOf("/");
+    return { model: key.slice(0, slash), adapter: key.slice(slash + 1) };
+}
--- a/src/adapters/slotTable.ts
+++ b/src/adapters/slotTable.ts
@@ -40,6 +40,8 @@
 }
 
 const demandHalfLifeMilliseconds = 10_000;
+/** Demand that a load and two uses leave; an adapter that was used once may never be asked for again. */
+const busyDemand = 2.2;
 /**
  * Time for which a new holder takes the adapters that it finds for used: requests that the previous holder placed may
  * still be running.
@@ -176,6 +178,22 @@
     return victim;
 }
 
+/**
+ * Lists the adapters that are worth a load elsewhere when their engine stops.
+ *
+ * @param slotTable - table of the engine
+ * @param now - current time
+ * @returns keys of the resident adapters that were used lately, most demanded first
+ */
+export function listBusiest(slotTable: SlotTable, now: Milliseconds): readonly AdapterKey[] {
+    return [...slotTable.slots]
+        .filter(([, slot]) => slot.state === "resident")
+        .map(([key, slot]) => ({ key, demand: computeDemand(slot, now) }))
+        .filter(({ demand }) => demand >= busyDemand)
+        .sort((left, right) => right.demand - left.demand)
+        .map(({ key }) => key);
+}
+
 /**
  * Checks whether an adapter isn't in use.
  *
