feat(serving): the log tells which request an answer was broken off for

In second1 servers ended one after the other under lookups of one path and account (5.17, 5.22 and 5.32 s, and again whenever they were back). The lines told path and account only, so that one request that comes again could not be told from many that end their servers. Each line names a digest of method, host, path, account and body now; it is computed for each request and decides nothing yet.

--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -6,4 +6,5 @@
 export * from "./messages.js";
 export * from "./promptGuard.js";
 export * from "./quarantineList.js";
+export * from "./requestDigest.js";
 export * from "./types.js";
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -5,7 +5,7 @@
  */
 import type { PermitClient } from "../adapters/permitClient.js";
 import type { PlaceClient } from "../adapters/placeClient.js";
-import type { PromptGuard } from "../quarantine/index.js";
+import type { PromptGuard, RequestDigest } from "../quarantine/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
 import type { ServerConnections } from "./serverConnections.js";
@@ -70,6 +70,8 @@
 export interface RequestState {
     readonly request: ClientRequest;
     readonly body: Buffer | undefined;
+    /** Identity of the request, the same for its repeats. */
+    readonly digest: RequestDigest;
     readonly answer: ClientResponse;
     readonly admission: Extract<Admission, { readonly kind: "admitted"; }>;
     readonly startedAt: Milliseconds;
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -335,6 +335,7 @@
         detail: fault.detail,
         route: state.admission.route.name,
         account: state.admission.account?.name,
+        digest: state.digest,
         parts: state.request.prompt?.shared.join(),
         sinceSent: Math.round(now - state.sentAt),
         sinceBegun: state.beganAt === undefined ? undefined : Math.round(now - state.beganAt),
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { computeRequestDigest } from "../quarantine/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { type Admission, applyQuota, decideAdmission } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
@@ -64,6 +65,7 @@
     const state: RequestState = {
         request,
         body,
+        digest: computeRequestDigest({ ...request, account: admission.account?.name, body }),
         answer,
         admission,
         startedAt,
