test(serving): one request that ends each server that runs it, known to fail

Three whole instances on local ports and nine servers, which end under one body of one account; the same body of another account and other lookups are sound. As a lookup without a prompt and as a stream whose prompt has parts.

--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -20,6 +20,10 @@
     /** Parts of the prompt; the last one is the request's own. */
     readonly parts: readonly string[];
     readonly key: string;
+    /** @default "/x", a stream that can be resumed; paths that begin with "/lookup/" are idempotent requests */
+    readonly path?: string;
+    /** @default "body" */
+    readonly body?: string;
 }
 
 /** What a client got. */
@@ -38,6 +42,7 @@
     /** Id of the request. */
     readonly id: string;
     readonly parts: readonly string[];
+    readonly body: string;
 }
 
 /** Behaviour of the servers. */
@@ -46,6 +51,8 @@
     readonly servers: number;
     /** A server that begins to answer a request with this part ends. */
     readonly crashingPart?: string;
+    /** A server that begins to run a request of the first account with this body ends. */
+    readonly crashingBody?: string;
     /** Time until a server that ended is back as a new run. */
     readonly restartDelay?: number;
     readonly answerDuration: number;
@@ -77,24 +84,31 @@
 }
 
 const service = "llm";
+const firstAccount = "acme";
+const createRoute = (name: string, pathPrefix: string) => ({
+    name,
+    host: "a.example",
+    pathPrefix,
+    targets: [{ service, weight: 1 }],
+    timeout: 4_000,
+    targetLatency: 600,
+    attemptLimit: 3,
+    priority: 0,
+    isPublic: false,
+});
 const config: ServingConfig = {
     version: 1,
-    routes: [{
-        name: "draft",
-        host: "a.example",
-        pathPrefix: "/",
-        kind: "stream",
-        targets: [{ service, weight: 1 }],
-        timeout: 4_000,
-        targetLatency: 600,
-        targetEventGap: 300,
-        attemptLimit: 3,
-        priority: 0,
-        isPublic: false,
-        canResume: true,
-    }],
+    routes: [
+        { ...createRoute("draft", "/"), kind: "stream", targetEventGap: 300, canResume: true },
+        { ...createRoute("lookup", "/lookup/"), kind: "idempotent", targetEventGap: undefined, canResume: false },
+    ],
     services: new Map([[service, { name: service, connectionLimit: 200, engine: undefined }]]),
-    accounts: ["acme", "bolt"].map(name => ({ name, keys: [`${name}-key`], priority: undefined, quota: undefined })),
+    accounts: [firstAccount, "bolt"].map(name => ({
+        name,
+        keys: [`${name}-key`],
+        priority: undefined,
+        quota: undefined,
+    })),
     limits: { headerBytes: 8_000, bodyBytes: 8_000, headerTimeout: 2_000, idleTimeout: 5_000 },
 };
 
@@ -102,7 +116,8 @@
 const testCodec: HeaderCodec = {
     decodeRequest: (method, target, raw) => {
         const headers = readHeaders(raw);
-        const parts = (headers.get("parts") ?? "").split(",");
+        const named = headers.get("parts");
+        const parts = named?.split(",");
         return {
             attemptId: headers.get("id"),
             method,
@@ -112,12 +127,18 @@
             deadline: 4_000,
             choice: undefined,
             tokens: undefined,
-            prompt: { shared: parts.slice(0, -1), own: parts.at(-1)! },
+            prompt: parts && { shared: parts.slice(0, -1), own: parts.at(-1)! },
             lastEventId: undefined,
-            passedHeaders: ["id", headers.get("id")!, "parts", headers.get("parts")!],
+            passedHeaders: ["id", headers.get("id")!, ...named === undefined ? [] : ["parts", named]],
         };
     },
-    encodeForwardedHeaders: (request, forwarded) => [...request.passedHeaders, "expected", forwarded.server],
+    encodeForwardedHeaders: (request, forwarded) => [
+        ...request.passedHeaders,
+        "expected",
+        forwarded.server,
+        "account",
+        forwarded.account ?? "",
+    ],
     decodeResponseHead: (status, raw) => {
         const headers = readHeaders(raw);
         return {
@@ -304,10 +325,10 @@
         store.put("servers", `s-${index}-${endedRun}`, undefined);
         setTimeout(() => world.stopping.aborted || void listen(), options.restartDelay ?? 1_000);
     };
-    const respond = (request: IncomingMessage, response: ServerResponse): void => {
-        const parts = String(request.headers.parts).split(",");
+    const respond = (request: IncomingMessage, response: ServerResponse, body: string): void => {
+        const parts = String(request.headers.parts ?? "").split(",");
         const id = String(request.headers.id);
-        world.arrivals.push({ at: performance.now(), server: readId(), id, parts });
+        world.arrivals.push({ at: performance.now(), server: readId(), id, parts, body });
         const limit = index === 0 ? options.readLimit?.() : undefined;
         const headers: Record<string, string> = { id, signed: "1" };
         if (limit !== undefined) {
@@ -321,6 +342,10 @@
             response.end();
             return;
         }
+        if (body === options.crashingBody && request.headers.account === firstAccount) {
+            setTimeout(end, 20, run);
+            return;
+        }
         response.writeHead(200, headers);
         response.write("id: 1\ndata: a\n\n");
         if (options.crashingPart !== undefined && parts.includes(options.crashingPart)) {
@@ -330,9 +355,11 @@
         setTimeout(() => response.end("id: 2\ndata: b\n\n"), options.answerDuration);
     };
     const listen = async (): Promise<void> => {
-        server = createServer((request, response) =>
-            void request.resume().once("end", () => respond(request, response))
-        );
+        server = createServer((request, response) => {
+            const chunks: Buffer[] = [];
+            request.on("data", (chunk: Buffer) => chunks.push(chunk));
+            request.once("end", () => respond(request, response, Buffer.concat(chunks).toString()));
+        });
         server.on("connection", socket => {
             sockets.add(socket);
             socket.on("error", () => undefined);
@@ -380,7 +407,10 @@
     return ports;
 }
 
-function sendRequest(port: number, { id, parts, key }: TestRequest): Promise<TestAnswer> {
+function sendRequest(
+    port: number,
+    { id, parts, key, path = "/x", body = "body" }: TestRequest,
+): Promise<TestAnswer> {
     const sentAt = performance.now();
     return new Promise(resolve => {
         const finish = (answer: Omit<TestAnswer, "took">): void =>
@@ -390,9 +420,9 @@
                 host: "127.0.0.1",
                 port,
                 method: "POST",
-                path: "/x",
+                path,
                 agent: false,
-                headers: { id, parts: parts.join(), key },
+                headers: { id, key, ...parts.length === 0 ? {} : { parts: parts.join() } },
             },
             response => {
                 const { statusCode: status, headers } = response;
@@ -404,6 +434,6 @@
             },
         );
         sent.once("error", () => finish({ status: undefined, isComplete: false, retryAfter: undefined }));
-        sent.end("body");
+        sent.end(body);
     });
 }
