fix(serving): a server whose entry is deleted is kept until two seconds after the store's return, not after the deletion

From the logs: the store was back at 7 s, reads failed until 8.8 s and were answered from 9.4 s; the entry was deleted at 10.0 s. But entries of live servers are back two seconds after the store's return; the wait must end then, whenever the deletion is read. Ruled out: a reader that lags (all instances read the topic every 400 ms).

The list knows now when a read was answered that was sent after the failure, and waits two seconds from that. Tests: serverList.test.ts; with the answer not taken up the first one fails (the servers stay until 2,900 and 4,500).

--- a/src/serving/__tests__/serverList.test.ts
+++ b/src/serving/__tests__/serverList.test.ts
@@ -65,6 +65,32 @@
     });
 });
 
+describe("a server whose entry is deleted after the store was away", () => {
+    // guards against requests to a server that has left: its entry was deleted when those of live servers were back already
+    it("is listed until live servers have written their entries again, and no longer", () => {
+        const list = createServerList();
+        list.put(createEntry());
+        list.put(createEntry({ id: "i-2" }));
+        list.markStoreFailure(0);
+        list.markStoreAnswer(400, 600);
+        expect(list.remove("i-1", 900).removed).to.deep.equal([]);
+        expect(list.remove("i-2", 2_500).removed).to.deep.equal([]);
+        expect(list.expire(2_599).removed).to.deep.equal([]);
+        expect(list.expire(2_600).removed.map(({ id }) => id)).to.have.members(["i-1", "i-2"]);
+    });
+
+    // guards against an answer that was on its way when the store went away
+    it("stays listed while only reads from before the failure have been answered", () => {
+        const list = createServerList();
+        list.put(createEntry());
+        list.markStoreFailure(1_000);
+        list.markStoreAnswer(900, 1_100);
+        list.remove("i-1", 4_000);
+        expect(list.expire(5_900).removed).to.deep.equal([]);
+        expect(list.expire(6_000).removed).to.have.length(1);
+    });
+});
+
 describe("a server", () => {
     // guards against requests that wait for a connection while the entry tells that their server drains or has restarted
     it("takes no requests once its entry is draining, deleted or that of another run", () => {
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -153,7 +153,7 @@
                 options.onServers(server ? servers.put(server) : servers.remove(record.key, clock.now()));
             }
         },
-        onConfirmed: () => undefined,
+        onConfirmed: sentAt => servers.markStoreAnswer(sentAt.monotonic, clock.now()),
         onFailure: error => {
             servers.markStoreFailure(clock.now());
             handleFailure(error);
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -31,21 +31,23 @@
     /** Adds a server or replaces its entry. */
     readonly put: (server: BackendServer) => ServerListChange;
     /**
-     * Removes a server whose entry was deleted: at once if it was draining or the store has been reachable for some
-     * time, otherwise after the time in which its entry may come back.
+     * Removes a server whose entry was deleted: at once if it was draining or the store has been back for some time,
+     * otherwise after the time in which its entry may come back.
      */
     readonly remove: (id: string, now: Milliseconds) => ServerListChange;
     /** Replaces the list by a snapshot of all entries; other servers are treated as in `remove`. */
     readonly replaceAll: (servers: readonly BackendServer[], now: Milliseconds) => ServerListChange;
     /** Records a failed read of the store. */
     readonly markStoreFailure: (now: Milliseconds) => void;
+    /** Records a read of the store that was answered; one that was sent before a failure doesn't end it. */
+    readonly markStoreAnswer: (sentAt: Milliseconds, now: Milliseconds) => void;
     /** Removes the servers whose entries have not come back in time. */
     readonly expire: (now: Milliseconds) => ServerListChange;
 }
 
 /**
- * Time that live servers need to write their entries again. An entry that is deleted within this time after a failed
- * read may belong to a live server, which therefore stays listed for this time after the deletion.
+ * Time from the return of the store in which live servers write the entries again that lapsed meanwhile. Entries that are
+ * missing after it belong to servers that are gone.
  */
 const entryGraceMilliseconds = 2_000;
 /** Runs whose announcements are kept, also when they aren't listed: the newest ones, as older ones have ended. */
@@ -63,7 +65,9 @@
     let byService = new Map<string, readonly BackendServer[]>();
     let byRun = new Map<ServerRunId, BackendServer>();
     const leavingRuns = new LRUCache<ServerRunId, true>({ max: maximumLeavingRuns });
-    let storeFailedAt = Number.NEGATIVE_INFINITY;
+    // `undefined` while the store is reachable
+    let storeFailedAt: Milliseconds | undefined;
+    let storeReturnedAt = Number.NEGATIVE_INFINITY;
 
     const isLeaving = (run: ServerRunId): boolean => leavingRuns.has(run);
     const isUsable = (server: BackendServer): boolean => !server.isDraining && !isLeaving(formatServerRunId(server));
@@ -102,12 +106,13 @@
     };
     const remove = (id: string, now: Milliseconds): ServerListChange => {
         const server = servers.get(id);
-        const mayReturn = now - storeFailedAt < entryGraceMilliseconds;
-        if (!server || !isUsable(server) || !mayReturn) {
+        const returnedAt = storeFailedAt === undefined ? storeReturnedAt : now;
+        const dueAt = returnedAt + entryGraceMilliseconds;
+        if (!server || !isUsable(server) || dueAt <= now) {
             return removeEntry(id);
         }
         if (!removalDueAt.has(id)) {
-            removalDueAt.set(id, now + entryGraceMilliseconds);
+            removalDueAt.set(id, dueAt);
         }
         return noChange;
     };
@@ -138,6 +143,12 @@
         markStoreFailure: now => {
             storeFailedAt = now;
         },
+        markStoreAnswer: (sentAt, now) => {
+            if (storeFailedAt !== undefined && sentAt >= storeFailedAt) {
+                storeFailedAt = undefined;
+                storeReturnedAt = now;
+            }
+        },
         expire: now => {
             const due = [...removalDueAt].filter(([, until]) => until <= now).map(([id]) => id);
             return mergeChanges(due.map(removeEntry));
