--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -8,7 +8,7 @@
 import { adapterMessageSchema } from "../../adapters/messages.js";
 import type { ShardHolder } from "../../adapters/shardHolders.js";
 import { createShardTask } from "../../adapters/shardTask.js";
-import { createPromptGuard, type PromptGuard, quarantineMessageSchema } from "../../quarantine/index.js";
+import { createRequestGuard, quarantineMessageSchema, type RequestGuard } from "../../quarantine/index.js";
 import { type AccountLimits, createAccountLimits } from "../../serving/accountLimits.js";
 import type { ClockReading } from "../../serving/freshness.js";
 import { createInstanceDirectory, encodeInstanceEntry, type InstanceEntry } from "../../serving/instanceDirectory.js";
@@ -47,7 +47,7 @@
     readonly random: SeededRandom;
     readonly instances: readonly InstanceId[];
     /** Guards of prompts of the instances, in the same order. */
-    readonly guards: readonly PromptGuard[];
+    readonly guards: readonly RequestGuard[];
     readonly now: () => Milliseconds;
     /** Runs an action after a delay. */
     readonly schedule: (delay: Milliseconds, action: () => void) => void;
@@ -104,7 +104,7 @@
 
 interface Instance {
     readonly network: FleetNetwork;
-    readonly guard: PromptGuard;
+    readonly guard: RequestGuard;
     readonly accountLimits: AccountLimits;
     readonly requestPlace: (adapter: string) => Promise<boolean>;
 }
@@ -195,7 +195,7 @@
     };
 }
 
-function createFaults(world: World, guards: readonly PromptGuard[]): FleetFaults {
+function createFaults(world: World, guards: readonly RequestGuard[]): FleetFaults {
     const { history, store } = world;
     const instances = [...world.networks.keys()];
     return {
@@ -277,7 +277,7 @@
     });
     network.handle("adapters", (from, message) => adapters.handleMessage(from, adapterMessageSchema.parse(message)));
     network.handle("quotas", quotas.handleMessage);
-    const guard = createPromptGuard({
+    const guard = createRequestGuard({
         self: self.id,
         clock,
         network,
@@ -337,7 +337,7 @@
     world: World,
     directory: ReturnType<typeof createInstanceDirectory>,
     network: FleetNetwork,
-    guard: PromptGuard,
+    guard: RequestGuard,
 ): void {
     const { clock, store } = world;
     const readNow = (): ClockReading => ({ monotonic: clock.now(), timeOfDay: clock.now() });
--- a/src/quarantine/__tests__/crashEvidence.test.ts
+++ b/src/quarantine/__tests__/crashEvidence.test.ts
@@ -1,19 +1,27 @@
 import { expect } from "chai";
 import { createSeededRandom } from "../../shared/index.js";
 import { type BlamedScope, type CrashEvidence, createCrashEvidence } from "../crashEvidence.js";
-import type { BrokenRequest } from "../types.js";
+import type { BrokenRequest, SoundAnswer } from "../types.js";
 
 const createRequest = (own: string, shared: readonly string[], account = "acme"): BrokenRequest => ({
     account,
+    digest: `${account} ${own}`,
     own,
     shared,
 });
 
+const createAnswer = (shared: readonly string[], beganAt: number): SoundAnswer => ({
+    account: "acme",
+    digest: `answered ${shared.join()} ${beganAt}`,
+    shared,
+    beganAt,
+});
+
 // servers that end every 300 ms under a request each; other prompts are answered between
 function addCrashes(evidence: CrashEvidence, requests: readonly BrokenRequest[]): void {
     requests.forEach((request, index) => {
-        evidence.addBreak({ run: `s-${index}`, at: index * 300, requests: [request] });
-        evidence.addAnswer({ account: "acme", shared: ["first", "calm"], beganAt: index * 300 + 50 });
+        evidence.addBreak({ run: `s-${index}`, service: "llm", at: index * 300, requests: [request] });
+        evidence.addAnswer(createAnswer(["first", "calm"], index * 300 + 50));
     });
 }
 
@@ -25,6 +33,9 @@
     readonly delay: number | undefined;
 }
 
+const isPart = ({ scope }: BlamedScope, part: string | undefined): boolean =>
+    scope.kind === "part" && scope.part === part;
+
 // 13 servers, 60 requests a second of five accounts; servers end under a crashing part, and some are ended from outside
 function runHistory(seed: number, crashingPart: string | undefined, outsideEndsPerSecond: number): Outcome {
     const random = createSeededRandom(seed);
@@ -43,7 +54,7 @@
         backAt[server] = now + 4_000;
         runs[server]!++;
         if (fresh.length > 0) {
-            evidence.addBreak({ run: `${server}/${runs[server]}`, at: now, requests: fresh });
+            evidence.addBreak({ run: `${server}/${runs[server]}`, service: "llm", at: now, requests: fresh });
         }
     };
     const sendOne = (now: number): void => {
@@ -88,16 +99,15 @@
         if (random.chance(outsideEndsPerSecond / 50)) {
             endServer(random.between(0, 12), now);
         }
-        const found = now % 200 === 0 ? evidence.findBlamed(now) : undefined;
-        if (found) {
+        for (const found of now % 200 === 0 ? evidence.listBlamed(now) : []) {
             blamed.push(found);
-            evidence.addExplanation(found);
-            blamedAt ??= found.part === crashingPart ? now : undefined;
+            evidence.addExplanation(found.scope);
+            blamedAt ??= isPart(found, crashingPart) ? now : undefined;
         }
     }
     return {
         blamed,
-        wrongly: blamed.filter(({ part }) => part !== crashingPart).length,
+        wrongly: blamed.filter(found => !isPart(found, crashingPart)).length,
         delay: blamedAt === undefined ? undefined : blamedAt - (crashes[4] ?? blamedAt),
     };
 }
@@ -111,8 +121,10 @@
             createRequest("2", ["first", "bad", "y"], "bolt"),
             createRequest("3", ["first", "bad", "z"]),
         ]);
-        expect(evidence.findBlamed(700)).to.equal(undefined);
-        expect(evidence.findBlamed(1_700)).to.deep.include({ part: "bad", account: undefined, crashes: 3, firstAt: 0 });
+        expect(evidence.listBlamed(700)).to.deep.equal([]);
+        expect(evidence.listBlamed(1_700)).to.deep.equal([
+            { scope: { kind: "part", part: "bad", account: undefined }, crashes: 3, firstAt: 0 },
+        ]);
     });
 
     // guards against blame for a shared first part of which answers were only not known yet
@@ -123,14 +135,16 @@
             createRequest("2", ["first"]),
             createRequest("3", ["first"], "bolt"),
         ]);
-        expect(evidence.findBlamed(5_000)).to.equal(undefined);
+        expect(evidence.listBlamed(5_000)).to.deep.equal([]);
     });
 
     // guards against blame by the repeats of one request, whose other parts then look alike
-    it("blames nothing for the repeats of one request", () => {
+    it("blames no part for the repeats of one request, but the request itself", () => {
         const evidence = createCrashEvidence();
         addCrashes(evidence, [1, 2, 3, 4].map(() => createRequest("1", ["bad"])));
-        expect(evidence.findBlamed(5_000)).to.equal(undefined);
+        expect(evidence.listBlamed(5_000)).to.deep.equal([
+            { scope: { kind: "request", digest: "acme 1", account: "acme" }, crashes: 4, firstAt: 0 },
+        ]);
     });
 
     // guards against a network that resets all connections at once, which ends no server
@@ -139,24 +153,27 @@
         for (let server = 0; server < 9; server++) {
             together.addBreak({
                 run: `s-${server}`,
+                service: "llm",
                 at: server * 10,
                 requests: [createRequest(`${server}`, ["rare"])],
             });
-            together.addAnswer({ account: "acme", shared: ["first"], beganAt: 200 + server });
+            together.addAnswer(createAnswer(["first"], 200 + server));
         }
-        expect(together.findBlamed(5_000)).to.equal(undefined);
+        expect(together.listBlamed(5_000)).to.deep.equal([]);
         const alive = createCrashEvidence();
         addCrashes(alive, [1, 2, 3, 4].map(own => createRequest(`${own}`, ["rare"])));
         ["s-0", "s-1"].forEach(alive.removeRun);
-        expect(alive.findBlamed(5_000)).to.equal(undefined);
+        expect(alive.listBlamed(5_000)).to.deep.equal([]);
     });
 
     // guards against a client that has another one's prompts refused by naming their parts in requests that end servers
     it("blames a part only for the account whose requests ended servers", () => {
         const evidence = createCrashEvidence();
         addCrashes(evidence, [1, 2, 3].map(own => createRequest(`${own}`, ["victim"], "mallory")));
-        evidence.addAnswer({ account: "acme", shared: ["victim"], beganAt: 650 });
-        expect(evidence.findBlamed(5_000)).to.deep.include({ part: "victim", account: "mallory" });
+        evidence.addAnswer(createAnswer(["victim"], 650));
+        expect(evidence.listBlamed(5_000).map(({ scope }) => scope)).to.deep.equal([
+            { kind: "part", part: "victim", account: "mallory" },
+        ]);
     });
 
     // guards against memory that grows with the number of parts that a client makes up
@@ -165,13 +182,16 @@
         for (let index = 0; index < 20_000; index++) {
             evidence.addBreak({
                 run: `s-${index}`,
+                service: "llm",
                 at: index * 200,
                 requests: [createRequest(`${index}`, [`p-${index}`])],
             });
-            evidence.addAnswer({ account: "acme", shared: [`q-${index}`], beganAt: index * 200 });
+            evidence.addAnswer(createAnswer([`q-${index}`], index * 200));
         }
         expect(evidence.listSuspects(4_000_000)).to.deep.equal([]);
-        expect(evidence.findSoundAt({ part: "q-0", account: undefined })).to.equal(undefined);
+        expect(evidence.findSoundAt({ kind: "part", part: "q-0", account: undefined })).to.equal(
+            Number.NEGATIVE_INFINITY,
+        );
     });
 
     // guards against wrong blame and late blame; the rates over the seeds are the evidence's rates of error
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -1,82 +1,96 @@
 /**
- * Finds the prompts that end the servers that begin to answer them. A part of a prompt is blamed when servers ended
- * under several different requests with it, at different moments, while other prompts were answered and none with it.
+ * Finds the requests that end the servers that run them: a part of a prompt that ends each server that begins to answer
+ * it, whatever else the prompt holds, or one request that comes again and again. Either is blamed when servers ended
+ * under it at different moments and none answered it: a part while other prompts were answered, a request that was not
+ * answered before either.
  *
  * @packageDocumentation
  */
 import { LRUCache } from "lru-cache";
 import type { ServerRunId } from "../serving/types.js";
 import type { ClientAccountId, Milliseconds } from "../shared/index.js";
+import { createSoundAnswers } from "./soundAnswers.js";
 import {
     type BrokenRequest,
     formatScopeKey,
     listScopes,
-    type PromptScope,
-    type PromptScopeKey,
+    type PartScope,
+    type QuarantineScope,
+    type RequestScope,
+    type ScopeKey,
     type ServerBreak,
     type SoundAnswer,
 } from "./types.js";
 
-/** Prompts that end servers. */
-export interface BlamedScope extends PromptScope {
-    /** Moments at which servers ended under these prompts. */
+/** Requests that end servers. */
+export interface BlamedScope {
+    readonly scope: QuarantineScope;
+    /** Moments at which servers ended under these requests. */
     readonly crashes: number;
     /** Time of the first of these moments. */
     readonly firstAt: Milliseconds;
 }
 
-/** Evidence of servers that ended and of prompts that were answered. */
+/** Evidence of servers that ended and of requests that were answered. */
 export interface CrashEvidence {
     readonly addBreak: (ended: ServerBreak) => void;
     /** Drops what is known of a run that answers again, and so has not ended. */
     readonly removeRun: (run: ServerRunId) => void;
     readonly addAnswer: (answer: SoundAnswer) => void;
-    /** Records the time at which the newest answer to a prompt of a scope began. */
-    readonly addSoundScope: (scope: PromptScope, beganAt: Milliseconds) => void;
-    /** Time at which the newest known answer to a prompt of a scope began; `undefined` when none is known. */
-    readonly findSoundAt: (scope: PromptScope) => Milliseconds | undefined;
+    /** Records the time at which the newest answer to a request of a scope began. */
+    readonly addSoundScope: (scope: QuarantineScope, beganAt: Milliseconds) => void;
+    /** Time at which the newest known answer to a request of a scope began; negative infinity when none is known. */
+    readonly findSoundAt: (scope: QuarantineScope) => Milliseconds;
     /** Scopes under which servers ended at several moments since their newest answer. */
-    readonly listSuspects: (now: Milliseconds) => readonly PromptScope[];
-    /** Finds the scope to blame; `undefined` while the evidence blames none. */
-    readonly findBlamed: (now: Milliseconds) => BlamedScope | undefined;
-    /** Drops the requests of runs whose end a scope explains, also of later ones, so that they count against no other. */
-    readonly addExplanation: (scope: PromptScope) => void;
+    readonly listSuspects: (now: Milliseconds) => readonly QuarantineScope[];
+    /** Lists the scopes to blame now: a part, or requests that can't be told apart; none while the evidence blames none. */
+    readonly listBlamed: (now: Milliseconds) => readonly BlamedScope[];
+    /**
+     * Lets the ends of servers that a scope explains, also of later ones, count against no other. Those that a request
+     * explains still count against the parts of other requests.
+     */
+    readonly addExplanation: (scope: QuarantineScope) => void;
     /** Lets the ends of servers under a scope count again. */
-    readonly removeExplanation: (scope: PromptScope) => void;
+    readonly removeExplanation: (scope: QuarantineScope) => void;
 }
 
 interface Suspicion {
-    readonly scope: PromptScope;
+    readonly scope: QuarantineScope;
     readonly accounts: Set<ClientAccountId | undefined>;
     readonly owners: Set<string>;
+    readonly services: Set<string>;
     /** In the order of time. */
     readonly moments: Set<Milliseconds>;
-    /** Lowest place of the part in a prompt. */
+    /** Lowest place of a part in a prompt. */
     position: number;
 }
 
-/** Moments at which servers must have ended under a part before it is blamed. */
+/** Moments at which servers must have ended under requests before these are blamed. */
 const blamedMomentCount = 3;
 /** Moments that are enough where servers also end under other requests; fewer of them may then be chance. */
 const certainMomentCount = 5;
-/** Share of the moments since a part's first one that must be its own, unless it has `certainMomentCount` of them. */
+/** Share of the moments since a scope's first one that must be its own, unless it has `certainMomentCount` of them. */
 const ownMomentShare = 0.7;
-/** Moments from which on answers with a part are asked for. */
+/** Moments from which on answers to requests of a scope are asked for. */
 const suspectMomentCount = 2;
-/** Different requests that must have had the part, as repeats of one request say nothing of its shared parts. */
+/** Different requests that must have had a part, as repeats of one request say nothing of its shared parts. */
 const differentRequestCount = 2;
-/** Accounts whose requests must have had the part before it is blamed for all: none may do that to another one. */
+/** Accounts whose requests must have had a part before it is blamed for all: none may do that to another one. */
 const differentAccountCount = 2;
-/** Servers that end within this time may have one cause outside, such as a lost network, and count as one moment. */
-const momentMilliseconds = 100;
-/** Time after the last of these moments in which answers with the part can still become known. */
+/**
+ * Servers that end within this time may have one cause outside, such as a lost network, and count as one moment. Repeats
+ * of one request end servers soon after each other, and what is blamed is that request alone.
+ */
+const momentMilliseconds: Readonly<Record<QuarantineScope["kind"], Milliseconds>> = { part: 100, request: 20 };
+/** Time after the last of these moments in which answers can still become known. */
 const settleMilliseconds = 1_000;
-/** Answers to other prompts that show that it is the part and not the servers. */
+/** Answers to prompts without a part that show that it is the part and not the servers. */
 const otherAnswerCount = 2;
-const evidenceLifetimeMilliseconds = 20_000;
+/** Time for which ends of servers count, and for which an answer speaks for later repeats of the same request. */
+export const evidenceLifetimeMilliseconds = 20_000;
 const maximumRuns = 64;
-const maximumRequestsPerRun = 32;
-const maximumSoundScopes = 4_096;
+/** Requests that a server may run and queue for all instances together. */
+const maximumRequestsPerRun = 96;
 const maximumAnswers = 64;
 
 /**
@@ -86,105 +100,136 @@
  */
 export function createCrashEvidence(): CrashEvidence {
     const runs = new LRUCache<ServerRunId, ServerBreak>({ max: maximumRuns });
-    const soundAt = new LRUCache<PromptScopeKey, Milliseconds>({ max: maximumSoundScopes });
-    const explanations = new Map<PromptScopeKey, PromptScope>();
+    const sound = createSoundAnswers();
+    const explanations = new Set<ScopeKey>();
     const answers: SoundAnswer[] = [];
-    const readSoundAt = (scope: PromptScope): Milliseconds =>
-        soundAt.get(formatScopeKey(scope)) ?? Number.NEGATIVE_INFINITY;
-    const addSoundScope = (scope: PromptScope, beganAt: Milliseconds): void =>
-        void soundAt.set(formatScopeKey(scope), Math.max(beganAt, readSoundAt(scope)));
-    const isExplained = (request: BrokenRequest): boolean =>
-        listScopes(request.shared, request.account).some(scope => explanations.has(formatScopeKey(scope)));
-    const listSuspicions = (now: Milliseconds): readonly Suspicion[] => {
-        const suspicions = new Map<PromptScopeKey, Suspicion>();
-        for (const [moment, ended] of groupByMoment(runs.values(), now)) {
-            for (const request of ended.requests) {
-                listScopes(request.shared, request.account)
-                    .filter(scope => ended.at > readSoundAt(scope))
-                    .forEach(scope => addToSuspicion(suspicions, scope, moment, request));
+    const isExplained = (scope: QuarantineScope): boolean => explanations.has(formatScopeKey(scope));
+    const hasExplainedPart = (request: BrokenRequest): boolean =>
+        listScopes(request).some(scope => scope.kind === "part" && isExplained(scope));
+    const listRecent = (now: Milliseconds): readonly ServerBreak[] =>
+        [...runs.values()]
+            .filter(({ at }) => now - at < evidenceLifetimeMilliseconds)
+            .sort((left, right) => left.at - right.at);
+    const listSuspicions = (recent: readonly ServerBreak[]): readonly Suspicion[] => {
+        const suspicions = new Map<ScopeKey, Suspicion>();
+        const moments = { part: listMoments(recent, "part"), request: listMoments(recent, "request") };
+        for (const [index, ended] of recent.entries()) {
+            const isEndExplained = ended.requests.some(request => isExplained(describeRequest(request)));
+            for (const request of ended.requests.filter(each => !isExplained(describeRequest(each)))) {
+                listScopes(request)
+                    .filter(scope => ended.at > sound.find(scope) && (scope.kind === "part" || !isEndExplained))
+                    .forEach(scope => addToSuspicion(suspicions, scope, moments[scope.kind][index]!, ended, request));
             }
         }
         return [...suspicions.values()];
     };
-    const countOtherAnswers = ({ part }: PromptScope, since: Milliseconds): number =>
+    const countOtherAnswers = ({ part }: PartScope, since: Milliseconds): number =>
         answers.filter(answer => answer.beganAt > since && !answer.shared.includes(part)).length;
-    const isChance = (times: readonly Milliseconds[], now: Milliseconds): boolean => {
-        const all = new Set(groupByMoment(runs.values(), now).map(([moment]) => moment));
-        const between = [...all].filter(moment => moment >= times[0]! && moment <= times.at(-1)!);
-        return times.length < certainMomentCount && times.length < between.length * ownMomentShare;
-    };
-    const isBlamed = ({ scope, accounts, owners, moments }: Suspicion, now: Milliseconds): boolean => {
+    const isChance = ({ scope, services, moments }: Suspicion, recent: readonly ServerBreak[]): boolean => {
         const times = [...moments];
-        const isForAll = scope.account === undefined;
+        // a part may be in prompts for all services, a request goes to those of its route
+        const counted = scope.kind === "part" ? recent : recent.filter(({ service }) => services.has(service));
+        const between = new Set(
+            listMoments(counted, scope.kind).filter(moment => moment >= times[0]! && moment <= times.at(-1)!),
+        );
+        return times.length < certainMomentCount && times.length < between.size * ownMomentShare;
+    };
+    const isPlausible = ({ scope, accounts, owners, moments }: Suspicion): boolean => {
+        switch (scope.kind) {
+            case "part": {
+                const isForAll = scope.account === undefined;
+                return owners.size >= differentRequestCount &&
+                    countOtherAnswers(scope, [...moments][0]!) >= otherAnswerCount &&
+                    (!isForAll || accounts.size >= differentAccountCount || accounts.has(undefined));
+            }
+            case "request":
+                return sound.find(scope) < [...moments][0]! - evidenceLifetimeMilliseconds;
+        }
+    };
+    const isBlamed = (suspicion: Suspicion, recent: readonly ServerBreak[], now: Milliseconds): boolean => {
+        const times = [...suspicion.moments];
         return times.length >= blamedMomentCount &&
-            owners.size >= differentRequestCount &&
-            (!isForAll || accounts.size >= differentAccountCount || accounts.has(undefined)) &&
+            isPlausible(suspicion) &&
             now - times[blamedMomentCount - 1]! >= settleMilliseconds &&
-            !isChance(times, now) &&
-            countOtherAnswers(scope, times[0]!) >= otherAnswerCount;
+            !isChance(suspicion, recent);
     };
-    // of parts that always come together, the one that was answered longest ago is to blame, and else the first one
+    // a part explains more than a request; of parts that always come together, the one that was answered longest ago is to
+    // blame, and else the first one
     const compareBlame = (left: Suspicion, right: Suspicion): number =>
+        Number(left.scope.kind === "request") - Number(right.scope.kind === "request") ||
         right.moments.size - left.moments.size ||
-        compareTimes(readSoundAt(left.scope), readSoundAt(right.scope)) ||
+        compareTimes(sound.find(left.scope), sound.find(right.scope)) ||
         left.position - right.position;
     return {
         addBreak: ended => {
             const known = runs.get(ended.run);
             const all = [...known?.requests ?? [], ...ended.requests].slice(0, maximumRequestsPerRun);
-            const requests = all.some(isExplained) ? [] : all;
-            runs.set(ended.run, { run: ended.run, at: Math.min(ended.at, known?.at ?? ended.at), requests });
+            const requests = all.some(hasExplainedPart) ? [] : all;
+            runs.set(ended.run, { ...ended, at: Math.min(ended.at, known?.at ?? ended.at), requests });
         },
         removeRun: run => void runs.delete(run),
         addAnswer: answer => {
-            listScopes(answer.shared, answer.account).forEach(scope => addSoundScope(scope, answer.beganAt));
+            listScopes(answer).forEach(scope => sound.record(scope, answer.beganAt));
             answers.push(answer);
             answers.splice(0, answers.length - maximumAnswers);
         },
-        addSoundScope,
-        findSoundAt: scope => soundAt.get(formatScopeKey(scope)),
+        addSoundScope: sound.record,
+        findSoundAt: sound.find,
         listSuspects: now =>
-            listSuspicions(now).filter(({ moments }) => moments.size >= suspectMomentCount).map(({ scope }) => scope),
-        findBlamed: now => {
-            const [blamed] = listSuspicions(now).filter(suspicion => isBlamed(suspicion, now)).sort(compareBlame);
-            return blamed && { ...blamed.scope, crashes: blamed.moments.size, firstAt: [...blamed.moments][0]! };
+            listSuspicions(listRecent(now))
+                .filter(({ moments }) => moments.size >= suspectMomentCount)
+                .map(({ scope }) => scope),
+        listBlamed: now => {
+            const recent = listRecent(now);
+            const blamed = listSuspicions(recent).filter(each => isBlamed(each, recent, now)).sort(compareBlame);
+            const [first] = blamed;
+            // requests that ran together on all servers that ended
+            const together = blamed.filter(({ scope, moments }) =>
+                scope.kind === "request" && moments.size === first!.moments.size
+            );
+            return (first?.scope.kind === "part" ? [first] : together).map(({ scope, moments }) => ({
+                scope,
+                crashes: moments.size,
+                firstAt: [...moments][0]!,
+            }));
         },
         addExplanation: scope => {
-            explanations.set(formatScopeKey(scope), scope);
+            explanations.add(formatScopeKey(scope));
             [...runs.entries()]
-                .filter(([, ended]) => ended.requests.some(isExplained))
+                .filter(([, ended]) => ended.requests.some(hasExplainedPart))
                 .forEach(([run, ended]) => runs.set(run, { ...ended, requests: [] }));
         },
         removeExplanation: scope => void explanations.delete(formatScopeKey(scope)),
     };
 }
 
-// each run with the time at which its moment began, in the order of the times
-function groupByMoment(
-    runs: Iterable<ServerBreak>,
-    now: Milliseconds,
-): readonly (readonly [moment: Milliseconds, ended: ServerBreak])[] {
-    const recent = [...runs].filter(({ at }) => now - at < evidenceLifetimeMilliseconds);
-    recent.sort((left, right) => left.at - right.at);
+function describeRequest({ digest, account }: BrokenRequest): RequestScope {
+    return { kind: "request", digest, account };
+}
+
+// for each run the time at which its moment began; the runs are in the order of their times
+function listMoments(recent: readonly ServerBreak[], kind: QuarantineScope["kind"]): readonly Milliseconds[] {
     let moment = Number.NEGATIVE_INFINITY;
-    return recent.map(ended => {
-        moment = ended.at - moment < momentMilliseconds ? moment : ended.at;
-        return [moment, ended];
+    return recent.map(({ at }) => {
+        moment = at - moment < momentMilliseconds[kind] ? moment : at;
+        return moment;
     });
 }
 
 function addToSuspicion(
-    suspicions: Map<PromptScopeKey, Suspicion>,
-    scope: PromptScope,
+    suspicions: Map<ScopeKey, Suspicion>,
+    scope: QuarantineScope,
     moment: Milliseconds,
+    ended: ServerBreak,
     request: BrokenRequest,
 ): void {
     const key = formatScopeKey(scope);
-    const position = request.shared.indexOf(scope.part);
+    const position = scope.kind === "part" ? request.shared.indexOf(scope.part) : 0;
     const suspicion = suspicions.get(key) ??
-        { scope, accounts: new Set(), owners: new Set(), moments: new Set(), position };
+        { scope, accounts: new Set(), owners: new Set(), services: new Set(), moments: new Set(), position };
     suspicion.accounts.add(request.account);
     suspicion.owners.add(request.own);
+    suspicion.services.add(ended.service);
     suspicion.moments.add(moment);
     suspicion.position = Math.min(position, suspicion.position);
     suspicions.set(key, suspicion);
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 export * from "./messages.js";
-export * from "./promptGuard.js";
 export * from "./quarantineList.js";
 export * from "./requestDigest.js";
+export * from "./requestGuard.js";
 export * from "./types.js";
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -1,15 +1,22 @@
 /**
- * Messages by which instances tell the one that decides on quarantines which servers broke off which prompts, and which
- * prompts were answered. Times are given as ages, because the instances' clocks differ.
+ * Messages by which instances tell the one that decides on quarantines which servers broke off which requests, and which
+ * requests were answered. Times are given as ages, because the instances' clocks differ.
  *
  * @packageDocumentation
  */
 import * as z from "zod";
+import type { QuarantineScope } from "./types.js";
 
 const partId = z.string();
 const age = z.number().nonnegative();
 const account = z.string().optional();
-const scope = z.object({ part: partId, account });
+const digest = z.string();
+
+/** Schema of a scope; one without a kind is that of a part. */
+export const quarantineScopeSchema = z.union([
+    z.object({ kind: z.literal("request"), digest: digest.min(1), account }),
+    z.object({ kind: z.literal("part").default("part"), part: partId.min(1), account }),
+]).transform((scope): QuarantineScope => ({ ...scope, account: scope.account }));
 
 /** Schema of the messages about quarantines. */
 export const quarantineMessageSchema = z.discriminatedUnion("kind", [
@@ -18,20 +25,21 @@
         // runs of servers that broke off requests at the beginning of their answers
         breaks: z.array(z.object({
             run: z.string(),
+            service: z.string().default(""),
             age,
-            requests: z.array(z.object({ account, own: partId, shared: z.array(partId) })),
+            requests: z.array(z.object({ account, digest: digest.default(""), own: partId, shared: z.array(partId) })),
         })),
         // runs that answered a request that was sent after they had broken off others
         alive: z.array(z.string()),
-        // prompts that were answered; the age is that of the beginning of the answer
-        answers: z.array(z.object({ account, age, shared: z.array(partId) })),
-        // newest answers to prompts of scopes that the receiver suspects or has quarantined
-        sound: z.array(z.object({ scope, age })),
+        // requests that were answered; the age is that of the beginning of the answer
+        answers: z.array(z.object({ account, digest: digest.default(""), age, shared: z.array(partId) })),
+        // newest answers to requests of scopes that the receiver suspects or has quarantined
+        sound: z.array(z.object({ scope: quarantineScopeSchema, age })),
     }),
     // scopes of which the receiver is to report answers
-    z.object({ kind: z.literal("suspects"), scopes: z.array(scope) }),
+    z.object({ kind: z.literal("suspects"), scopes: z.array(quarantineScopeSchema) }),
     // asks to send one request of a scope whose quarantine has lasted its time
-    z.object({ kind: z.literal("askTrial"), scope }),
+    z.object({ kind: z.literal("askTrial"), scope: quarantineScopeSchema }),
     z.object({ kind: z.literal("trial"), isGranted: z.boolean() }),
     z.object({ kind: z.literal("notDecider") }),
 ]);
@@ -40,4 +48,4 @@
 export type QuarantineMessage = z.infer<typeof quarantineMessageSchema>;
 
 /** Report of one instance. */
-export type PromptReport = Extract<QuarantineMessage, { readonly kind: "report"; }>;
+export type CrashReport = Extract<QuarantineMessage, { readonly kind: "report"; }>;
--- a/src/quarantine/quarantineDecider.ts
+++ b/src/quarantine/quarantineDecider.ts
@@ -1,36 +1,38 @@
 /**
- * Decides for all instances which prompts are quarantined. The instance that holds a certain shard does so from the
+ * Decides for all instances which requests are quarantined. The instance that holds a certain shard does so from the
  * reports of all; its decisions go through the platform's store, so that they outlast it.
  *
  * @packageDocumentation
  */
 import { createLogger, type Milliseconds } from "../shared/index.js";
-import { createCrashEvidence } from "./crashEvidence.js";
-import type { PromptReport } from "./messages.js";
-import { computeQuarantineDuration, encodeQuarantine, type QuarantineList } from "./quarantineList.js";
-import { formatScopeKey, type PromptScope, type PromptScopeKey, type Quarantine } from "./types.js";
+import { createCrashEvidence, evidenceLifetimeMilliseconds } from "./crashEvidence.js";
+import type { CrashReport } from "./messages.js";
+import { encodeQuarantine, type KnownQuarantine, measureRemaining, type QuarantineList } from "./quarantineList.js";
+import { formatScopeKey, type PartScope, type Quarantine, type QuarantineScope, type ScopeKey } from "./types.js";
 
 /** Dependencies of the decider. */
 export interface QuarantineDeciderOptions {
     /** Quarantines in force, as read from the store. */
     readonly list: QuarantineList;
     /** Writes a record, or deletes it where the value is `undefined`; resolves with whether that was done. */
-    readonly publish: (key: PromptScopeKey, value: Uint8Array | undefined) => Promise<boolean>;
+    readonly publish: (key: ScopeKey, value: Uint8Array | undefined) => Promise<boolean>;
     readonly now: () => Milliseconds;
 }
 
 /** Decider on quarantines. */
 export interface QuarantineDecider {
     /** Takes the report of an instance, and returns the scopes of which answers are to be reported. */
-    readonly receiveReport: (report: PromptReport, now: Milliseconds) => readonly PromptScope[];
+    readonly receiveReport: (report: CrashReport, now: Milliseconds) => readonly QuarantineScope[];
     /** Grants one request of a scope whose quarantine has lasted its time. */
-    readonly grantTrial: (scope: PromptScope, now: Milliseconds) => Promise<boolean>;
+    readonly grantTrial: (scope: QuarantineScope, now: Milliseconds) => Promise<boolean>;
     /** Quarantines what the evidence blames, and ends quarantines that it clears; call it regularly. */
     readonly update: (now: Milliseconds) => Promise<void>;
 }
 
 /** Quarantines at the same time; beyond it nothing more is quarantined, so that the list can't grow without end. */
 const maximumQuarantines = 500;
+/** Quarantines of one account; its oldest ends for a new one, so that it can't use up the list for the others. */
+const maximumQuarantinesPerAccount = 50;
 const maximumSuspects = 64;
 const log = createLogger("quarantine");
 
@@ -44,8 +46,8 @@
     const { list } = options;
     const evidence = createCrashEvidence();
     // times from which on an answer clears a quarantine that this instance has decided
-    const clearedFrom = new Map<PromptScopeKey, Milliseconds>();
-    const widened = new Map<PromptScopeKey, PromptScope>();
+    const clearedFrom = new Map<ScopeKey, Milliseconds>();
+    const widened = new Map<ScopeKey, PartScope>();
     let isUpdating = false;
     const write = async (quarantine: Quarantine): Promise<boolean> => {
         const key = formatScopeKey(quarantine);
@@ -59,68 +61,76 @@
         }
         return isWritten;
     };
-    const isCleared = (quarantine: PromptScope & { readonly seenAt: Milliseconds; }): boolean => {
-        const from = clearedFrom.get(formatScopeKey(quarantine)) ?? quarantine.seenAt;
-        return (evidence.findSoundAt(quarantine) ?? Number.NEGATIVE_INFINITY) > from;
-    };
-    const endQuarantine = async (scope: PromptScope): Promise<void> => {
+    // a request ends each server or none, so that an answer from before its first ends speaks for it too
+    const findClearedFrom = (scope: QuarantineScope, firstAt: Milliseconds): Milliseconds =>
+        scope.kind === "request" ? firstAt - evidenceLifetimeMilliseconds : firstAt;
+    const isCleared = (quarantine: QuarantineScope & { readonly seenAt: Milliseconds; }): boolean =>
+        evidence.findSoundAt(quarantine) >
+            (clearedFrom.get(formatScopeKey(quarantine)) ?? findClearedFrom(quarantine, quarantine.seenAt));
+    const endQuarantine = async (scope: QuarantineScope, reason: string): Promise<void> => {
         const key = formatScopeKey(scope);
         if (await options.publish(key, undefined)) {
             list.apply({ key, value: undefined }, options.now());
             clearedFrom.delete(key);
             evidence.removeExplanation(scope);
-            log.info("quarantine lifted: a prompt with the part was answered", { ...scope });
+            log.info("quarantine lifted", { ...scope, reason });
+        }
+    };
+    const makeRoom = async ({ account }: QuarantineScope): Promise<void> => {
+        const own: readonly KnownQuarantine[] = list.list().filter(known => known.account === account);
+        const [oldest] = [...own].sort((left, right) => left.seenAt - right.seenAt);
+        if (account !== undefined && oldest && own.length >= maximumQuarantinesPerAccount) {
+            await endQuarantine(oldest, "its account has too many of them");
         }
     };
-    const start = async (scope: PromptScope, firstAt: Milliseconds, crashes: number): Promise<void> => {
-        const { part, account } = scope;
+    const start = async (scope: QuarantineScope, firstAt: Milliseconds, crashes: number): Promise<void> => {
         if (!list.find(scope)) {
+            await makeRoom(scope);
             if (list.list().length >= maximumQuarantines) {
-                log.warn("prompt not quarantined, as too many are", { part, account, maximumQuarantines });
+                log.warn("request not quarantined, as too many are", { ...scope, maximumQuarantines });
                 return;
             }
-            clearedFrom.set(formatScopeKey(scope), firstAt);
-            if (!await write({ part, account, trials: 0 })) {
+            clearedFrom.set(formatScopeKey(scope), findClearedFrom(scope, firstAt));
+            if (!await write({ ...scope, trials: 0 })) {
                 return;
             }
-            log.warn("prompt quarantined: servers ended when they began to answer it", { part, account, crashes });
+            log.warn("request quarantined: servers ended when they began to run it", { ...scope, crashes });
         }
         evidence.addExplanation(scope);
     };
     // one more account whose request ended a server is enough where another one's prompts are quarantined already
     const addWiderScopes = (shared: readonly string[], account: string | undefined): void => {
         for (const known of list.list()) {
-            const isOther = known.account !== undefined && known.account !== account && shared.includes(known.part);
-            const scope = { part: known.part, account: undefined };
-            if (isOther && !list.find(scope) && !isCleared({ ...scope, seenAt: known.seenAt })) {
+            if (known.kind === "request" || known.account === undefined || known.account === account) {
+                continue;
+            }
+            const scope: PartScope = { kind: "part", part: known.part, account: undefined };
+            if (shared.includes(known.part) && !list.find(scope) && !isCleared({ ...scope, seenAt: known.seenAt })) {
                 widened.set(formatScopeKey(scope), scope);
             }
         }
     };
     const updateOnce = async (now: Milliseconds): Promise<void> => {
         for (const quarantine of list.list().filter(isCleared)) {
-            await endQuarantine(quarantine);
+            await endQuarantine(quarantine, "a request of its scope was answered");
         }
         for (const [key, scope] of [...widened]) {
             widened.delete(key);
             await start(scope, now, 1);
         }
-        const blamed = evidence.findBlamed(now);
-        if (blamed) {
-            await start({ part: blamed.part, account: blamed.account }, blamed.firstAt, blamed.crashes);
+        for (const { scope, firstAt, crashes } of evidence.listBlamed(now)) {
+            await start(scope, firstAt, crashes);
         }
     };
     return {
         receiveReport: (report, now) => {
-            for (const { account, age, shared } of report.answers) {
-                evidence.addAnswer({ account, shared, beganAt: now - age });
-            }
-            for (const { scope, age } of report.sound) {
-                evidence.addSoundScope({ part: scope.part, account: scope.account }, now - age);
+            for (const { account, digest, age, shared } of report.answers) {
+                evidence.addAnswer({ account, digest, shared, beganAt: now - age });
             }
-            for (const { run, age, requests } of report.breaks) {
-                const broken = requests.map(({ account, own, shared }) => ({ account, own, shared }));
-                evidence.addBreak({ run, at: now - age, requests: broken });
+            report.sound.forEach(({ scope, age }) => evidence.addSoundScope(scope, now - age));
+            for (const { run, service, age, requests } of report.breaks) {
+                const broken = requests.map(({ account, ...rest }) => ({ ...rest, account }));
+                evidence.addBreak({ run, service, at: now - age, requests: broken });
                 broken.forEach(request => addWiderScopes(request.shared, request.account));
             }
             report.alive.forEach(evidence.removeRun);
@@ -131,12 +141,11 @@
             if (!known) {
                 return true;
             }
-            if (known.seenAt + computeQuarantineDuration(known.trials) > now) {
+            if (measureRemaining(known, now) > 0) {
                 return false;
             }
-            const { part, account, trials } = known;
-            const isGranted = await write({ part, account, trials: trials + 1 });
-            log.info("trial of a quarantined prompt", { part, account, trials, isGranted });
+            const isGranted = await write({ ...scope, trials: known.trials + 1 });
+            log.info("trial of a quarantined request", { ...scope, trials: known.trials, isGranted });
             return isGranted;
         },
         update: async now => {
--- a/src/quarantine/quarantineList.ts
+++ b/src/quarantine/quarantineList.ts
@@ -5,22 +5,28 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import type { KeyedRecord, PromptParts } from "../serving/types.js";
-import { type ClientAccountId, createLogger, type Milliseconds } from "../shared/index.js";
-import { formatScopeKey, listScopes, type PromptScope, type PromptScopeKey, type Quarantine } from "./types.js";
+import type { KeyedRecord } from "../serving/types.js";
+import { createLogger, type Milliseconds } from "../shared/index.js";
+import { quarantineScopeSchema } from "./messages.js";
+import {
+    formatScopeKey,
+    type GuardedRequest,
+    listScopes,
+    type Quarantine,
+    type QuarantineScope,
+    type ScopeKey,
+} from "./types.js";
 
-/** Decision on a request by the parts of its prompt. */
+/** Decision on a request. */
 export type QuarantineDecision =
     | { readonly kind: "open"; }
     /** The request must not be sent; `remaining` is the time until one may be tried. */
-    | { readonly kind: "quarantined"; readonly scope: PromptScope; readonly remaining: Milliseconds; }
+    | { readonly kind: "quarantined"; readonly scope: QuarantineScope; readonly remaining: Milliseconds; }
     /** The time is over: the request may be sent if the deciding instance grants the trial. */
-    | { readonly kind: "due"; readonly scope: PromptScope; };
+    | { readonly kind: "due"; readonly scope: QuarantineScope; };
 
 /** A quarantine, and the time at which this instance first read its record. */
-export interface KnownQuarantine extends Quarantine {
-    readonly seenAt: Milliseconds;
-}
+export type KnownQuarantine = Quarantine & { readonly seenAt: Milliseconds; };
 
 /** Quarantines that are in force. */
 export interface QuarantineList {
@@ -28,24 +34,19 @@
     readonly apply: (record: Pick<KeyedRecord, "key" | "value">, now: Milliseconds) => KnownQuarantine | undefined;
     /** Replaces all by those of a snapshot, and returns those that are new. */
     readonly replaceAll: (records: readonly KeyedRecord[], now: Milliseconds) => readonly KnownQuarantine[];
-    readonly find: (scope: PromptScope) => KnownQuarantine | undefined;
+    readonly find: (scope: QuarantineScope) => KnownQuarantine | undefined;
     readonly list: () => readonly KnownQuarantine[];
-    /** Decides on a request of an account, which is `undefined` for a request without a key. */
-    readonly decide: (
-        prompt: PromptParts | undefined,
-        account: ClientAccountId | undefined,
-        now: Milliseconds,
-    ) => QuarantineDecision;
+    readonly decide: (request: GuardedRequest, now: Milliseconds) => QuarantineDecision;
 }
 
 /** Time for which a scope is quarantined at first; it doubles with each trial. */
 const initialDurationMilliseconds = 30_000;
 const maximumDoublings = 7;
-const quarantineSchema = z.object({
-    part: z.string().min(1),
-    account: z.string().optional(),
-    trials: z.number().int().nonnegative(),
-});
+/** Trials of one request, each of which may end a server; after them it is refused until its record is deleted. */
+const maximumRequestTrials = 2;
+/** Time after which a client may return whose request is not tried again by itself. */
+const noTrialMilliseconds = 3_600_000;
+const trialsSchema = z.object({ trials: z.number().int().nonnegative() });
 const log = createLogger("quarantine");
 
 /**
@@ -54,8 +55,8 @@
  * @returns the list, of which an instance needs one object
  */
 export function createQuarantineList(): QuarantineList {
-    const known = new Map<PromptScopeKey, KnownQuarantine>();
-    const find = (scope: PromptScope): KnownQuarantine | undefined => known.get(formatScopeKey(scope));
+    const known = new Map<ScopeKey, KnownQuarantine>();
+    const find = (scope: QuarantineScope): KnownQuarantine | undefined => known.get(formatScopeKey(scope));
     const apply: QuarantineList["apply"] = (record, now) => {
         const quarantine = record.value && decodeQuarantine(record.key, record.value);
         if (!quarantine) {
@@ -78,16 +79,13 @@
         },
         find,
         list: () => [...known.values()],
-        decide: (prompt, account, now) => {
-            if (known.size === 0 || !prompt) {
+        decide: ({ prompt, account, digest }, now) => {
+            if (known.size === 0) {
                 return { kind: "open" };
             }
-            const found = listScopes(prompt.shared, account).map(find).filter(quarantine => quarantine !== undefined);
-            const [last] = found
-                .map(quarantine => ({
-                    quarantine,
-                    remaining: quarantine.seenAt + computeQuarantineDuration(quarantine.trials) - now,
-                }))
+            const scopes = listScopes({ shared: prompt?.shared ?? [], account, digest });
+            const [last] = scopes.map(find).filter(quarantine => quarantine !== undefined)
+                .map(quarantine => ({ quarantine, remaining: measureRemaining(quarantine, now) }))
                 .sort((left, right) => right.remaining - left.remaining);
             if (!last) {
                 return { kind: "open" };
@@ -99,13 +97,17 @@
 }
 
 /**
- * Computes how long a quarantine lasts.
+ * Measures the time until a request of a quarantined scope may be tried.
  *
- * @param trials - requests that have been tried so far
- * @returns time from the first read of its record until the next request may be tried
+ * @param quarantine - the quarantine, with the time at which its record was read
+ * @param now - current time
+ * @returns the time; 0 or less when one may be tried now
  */
-export function computeQuarantineDuration(trials: number): Milliseconds {
-    return initialDurationMilliseconds * 2 ** Math.min(trials, maximumDoublings);
+export function measureRemaining(quarantine: KnownQuarantine, now: Milliseconds): Milliseconds {
+    if (quarantine.kind === "request" && quarantine.trials >= maximumRequestTrials) {
+        return noTrialMilliseconds;
+    }
+    return quarantine.seenAt + initialDurationMilliseconds * 2 ** Math.min(quarantine.trials, maximumDoublings) - now;
 }
 
 /**
@@ -114,14 +116,14 @@
  * @param quarantine - the quarantine
  * @returns value of its record, whose key is that of the scope
  */
-export function encodeQuarantine({ part, account, trials }: Quarantine): Uint8Array {
-    return Buffer.from(JSON.stringify({ part, account, trials }), "utf8");
+export function encodeQuarantine(quarantine: Quarantine): Uint8Array {
+    return Buffer.from(JSON.stringify(quarantine), "utf8");
 }
 
 function decodeQuarantine(key: string, value: Uint8Array): Quarantine | undefined {
     try {
-        const { part, account, trials } = quarantineSchema.parse(JSON.parse(Buffer.from(value).toString("utf8")));
-        return { part, account, trials };
+        const record: unknown = JSON.parse(Buffer.from(value).toString("utf8"));
+        return { ...quarantineScopeSchema.parse(record), ...trialsSchema.parse(record) };
     }
     catch (error) {
         log.warn("quarantine unreadable, it is left out", { key, detail: String(error) });
--- a/src/quarantine/promptGuard.ts
+++ b/src/quarantine/requestGuard.ts
@@ -1,21 +1,21 @@
 /**
- * Keeps requests with a part that ends servers from reaching more of them: connects the request path, the deciding
+ * Keeps requests that end servers from reaching more of them: connects the request path, the deciding
  * instance and the records in the platform's store.
  *
  * @packageDocumentation
  */
 import type { ShardHolders } from "../adapters/shardHolders.js";
 import type { PeerNetwork } from "../peers/index.js";
-import type { KeyedLog, KeyedRecord, PromptParts, ServerRunId } from "../serving/types.js";
-import type { ClientAccountId, Clock, InstanceId, Milliseconds } from "../shared/index.js";
-import type { PromptReport, QuarantineMessage } from "./messages.js";
-import { createPromptReporter } from "./promptReporter.js";
+import type { KeyedLog, KeyedRecord, ServerRunId } from "../serving/types.js";
+import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
+import { createCrashReporter } from "./crashReporter.js";
+import type { CrashReport, QuarantineMessage } from "./messages.js";
 import { createQuarantineDecider } from "./quarantineDecider.js";
 import { createQuarantineList, type KnownQuarantine, type QuarantineDecision } from "./quarantineList.js";
-import type { PromptScope } from "./types.js";
+import type { BrokenRequest, GuardedRequest, QuarantineScope, ServerBreak } from "./types.js";
 
 /** Dependencies of the guard. */
-export interface PromptGuardOptions {
+export interface RequestGuardOptions {
     readonly self: InstanceId;
     readonly clock: Clock;
     readonly network: PeerNetwork;
@@ -25,21 +25,17 @@
     readonly append: KeyedLog["append"];
 }
 
-/** A request as the guard sees it. */
-export interface GuardedRequest {
-    /** `undefined` for a request without named parts, which the guard lets pass. */
-    readonly prompt: PromptParts | undefined;
-    /** `undefined` for a request without a key. */
-    readonly account: ClientAccountId | undefined;
-}
-
 /** Guard of one instance. */
-export interface PromptGuard {
+export interface RequestGuard {
     readonly decide: (request: GuardedRequest, now: Milliseconds) => QuarantineDecision;
     /** Asks the deciding instance whether a request may be sent whose quarantine has lasted its time. */
-    readonly requestTrial: (scope: PromptScope) => Promise<boolean>;
+    readonly requestTrial: (scope: QuarantineScope) => Promise<boolean>;
     /** Records that a server broke off a request at the beginning of its answer, or before it. */
-    readonly markBroken: (run: ServerRunId, request: GuardedRequest, now: Milliseconds) => void;
+    readonly markBroken: (
+        server: Pick<ServerBreak, "run" | "service">,
+        request: GuardedRequest,
+        now: Milliseconds,
+    ) => void;
     /** Records that a server began to answer a request that was sent at `sentAt`. */
     readonly markServerAnswered: (run: ServerRunId, sentAt: Milliseconds, now: Milliseconds) => void;
     /** Records an answer that is complete or has gone on for a while. */
@@ -67,10 +63,10 @@
  * @param options - the other instances and the store
  * @returns the guard, without quarantines
  */
-export function createPromptGuard(options: PromptGuardOptions): PromptGuard {
+export function createRequestGuard(options: RequestGuardOptions): RequestGuard {
     const { clock, holders, network, self } = options;
     const list = createQuarantineList();
-    const reporter = createPromptReporter(scope => list.find(scope) !== undefined);
+    const reporter = createCrashReporter(scope => list.find(scope) !== undefined);
     const decider = createQuarantineDecider({
         list,
         publish: async (key, value) => (await options.append("quarantines", key, value)).ok,
@@ -97,13 +93,13 @@
         }
         return response.value;
     };
-    const deliver = async (report: PromptReport): Promise<readonly PromptScope[] | undefined> => {
+    const deliver = async (report: CrashReport): Promise<readonly QuarantineScope[] | undefined> => {
         if (isDecider()) {
             return decider.receiveReport(report, clock.now());
         }
         const response = await sendToDecider(report);
         return response?.kind === "suspects"
-            ? response.scopes.map(({ part, account }) => ({ part, account }))
+            ? response.scopes
             : undefined;
     };
     const sendReport = async (): Promise<void> => {
@@ -119,7 +115,7 @@
         isReporting = false;
         if (suspects) {
             reporter.markReceived(receiver, message);
-            reporter.watchScopes(suspects);
+            reporter.watchScopes(suspects, clock.now());
         }
     };
     const collectReport = async (): Promise<void> => {
@@ -131,7 +127,7 @@
         }
     };
     return {
-        decide: ({ prompt, account }, now) => list.decide(prompt, account, now),
+        decide: list.decide,
         requestTrial: async scope => {
             if (isDecider()) {
                 return decider.grantTrial(scope, clock.now());
@@ -139,17 +135,14 @@
             const response = await sendToDecider({ kind: "askTrial", scope });
             return response?.kind === "trial" && response.isGranted;
         },
-        markBroken: (run, { prompt, account }, now) => {
-            if (prompt && prompt.shared.length > 0) {
-                reporter.markBroken(run, { account, ...prompt }, now);
-                void collectReport();
-            }
+        markBroken: (server, request, now) => {
+            reporter.markBroken(server, describeBroken(request), now);
+            void collectReport();
         },
         markServerAnswered: reporter.markServerAnswered,
-        markAnswered: ({ prompt, account }, beganAt) => {
-            if (prompt && prompt.shared.length > 0) {
-                reporter.markAnswered({ account, shared: prompt.shared, beganAt });
-            }
+        markAnswered: (request, beganAt) => {
+            const { account, digest, shared } = describeBroken(request);
+            reporter.markAnswered({ account, digest, shared, beganAt });
         },
         handleMessage: (from, message) => {
             holders.markResponsive(from);
@@ -160,7 +153,7 @@
                         : { kind: "notDecider" };
                 case "askTrial":
                     return isDecider()
-                        ? decider.grantTrial({ account: undefined, ...message.scope }, clock.now())
+                        ? decider.grantTrial(message.scope, clock.now())
                             .then(isGranted => ({ kind: "trial", isGranted }))
                         : { kind: "notDecider" };
                 case "suspects":
@@ -182,3 +175,7 @@
         },
     };
 }
+
+function describeBroken({ prompt, account, digest }: GuardedRequest): BrokenRequest {
+    return { account, digest, own: prompt?.own ?? "", shared: prompt?.shared ?? [] };
+}
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -172,7 +172,11 @@
             guard: {
                 decide: () =>
                     requestCase.isQuarantined
-                        ? { kind: "quarantined", scope: { part: "bad", account: undefined }, remaining: 20_000 }
+                        ? {
+                            kind: "quarantined",
+                            scope: { kind: "part", part: "bad", account: undefined },
+                            remaining: 20_000,
+                        }
                         : { kind: "open" },
                 requestTrial: () => Promise.resolve(false),
                 markBroken: () => undefined,
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import type { PromptGuard } from "../quarantine/index.js";
+import type { RequestGuard } from "../quarantine/index.js";
 import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import type { ConfigurationState } from "./configurationState.js";
@@ -34,7 +34,7 @@
     readonly configuration: ConfigurationState;
     readonly servers: ServerList;
     readonly directory: InstanceDirectory;
-    readonly guard: Pick<PromptGuard, "replaceAll" | "applyRecord">;
+    readonly guard: Pick<RequestGuard, "replaceAll" | "applyRecord">;
     /** Called after each read that failed. */
     readonly onStoreFailure: (topic: KeyedTopic) => void;
     /** Called after each update of the server list; the change may be empty. */
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -5,7 +5,7 @@
  */
 import type { PermitClient } from "../adapters/permitClient.js";
 import type { PlaceClient } from "../adapters/placeClient.js";
-import type { PromptGuard, RequestDigest } from "../quarantine/index.js";
+import type { RequestDigest, RequestGuard } from "../quarantine/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
 import type { ServerConnections } from "./serverConnections.js";
@@ -36,7 +36,7 @@
     readonly headers: HeaderCodec;
     readonly adapters: PlaceClient;
     readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
-    readonly guard: PromptGuard;
+    readonly guard: RequestGuard;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
 }
@@ -99,7 +99,7 @@
     lastDataAt: Milliseconds | undefined;
     /** Longest time between two chunks of an event stream. */
     longestPause: Milliseconds;
-    /** Whether its prompt's quarantine has been lifted for this one request, which is then sent only once. */
+    /** Whether its quarantine has been lifted for this one request, which is then sent only once. */
     isTrial: boolean;
     /** Time at which the present attempt was sent. */
     sentAt: Milliseconds;
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -195,9 +195,9 @@
             if (hasSentBytes(fault)) {
                 parts.onBroken();
                 writeBrokenLog(state, run, fault, parts.clock.now());
-                // bytes that are no answer say that the server is faulty, not that the prompt ended it
+                // bytes that are no answer say that the server is faulty, not that the request ended it
                 if (!state.isSound && fault.kind === "broken" && !isUseless) {
-                    parts.guard.markBroken(run, describeGuarded(state), parts.clock.now());
+                    parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
                 }
             }
             state.placeOutcome = describePlaceOutcome(fault);
@@ -310,13 +310,13 @@
 }
 
 /**
- * Describes a request to the guard of prompts.
+ * Describes a request to the guard.
  *
  * @param state - state of the request
- * @returns its prompt and account
+ * @returns its prompt, account and digest
  */
 export function describeGuarded(state: RequestState): GuardedRequest {
-    return { prompt: state.request.prompt, account: state.admission.account?.name };
+    return { prompt: state.request.prompt, account: state.admission.account?.name, digest: state.digest };
 }
 
 function markSound(parts: RequestParts, state: RequestState): void {
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import { computeRequestDigest } from "../quarantine/index.js";
+import { computeRequestDigest, type QuarantineScope, type RequestDigest } from "../quarantine/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { type Admission, applyQuota, decideAdmission } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
@@ -17,7 +17,11 @@
 const serviceUnavailableStatus = 503;
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
-const quarantineReason = "quarantined prompt";
+/** Reasons of refusals by the kind of their quarantine's scope. */
+const quarantineReasons: Readonly<Record<QuarantineScope["kind"], string>> = {
+    part: "quarantined prompt",
+    request: "quarantined request",
+};
 /**
  * Retry delay sent to clients when no server has run their request: the minimum plus a random part of the jitter, so
  * that they don't all retry at the same time.
@@ -42,7 +46,11 @@
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
-    const decided = refuseIfQuarantined(parts, decideAdmission(parts, request), request, startedAt);
+    const allowed = decideAdmission(parts, request);
+    const digest = allowed.kind === "admitted"
+        ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
+        : "";
+    const decided = refuseIfQuarantined(parts, allowed, request, digest, startedAt);
     const admission = decided.kind === "admitted" ? await applyQuota(parts, decided, request) : decided;
     if (admission.kind === "refused") {
         const { status, retryAfter, reason } = admission;
@@ -65,7 +73,7 @@
     const state: RequestState = {
         request,
         body,
-        digest: computeRequestDigest({ ...request, account: admission.account?.name, body }),
+        digest,
         answer,
         admission,
         startedAt,
@@ -97,18 +105,19 @@
     parts: RequestParts,
     admission: Admission,
     request: ClientRequest,
+    digest: RequestDigest,
     now: Milliseconds,
 ): Admission {
     if (admission.kind === "refused") {
         return admission;
     }
     const account = admission.account?.name;
-    const decision = parts.guard.decide({ prompt: request.prompt, account }, now);
+    const decision = parts.guard.decide({ prompt: request.prompt, account, digest }, now);
     return decision.kind === "quarantined"
         ? {
             kind: "refused",
             status: serviceUnavailableStatus,
-            reason: quarantineReason,
+            reason: quarantineReasons[decision.scope.kind],
             retryAfter: decision.remaining / millisecondsPerSecond + retryAfterSeconds.jitter * parts.random.next(),
             route: admission.route.name,
             account,
@@ -220,7 +229,8 @@
 function refuseQuarantined(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
     const decision = parts.guard.decide(describeGuarded(state), parts.clock.now());
     const remaining = decision.kind === "quarantined" ? decision.remaining / millisecondsPerSecond : 0;
-    return finishWithoutResponse(parts, state, quarantineReason, remaining);
+    const reason = quarantineReasons[decision.kind === "open" ? "request" : decision.scope.kind];
+    return finishWithoutResponse(parts, state, reason, remaining);
 }
 
 function finishWithoutResponse(
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -9,7 +9,7 @@
 import { createShardTask } from "../adapters/shardTask.js";
 import type { EngineControl, ShardGroup } from "../adapters/types.js";
 import { createPeerTask } from "../peers/peerTask.js";
-import { createPromptGuard, quarantineMessageSchema } from "../quarantine/index.js";
+import { createRequestGuard, quarantineMessageSchema } from "../quarantine/index.js";
 import {
     type Clock,
     createLogger,
@@ -274,7 +274,7 @@
         }
         adapters.handleServers(change.added, change.removed);
     };
-    const guard = createPromptGuard({
+    const guard = createRequestGuard({
         self: self.id,
         clock,
         network: peers.network,
