fix(serving): an instance that knows no holder yet reports servers that ended

An instance that has not asked any holder knows none, and kept its report until something else made it ask.

--- a/src/quarantine/crashReporter.ts
+++ b/src/quarantine/crashReporter.ts
@@ -37,6 +37,8 @@
     readonly watchScopes: (scopes: readonly QuarantineScope[], now: Milliseconds) => void;
     /** Reports the newest answer to a request of a scope that has been quarantined, if there was one lately. */
     readonly trackQuarantine: (scope: QuarantineScope, now: Milliseconds) => void;
+    /** Whether there may be something to report; the deciding instance may have received it already. */
+    readonly hasNews: (now: Milliseconds) => boolean;
     /** Report for an instance; `undefined` when it has nothing to learn. */
     readonly createReport: (decider: InstanceId, now: Milliseconds) => CrashReport | undefined;
     /** Records that an instance received a report. */
@@ -114,6 +116,7 @@
             watched = new Set(scopes.map(formatScopeKey));
         },
         trackQuarantine: addRecentAnswer,
+        hasNews: now => breaks.size + alive.size + soundToReport.size > 0 || (now < watchUntil && answers.length > 0),
         createReport: (decider, now) => {
             pruneBreaks(now);
             const unreceived = [...breaks.entries()].filter(([, { receivedBy }]) => receivedBy !== decider);
--- a/src/quarantine/requestGuard.ts
+++ b/src/quarantine/requestGuard.ts
@@ -102,18 +102,21 @@
             ? response.scopes
             : undefined;
     };
+    const findReceiver = (): InstanceId | undefined => isDecider() ? self : holders.find(deciderShard);
     const sendReport = async (): Promise<void> => {
-        const receiver = isDecider() ? self : holders.find(deciderShard);
-        const message = isReporting || receiver === undefined
-            ? undefined
-            : reporter.createReport(receiver, clock.now());
-        if (!message || receiver === undefined) {
+        if (isReporting || !reporter.hasNews(clock.now())) {
             return;
         }
         isReporting = true;
-        const suspects = await deliver(message);
+        // an instance that has asked no holder so far knows none
+        if (findReceiver() === undefined) {
+            await holders.refresh();
+        }
+        const receiver = findReceiver();
+        const message = receiver === undefined ? undefined : reporter.createReport(receiver, clock.now());
+        const suspects = message && await deliver(message);
         isReporting = false;
-        if (suspects) {
+        if (receiver !== undefined && message && suspects) {
             reporter.markReceived(receiver, message);
             reporter.watchScopes(suspects, clock.now());
         }
