--- /dev/null
+++ b/src/quarantine/__tests__/quarantineDecider.test.ts
@@ -0,0 +1,137 @@
+import { expect } from "chai";
+import { createCrashReporter } from "../crashReporter.js";
+import { quarantineMessageSchema } from "../messages.js";
+import { createQuarantineDecider, type QuarantineDecider } from "../quarantineDecider.js";
+import { createQuarantineList, type QuarantineList } from "../quarantineList.js";
+import type { BrokenRequest, RequestScope } from "../types.js";
+
+interface TestDecider {
+    readonly decider: QuarantineDecider;
+    readonly list: QuarantineList;
+    readonly setTime: (time: number) => void;
+    readonly setStore: (isReachable: boolean) => void;
+}
+
+function createDecider(list: QuarantineList = createQuarantineList()): TestDecider {
+    let now = 0;
+    let isReachable = true;
+    const decider = createQuarantineDecider({ list, publish: async () => isReachable, now: () => now });
+    return {
+        decider,
+        list,
+        setTime: time => now = time,
+        setStore: reachable => isReachable = reachable,
+    };
+}
+
+const createRequest = (digest: string, account = "acme"): BrokenRequest => ({ digest, account, own: "", shared: [] });
+const createScope = (digest: string, account = "acme"): RequestScope => ({ kind: "request", digest, account });
+const decide = (list: QuarantineList, digest: string, now: number) =>
+    list.decide({ ...createRequest(digest), prompt: undefined }, now).kind;
+
+// three servers that ended 50 ms after each other under a request
+function endThreeServers({ decider }: TestDecider, request: BrokenRequest, now: number): void {
+    decider.receiveReport({
+        kind: "report",
+        breaks: [0, 50, 100].map(age => ({
+            run: `${request.digest}-${age}`,
+            service: "s",
+            age,
+            requests: [{ ...request, shared: [] }],
+        })),
+        alive: [],
+        answers: [],
+        sound: [],
+    }, now);
+}
+
+async function makeQuarantine(test: TestDecider, request: BrokenRequest, now: number): Promise<void> {
+    endThreeServers(test, request, now);
+    test.setTime(now + 1_200);
+    await test.decider.update(now + 1_200);
+}
+
+describe("decision on quarantines", () => {
+    // guards against trials that end one more server each time, without end
+    it("grants a request two trials and then none", async () => {
+        const test = createDecider();
+        await makeQuarantine(test, createRequest("bad"), 0);
+        const scope = createScope("bad");
+        const grants: boolean[] = [];
+        for (let now = 2_000; now < 10_000_000; now += 20_000) {
+            test.setTime(now);
+            grants.push(await test.decider.grantTrial(scope, now));
+        }
+        expect(grants.filter(isGranted => isGranted)).to.have.length(2);
+        expect(decide(test.list, "bad", 10_000_000)).to.equal("quarantined");
+    });
+
+    // guards against quarantines that are lost because the store can't be written just when servers end
+    it("is written as soon as the store is back", async () => {
+        const test = createDecider();
+        test.setStore(false);
+        await makeQuarantine(test, createRequest("bad"), 0);
+        expect(decide(test.list, "bad", 1_300)).to.equal("open");
+        test.setStore(true);
+        await test.decider.update(5_000);
+        expect(decide(test.list, "bad", 5_000)).to.equal("quarantined");
+    });
+
+    // guards against a decision that is lost with the instance that was about to write it
+    it("is made by the next deciding instance from the reports that are sent again to it", async () => {
+        const reporter = createCrashReporter(() => false);
+        const first = createDecider();
+        [0, 60, 120].forEach((at, index) =>
+            reporter.markBroken({ run: `r-${index}`, service: "s" }, createRequest("bad"), at)
+        );
+        const report = reporter.createReport("first", 200)!;
+        first.decider.receiveReport(report, 200);
+        reporter.markReceived("first", report);
+        expect(reporter.createReport("first", 300)).to.equal(undefined);
+        const second = createDecider();
+        second.decider.receiveReport(reporter.createReport("second", 2_000)!, 2_000);
+        await second.decider.update(2_000);
+        expect(decide(second.list, "bad", 2_000)).to.equal("quarantined");
+    });
+
+    // guards against a request of many that stays refused because it ran while three servers were killed
+    it("is taken back when any instance answered the request shortly before", async () => {
+        const test = createDecider();
+        await makeQuarantine(test, createRequest("common"), 10_000);
+        expect(decide(test.list, "common", 11_300)).to.equal("quarantined");
+        const reporter = createCrashReporter(() => true);
+        reporter.markAnswered({ ...createRequest("common"), beganAt: 4_000 });
+        reporter.trackQuarantine(createScope("common"), 11_300);
+        test.decider.receiveReport(reporter.createReport("decider", 11_300)!, 11_300);
+        await test.decider.update(11_400);
+        expect(decide(test.list, "common", 11_400)).to.equal("open");
+    });
+
+    // guards against an account that fills the list, so that nothing of the others can be quarantined
+    it("keeps the newest fifty of an account, and those of the others", async () => {
+        const test = createDecider();
+        await makeQuarantine(test, createRequest("of bolt", "bolt"), 0);
+        for (let index = 0; index < 60; index++) {
+            await makeQuarantine(test, createRequest(`bad-${index}`), index * 2_000);
+        }
+        expect(test.list.list()).to.have.length(51);
+        expect(test.list.find(createScope("bad-9"))).to.equal(undefined);
+        expect(test.list.find(createScope("bad-10"))).to.not.equal(undefined);
+        expect(test.list.find(createScope("of bolt", "bolt"))).to.not.equal(undefined);
+    });
+
+    // guards against records and reports of the version before that are thrown away during an update
+    it("reads records and reports without kinds and digests as those of parts", () => {
+        const list = createQuarantineList();
+        const value = Buffer.from(JSON.stringify({ part: "ab", trials: 1 }));
+        expect(list.apply({ key: "ab", value }, 0)).to.deep.include({ kind: "part", part: "ab", account: undefined });
+        const message = quarantineMessageSchema.parse({
+            kind: "report",
+            breaks: [{ run: "r", age: 1, requests: [{ own: "o", shared: ["ab"] }] }],
+            alive: [],
+            answers: [{ age: 1, shared: ["ab"] }],
+            sound: [{ scope: { part: "ab" }, age: 1 }],
+        });
+        expect(message).to.nested.include({ "sound[0].scope.kind": "part", "breaks[0].requests[0].digest": "" });
+    });
+});
