feat(platform): headers that nobody decodes are logged and counted by name

The notice of a leaving server stood in each of its answers, and nothing showed that it was passed over. Known to be left: Retry-After in a server's own 503, the store's era.

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -1,6 +1,8 @@
 import { expect } from "chai";
 import type { ClientRequest } from "../../serving/types.js";
-import { platformHeaderCodec } from "../headers.js";
+import { createPlatformHeaderCodec } from "../headers.js";
+
+const platformHeaderCodec = createPlatformHeaderCodec(() => undefined);
 
 const rawRequest = [
     "Host",
--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -38,9 +38,12 @@
 /**
  * Creates a client for all engines.
  *
+ * @param onHeaders - called with the names of the headers of each response
  * @returns the client; it connects on the first call, and its owner closes it
  */
-export function createEngineControlClient(): EngineControl & { readonly close: () => void; } {
+export function createEngineControlClient(
+    onHeaders: (names: Iterable<string>) => void,
+): EngineControl & { readonly close: () => void; } {
     const agent = new Agent({
         connections: 2,
         pipelining: 1,
@@ -55,6 +58,7 @@
                 headers: { "content-type": "application/json", "x-oriolehatch-expect-instance": server.id },
                 body: JSON.stringify(encodeOrder(order)),
                 timeout: requestTimeoutMilliseconds,
+                onHeaders,
             });
             if (!answer.ok) {
                 return answer.error.wasSent ? { kind: "unknown" } : { kind: "unreachable" };
@@ -68,6 +72,7 @@
                 path: "/report",
                 headers: { "x-oriolehatch-expect-instance": server.id },
                 timeout: requestTimeoutMilliseconds,
+                onHeaders,
             });
             if (!answer.ok) {
                 return wrapError({ kind: "unanswered", detail: answer.error.detail });
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -100,13 +100,27 @@
 /** The server at this address is not the one that the request expects, so it has not run the request. */
 const misdirectedRequestStatus = 421;
 
-/** Codec between the platform's headers and the typed fields that the request path uses. */
-export const platformHeaderCodec: HeaderCodec = {
-    decodeRequest: decodeClientRequest,
-    encodeForwardedHeaders: encodeForwardedHeaders,
-    decodeResponseHead: decodeServerResponseHead,
-    encodeRefusalHeaders: encodeRefusalHeaders,
-};
+/** Headers of responses that this program decodes, or passes on to the client without a use for them. */
+export const decodedResponseHeaders: readonly string[] = [
+    ...Object.values(names),
+    // version of the model weights that answered
+    "x-oriolehatch-weight-versions",
+];
+
+/**
+ * Creates the codec between the platform's headers and the typed fields that the request path uses.
+ *
+ * @param onResponse - called with the names of the headers of each response, in lower case
+ * @returns the codec
+ */
+export function createPlatformHeaderCodec(onResponse: (names: Iterable<string>) => void): HeaderCodec {
+    return {
+        decodeRequest: decodeClientRequest,
+        encodeForwardedHeaders: encodeForwardedHeaders,
+        decodeResponseHead: (status, rawHeaders) => decodeServerResponseHead(status, rawHeaders, onResponse),
+        encodeRefusalHeaders: encodeRefusalHeaders,
+    };
+}
 
 function decodeClientRequest(method: string, target: string, rawHeaders: readonly string[]): ClientRequest {
     const values = collectHeaderValues(rawHeaders);
@@ -143,8 +157,13 @@
     return headers;
 }
 
-function decodeServerResponseHead(status: number, rawHeaders: readonly string[]): ServerResponseHead {
+function decodeServerResponseHead(
+    status: number,
+    rawHeaders: readonly string[],
+    onResponse: (names: Iterable<string>) => void,
+): ServerResponseHead {
     const values = collectHeaderValues(rawHeaders);
+    onResponse(values.keys());
     return {
         status,
         attemptId: values.get(names.attemptId),
--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -18,6 +18,8 @@
      * the server may have stopped responding.
      */
     readonly timeout: Milliseconds;
+    /** Called with the names of the response's headers. */
+    readonly onHeaders?: (names: Iterable<string>) => void;
 }
 
 /** A response with its complete body. */
@@ -59,6 +61,7 @@
             body: httpRequest.body,
             signal: AbortSignal.timeout(httpRequest.timeout),
         });
+        httpRequest.onHeaders?.(Object.keys(answer.headers));
         return wrapValue({ status: answer.statusCode, headers: answer.headers, body: await readBody(answer.body) });
     }
     catch (error) {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -10,7 +10,8 @@
 import { createServingInstance } from "../serving/servingInstance.js";
 import { createSystemClock, sendLogsToStandardOutput, setLogLevel } from "../shared/index.js";
 import { createEngineControlClient } from "./engineControlClient.js";
-import { platformHeaderCodec } from "./headers.js";
+import { createPlatformHeaderCodec, decodedResponseHeaders } from "./headers.js";
+import { createHeaderTrace, type ResponseSource } from "./headerTrace.js";
 import { decodeOperatorRecord } from "./operatorRecords.js";
 import { decodeServerEntry } from "./serverEntry.js";
 import { decodeSettings, settingsFileVariable } from "./settings.js";
@@ -61,7 +62,10 @@
     const { metricsPort } = values;
     const flushLog = sendLogsToStandardOutput();
     const file = settings.value;
-    const store = createPlatformStore(file.storeAddress);
+    const headerTrace = createHeaderTrace(decodedResponseHeaders);
+    const checkHeaders = (source: ResponseSource) => (names: Iterable<string>): void =>
+        headerTrace.check(source, names);
+    const store = createPlatformStore(file.storeAddress, checkHeaders("store"));
     const shutdown = new AbortController();
     process.once("SIGTERM", () => shutdown.abort());
     // without a listener SIGHUP ends the process
@@ -96,8 +100,9 @@
     }, {
         log: store,
         shards: store.shards,
-        control: createEngineControlClient(),
-        headers: platformHeaderCodec,
+        control: createEngineControlClient(checkHeaders("engine")),
+        headers: createPlatformHeaderCodec(checkHeaders("server")),
+        listUndecodedHeaders: headerTrace.list,
         records: { decodeOperatorRecord, decodeServerEntry },
     });
     await serving.run(shutdown.signal);
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -58,9 +58,13 @@
  * Creates a client of the store.
  *
  * @param address - IP and port of the store
+ * @param onHeaders - called with the names of the headers of each response
  * @returns the client; it connects on the first call, and its owner closes it
  */
-export function createPlatformStore(address: string): PlatformStore {
+export function createPlatformStore(
+    address: string,
+    onHeaders: (names: Iterable<string>) => void,
+): PlatformStore {
     const pool = new Pool(`http://${address}`, {
         connections: maximumConnections,
         pipelining: 1,
@@ -70,7 +74,7 @@
         bodyTimeout: 0,
     });
     const sendRequest = (httpRequest: HttpRequest): Promise<Result<Buffer, StoreError>> =>
-        sendStoreRequest(pool, httpRequest);
+        sendStoreRequest(pool, { ...httpRequest, onHeaders });
     return {
         readNewest: topic => readLatestRecords(sendRequest, topicNames[topic]),
         readFrom: async (topic, offset, wait) => {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -39,7 +39,7 @@
 import { createServerConnections } from "./serverConnections.js";
 import { createServerList, isSameEntry, type ServerListChange } from "./serverList.js";
 import { createServerRecords } from "./serverRecords.js";
-import { createMetricsServer, createServingMetrics } from "./servingMetrics.js";
+import { createMetricsServer, createServingMetrics, type UndecodedHeader } from "./servingMetrics.js";
 import type { QuotaBounds } from "./startAllowance.js";
 import { createTopicCache } from "./topicCache.js";
 import {
@@ -63,6 +63,8 @@
     readonly headers: HeaderCodec;
     /** Decoders of the records in keyed topics. */
     readonly records: RecordCodec;
+    /** Headers of responses that no codec decodes, for the metrics. @default none */
+    readonly listUndecodedHeaders?: () => readonly UndecodedHeader[];
 }
 
 /** Settings of an instance. */
@@ -162,7 +164,10 @@
     const records = createServerRecords();
     const directory = createInstanceDirectory(self);
     const retryBudget = createRetryBudget(options.retry);
-    const metrics = createServingMetrics(() => adapters.readLoadStatus());
+    const metrics = createServingMetrics(
+        () => adapters.readLoadStatus(),
+        dependencies.listUndecodedHeaders ?? (() => []),
+    );
     const random = createSeededRandom(startUnixTime % 2 ** 31);
     const peers = createPeerTask({
         self: self.id,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -22,6 +22,14 @@
     readonly render: () => Promise<string>;
 }
 
+/** Responses with a header that no codec decodes. */
+export interface UndecodedHeader {
+    /** Kind of system that sent them. */
+    readonly source: string;
+    readonly name: string;
+    readonly count: number;
+}
+
 /** HTTP server that exposes the metrics. */
 export interface MetricsServer {
     /** Opens the port; rejects when it is taken. */
@@ -39,9 +47,13 @@
  * Creates the metrics of an instance in a registry of their own.
  *
  * @param readLoads - returns the present number of adapter loads; called for each scrape
+ * @param listUndecodedHeaders - returns the headers that nobody decodes; called for each scrape
  * @returns the metrics, all at zero
  */
-export function createServingMetrics(readLoads: () => LoadStatus): ServingMetrics {
+export function createServingMetrics(
+    readLoads: () => LoadStatus,
+    listUndecodedHeaders: () => readonly UndecodedHeader[] = () => [],
+): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
     const accounts = new Set<string>();
@@ -102,6 +114,15 @@
             Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
         },
     });
+    new Gauge({
+        name: "oriolehatch_undecoded_headers",
+        help: "Responses with a header that nothing here decodes, since the start",
+        labelNames: ["source", "name"],
+        registers,
+        collect() {
+            listUndecodedHeaders().forEach(({ source, name, count }) => this.set({ source, name }, count));
+        },
+    });
     const limitAccountLabel = (name: string | undefined): string => {
         if (name === undefined) {
             return "none";
