fix(serving): a server that turns requests away and names a time gets none until then

Now that run gets no request or order of this instance until the time is over: it is left out of each choice and of the places that holders are asked for, and the question is asked last before bytes go out. If all servers of a route do so, callers are told at once when the first takes requests again. Texts that are no number count as nothing, more than ten minutes as ten.

--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -61,7 +61,9 @@
     readonly listEngines: () => readonly BackendServer[];
     /** Engines of a service that accept requests. */
     readonly listUsable: (service: string) => readonly BackendServer[];
-    /** Whether a run of a server may receive requests and orders. */
+    /** Whether a run of a server takes requests: it is listed, and neither draining nor leaving. */
+    readonly isServing: (run: ServerRunId) => boolean;
+    /** Whether a run of a server may receive requests and orders now. */
     readonly mayReceive: (run: ServerRunId) => boolean;
     /** Whether a run of a server has announced that it is about to stop. */
     readonly isLeaving: (run: ServerRunId) => boolean;
@@ -477,7 +479,7 @@
         handleMessage,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
-            [...managers.keys()].filter(run => !options.mayReceive(run)).forEach(withdrawEngine);
+            [...managers.keys()].filter(run => !options.isServing(run)).forEach(withdrawEngine);
             placeService.expire(clock.now());
             replaceOutdatedAdapters();
             loadScheduler.expire(clock.now());
--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -242,6 +242,7 @@
         },
         listEngines: () => servers,
         listUsable: () => servers,
+        isServing: () => true,
         mayReceive: () => true,
         isLeaving: () => false,
         onLeaving: () => undefined,
--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -190,6 +190,17 @@
         ]);
     });
 
+    // guards against a server that is overloaded further while it has asked for a pause; absurd values hold nobody back
+    it("recognizes how long a server that turns requests away wants no more", () => {
+        const decode = (status: number, value: string) =>
+            platformHeaderCodec.decodeResponseHead(status, ["Retry-After", value]).retryAfter;
+        expect(["2", "0.25", "99999999"].map(value => decode(503, value))).to.deep.equal([2_000, 250, 600_000]);
+        expect(["-1", "x", "", "Fri, 04 Dec 2026 10:00:00 GMT"].map(value => decode(503, value))).to.deep.equal(
+            [undefined, undefined, undefined, undefined],
+        );
+        expect(decode(429, "2")).to.equal(undefined);
+    });
+
     // guards against a notice in responses that is passed over, so that a server that stops gets requests until its end
     it("recognizes responses of a server that is about to stop, and doesn't pass the notice on", () => {
         const decode = (value: string) => platformHeaderCodec.decodeResponseHead(200, ["Server-Leaving", value]);
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -12,6 +12,7 @@
     ServerLoad,
     ServerResponseHead,
 } from "../serving/types.js";
+import { millisecondsPerSecond } from "../shared/index.js";
 
 /** Names of headers on the wire. */
 const names = {
@@ -29,6 +30,8 @@
     load: "x-oriolehatch-server-load",
     // requests a second from all instances together
     requestLimit: "server-limit",
+    // seconds, with a fraction or none, for which a server that answers 503 wants no more requests from this instance
+    retryAfter: "retry-after",
     // 1 in all responses of a server that is about to stop
     leaving: "server-leaving",
     // the server has not executed the request and will not
@@ -97,6 +100,9 @@
 const maximumPromptParts = 16;
 const promptPartPattern = /^([0-9a-f]{1,64}):\d+$/i;
 
+const serviceUnavailableStatus = 503;
+/** A server that wants no requests for longer is asked again, as the value may be a mistake. */
+const maximumRetryAfterMilliseconds = 600_000;
 /** The server at this address is not the one that the request expects, so it has not run the request. */
 const misdirectedRequestStatus = 421;
 
@@ -171,6 +177,7 @@
         isNotRun: values.has(names.notRun) || status === misdirectedRequestStatus,
         load: decodeServerLoad(values.get(names.load)),
         requestLimit: decodeRequestLimit(values.get(names.requestLimit)),
+        retryAfter: status === serviceUnavailableStatus ? decodeRetryAfter(values.get(names.retryAfter)) : undefined,
         isLeaving: decodeLeavingNotice(values.get(names.leaving)),
         isEventStream: (values.get("content-type") ?? "").startsWith("text/event-stream"),
         contentLength: decodeWholeNumber(values.get("content-length")),
@@ -252,6 +259,13 @@
     return text !== undefined && /^\d{1,9}(\.\d{1,9})?$/.test(text.trim()) ? Number(text) : undefined;
 }
 
+// a text that is no such number, or a date, counts as nothing; a very long time ends sooner
+function decodeRetryAfter(text: string | undefined): number | undefined {
+    return text !== undefined && /^\d{1,9}(\.\d{1,9})?$/.test(text.trim())
+        ? Math.min(Number(text) * millisecondsPerSecond, maximumRetryAfterMilliseconds)
+        : undefined;
+}
+
 /**
  * Decodes the header by which a server announces that it is about to stop.
  *
--- a/src/serving/__tests__/decisions.test.ts
+++ b/src/serving/__tests__/decisions.test.ts
@@ -103,6 +103,7 @@
         isNotRun: false,
         load: undefined,
         requestLimit: undefined,
+        retryAfter: undefined,
         isLeaving: false,
         isEventStream: false,
         contentLength: 1,
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -58,6 +58,7 @@
         isNotRun: false,
         load: undefined,
         requestLimit: undefined,
+        retryAfter: undefined,
         isLeaving: false,
         isEventStream: false,
         contentLength: undefined,
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -16,6 +16,7 @@
         isNotRun: false,
         load: undefined,
         requestLimit: undefined,
+        retryAfter: undefined,
         isLeaving: rawHeaders.includes("Leaving"),
         isEventStream: false,
         contentLength: undefined,
--- a/src/serving/__tests__/serverList.test.ts
+++ b/src/serving/__tests__/serverList.test.ts
@@ -22,7 +22,7 @@
     return list;
 }
 
-const describeUse = (list: ServerList) => [list.listUsable("s").length, list.mayReceive(run)];
+const describeUse = (list: ServerList) => [list.listUsable("s").length, list.mayReceive(run, 0)];
 
 describe("a run of a server that has announced that it leaves", () => {
     // guards against entries that make a leaving server usable again: written again, changed, deleted and back, or from a
@@ -61,7 +61,7 @@
         const next = createEntry({ startedAt: 2 });
         list.put(next);
         expect(list.listUsable("s")).to.deep.equal([next]);
-        expect(list.mayReceive(formatServerRunId(next))).to.equal(true);
+        expect(list.mayReceive(formatServerRunId(next), 0)).to.equal(true);
     });
 });
 
@@ -91,17 +91,31 @@
     });
 });
 
+describe("a run of a server that wants no requests for a time", () => {
+    // guards against a wait that ends early because a later response names a shorter one, or with a change of the entry
+    it("takes none until the latest time that it has named", () => {
+        const list = createServerList();
+        list.put(createEntry());
+        list.markShedding(run, 2_000);
+        list.markShedding(run, 1_000);
+        list.put(createEntry({ slots: 8 }));
+        expect([list.mayReceive(run, 1_999), list.mayReceive(run, 2_000)]).to.deep.equal([false, true]);
+        expect([...list.listShedding(1_500)]).to.deep.equal([[run, 2_000]]);
+        expect([...list.listShedding(2_000)]).to.deep.equal([]);
+    });
+});
+
 describe("a server", () => {
     // guards against requests that wait for a connection while the entry tells that their server drains or has restarted
     it("takes no requests once its entry is draining, deleted or that of another run", () => {
         const list = createServerList();
-        expect(list.mayReceive(run)).to.equal(false);
+        expect(list.mayReceive(run, 0)).to.equal(false);
         list.put(createEntry());
-        expect(list.mayReceive(run)).to.equal(true);
+        expect(list.mayReceive(run, 0)).to.equal(true);
         list.put(createEntry({ isDraining: true }));
-        expect(list.mayReceive(run)).to.equal(false);
+        expect(list.mayReceive(run, 0)).to.equal(false);
         list.put(createEntry());
         list.put(createEntry({ startedAt: 2 }));
-        expect(list.mayReceive(run)).to.equal(false);
+        expect(list.mayReceive(run, 0)).to.equal(false);
     });
 });
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -58,6 +58,8 @@
     readonly answerDuration: number;
     /** Limit in requests a second that the first server names, once it is set. */
     readonly readLimit?: () => string | undefined;
+    /** Seconds for which a server, counted from 0, wants no more requests; it turns requests away meanwhile. */
+    readonly readShedding?: (server: number) => number | undefined;
     /** Whether a server, counted from 0, says in its responses that it leaves. */
     readonly isLeaving?: (server: number) => boolean;
 }
@@ -148,6 +150,7 @@
             isNotRun: headers.has("not-run"),
             load: undefined,
             requestLimit: headers.has("limit") ? Number(headers.get("limit")) : undefined,
+            retryAfter: headers.has("retry-after") ? Number(headers.get("retry-after")) * 1_000 : undefined,
             isLeaving: headers.has("leaving"),
             isEventStream: true,
             contentLength: undefined,
@@ -342,6 +345,12 @@
             response.end();
             return;
         }
+        const shedding = options.readShedding?.(index);
+        if (shedding !== undefined) {
+            response.writeHead(503, { ...headers, "not-run": "1", "retry-after": String(shedding) });
+            response.end();
+            return;
+        }
         if (body === options.crashingBody && request.headers.account === firstAccount) {
             setTimeout(end, 20, run);
             return;
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -109,6 +109,8 @@
     isSound: boolean;
     /** What the present attempt has shown of its server. */
     placeOutcome: PlaceOutcome;
+    /** Time before which no server wants the request; in the past where nothing is known of it. */
+    returnAt: Milliseconds;
     /** Description of the last failure for the log; empty when there was none. */
     lastFault: string;
 }
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -286,6 +286,10 @@
         record.load = head.load;
         record.loadReceivedAt = now;
     }
+    if (head.retryAfter !== undefined) {
+        log.info("server wants no requests", { run, duration: head.retryAfter, id: state.request.attemptId });
+        parts.servers.markShedding(run, now + head.retryAfter);
+    }
     if (head.status !== misdirectedStatus) {
         recordLimit(parts, selected.server, head.requestLimit);
     }
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -95,6 +95,7 @@
         isSound: false,
         placeOutcome: "unknown",
         lastFault: "",
+        returnAt: startedAt,
     };
     const outcome = await runAttempts(parts, state);
     return createReport(state, outcome);
@@ -139,7 +140,8 @@
         }
         if (!selected || parts.clock.now() >= state.deadlineAt) {
             selected?.release?.("unknown");
-            return finishWithoutResponse(parts, state, selected ? "timeout" : "no server");
+            const untilReturn = (state.returnAt - parts.clock.now()) / millisecondsPerSecond;
+            return finishWithoutResponse(parts, state, selected ? "timeout" : "no server", untilReturn);
         }
         // the quarantine may have begun while the request waited for its server
         if (parts.guard.decide(describeGuarded(state), parts.clock.now()).kind === "quarantined" && !state.isTrial) {
@@ -168,6 +170,13 @@
     const allowed = state.triedServers.size < route.attemptLimit ? undefined : state.triedServers;
     const listServers = (): readonly BackendServer[] => parts.servers.listUsable(service);
     const now = parts.clock.now();
+    const shedding = parts.servers.listShedding(now);
+    const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
+    const servers = listServers();
+    if (servers.length > 0 && servers.every(server => shedding.has(formatServerRunId(server)))) {
+        state.returnAt = Math.min(...servers.map(server => shedding.get(formatServerRunId(server))!));
+        return undefined;
+    }
     if (state.request.choice && parts.configuration.read()?.config.services.get(service)?.engine) {
         const { choice } = state.request;
         const waitLimits = computeEngineWaitLimits({
@@ -180,7 +189,7 @@
             service,
             choice,
             listServers,
-            excluded: state.excludedServers,
+            excluded,
             allowed,
             deadlineAt: state.deadlineAt,
             signal: state.signal,
@@ -192,16 +201,15 @@
     }
     const { records, failureDomain } = parts;
     const candidates = allowed
-        ? listServers().filter(server => allowed.has(formatServerRunId(server)))
-        : listServers();
-    const servers = moveStart(candidates, parts.random.next());
-    // servers whose limit has no room are left out for this attempt only
-    const excluded = new Set(state.excludedServers);
+        ? servers.filter(server => allowed.has(formatServerRunId(server)))
+        : servers;
+    const shifted = moveStart(candidates, parts.random.next());
     for (;;) {
-        const server = chooseServer({ servers, records, failureDomain, excluded, now });
+        const server = chooseServer({ servers: shifted, records, failureDomain, excluded, now });
         if (!server || await parts.permits.acquirePermit(server)) {
             return server && { server, requiredVersion: undefined, release: undefined };
         }
+        // servers whose limit has no room are left out for this attempt only
         excluded.add(formatServerRunId(server));
     }
 }
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -20,8 +20,14 @@
     /** Returns the servers of a service that accept new requests. */
     readonly listUsable: (service: string) => readonly BackendServer[];
     readonly listAll: () => readonly BackendServer[];
-    /** Whether a run may receive a request now: it is listed, and neither draining nor leaving. */
-    readonly mayReceive: (run: ServerRunId) => boolean;
+    /** Whether a run takes requests: it is listed, and neither draining nor leaving. */
+    readonly isServing: (run: ServerRunId) => boolean;
+    /** Whether a run may receive a request now: it takes requests, and has not asked to be left alone for a time. */
+    readonly mayReceive: (run: ServerRunId, now: Milliseconds) => boolean;
+    /** Records that a run wants no requests before a time; a later time replaces an earlier one. */
+    readonly markShedding: (run: ServerRunId, until: Milliseconds) => void;
+    /** Runs that want no requests now, with the times until which they don't. */
+    readonly listShedding: (now: Milliseconds) => ReadonlyMap<ServerRunId, Milliseconds>;
     /** Whether a run has announced that it is about to stop. */
     readonly isLeaving: (run: ServerRunId) => boolean;
     /** Records such an announcement, which holds until the run has ended; returns whether it was news. */
@@ -51,7 +57,7 @@
  */
 const entryGraceMilliseconds = 2_000;
 /** Runs whose announcements are kept, also when they aren't listed: the newest ones, as older ones have ended. */
-const maximumLeavingRuns = 16_384;
+const maximumAnnouncingRuns = 16_384;
 const noChange: ServerListChange = { added: [], removed: [] };
 
 /**
@@ -64,13 +70,18 @@
     const removalDueAt = new Map<string, Milliseconds>();
     let byService = new Map<string, readonly BackendServer[]>();
     let byRun = new Map<ServerRunId, BackendServer>();
-    const leavingRuns = new LRUCache<ServerRunId, true>({ max: maximumLeavingRuns });
+    const sheddingUntil = new LRUCache<ServerRunId, Milliseconds>({ max: maximumAnnouncingRuns });
+    const leavingRuns = new LRUCache<ServerRunId, true>({ max: maximumAnnouncingRuns });
     // `undefined` while the store is reachable
     let storeFailedAt: Milliseconds | undefined;
     let storeReturnedAt = Number.NEGATIVE_INFINITY;
 
     const isLeaving = (run: ServerRunId): boolean => leavingRuns.has(run);
     const isUsable = (server: BackendServer): boolean => !server.isDraining && !isLeaving(formatServerRunId(server));
+    const isServing = (run: ServerRunId): boolean => {
+        const server = byRun.get(run);
+        return server !== undefined && isUsable(server);
+    };
     const refreshIndexes = (): void => {
         const all = [...servers.values()];
         byRun = new Map(all.map(server => [formatServerRunId(server), server]));
@@ -119,9 +130,13 @@
     return {
         listUsable: service => byService.get(service) ?? [],
         listAll: () => [...servers.values()],
-        mayReceive: run => {
-            const server = byRun.get(run);
-            return server !== undefined && isUsable(server);
+        isServing,
+        mayReceive: (run, now) => isServing(run) && (sheddingUntil.get(run) ?? 0) <= now,
+        markShedding: (run, until) =>
+            void sheddingUntil.set(run, Math.max(until, sheddingUntil.get(run) ?? Number.NEGATIVE_INFINITY)),
+        listShedding: now => {
+            [...sheddingUntil].filter(([, until]) => until <= now).forEach(([run]) => sheddingUntil.delete(run));
+            return new Map(sheddingUntil.entries());
         },
         isLeaving,
         markLeaving: run => {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -197,7 +197,8 @@
         readHolders,
         listEngines: () => servers.listAll().filter(server => findService(server.service)?.engine),
         listUsable: servers.listUsable,
-        mayReceive: servers.mayReceive,
+        isServing: servers.isServing,
+        mayReceive: run => servers.mayReceive(run, clock.now()),
         isLeaving: servers.isLeaving,
         onLeaving: (run, learnedFrom) => handleLeaving(run, learnedFrom),
         findLimits: service => findService(service)?.engine,
@@ -253,7 +254,7 @@
     const connections = createServerConnections({
         headers: dependencies.headers,
         findConnectionLimit,
-        mayReceive: servers.mayReceive,
+        mayReceive: run => servers.mayReceive(run, clock.now()),
         onLeaving: server => handleLeaving(formatServerRunId(server), "response"),
         idleTimeout: serverIdleTimeoutMilliseconds,
     });
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -245,6 +245,8 @@
     readonly load: ServerLoad | undefined;
     /** Requests a second that the server takes from all instances together; `undefined` when it names no limit. */
     readonly requestLimit: number | undefined;
+    /** Time for which the server wants no more requests from this instance; `undefined` when it says nothing of it. */
+    readonly retryAfter: Milliseconds | undefined;
     /** Whether the server announces that it is about to stop and wants no new requests. */
     readonly isLeaving: boolean;
     readonly isEventStream: boolean;
