--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -82,6 +82,8 @@
     /** Times at which servers ended. */
     readonly crashes: readonly number[];
     readonly servers: readonly TestServer[];
+    /** Gives each shard another holder. */
+    readonly moveShards: () => void;
     readonly stop: () => Promise<void>;
 }
 
@@ -169,6 +171,8 @@
 export interface MemoryStore extends KeyedLog {
     readonly put: (topic: KeyedTopic, key: string, value: Uint8Array | undefined) => void;
     readonly group: ShardGroup;
+    /** Deals each shard to the next member, under a new generation. */
+    readonly moveShards: () => void;
 }
 
 /**
@@ -186,7 +190,8 @@
     };
     const members: string[] = [];
     let generation = 0;
-    const findOwner = (shard: number): string => members[shard % members.length]!;
+    let moves = 0;
+    const findOwner = (shard: number): string => members[(shard + moves) % members.length]!;
     const listShards = (): readonly number[] => Array.from({ length: shardCount }, (unused, shard) => shard);
     const put: MemoryStore["put"] = (topic, key, value) => {
         const state = getTopic(topic);
@@ -195,6 +200,10 @@
     };
     return {
         put,
+        moveShards: () => {
+            moves++;
+            generation++;
+        },
         readNewest: async topic => {
             const { records, end } = getTopic(topic);
             return wrapValue({ records: [...records.values()].filter(({ value }) => value), endOffset: end });
@@ -291,6 +300,7 @@
         arrivals,
         crashes,
         servers,
+        moveShards: store.moveShards,
         stop: async () => {
             stopping.abort();
             servers.forEach(server => server.close());
