feat(serving): the log tells which software version a stream goes on at

The logs could not tell three hypotheses apart: a client's return goes to any server (by "client", an earlier attempt named), our own repeat does (by "instance", earlier versions other than the version), a restarted server is taken for its former run (the same id twice).

The version of a server's software is decoded from its entry as it stands (text or number), `Resumes` from a request; the line "stream resumed" and the counter `oriolehatch_resumed_streams_total{by}` are new, a request's line has `versions`. No decision changes. The test fleet's servers state versions, write numbered events, resume and reset; its clients leave and return.

--- a/src/adapters/__tests__/engineSelection.test.ts
+++ b/src/adapters/__tests__/engineSelection.test.ts
@@ -13,6 +13,7 @@
     address: `10.0.0.${index}:1`,
     failureDomain: "a",
     isDraining: false,
+    softwareVersion: "v1",
     slots: 32,
     models: [],
 }));
--- a/src/adapters/__tests__/testEngine.ts
+++ b/src/adapters/__tests__/testEngine.ts
@@ -24,6 +24,7 @@
         address: "10.0.0.1:1",
         failureDomain: "a",
         isDraining: false,
+        softwareVersion: "v1",
         slots: 4,
         models: [{ name: "base", version: 1, adapters: [] }],
     };
--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -173,6 +173,7 @@
         address: `10.1.0.${index}:1`,
         failureDomain: `domain-${index % domainCount}`,
         isDraining: false,
+        softwareVersion: "v1",
         slots: limits.batchSlots,
         models: [],
     }));
--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -85,6 +85,19 @@
         });
     });
 
+    it("tells requests for the rest of a stream, and the attempt that began it", () => {
+        const decode = (...headers: string[]): ClientRequest["resumed"] =>
+            platformHeaderCodec.decodeRequest("POST", "/", headers).resumed;
+        expect(decode()).to.equal(undefined);
+        expect(decode("Last-Event-Id", "12", "Resumes", " 9c41 ")).to.deep.equal({ firstAttemptId: "9c41" });
+        const unnamed = { firstAttemptId: undefined };
+        expect(decode("Last-Event-Id", "12")).to.deep.equal(unnamed);
+        expect(decode("Last-Event-Id", "garbled")).to.deep.equal(unnamed);
+        expect(decode("Resumes", "")).to.deep.equal(unnamed);
+        expect(decode("Resumes", "two words")).to.deep.equal(unnamed);
+        expect(decode("Resumes", "x".repeat(129))).to.deep.equal(unnamed);
+    });
+
     it("tells the parts of a prompt that requests share from the part of the request itself", () => {
         const decode = (value: string): ClientRequest["prompt"] =>
             platformHeaderCodec.decodeRequest("GET", "/", ["X-Oriolehatch-Prompt-Prefix", value]).prompt;
--- a/src/platform/__tests__/records.test.ts
+++ b/src/platform/__tests__/records.test.ts
@@ -122,6 +122,7 @@
                 service: "llm",
                 address: "10.0.0.9:8080",
                 zone: "a",
+                version: "v1.1",
                 slots: 32,
                 state: "draining",
                 born: 170,
@@ -137,6 +138,7 @@
                 address: "10.0.0.9:8080",
                 failureDomain: "a",
                 isDraining: true,
+                softwareVersion: "v1.1",
                 slots: 32,
                 models: [{
                     name: "base",
@@ -147,6 +149,16 @@
         });
     });
 
+    it("keeps the software version of a server as it stands", () => {
+        const decodeVersion = (version: unknown): unknown => {
+            const entry = { service: "llm", address: "10.0.0.9:8080", zone: "a", state: "ready", version };
+            const decoded = decodeServerEntry("i-1", encodeJson(entry));
+            return decoded.ok ? decoded.value.softwareVersion : decoded.error.kind;
+        };
+        expect(["v1", "1", 1, 1.5, undefined].map(decodeVersion)).to.deep.equal(["v1", "1", 1, 1.5, undefined]);
+        expect([{}, ["v1"], true].map(decodeVersion)).to.deep.equal(["unreadable", "unreadable", "unreadable"]);
+    });
+
     it("refuses invalid entries", () => {
         const validEntry = { service: "llm", address: "10.0.0.9:8080", zone: "a", slots: 1, state: "ready" };
         const invalidEntries: unknown[] = [
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -9,6 +9,7 @@
     HeaderCodec,
     ModelChoice,
     PromptParts,
+    ResumedStream,
     ServerLoad,
     ServerResponseHead,
 } from "../serving/types.js";
@@ -20,6 +21,8 @@
     // time that remains until the deadline
     deadline: "x-oriolehatch-deadline-ms",
     lastEventId: "last-event-id",
+    // attempt id of the request that brought the first event of the stream that this request resumes
+    resumes: "resumes",
     // its presence is checked, its value is not
     signature: "x-oriolehatch-response-signature",
     // client account
@@ -100,6 +103,9 @@
 const maximumPromptParts = 16;
 const promptPartPattern = /^([0-9a-f]{1,64}):\d+$/i;
 
+/** Attempt ids that are longer than this, or hold other characters, name no attempt. */
+const attemptIdPattern = /^[\x21-\x7e]{1,128}$/;
+
 const serviceUnavailableStatus = 503;
 /** A server that wants no requests for longer is asked again, as the value may be a mistake. */
 const maximumRetryAfterMilliseconds = 600_000;
@@ -141,6 +147,7 @@
         tokens: decodeTokenCounts(values.get(names.tokens)),
         prompt: decodePromptParts(values.get(names.promptParts)),
         lastEventId: decodeWholeNumber(values.get(names.lastEventId)),
+        resumed: decodeResumedStream(values.get(names.lastEventId), values.get(names.resumes)),
         passedHeaders: filterHeaders(rawHeaders, values.get("connection"), unforwardedRequestHeaders),
     };
 }
@@ -239,6 +246,15 @@
     return text !== undefined && /^\d{1,15}$/.test(text.trim()) ? Number(text) : undefined;
 }
 
+// either header says that the client has events, also where its value can't be read
+function decodeResumedStream(lastEventId: string | undefined, resumes: string | undefined): ResumedStream | undefined {
+    if (lastEventId === undefined && resumes === undefined) {
+        return undefined;
+    }
+    const named = resumes?.trim() ?? "";
+    return { firstAttemptId: attemptIdPattern.test(named) ? named : undefined };
+}
+
 function decodeModelChoice(text: string | undefined): ModelChoice | undefined {
     if (text === undefined || text === "") {
         return undefined;
--- a/src/platform/serverEntry.ts
+++ b/src/platform/serverEntry.ts
@@ -22,6 +22,8 @@
     address: z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/),
     // failure domain
     zone: z.string(),
+    // version of its software
+    version: z.union([z.string(), z.number()]).optional(),
     // maximum number of requests that the server runs at a time
     slots: z.number().default(1),
     state: z.enum(["ready", "draining"]),
@@ -47,6 +49,7 @@
             address: entry.address,
             failureDomain: entry.zone,
             isDraining: entry.state === "draining",
+            softwareVersion: entry.version,
             slots: entry.slots,
             models: entry.models as readonly LoadedModel[],
         });
--- a/src/serving/__tests__/decisions.test.ts
+++ b/src/serving/__tests__/decisions.test.ts
@@ -32,6 +32,7 @@
         address: "10.0.0.1:1",
         failureDomain: "a",
         isDraining: false,
+        softwareVersion: "v1",
         slots: 4,
         models: [],
         ...change,
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -106,6 +106,7 @@
             address,
             failureDomain: "a",
             isDraining: false,
+            softwareVersion: "v1",
             slots: 4,
             models: [],
         });
@@ -133,6 +134,7 @@
         tokens: undefined,
         prompt: undefined,
         lastEventId: undefined,
+        resumed: undefined,
         passedHeaders: [],
     };
     const leaving = new AbortController();
@@ -189,6 +191,7 @@
                 tick: () => undefined,
             },
             onBroken: () => undefined,
+            onResumed: () => undefined,
         },
         request,
         Buffer.from("body"),
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -110,6 +110,7 @@
         address: `127.0.0.1:${port}`,
         failureDomain: "a",
         isDraining: false,
+        softwareVersion: "v1",
         slots: 1,
         models: [],
     };
--- a/src/serving/__tests__/serverList.test.ts
+++ b/src/serving/__tests__/serverList.test.ts
@@ -9,6 +9,7 @@
     address: "10.0.0.1:1",
     failureDomain: "a",
     isDraining: false,
+    softwareVersion: "v1",
     slots: 4,
     models: [],
     ...change,
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -24,6 +24,19 @@
     readonly path?: string;
     /** @default "body" */
     readonly body?: string;
+    /** Last event that the client has of an earlier stream. */
+    readonly lastEventId?: number;
+    /** Attempt that brought the first event of that stream. */
+    readonly resumes?: string;
+    /** Number of events after which the client closes its connection. */
+    readonly leaveAfter?: number;
+}
+
+/** An event that a client got. */
+export interface TestEvent {
+    readonly id: number;
+    /** Software version of the server that wrote it. */
+    readonly version: string;
 }
 
 /** What a client got. */
@@ -32,6 +45,7 @@
     readonly status: number | undefined;
     readonly isComplete: boolean;
     readonly retryAfter: string | undefined;
+    readonly events: readonly TestEvent[];
     readonly took: number;
 }
 
@@ -56,6 +70,10 @@
     /** Time until a server that ended is back as a new run. */
     readonly restartDelay?: number;
     readonly answerDuration: number;
+    /** Events of a stream, the first at once, the others over the duration of the answer. @default 2 */
+    readonly eventCount?: number;
+    /** Software version that a server, counted from 0, states in its entry. @default "v1" for all */
+    readonly readVersion?: (server: number) => string | number;
     /** Limit in requests a second that the first server names, once it is set. */
     readonly readLimit?: () => string | undefined;
     /** Seconds for which a server, counted from 0, wants no more requests; it turns requests away meanwhile. */
@@ -72,6 +90,8 @@
     readonly deleteEntry: () => void;
     /** Ends the present run; the next one starts after the restart delay. */
     readonly restart: () => void;
+    /** Resets all connections without ending the run. */
+    readonly resetConnections: () => void;
 }
 
 /** A running fleet. */
@@ -82,6 +102,8 @@
     /** Times at which servers ended. */
     readonly crashes: readonly number[];
     readonly servers: readonly TestServer[];
+    /** Stops an instance for good; resolves when all its connections are closed. */
+    readonly stopInstance: (instance: number) => Promise<void>;
     /** Gives each shard another holder. */
     readonly moveShards: () => void;
     readonly stop: () => Promise<void>;
@@ -132,7 +154,8 @@
             choice: undefined,
             tokens: undefined,
             prompt: parts && { shared: parts.slice(0, -1), own: parts.at(-1)! },
-            lastEventId: undefined,
+            lastEventId: headers.has("last-event-id") ? Number(headers.get("last-event-id")) : undefined,
+            resumed: headers.has("last-event-id") ? { firstAttemptId: headers.get("resumes") } : undefined,
             passedHeaders: ["id", headers.get("id")!, ...named === undefined ? [] : ["parts", named]],
         };
     },
@@ -142,6 +165,7 @@
         forwarded.server,
         "account",
         forwarded.account ?? "",
+        ...forwarded.lastEventId === undefined ? [] : ["last-event-id", String(forwarded.lastEventId)],
     ],
     decodeResponseHead: (status, raw) => {
         const headers = readHeaders(raw);
@@ -292,7 +316,9 @@
                 decodeServerEntry: (id, value) => wrapValue(JSON.parse(Buffer.from(value).toString()) as BackendServer),
             },
         });
-        return instance.run(stopping.signal);
+        const leaving = new AbortController();
+        stopping.signal.addEventListener("abort", () => leaving.abort());
+        return { stop: () => leaving.abort(), ended: instance.run(leaving.signal) };
     });
     await pause(1_200);
     return {
@@ -301,10 +327,14 @@
         crashes,
         servers,
         moveShards: store.moveShards,
+        stopInstance: index => {
+            running[index]!.stop();
+            return running[index]!.ended;
+        },
         stop: async () => {
             stopping.abort();
             servers.forEach(server => server.close());
-            await Promise.all(running);
+            await Promise.all(running.map(({ ended }) => ended));
         },
     };
 }
@@ -326,6 +356,7 @@
     let run = 0;
     let port = 0;
     let server: Server | undefined;
+    let version: string | number = "v1";
     const readId = (): string => `s-${index}-${run}`;
     const end = (endedRun: number): void => {
         if (endedRun !== run || world.stopping.aborted) {
@@ -366,12 +397,21 @@
             return;
         }
         response.writeHead(200, headers);
-        response.write("id: 1\ndata: a\n\n");
+        const count = options.eventCount ?? 2;
+        const first = Number(request.headers["last-event-id"] ?? 0) + 1;
+        const writeEvent = (id: number): void => {
+            response.write(`id: ${id}\ndata: ${version}\n\n`);
+        };
+        writeEvent(first);
         if (options.crashingPart !== undefined && parts.includes(options.crashingPart)) {
             setTimeout(end, 20, run);
             return;
         }
-        setTimeout(() => response.end("id: 2\ndata: b\n\n"), options.answerDuration);
+        const interval = options.answerDuration / (count - 1);
+        for (let id = first + 1; id <= count; id++) {
+            setTimeout(writeEvent, (id - first) * interval, id);
+        }
+        setTimeout(() => response.end(), (count - first) * interval);
     };
     const listen = async (): Promise<void> => {
         server = createServer((request, response) => {
@@ -389,6 +429,7 @@
         writeEntry();
     };
     const writeEntry = (): void => {
+        version = options.readVersion?.(index) ?? "v1";
         const entry: BackendServer = {
             id: readId(),
             startedAt: run,
@@ -396,6 +437,7 @@
             address: `127.0.0.1:${port}`,
             failureDomain: "a",
             isDraining: false,
+            softwareVersion: version,
             slots: 32,
             models: [],
         };
@@ -406,6 +448,7 @@
         writeEntry,
         deleteEntry: () => store.put("servers", readId(), undefined),
         restart: () => end(run),
+        resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
         close: () => {
             server?.close();
             sockets.forEach(socket => socket.destroy());
@@ -428,12 +471,13 @@
 
 function sendRequest(
     port: number,
-    { id, parts, key, path = "/x", body = "body" }: TestRequest,
+    { id, parts, key, path = "/x", body = "body", lastEventId, resumes, leaveAfter }: TestRequest,
 ): Promise<TestAnswer> {
     const sentAt = performance.now();
     return new Promise(resolve => {
-        const finish = (answer: Omit<TestAnswer, "took">): void =>
-            resolve({ ...answer, took: performance.now() - sentAt });
+        let text = "";
+        const finish = (answer: Omit<TestAnswer, "took" | "events">): void =>
+            resolve({ ...answer, events: readEvents(text), took: performance.now() - sentAt });
         const sent = sendHttpRequest(
             {
                 host: "127.0.0.1",
@@ -441,11 +485,22 @@
                 method: "POST",
                 path,
                 agent: false,
-                headers: { id, key, ...parts.length === 0 ? {} : { parts: parts.join() } },
+                headers: {
+                    id,
+                    key,
+                    ...parts.length === 0 ? {} : { parts: parts.join() },
+                    ...lastEventId === undefined ? {} : { "last-event-id": String(lastEventId) },
+                    ...resumes === undefined ? {} : { resumes },
+                },
             },
             response => {
                 const { statusCode: status, headers } = response;
-                response.resume();
+                response.on("data", (chunk: Buffer) => {
+                    text += chunk.toString();
+                    if (leaveAfter !== undefined && readEvents(text).length >= leaveAfter) {
+                        sent.destroy();
+                    }
+                });
                 response.once(
                     "close",
                     () => finish({ status, isComplete: response.complete, retryAfter: headers["retry-after"] }),
@@ -456,3 +511,10 @@
         sent.end(body);
     });
 }
+
+function readEvents(text: string): TestEvent[] {
+    return [...text.matchAll(/id: (\d+)\ndata: (.*)\n\n/g)].map(([, id, version]) => ({
+        id: Number(id),
+        version: version!,
+    }));
+}
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -13,6 +13,9 @@
 import type { ServerRecords } from "./serverRecords.js";
 import type { BackendServer, ClientRequest, HeaderCodec, PlaceOutcome, ServerRunId } from "./types.js";
 
+/** Who had a stream go on: the client by a new request, or this instance within one response. */
+export type StreamResumer = "client" | "instance";
+
 /** The response to a client. */
 export interface ClientResponse {
     readonly writeHead: (status: number, headers: readonly string[], contentLength: number | undefined) => void;
@@ -39,6 +42,8 @@
     readonly guard: RequestGuard;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
+    /** Counts a stream that goes on at another server, or after a client's return. */
+    readonly onResumed: (by: StreamResumer) => void;
 }
 
 /** Report on a request that has ended, for log and metrics; all fields are written to the log under their names. */
@@ -58,6 +63,8 @@
     readonly account: string | undefined;
     /** Servers that may have received the request. */
     readonly servers: readonly ServerRunId[];
+    /** Software versions of the servers whose events were delivered, each once. */
+    readonly versions: readonly string[];
     /** Time spent waiting for an engine that holds the adapter. */
     readonly placeWait: Milliseconds;
     /** Time from the start to the head of the response; `undefined` when no server's head was delivered. */
@@ -93,6 +100,10 @@
     status: number | undefined;
     /** Last event delivered to the client, or the one that it named itself. */
     lastEventId: number | undefined;
+    /** Software versions of the servers whose events were delivered; a server that states none counts as `unstated`. */
+    readonly deliveredVersions: Set<string>;
+    /** Whether the present attempt has delivered an event. */
+    hasDelivered: boolean;
     /** Total time spent waiting for an engine that holds the adapter, over all attempts. */
     placeWait: Milliseconds;
     /** Time at which the last chunk of an event stream arrived; `undefined` before the first one. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -69,6 +69,7 @@
     state.sentAt = parts.clock.now();
     state.beganAt = undefined;
     state.isSound = false;
+    state.hasDelivered = false;
     record.inFlight++;
     try {
         return await deliverResponse(parts, state, selected);
@@ -173,7 +174,11 @@
                 }
                 return;
             }
+            const resumedAfter = state.lastEventId;
             const bytes = splitter ? takeCompleteEvents(state, splitter, chunk, parts.clock.now()) : chunk;
+            if (splitter && bytes.length > 0) {
+                recordDelivery(parts, state, server, resumedAfter);
+            }
             if (splitter && splitter.countUselessBytes() > uselessBytesLimit) {
                 attempt?.abort();
                 isUseless = true;
@@ -273,6 +278,33 @@
     return events.bytes;
 }
 
+// called before the events are written to the client
+function recordDelivery(
+    parts: RequestParts,
+    state: RequestState,
+    server: BackendServer,
+    resumedAfter: number | undefined,
+): void {
+    if (state.hasDelivered) {
+        return;
+    }
+    state.hasDelivered = true;
+    const isOwn = state.deliveredVersions.size > 0;
+    if (isOwn || state.request.resumed) {
+        parts.onResumed(isOwn ? "instance" : "client");
+        log.info("stream resumed", {
+            id: state.request.attemptId,
+            by: isOwn ? "instance" : "client",
+            firstAttempt: state.request.resumed?.firstAttemptId,
+            after: resumedAfter,
+            run: formatServerRunId(server),
+            version: server.softwareVersion,
+            earlierVersions: [...state.deliveredVersions].join(),
+        });
+    }
+    state.deliveredVersions.add(String(server.softwareVersion ?? "unstated"));
+}
+
 function recordResponseHead(
     parts: RequestParts,
     state: RequestState,
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -181,7 +181,7 @@
 export function isSameEntry(left: BackendServer, right: BackendServer): boolean {
     return left.startedAt === right.startedAt && left.service === right.service && left.address === right.address &&
         left.failureDomain === right.failureDomain && left.isDraining === right.isDraining &&
-        left.slots === right.slots;
+        left.softwareVersion === right.softwareVersion && left.slots === right.slots;
 }
 
 function mergeChanges(changes: readonly ServerListChange[]): ServerListChange {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -304,6 +304,7 @@
         permits: adapters.permits,
         guard,
         onBroken: metrics.countBrokenAnswer,
+        onResumed: metrics.countResumedStream,
     };
     let isDraining = false;
     const handleRequest = async (received: ReceivedRequest): Promise<void> => {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -7,7 +7,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { LoadStatus } from "../adapters/loadScheduler.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
-import type { RequestReport } from "./requestState.js";
+import type { RequestReport, StreamResumer } from "./requestState.js";
 
 /** Metrics of an instance. */
 export interface ServingMetrics {
@@ -16,6 +16,8 @@
     readonly countStoreFailure: (topic: string) => void;
     /** Counts an answer that a server broke off, or a request that it left without one. */
     readonly countBrokenAnswer: () => void;
+    /** Counts a stream that goes on at another server, or after a client's return. */
+    readonly countResumedStream: (by: StreamResumer) => void;
     /** Counts a server whose responses announce that it is about to stop. */
     readonly countLeavingServer: () => void;
     /** Returns all metrics in the text format of Prometheus. */
@@ -100,6 +102,12 @@
         help: "Requests that a server received and whose answer it broke off or never began",
         registers,
     });
+    const resumedStreams = new Counter({
+        name: "oriolehatch_resumed_streams_total",
+        help: "Streams that went on at another server or after a client's return",
+        labelNames: ["by"],
+        registers,
+    });
     const leavingServers = new Counter({
         name: "oriolehatch_leaving_servers_total",
         help: "Servers that announced in a response that they are about to stop",
@@ -148,6 +156,7 @@
         },
         countStoreFailure: topic => storeFailures.inc({ topic }),
         countBrokenAnswer: () => brokenAnswers.inc(),
+        countResumedStream: by => resumedStreams.inc({ by }),
         countLeavingServer: () => leavingServers.inc(),
         render: () => registry.metrics(),
     };
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -130,6 +130,9 @@
     readonly version: number;
 }
 
+/** Version of a server's software. Versions are only compared for equality: they have no order. */
+export type SoftwareVersion = string | number;
+
 /** A backend server as listed by the platform. */
 export interface BackendServer {
     readonly id: BackendServerId;
@@ -141,6 +144,8 @@
     readonly failureDomain: FailureDomainId;
     /** Whether the server accepts no new requests because it is about to stop. */
     readonly isDraining: boolean;
+    /** Version of its software, not of the models; `undefined` when its entry states none. */
+    readonly softwareVersion: SoftwareVersion | undefined;
     /** Requests that the server runs at the same time. */
     readonly slots: number;
     /** Models that the server reported in its entry. */
@@ -187,6 +192,12 @@
     readonly own: PromptPartId;
 }
 
+/** A stream of which a client already has events. */
+export interface ResumedStream {
+    /** Attempt that brought the first event; `undefined` when the client names none. */
+    readonly firstAttemptId: string | undefined;
+}
+
 /** A client's request, decoded from its request line and headers. */
 export interface ClientRequest {
     /** Identifier that the client chose; responses repeat it. */
@@ -207,6 +218,8 @@
     readonly prompt: PromptParts | undefined;
     /** Last event that the client received of an earlier stream. */
     readonly lastEventId: number | undefined;
+    /** `undefined` when the request doesn't ask for the rest of an earlier stream. */
+    readonly resumed: ResumedStream | undefined;
     /** Names and values in turn to forward to the server, without hop-by-hop headers and those that this layer sets. */
     readonly passedHeaders: readonly string[];
 }
