fix(serving): a stream goes on only at the software version that began it

Cause: an identity that wasn't carried to where the decision is made.

Change: the version is fixed with the first event written, and asked for by each way to a server from then on: own repeats, returns, places given by holders, loads. It is told to two other holders of shards before that event is written, while several versions may have served; nothing is sent while one does. A return asks three.

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -82,6 +82,7 @@
     return {
         service: "llm",
         choice: { model: "base", adapter: "a1" },
+        softwareVersion: undefined,
         listServers,
         excluded: new Set(),
         allowed: undefined,
@@ -144,6 +145,28 @@
         expect(loads).to.have.length(2);
     });
 
+    // guards against a stream that goes on at an engine of another software version, or waits where there is none of its own
+    it("is one of the software version that the request is bound to, on which the adapter is loaded, or none", async () => {
+        const versions = [undefined, "v1", "v1.1", 1];
+        const servers = versions.map((softwareVersion, index) => ({
+            ...createTestServer(`i-${index}`),
+            softwareVersion,
+        }));
+        const loads: string[] = [];
+        const coordinator = await createCoordinator(servers, { onLoad: server => loads.push(server.id) });
+        for (const [softwareVersion, expected] of [["v1.1", "i-2"], [1, "i-3"], ["v1", "i-1"]] as const) {
+            const acquired = await coordinator.acquire({ ...createRequest(() => servers), softwareVersion });
+            expect(acquired!.server.id).to.equal(expected);
+            expect(loads.at(-1)).to.equal(expected);
+            acquired!.release("answered");
+        }
+        const sentAt = performance.now();
+        const excluded = new Set(servers.map(formatServerRunId));
+        const request = { ...createRequest(() => servers), softwareVersion: "v1", excluded, until: 1e9 };
+        expect(await coordinator.acquire(request)).to.equal(undefined);
+        expect(performance.now() - sentAt).to.be.below(100);
+    });
+
     it("requires the version once requests may not start on older ones, also right after a load", async () => {
         const servers = [createTestServer("i-1")];
         const coordinator = await createCoordinator(servers);
--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -74,6 +74,7 @@
             client.acquire({
                 service: "llm",
                 choice: { model: "base", adapter: "a1" },
+                softwareVersion: undefined,
                 listServers: () => servers,
                 excluded: new Set(),
                 allowed: undefined,
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -88,10 +88,12 @@
         version: findRequiredVersion(formatServerRunId(server), key),
     });
     const listUsable = (request: PlaceRequest): readonly BackendServer[] => {
+        const { allowed, softwareVersion } = request;
         const engines = options.listEngines(request.service);
-        return request.allowed
-            ? engines.filter(server => request.allowed!.includes(formatServerRunId(server)))
-            : engines;
+        const inAllowed = allowed ? engines.filter(server => allowed.includes(formatServerRunId(server))) : engines;
+        return softwareVersion === undefined
+            ? inAllowed
+            : inAllowed.filter(server => server.softwareVersion === softwareVersion);
     };
     const isDiverted = (key: AdapterKey): boolean => {
         const until = divertedUntil.get(key);
@@ -120,7 +122,8 @@
     };
     const describeBusy = (request: PlaceRequest, key: AdapterKey): FoundEngine => {
         const usable = listUsable(request);
-        if (residency.listEngines(key).size === 0) {
+        // a stream that is bound to a version says nothing of the engines of others
+        if (request.softwareVersion === undefined && residency.listEngines(key).size === 0) {
             divertedUntil.set(key, clock.now() + divertedMilliseconds);
         }
         return { kind: "busy", load: computeLowestLoad(usable, records, clock.now()) };
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -6,7 +6,7 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import type { PlaceOutcome, ServerRunId } from "../serving/types.js";
+import type { PlaceOutcome, ServerRunId, SoftwareVersion } from "../serving/types.js";
 import type { Milliseconds } from "../shared/index.js";
 
 /** Key of an adapter: `MODEL/ADAPTER`. */
@@ -69,6 +69,8 @@
     readonly service: string;
     readonly model: string;
     readonly adapter?: string | undefined;
+    /** Software version that the engine must have; any where this is missing. */
+    readonly softwareVersion?: SoftwareVersion | undefined;
     /** Engines that must not be used. */
     readonly excluded: readonly ServerRunId[];
     /** Engines of which one must be used; all where this is missing. */
@@ -118,6 +120,7 @@
     service: z.string(),
     model: z.string(),
     adapter: z.string().optional(),
+    softwareVersion: z.union([z.string(), z.number()]).optional(),
     excluded: z.array(z.string()),
     allowed: z.array(z.string()).optional(),
     priority: z.number(),
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -12,6 +12,7 @@
     type ModelChoice,
     type PlaceOutcome,
     type ServerRunId,
+    type SoftwareVersion,
 } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
@@ -23,6 +24,8 @@
 export interface AcquireRequest {
     readonly service: string;
     readonly choice: ModelChoice;
+    /** Software version that the engine must have; `undefined` for any. */
+    readonly softwareVersion: SoftwareVersion | undefined;
     /** All engines of the service that accept requests; called again after each wait. */
     readonly listServers: () => readonly BackendServer[];
     /** Engines that must not be used. */
@@ -122,6 +125,7 @@
             id,
             service: request.service,
             ...request.choice,
+            softwareVersion: request.softwareVersion,
             excluded: [...request.excluded],
             allowed: request.allowed && [...request.allowed],
             priority: request.priority,
@@ -131,6 +135,10 @@
             isLoadIgnored,
         };
     };
+    // engines of another version don't help a stream that is bound to one, so that it needn't wait for them
+    const hasUsableEngine = (request: AcquireRequest): boolean =>
+        request.softwareVersion === undefined ||
+        request.listServers().some(server => !request.excluded.has(formatServerRunId(server)));
     const isWithinTime = (request: AcquireRequest): boolean => !request.signal.aborted && clock.now() < request.until;
     const requestUntilDecided = async (
         request: AcquireRequest,
@@ -246,7 +254,7 @@
         acquire: async request => {
             const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
             const guessed = new Set<ServerRunId>(request.excluded);
-            while (isWithinTime(request)) {
+            while (isWithinTime(request) && hasUsableEngine(request)) {
                 const engine = await tryShards(request, key, guessed);
                 if (engine) {
                     return engine;
--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -317,6 +317,7 @@
             const place = await adapters.acquire({
                 service,
                 choice: { model: baseModel, adapter },
+                softwareVersion: undefined,
                 listServers: () => servers,
                 excluded: new Set(),
                 allowed: undefined,
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -10,6 +10,7 @@
 import type { PlacementMessage } from "../placement/index.js";
 import type { QuarantineMessage } from "../quarantine/index.js";
 import type { AtMostOnceMessage } from "../requests/index.js";
+import type { ResumptionMessage } from "../resumption/index.js";
 import type { QuotaMessage } from "../serving/quotaMessages.js";
 import type { RelayMessage } from "../serving/relayMessages.js";
 import type { InstanceId, Milliseconds, Result } from "../shared/index.js";
@@ -25,6 +26,7 @@
     readonly quotas: QuotaMessage;
     readonly relay: RelayMessage;
     readonly quarantines: QuarantineMessage;
+    readonly resumption: ResumptionMessage;
 }
 
 /** Name of a part of the instance that exchanges messages with the same part of other instances. */
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -86,6 +86,7 @@
         revocationBound: file.bounds.keyRevocationDelay,
         versionBound: file.bounds.adapterVersionGracePeriod,
         grace: file.bounds.gracePeriod,
+        isFirstStart: file.isFirstStart,
         quota: {
             window: file.bounds.quotaWindow,
             excessRatio: file.bounds.quotaExcessRatio,
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -30,6 +30,8 @@
     readonly minimumMembershipTtl: Milliseconds;
     /** Not used by this program. */
     readonly serverHeartbeatInterval: Milliseconds;
+    /** Whether the whole system starts for the first time, rather than this process alone. */
+    readonly isFirstStart: boolean;
     readonly bounds: PlatformBounds;
 }
 
@@ -72,6 +74,8 @@
     node_name: z.string(),
     ip_address: z.string(),
     zone: z.string(),
+    // whether the whole system starts for the first time
+    bootstrap: z.boolean().default(false),
     // `front` is for clients, `ready` for readiness checks
     listen_addresses: z.object({ front: z.string(), ready: z.string() }),
     // first and last port
@@ -140,6 +144,7 @@
         engineShardCount: file.platform.parts,
         minimumMembershipTtl: file.platform.min_ttl_ms,
         serverHeartbeatInterval: file.heartbeat_ms,
+        isFirstStart: file.bootstrap,
         bounds: {
             drainTime: file.bounds.drain_ms,
             gracePeriod: file.bounds.grace_s * millisecondsPerSecond,
--- /dev/null
+++ b/src/resumption/__tests__/streamOrigins.test.ts
@@ -0,0 +1,233 @@
+import { expect } from "chai";
+import type { PeerNetwork } from "../../peers/index.js";
+import type { BackendServer, SoftwareVersion } from "../../serving/types.js";
+import { wrapError, wrapValue } from "../../shared/index.js";
+import type { ResumptionMessage } from "../messages.js";
+import { createStreamOrigins, type StreamOrigins } from "../streamOrigins.js";
+import type { OriginDecision } from "../types.js";
+
+const shardCount = 12;
+const streamLifetime = 10_000;
+const services = ["llm"];
+
+interface World {
+    now: number;
+    /** Holder of each shard; `undefined` while it has none. */
+    holders: (string | undefined)[];
+    readonly origins: Map<string, StreamOrigins>;
+    readonly ended: Set<string>;
+    sent: number;
+}
+
+function createServers(...versions: (SoftwareVersion | undefined)[]): readonly BackendServer[] {
+    return versions.map((softwareVersion, index) => ({
+        id: `s-${index}`,
+        startedAt: 1,
+        service: "llm",
+        address: "10.0.0.1:1",
+        failureDomain: "a",
+        isDraining: false,
+        softwareVersion,
+        slots: 4,
+        models: [],
+    }));
+}
+
+function createNetwork(world: World, self: string): PeerNetwork {
+    const deliver = (to: string, message: ResumptionMessage): ResumptionMessage | undefined => {
+        world.sent++;
+        return world.ended.has(to) || world.ended.has(self) ? undefined : world.origins.get(to)?.handleMessage(message);
+    };
+    return {
+        self,
+        send: (to, topic, message) => void deliver(to, message as ResumptionMessage),
+        request: async (to, topic, message) => {
+            const response = deliver(to, message as ResumptionMessage);
+            return response ? wrapValue(response as never) : wrapError({ kind: "timeout" });
+        },
+        handle: () => undefined,
+    };
+}
+
+function startInstance(world: World, self: string, isFirstStart: boolean): StreamOrigins {
+    const origins = createStreamOrigins({
+        self,
+        clock: { now: () => world.now, sleep: () => Promise.resolve() },
+        network: createNetwork(world, self),
+        holders: {
+            find: shard => world.holders[shard],
+            isSilent: instance => world.ended.has(instance),
+            markSilent: () => undefined,
+            refresh: () => Promise.resolve(),
+            list: () => [],
+            listOthers: () => [],
+            findChangedAt: () => undefined,
+            markReleased: () => undefined,
+            markResponsive: () => undefined,
+            reload: () => Promise.resolve(),
+        },
+        shardCount,
+        isFirstStart,
+        readStreamLifetime: () => streamLifetime,
+    });
+    world.origins.set(self, origins);
+    return origins;
+}
+
+function createWorld(instanceCount: number, servers: readonly BackendServer[], isFirstStart = true): World {
+    const world: World = { now: 100_000, holders: [], origins: new Map(), ended: new Set(), sent: 0 };
+    for (let index = 0; index < instanceCount; index++) {
+        startInstance(world, `i-${index}`, isFirstStart);
+    }
+    world.holders = Array.from({ length: shardCount }, (unused, shard) => `i-${shard % instanceCount}`);
+    updateAll(world);
+    world.origins.forEach(origins => origins.handleServers(servers));
+    return world;
+}
+
+function updateAll(world: World): void {
+    [...world.origins].filter(([id]) => !world.ended.has(id)).forEach(([, origins]) => origins.tick());
+}
+
+function begin(world: World, instance: string, attempt: string, version: SoftwareVersion = "v1"): void {
+    const stream = { account: "acme", firstAttemptId: attempt };
+    world.origins.get(instance)!.markBegun(stream, { service: "llm", version }, services);
+}
+
+function find(world: World, instance: string, attempt: string | undefined, account = "acme"): Promise<OriginDecision> {
+    return world.origins.get(instance)!.find({ account, firstAttemptId: attempt }, services);
+}
+
+const describeKnown = (version: SoftwareVersion): OriginDecision => ({
+    kind: "known",
+    origin: { service: "llm", version },
+});
+
+describe("origin of a stream that a client takes up again", () => {
+    // guards against a stream that goes on at another version than the one that began it
+    it("is known at every instance, as text or number as the server's entry states it", async () => {
+        const world = createWorld(8, createServers("1", 1));
+        begin(world, "i-3", "a", "1");
+        begin(world, "i-3", "b", 1);
+        for (const instance of world.origins.keys()) {
+            expect(await find(world, instance, "a")).to.deep.equal(describeKnown("1"));
+            expect(await find(world, instance, "b")).to.deep.equal(describeKnown(1));
+        }
+    });
+
+    // guards against a version that is lost with the instance that began the stream, or with one that keeps it
+    it("outlives the instance that began the stream and any one that keeps it", async () => {
+        for (let ended = 0; ended < 8; ended++) {
+            const world = createWorld(8, createServers("v1", "v2"));
+            for (let stream = 0; stream < 50; stream++) {
+                begin(world, "i-0", `a${stream}`);
+            }
+            world.ended.add("i-0").add(`i-${ended}`);
+            const asker = ended === 7 ? "i-6" : "i-7";
+            for (let stream = 0; stream < 50; stream++) {
+                expect((await find(world, asker, `a${stream}`)).kind).to.equal("known");
+            }
+        }
+    });
+
+    // guards against versions that are lost when the store deals all shards to other instances at once
+    it("moves on with the shards", async () => {
+        const world = createWorld(8, createServers("v1", "v2"));
+        for (let stream = 0; stream < 200; stream++) {
+            begin(world, "i-0", `a${stream}`);
+        }
+        world.ended.add("i-0");
+        for (let round = 1; round <= 3; round++) {
+            world.holders = world.holders.map((unused, shard) => `i-${1 + (shard * 5 + round) % 7}`);
+            updateAll(world);
+        }
+        const decisions = await Promise.all(
+            Array.from({ length: 200 }, (unused, stream) => find(world, `i-${1 + stream % 7}`, `a${stream}`)),
+        );
+        expect(decisions.filter(({ kind }) => kind === "known").length).to.equal(200);
+    });
+
+    // guards against streams that are older than the second version, of which nobody was told
+    it("is told once a second version serves", async () => {
+        const world = createWorld(8, createServers("v1"));
+        begin(world, "i-0", "a");
+        world.origins.forEach(origins => origins.handleServers(createServers("v1", "v2")));
+        world.ended.add("i-0");
+        expect(await find(world, "i-5", "a")).to.deep.equal(describeKnown("v1"));
+    });
+
+    // guards against a guess: one version serves now, but another one has served not long ago
+    it("is unknown while a version may have begun the stream that has ended since", async () => {
+        const world = createWorld(8, createServers("v1", "v2"));
+        world.origins.forEach(origins => origins.handleServers(createServers("v2")));
+        expect((await find(world, "i-1", "unknown")).kind).to.equal("unknown");
+        world.now += streamLifetime + 1;
+        expect(await find(world, "i-1", "unknown")).to.deep.equal(describeKnown("v2"));
+    });
+
+    // guards against a guess by an instance that hasn't heard of the second version yet
+    it("is unknown where only the instances that are asked know of a second version", async () => {
+        const world = createWorld(8, createServers("v1"));
+        [...world.origins].slice(1).forEach(([, origins]) => origins.handleServers(createServers("v1", "v2")));
+        expect((await find(world, "i-0", "unknown")).kind).to.equal("unknown");
+    });
+
+    // guards against a client that goes on with a stream of another account
+    it("is unknown to other accounts, and without an attempt, while several versions serve", async () => {
+        const world = createWorld(8, createServers("v1", "v2"));
+        begin(world, "i-0", "a");
+        expect((await find(world, "i-1", "a", "bolt")).kind).to.equal("unknown");
+        expect((await find(world, "i-1", undefined)).kind).to.equal("unknown");
+    });
+
+    // guards against over-caution: a process that starts again asks those that have followed the servers
+    it("is known to an instance that has just started while others have seen one version all the time", async () => {
+        const world = createWorld(8, createServers("v1"));
+        startInstance(world, "i-2", false).handleServers(createServers("v1"));
+        expect(await find(world, "i-2", "any")).to.deep.equal(describeKnown("v1"));
+    });
+
+    // guards against a guess right after all instances have started again
+    it("is unknown while nobody has followed the servers for long enough", async () => {
+        const world = createWorld(8, createServers("v1"), false);
+        expect((await find(world, "i-2", "any")).kind).to.equal("unknown");
+        world.now += streamLifetime;
+        expect(await find(world, "i-2", "any")).to.deep.equal(describeKnown("v1"));
+    });
+
+    // guards against a guess by an instance that reaches nobody who keeps streams
+    it("is unknown where no instance answers", async () => {
+        const world = createWorld(8, createServers("v1"));
+        world.holders = [];
+        expect((await find(world, "i-2", "any")).kind).to.equal("unknown");
+    });
+
+    // guards against messages for each stream: nothing is sent while one version serves, two for each beyond it
+    it("costs no message while one version serves, and two for each stream beyond", () => {
+        for (const instances of [8, 195]) {
+            const world = createWorld(instances, createServers("v1", "v1"));
+            begin(world, "i-1", "a");
+            expect(world.sent).to.equal(0);
+            world.origins.forEach(origins => origins.handleServers(createServers("v1", "v2")));
+            const told = world.sent;
+            expect(told).to.be.at.most(2);
+            for (let stream = 0; stream < 100; stream++) {
+                begin(world, "i-1", `b${stream}`);
+            }
+            expect(world.sent - told).to.be.at.most(200);
+        }
+    });
+
+    // guards against memory that grows with the streams
+    it("is forgotten after the lifetime of a stream, and when there are too many", async () => {
+        const world = createWorld(2, createServers("v1", "v2"));
+        begin(world, "i-0", "old");
+        for (let stream = 0; stream < 20_000; stream++) {
+            begin(world, "i-0", `a${stream}`);
+        }
+        expect((await find(world, "i-1", "old")).kind).to.equal("unknown");
+        expect((await find(world, "i-1", "a19999")).kind).to.equal("known");
+        world.now += streamLifetime + 1;
+        expect((await find(world, "i-1", "a19999")).kind).to.equal("unknown");
+    });
+});
--- /dev/null
+++ b/src/resumption/index.ts
@@ -0,0 +1,9 @@
+/**
+ * Streams that clients take up again, which go on at the software version that began them.
+ *
+ * @packageDocumentation
+ */
+export * from "./messages.js";
+export * from "./originDecision.js";
+export * from "./streamOrigins.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/resumption/messages.ts
@@ -0,0 +1,28 @@
+/**
+ * Messages by which instances tell each other which servers may go on with streams.
+ *
+ * @packageDocumentation
+ */
+import * as z from "zod";
+
+const originSchema = z.object({ service: z.string(), version: z.union([z.string(), z.number()]).optional() })
+    .transform(({ service, version }) => ({ service, version }));
+
+/** Schema of the messages about streams that clients take up again. */
+export const resumptionMessageSchema = z.discriminatedUnion("kind", [
+    // streams that have begun, for the receiver to keep
+    z.object({ kind: z.literal("began"), streams: z.array(z.object({ key: z.string(), origin: originSchema })) }),
+    // without a key only the view is asked for
+    z.object({ kind: z.literal("askOrigin"), key: z.string().optional(), services: z.array(z.string()) }),
+    z.object({
+        kind: z.literal("origin"),
+        // origin of the stream, where the sender keeps it
+        origin: originSchema.optional(),
+        // what may have begun streams of the services that were asked for
+        origins: z.array(originSchema),
+        isComplete: z.boolean(),
+    }),
+]);
+
+/** Message about streams that clients take up again. */
+export type ResumptionMessage = z.infer<typeof resumptionMessageSchema>;
--- /dev/null
+++ b/src/resumption/streamOrigins.ts
@@ -0,0 +1,229 @@
+/**
+ * Tells at which service and software version a stream goes on that a client takes up again, at any instance. While
+ * servers of several versions serve, the version of each stream is told to two instances before its first event is
+ * written to the client; while one version serves, nothing is sent.
+ *
+ * @packageDocumentation
+ */
+import type { ShardHolders } from "../adapters/shardHolders.js";
+import type { PeerNetwork } from "../peers/index.js";
+import type { BackendServer } from "../serving/types.js";
+import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
+import { listKeepers } from "./keepers.js";
+import { type ResumptionMessage, resumptionMessageSchema } from "./messages.js";
+import { decideOrigin, type OriginAnswer } from "./originDecision.js";
+import { computeStreamKey, type StreamKey } from "./streamKey.js";
+import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
+import type { OriginDecision, OriginView, StreamId, StreamOrigin } from "./types.js";
+import { createVersionHistory } from "./versionHistory.js";
+
+/** Dependencies of the origins. */
+export interface StreamOriginsOptions {
+    readonly self: InstanceId;
+    readonly clock: Clock;
+    readonly network: PeerNetwork;
+    readonly holders: ShardHolders;
+    readonly shardCount: number;
+    /** Whether no server has served before this instance started. */
+    readonly isFirstStart: boolean;
+    /** Longest time from the beginning of a stream to the end of a client's last return. */
+    readonly readStreamLifetime: () => Milliseconds;
+}
+
+/** Origins of streams, as far as they are known here or at others. */
+export interface StreamOrigins {
+    /** Records what began a stream; call it before its first event is written to the client. */
+    readonly markBegun: (stream: StreamId, origin: StreamOrigin, services: readonly string[]) => void;
+    /** Records that a client has received the whole stream. */
+    readonly markComplete: (stream: StreamId) => void;
+    /** Finds what began a stream; `services` are those of its route. */
+    readonly find: (stream: StreamId, services: readonly string[]) => Promise<OriginDecision>;
+    /** Replaces the servers that are listed now. */
+    readonly handleServers: (servers: readonly BackendServer[]) => void;
+    readonly handleMessage: (message: ResumptionMessage) => ResumptionMessage | undefined;
+    /** Does what is due; must be called regularly. */
+    readonly tick: () => void;
+}
+
+/** Instances that are told of a stream. */
+const copyCount = 2;
+/** Instances that are asked: one more, as the holders may have changed since. */
+const askedCount = 3;
+const askTimeoutMilliseconds = 200;
+/** Streams of this instance whose clients may still return. */
+const maximumOwnStreams = 4_096;
+/** Streams that are kept for all instances. */
+const maximumKeptStreams = 16_384;
+const streamsPerMessage = 500;
+const log = createLogger("resumption");
+
+/**
+ * Creates the origins of one instance.
+ *
+ * @param options - the other instances, and how long streams last
+ * @returns the origins, without streams
+ */
+export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
+    const { clock, holders, network, self } = options;
+    const history = createVersionHistory(options.isFirstStart);
+    const own = createStreamRecords(maximumOwnStreams);
+    const kept = createStreamRecords(maximumKeptStreams);
+    const knownHolders = new Map<number, InstanceId>();
+    const readSince = (): Milliseconds => clock.now() - options.readStreamLifetime();
+    const readExpiry = (): Milliseconds => clock.now() + options.readStreamLifetime();
+    const readView = (services: readonly string[]): OriginView => history.view(services, readSince());
+    const listHolders = (key: StreamKey, count: number): readonly InstanceId[] =>
+        listKeepers(holders, options.shardCount, key, count);
+    // this instance knows its own streams: the copies are with others
+    const listCopies = (key: StreamKey): readonly InstanceId[] =>
+        listHolders(key, askedCount).filter(keeper => keeper !== self).slice(0, copyCount);
+    const keep = (records: readonly StreamRecord[]): void => records.forEach(record => kept.put(record, readExpiry()));
+    const sendRecords = (
+        records: readonly StreamRecord[],
+        listReceivers: (key: StreamKey) => readonly InstanceId[],
+    ): void => {
+        const byKeeper = new Map<InstanceId, StreamRecord[]>();
+        for (const record of records) {
+            for (const keeper of listReceivers(record.key)) {
+                const streams = byKeeper.get(keeper) ?? [];
+                streams.push(record);
+                byKeeper.set(keeper, streams);
+            }
+        }
+        byKeeper.delete(self);
+        for (const [keeper, streams] of byKeeper) {
+            for (let first = 0; first < streams.length; first += streamsPerMessage) {
+                const part = streams.slice(first, first + streamsPerMessage);
+                network.send(keeper, "resumption", { kind: "began", streams: part });
+            }
+        }
+    };
+    const createAnswer = (key: StreamKey | undefined, services: readonly string[]): OriginAnswer => {
+        const now = clock.now();
+        const origin = key === undefined ? undefined : kept.find(key, now) ?? own.find(key, now);
+        if (key !== undefined && origin) {
+            kept.put({ key, origin }, readExpiry());
+        }
+        return { origin, ...readView(services) };
+    };
+    const requestOrigin = async (
+        keeper: InstanceId,
+        key: StreamKey | undefined,
+        services: readonly string[],
+    ): Promise<OriginAnswer | undefined> => {
+        if (keeper === self) {
+            return createAnswer(key, services);
+        }
+        const message: ResumptionMessage = { kind: "askOrigin", key, services: [...services] };
+        const response = await network.request(keeper, "resumption", message, askTimeoutMilliseconds);
+        if (!response.ok) {
+            holders.markSilent(keeper, response.error.kind === "unreachable" ? "unreachable" : "timeout");
+            void holders.refresh();
+            return undefined;
+        }
+        const parsed = resumptionMessageSchema.safeParse(response.value);
+        return parsed.success && parsed.data.kind === "origin" ? parsed.data : undefined;
+    };
+    const find = async (stream: StreamId, services: readonly string[]): Promise<OriginDecision> => {
+        const key = computeStreamKey(stream);
+        const ownOrigin = key === undefined ? undefined : own.find(key, clock.now());
+        if (ownOrigin) {
+            return { kind: "known", origin: ownOrigin };
+        }
+        const asks = listHolders(key ?? "", askedCount).map(keeper => requestOrigin(keeper, key, services));
+        const answers = await collectAnswers(asks);
+        return decideOrigin(readView(services), answers);
+    };
+    const findMovedShards = (): readonly InstanceId[] => {
+        const gained = new Set<InstanceId>();
+        for (let shard = 0; shard < options.shardCount; shard++) {
+            const holder = holders.find(shard);
+            if (holder !== undefined && knownHolders.get(shard) !== holder) {
+                knownHolders.set(shard, holder);
+                gained.add(holder);
+            }
+        }
+        return [...gained];
+    };
+    const listServices = (servers: readonly BackendServer[]): ReadonlySet<string> =>
+        new Set(servers.map(({ service }) => service));
+    return {
+        markBegun: (stream, origin, services) => {
+            const key = computeStreamKey(stream);
+            if (key === undefined) {
+                return;
+            }
+            own.put({ key, origin }, readExpiry());
+            if (readView(services).origins.length > 1) {
+                sendRecords([{ key, origin }], listCopies);
+            }
+        },
+        markComplete: stream => {
+            const key = computeStreamKey(stream);
+            if (key !== undefined) {
+                own.remove(key);
+            }
+        },
+        find,
+        handleServers: servers => {
+            const services = [...listServices(servers)];
+            const before = new Map(services.map(service => [service, readView([service]).origins.length]));
+            history.update(servers, clock.now());
+            const mixed = services.filter(service =>
+                before.get(service)! <= 1 && readView([service]).origins.length > 1
+            );
+            if (mixed.length > 0) {
+                const streams = own.list(clock.now()).filter(({ origin }) => mixed.includes(origin.service));
+                log.info("several software versions", { services: mixed.join(), streams: streams.length });
+                sendRecords(streams, listCopies);
+            }
+        },
+        handleMessage: message => {
+            switch (message.kind) {
+                case "began":
+                    keep(message.streams);
+                    return undefined;
+                case "askOrigin": {
+                    const { origin, origins, isComplete } = createAnswer(message.key, message.services);
+                    return { kind: "origin", origin, origins: [...origins], isComplete };
+                }
+                case "origin":
+                    return undefined;
+            }
+        },
+        tick: () => {
+            const now = clock.now();
+            own.expire(now);
+            kept.expire(now);
+            history.prune(readSince());
+            const gained = findMovedShards();
+            if (gained.length > 0) {
+                sendRecords(
+                    kept.list(now),
+                    key => listHolders(key, askedCount).filter(keeper => gained.includes(keeper)),
+                );
+            }
+        },
+    };
+}
+
+// the first answer that names the stream's origin is enough; else all are waited for
+function collectAnswers(asks: readonly Promise<OriginAnswer | undefined>[]): Promise<readonly OriginAnswer[]> {
+    return new Promise(resolve => {
+        const answers: OriginAnswer[] = [];
+        let open = asks.length;
+        const handleAnswer = (answer: OriginAnswer | undefined): void => {
+            open--;
+            if (answer) {
+                answers.push(answer);
+            }
+            if (open === 0 || answer?.origin) {
+                resolve(answers);
+            }
+        };
+        asks.forEach(asked => void asked.then(handleAnswer));
+        if (open === 0) {
+            resolve([]);
+        }
+    });
+}
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -303,6 +303,7 @@
             revocationBound: 5_000,
             versionBound: 5_000,
             grace: 1_000,
+            isFirstStart: true,
             quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
             retry: { window: 10_000, ratio: 0.2, slack: 50 },
             clock: createSystemClock(),
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import type { StreamOrigin } from "../resumption/index.js";
 import type { Clock, Milliseconds, SeededRandom } from "../shared/index.js";
 import { millisecondsPerSecond } from "../shared/index.js";
 import { type AccountLimits, computeRequestCost } from "./accountLimits.js";
@@ -30,6 +31,8 @@
         readonly route: ServingRoute;
         readonly service: string;
         readonly account: ServingAccount | undefined;
+        /** What began the stream that the request resumes; `undefined` for other requests. */
+        readonly origin?: StreamOrigin;
     }
     | {
         readonly kind: "refused";
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -6,6 +6,7 @@
 import type { PermitClient } from "../adapters/permitClient.js";
 import type { PlaceClient } from "../adapters/placeClient.js";
 import type { RequestDigest, RequestGuard } from "../quarantine/index.js";
+import type { StreamOrigin, StreamOrigins } from "../resumption/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
 import type { ServerConnections } from "./serverConnections.js";
@@ -40,6 +41,7 @@
     readonly adapters: PlaceClient;
     readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
     readonly guard: RequestGuard;
+    readonly origins: StreamOrigins;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
@@ -100,6 +102,8 @@
     status: number | undefined;
     /** Last event delivered to the client, or the one that it named itself. */
     lastEventId: number | undefined;
+    /** What began the stream, from its first event on; only such servers may go on with it. */
+    origin: StreamOrigin | undefined;
     /** Software versions of the servers whose events were delivered; a server that states none counts as `unstated`. */
     readonly deliveredVersions: Set<string>;
     /** Whether the present attempt has delivered an event. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -5,10 +5,12 @@
  * @packageDocumentation
  */
 import type { GuardedRequest } from "../quarantine/index.js";
+import type { StreamId } from "../resumption/index.js";
 import { createLogger, type Milliseconds } from "../shared/index.js";
 import { createEventSplitter, type EventSplitter } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
+import { listServices } from "./resumedStreams.js";
 import type { Attempt, AttemptFault } from "./serverConnections.js";
 import { type BackendServer, formatServerRunId, type PlaceOutcome, type ServerResponseHead } from "./types.js";
 
@@ -224,6 +226,7 @@
             flushBuffer(held?.head.contentLength ?? held?.size);
             state.answer.end();
             markSound(parts, state);
+            parts.origins.markComplete(describeStream(state));
             finish({ kind: "complete" });
         };
         state.signal.addEventListener("abort", abortForClient, { once: true });
@@ -289,6 +292,7 @@
         return;
     }
     state.hasDelivered = true;
+    markOrigin(parts, state, server);
     const isOwn = state.deliveredVersions.size > 0;
     if (isOwn || state.request.resumed) {
         parts.onResumed(isOwn ? "instance" : "client");
@@ -305,6 +309,20 @@
     state.deliveredVersions.add(String(server.softwareVersion ?? "unstated"));
 }
 
+function markOrigin(parts: RequestParts, state: RequestState, server: BackendServer): void {
+    const { route } = state.admission;
+    if (route.kind !== "stream" || !route.canResume) {
+        return;
+    }
+    state.origin ??= { service: server.service, version: server.softwareVersion };
+    parts.origins.markBegun(describeStream(state), state.origin, listServices(route));
+}
+
+function describeStream({ admission, request }: RequestState): StreamId {
+    const firstAttemptId = request.resumed ? request.resumed.firstAttemptId : request.attemptId;
+    return { account: admission.account?.name, firstAttemptId };
+}
+
 function recordResponseHead(
     parts: RequestParts,
     state: RequestState,
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -8,6 +8,7 @@
 import { type Admission, applyQuota, decideAdmission } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
+import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
 import { describeGuarded, runAttempt } from "./runAttempt.js";
 import { chooseServer } from "./serverChoice.js";
 import { type BackendServer, type ClientRequest, formatServerRunId } from "./types.js";
@@ -51,7 +52,8 @@
         ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
         : "";
     const decided = refuseIfQuarantined(parts, allowed, request, digest, startedAt);
-    const admission = decided.kind === "admitted" ? await applyQuota(parts, decided, request) : decided;
+    const located = decided.kind === "admitted" ? await applyStreamOrigin(parts.origins, decided, request) : decided;
+    const admission = located.kind === "admitted" ? await applyQuota(parts, located, request) : located;
     if (admission.kind === "refused") {
         const { status, retryAfter, reason } = admission;
         answer.writeHead(status, parts.headers.encodeRefusalHeaders(request.attemptId, retryAfter), 0);
@@ -87,6 +89,7 @@
         headSentAt: undefined,
         status: undefined,
         lastEventId: request.lastEventId,
+        origin: admission.origin,
         deliveredVersions: new Set(),
         hasDelivered: false,
         placeWait: 0,
@@ -171,11 +174,15 @@
     const { route, service } = state.admission;
     // a request that has reached the limit of its route is only sent again to servers that it was already sent to
     const allowed = state.triedServers.size < route.attemptLimit ? undefined : state.triedServers;
-    const listServers = (): readonly BackendServer[] => parts.servers.listUsable(service);
+    const { origin } = state;
+    const listServers = (): readonly BackendServer[] => filterByOrigin(parts.servers.listUsable(service), origin);
     const now = parts.clock.now();
     const shedding = parts.servers.listShedding(now);
     const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
     const servers = listServers();
+    if (origin && servers.every(server => excluded.has(formatServerRunId(server)))) {
+        return undefined;
+    }
     if (servers.length > 0 && servers.every(server => shedding.has(formatServerRunId(server)))) {
         state.returnAt = Math.min(...servers.map(server => shedding.get(formatServerRunId(server))!));
         return undefined;
@@ -191,6 +198,7 @@
         const selected = await parts.adapters.acquire({
             service,
             choice,
+            softwareVersion: origin?.version,
             listServers,
             excluded,
             allowed,
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -19,6 +19,7 @@
 export interface ServerList {
     /** Returns the servers of a service that accept new requests. */
     readonly listUsable: (service: string) => readonly BackendServer[];
+    /** Returns all servers; the same list as before while nothing has changed. */
     readonly listAll: () => readonly BackendServer[];
     /** Whether a run takes requests: it is listed, and neither draining nor leaving. */
     readonly isServing: (run: ServerRunId) => boolean;
@@ -68,6 +69,7 @@
 export function createServerList(): ServerList {
     const servers = new Map<string, BackendServer>();
     const removalDueAt = new Map<string, Milliseconds>();
+    let all: readonly BackendServer[] = [];
     let byService = new Map<string, readonly BackendServer[]>();
     let byRun = new Map<ServerRunId, BackendServer>();
     const sheddingUntil = new LRUCache<ServerRunId, Milliseconds>({ max: maximumAnnouncingRuns });
@@ -83,7 +85,7 @@
         return server !== undefined && isUsable(server);
     };
     const refreshIndexes = (): void => {
-        const all = [...servers.values()];
+        all = [...servers.values()];
         byRun = new Map(all.map(server => [formatServerRunId(server), server]));
         const usable = all.filter(isUsable);
         byService = new Map(
@@ -129,7 +131,7 @@
     };
     return {
         listUsable: service => byService.get(service) ?? [],
-        listAll: () => [...servers.values()],
+        listAll: () => all,
         isServing,
         mayReceive: (run, now) => isServing(run) && (sheddingUntil.get(run) ?? 0) <= now,
         markShedding: (run, until) =>
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -10,6 +10,7 @@
 import type { EngineControl, ShardGroup } from "../adapters/types.js";
 import { createPeerTask } from "../peers/peerTask.js";
 import { createRequestGuard, quarantineMessageSchema } from "../quarantine/index.js";
+import { createStreamOrigins, resumptionMessageSchema } from "../resumption/index.js";
 import {
     type Clock,
     createLogger,
@@ -34,6 +35,7 @@
 import { relayMessageSchema } from "./relayMessages.js";
 import { writeRequestLog } from "./requestLog.js";
 import type { RequestParts } from "./requestState.js";
+import { computeStreamLifetime } from "./resumedStreams.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { runRequest } from "./runRequest.js";
 import { createServerConnections } from "./serverConnections.js";
@@ -101,6 +103,8 @@
     readonly versionBound: Milliseconds;
     /** Time from SIGTERM until the platform kills the process. */
     readonly grace: Milliseconds;
+    /** Whether the whole system starts for the first time, so that no server has served before. */
+    readonly isFirstStart: boolean;
     /** Bounds within which quotas of client accounts may be exceeded. */
     readonly quota: QuotaBounds;
     /** Limit on the retries of all instances together, see `RetryBudgetOptions`. */
@@ -279,6 +283,11 @@
             });
         }
         adapters.handleServers(change.added, change.removed);
+        const listed = servers.listAll();
+        if (listed !== knownServers) {
+            knownServers = listed;
+            origins.handleServers(listed);
+        }
     };
     const guard = createRequestGuard({
         self: self.id,
@@ -288,6 +297,17 @@
         isHeld: shard => shards.find(shard) !== undefined,
         append: dependencies.log.append,
     });
+    const readStreamLifetime = (): Milliseconds => computeStreamLifetime(configuration.read()?.config.routes ?? []);
+    const origins = createStreamOrigins({
+        self: self.id,
+        clock,
+        network: peers.network,
+        holders: adapters.holders,
+        shardCount: options.shardCount,
+        isFirstStart: options.isFirstStart,
+        readStreamLifetime,
+    });
+    let knownServers: readonly BackendServer[] = [];
     const requestParts: RequestParts = {
         configuration,
         limits,
@@ -303,6 +323,7 @@
         adapters,
         permits: adapters.permits,
         guard,
+        origins,
         onBroken: metrics.countBrokenAnswer,
         onResumed: metrics.countResumedStream,
     };
@@ -380,6 +401,7 @@
         quotas.tick();
         adapters.tick();
         guard.tick();
+        origins.tick();
         return shards.list().length > 0 ? holderTickMilliseconds : tickMilliseconds;
     });
     const announce = createRegistrationTask(options.clock, dependencies.log, directory, self);
@@ -398,6 +420,10 @@
         "quarantines",
         (from, message) => guard.handleMessage(from, quarantineMessageSchema.parse(message)),
     );
+    peers.network.handle(
+        "resumption",
+        (from, message) => origins.handleMessage(resumptionMessageSchema.parse(message)),
+    );
     peers.network.handle("quotas", (from, message) => quotas.handleMessage(from, quotaMessageSchema.parse(message)));
 
     const drain = async (): Promise<void> => {
