feat(serving): the log names each server that couldn't be reached

A request's line has only its last fault, so the logs couldn't tell one server that is down from an instance that reaches none. Hypotheses written before: each request waits out its connects (then lines are 400 ms apart); no path leads to an instance that reaches servers (then all runs are named at some instances and none at others); the cut instances hold shards and fail others' loads, too (then healthy instances refuse with a long placeWait). No decision changes.

--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -207,6 +207,9 @@
                     parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
                 }
             }
+            if (fault.kind === "notSent") {
+                log.info("server not reached", { id: state.request.attemptId, run, detail: fault.detail });
+            }
             state.placeOutcome = describePlaceOutcome(fault);
             state.excludedServers.add(run);
             if (!hasSentBytes(fault)) {
