--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -8,7 +8,7 @@
     type Server,
     type ServerResponse,
 } from "node:http";
-import { type AddressInfo, createServer as createNetServer, type Socket } from "node:net";
+import { type AddressInfo, connect, createServer as createNetServer, type Socket } from "node:net";
 import type { EngineControl, ShardGroup } from "../../adapters/types.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createServingInstance } from "../servingInstance.js";
@@ -82,6 +82,9 @@
     readonly isLeaving?: (server: number) => boolean;
 }
 
+/** How an instance is cut off from the servers. */
+export type TestCut = "none" | "refused" | "frozen" | "newRefused";
+
 /** A server of the fleet, whatever its present run. */
 export interface TestServer {
     /** Writes the entry of the present run to the store again, as servers do regularly. */
@@ -102,6 +105,11 @@
     /** Times at which servers ended. */
     readonly crashes: readonly number[];
     readonly servers: readonly TestServer[];
+    /**
+     * Cuts an instance off from all servers, or ends that: `refused` resets its connections to them, `frozen` lets them hang,
+     * and `newRefused` lets them live on; new ones are refused in all of these.
+     */
+    readonly setCut: (instance: number, cut: TestCut) => Promise<void>;
     /** Stops an instance for good; resolves when all its connections are closed. */
     readonly stopInstance: (instance: number) => Promise<void>;
     /** Gives each shard another holder. */
@@ -285,6 +293,9 @@
         report: async () => wrapError({ kind: "unanswered", detail: "no engine" }),
     };
     const ports = await findFreePorts(options.instances * 4);
+    const links = await Promise.all(
+        Array.from({ length: options.instances }, () => createServerLinks(servers.map(({ port }) => port))),
+    );
     const running = Array.from({ length: options.instances }, (unused, index) => {
         const [clientPort, readyPort, peerPort, metricsPort] = ports.slice(index * 4, index * 4 + 4);
         const instance = createServingInstance({
@@ -314,7 +325,10 @@
             headers: testCodec,
             records: {
                 decodeOperatorRecord: () => wrapValue({ kind: "configuration", config }),
-                decodeServerEntry: (id, value) => wrapValue(JSON.parse(Buffer.from(value).toString()) as BackendServer),
+                decodeServerEntry: (id, value) => {
+                    const entry = JSON.parse(Buffer.from(value).toString()) as BackendServer;
+                    return wrapValue({ ...entry, address: links[index]!.translate(entry.address) });
+                },
             },
         });
         const leaving = new AbortController();
@@ -328,6 +342,7 @@
         crashes,
         servers,
         moveShards: store.moveShards,
+        setCut: (instance, cut) => links[instance]!.setCut(cut),
         stopInstance: index => {
             running[index]!.stop();
             return running[index]!.ended;
@@ -335,6 +350,7 @@
         stop: async () => {
             stopping.abort();
             servers.forEach(server => server.close());
+            links.forEach(link => link.close());
             await Promise.all(running.map(({ ended }) => ended));
         },
     };
@@ -351,7 +367,7 @@
 async function startServer(
     index: number,
     world: ServerWorld,
-): Promise<TestServer & { readonly close: () => void; }> {
+): Promise<TestServer & { readonly port: number; readonly close: () => void; }> {
     const { options, store } = world;
     const sockets = new Set<Socket>();
     let run = 0;
@@ -446,6 +462,7 @@
     };
     await listen();
     return {
+        port,
         writeEntry,
         deleteEntry: () => store.put("servers", readId(), undefined),
         restart: () => end(run),
@@ -457,6 +474,66 @@
     };
 }
 
+/** Links of one instance to all servers, each through a port of its own. */
+interface ServerLinks {
+    readonly translate: (address: string) => string;
+    readonly setCut: (cut: TestCut) => Promise<void>;
+    readonly close: () => void;
+}
+
+async function createServerLinks(ports: readonly number[]): Promise<ServerLinks> {
+    const links = await Promise.all(ports.map(createServerLink));
+    return {
+        translate: address => {
+            const index = ports.indexOf(Number(address.slice(address.lastIndexOf(":") + 1)));
+            return `127.0.0.1:${links[index]!.port}`;
+        },
+        setCut: async cut => void await Promise.all(links.map(link => link.setCut(cut))),
+        close: () => links.forEach(link => link.close()),
+    };
+}
+
+async function createServerLink(serverPort: number) {
+    const sockets = new Set<Socket>();
+    const relay = createNetServer(near => {
+        const far = connect({ host: "127.0.0.1", port: serverPort });
+        for (const [socket, other] of [[near, far], [far, near]] as const) {
+            sockets.add(socket);
+            // a reset is passed on as one
+            socket.on("error", () => other.resetAndDestroy());
+            socket.once("close", () => {
+                sockets.delete(socket);
+                other.destroy();
+            });
+            socket.pipe(other);
+        }
+    });
+    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, "127.0.0.1", resolve));
+    await listen(0);
+    const { port } = relay.address() as AddressInfo;
+    return {
+        port,
+        setCut: async (cut: TestCut): Promise<void> => {
+            if (cut === "none") {
+                sockets.forEach(socket => socket.resetAndDestroy());
+                await listen(port);
+                return;
+            }
+            relay.close();
+            if (cut === "refused") {
+                sockets.forEach(socket => socket.resetAndDestroy());
+            }
+            if (cut === "frozen") {
+                sockets.forEach(socket => socket.pause());
+            }
+        },
+        close: () => {
+            relay.close();
+            sockets.forEach(socket => socket.destroy());
+        },
+    };
+}
+
 async function findFreePorts(count: number): Promise<readonly number[]> {
     const probes = Array.from({ length: count }, () => createNetServer());
     const ports = await Promise.all(
