fix(serving): an instance that reaches no server sends attempts through one that does

Cause: the view of one instance taken for the state of the servers. It knew servers one by one from its own attempts, and no path led from it to an instance that reaches them; besides it kept shards whose engines it couldn't order, and told holders that sound engines were unreachable.

Evidence: at the five cut instances nearly all lines are "no server: notSent ECONNREFUSED", at the three others answers and 22 refusals after a long wait for a place.

Change: two servers in a row that can't be reached, none that responds, and another instance that had a response of them: then attempts go through such instances, one at a time, all decisions stay at the entry instance, and it leaves the shard group until a connection opens again.

--- /dev/null
+++ b/src/forwarding/forwardClient.ts
@@ -0,0 +1,125 @@
+/**
+ * Sends one attempt through another instance and reports its events as if the server were reached directly.
+ *
+ * @packageDocumentation
+ */
+import type { PeerNetwork } from "../peers/index.js";
+import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../serving/serverConnections.js";
+import { formatServerRunId } from "../serving/types.js";
+import type { InstanceId } from "../shared/index.js";
+import { type AttemptEvent, type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
+
+/** An answer is due after the wait of the other instance at the latest. */
+const answerTimeoutMilliseconds = 1_000;
+
+/**
+ * Sends an attempt through a helper.
+ *
+ * @param network - connections to other instances
+ * @param helper - instance that reaches servers
+ * @param id - identifies the attempt over all instances
+ * @param request - the attempt
+ * @param handlers - callbacks
+ * @returns the attempt in progress
+ */
+export function sendThroughInstance(
+    network: PeerNetwork,
+    helper: InstanceId,
+    id: string,
+    request: AttemptRequest,
+    handlers: AttemptHandlers,
+): Attempt {
+    let isOver = false;
+    let wakeReader: (() => void) | undefined;
+    let isPaused = false;
+    const requestHelper = async (message: ForwardingMessage): Promise<ForwardingMessage | AttemptFault> => {
+        const response = await network.request(helper, "forwarding", message, answerTimeoutMilliseconds);
+        if (!response.ok) {
+            const { kind } = response.error;
+            const isNotSent = message.kind === "start" && (kind === "unreachable" || kind === "incompatible");
+            const detail = `${helper} ${kind}`;
+            return isNotSent ? { kind: "rerouted", detail } : { kind: "broken", detail, isBetweenInstances: true };
+        }
+        const parsed = forwardingMessageSchema.safeParse(response.value);
+        return parsed.success
+            ? parsed.data
+            : { kind: "broken", detail: `${helper} sent an unreadable answer`, isBetweenInstances: true };
+    };
+    const finish = (notify: () => void): void => {
+        if (!isOver) {
+            isOver = true;
+            notify();
+        }
+    };
+    const deliver = (event: AttemptEvent): void => {
+        if (isOver) {
+            return;
+        }
+        switch (event.kind) {
+            case "head":
+                handlers.onHead(event.head);
+                break;
+            case "data":
+                handlers.onData(Buffer.from(event.chunk.buffer, event.chunk.byteOffset, event.chunk.byteLength));
+                break;
+            case "end":
+                finish(handlers.onEnd);
+                break;
+            case "fault":
+                finish(() => handlers.onFault(event.fault));
+                break;
+        }
+    };
+    const waitUntilResumed = (): Promise<void> =>
+        isPaused ? new Promise(resolve => wakeReader = resolve) : Promise.resolve();
+    const run = async (): Promise<void> => {
+        const { body, method, target, headers, attemptId } = request;
+        const serverRun = formatServerRunId(request.server);
+        let message: ForwardingMessage = {
+            kind: "start",
+            id,
+            run: serverRun,
+            attemptId,
+            method,
+            target,
+            headers,
+            body,
+        };
+        while (!isOver) {
+            const answer = await requestHelper(message);
+            if (answer.kind === "events") {
+                answer.events.forEach(deliver);
+                await waitUntilResumed();
+                message = { kind: "read", id };
+                continue;
+            }
+            finish(() => handlers.onFault(describeFault(answer, message)));
+        }
+    };
+    const resume = (): void => {
+        isPaused = false;
+        wakeReader?.();
+    };
+    void run();
+    return {
+        abort: () => {
+            isOver = true;
+            resume();
+            network.send(helper, "forwarding", { kind: "abort", id });
+        },
+        pause: () => {
+            isPaused = true;
+        },
+        resume,
+    };
+}
+
+function describeFault(answer: ForwardingMessage | AttemptFault, message: ForwardingMessage): AttemptFault {
+    if (answer.kind === "broken" || answer.kind === "rerouted") {
+        return answer;
+    }
+    // a refused start has sent nothing; an attempt that the helper no longer knows may have run
+    return answer.kind === "refused" && message.kind === "start"
+        ? { kind: "rerouted", detail: answer.reason }
+        : { kind: "broken", detail: "the other instance lost the attempt", isBetweenInstances: true };
+}
--- /dev/null
+++ b/src/forwarding/forwardService.ts
@@ -0,0 +1,143 @@
+/**
+ * Sends attempts of instances that reach no server, and keeps their events until they are asked for.
+ *
+ * @packageDocumentation
+ */
+import type { Attempt, ServerConnections } from "../serving/serverConnections.js";
+import type { BackendServer, ServerRunId } from "../serving/types.js";
+import type { Clock, Milliseconds } from "../shared/index.js";
+import type { AttemptEvent, ForwardingMessage, StartMessage } from "./messages.js";
+
+/** Dependencies of the service. */
+export interface ForwardServiceOptions {
+    readonly clock: Clock;
+    /** Connections that lead to the servers directly. */
+    readonly connections: Pick<ServerConnections, "send">;
+    readonly findServer: (run: ServerRunId) => BackendServer | undefined;
+    /** Whether this instance reaches servers itself: an attempt is never forwarded twice. */
+    readonly isReaching: () => boolean;
+}
+
+/** Service for other instances. */
+export interface ForwardService {
+    readonly start: (message: StartMessage) => Promise<ForwardingMessage>;
+    readonly read: (id: string) => Promise<ForwardingMessage>;
+    readonly abort: (id: string) => void;
+    readonly hasRoom: () => boolean;
+    /** Ends attempts whose events nobody asks for any more. */
+    readonly expire: (now: Milliseconds) => void;
+}
+
+interface ForwardedAttempt {
+    attempt: Attempt | undefined;
+    events: AttemptEvent[];
+    size: number;
+    isOver: boolean;
+    askedAt: Milliseconds;
+    wake: () => void;
+}
+
+/** Attempts of others that run at a time; more are refused, so that own clients don't suffer. */
+const maximumAttempts = 64;
+/** Bytes that wait to be fetched, from which on the server is held back. */
+const pauseBytes = 65_536;
+/** Time for which an answer waits for an event. */
+const waitMilliseconds = 300;
+/** Time without a question after which the sender is taken to have ended. */
+const abandonedMilliseconds = 1_500;
+
+/**
+ * Creates the service without attempts.
+ *
+ * @param options - servers and their connections
+ * @returns the service
+ */
+export function createForwardService(options: ForwardServiceOptions): ForwardService {
+    const { clock } = options;
+    const attempts = new Map<string, ForwardedAttempt>();
+    const hasRoom = (): boolean => options.isReaching() && attempts.size < maximumAttempts;
+    const add = (entry: ForwardedAttempt, event: AttemptEvent): void => {
+        entry.events.push(event);
+        entry.isOver ||= event.kind === "end" || event.kind === "fault";
+        if (event.kind === "data") {
+            entry.size += event.chunk.length;
+            if (entry.size > pauseBytes) {
+                entry.attempt?.pause();
+            }
+        }
+        entry.wake();
+    };
+    const take = async (id: string, entry: ForwardedAttempt): Promise<ForwardingMessage> => {
+        entry.askedAt = clock.now();
+        if (entry.events.length === 0) {
+            const cancel = new AbortController();
+            const woken = new Promise<void>(resolve => entry.wake = resolve);
+            await Promise.race([woken, clock.sleep(waitMilliseconds, cancel.signal)]);
+            cancel.abort();
+        }
+        const { events } = entry;
+        entry.askedAt = clock.now();
+        entry.events = [];
+        if (entry.size > pauseBytes) {
+            entry.attempt?.resume();
+        }
+        entry.size = 0;
+        if (entry.isOver) {
+            attempts.delete(id);
+        }
+        return { kind: "events", events };
+    };
+    const abort = (id: string): void => {
+        attempts.get(id)?.attempt?.abort();
+        attempts.delete(id);
+    };
+    return {
+        start: async message => {
+            const server = options.findServer(message.run);
+            if (!server || !hasRoom() || attempts.has(message.id)) {
+                return { kind: "refused", reason: server ? "no room" : "server not listed" };
+            }
+            const entry: ForwardedAttempt = {
+                attempt: undefined,
+                events: [],
+                size: 0,
+                isOver: false,
+                askedAt: clock.now(),
+                wake: () => undefined,
+            };
+            attempts.set(message.id, entry);
+            entry.attempt = options.connections.send(
+                {
+                    server,
+                    attemptId: message.attemptId,
+                    method: message.method,
+                    target: message.target,
+                    headers: message.headers,
+                    body: message.body && Buffer.from(message.body),
+                },
+                {
+                    onHead: head => add(entry, { kind: "head", head }),
+                    onData: chunk => add(entry, { kind: "data", chunk }),
+                    onEnd: () => add(entry, { kind: "end" }),
+                    onFault: fault =>
+                        add(entry, {
+                            kind: "fault",
+                            fault: { kind: fault.kind === "rerouted" ? "notSent" : fault.kind, detail: fault.detail },
+                        }),
+                },
+            );
+            return take(message.id, entry);
+        },
+        read: async id => {
+            const entry = attempts.get(id);
+            return entry ? take(id, entry) : { kind: "refused", reason: "attempt unknown" };
+        },
+        abort,
+        hasRoom,
+        expire: now => {
+            [...attempts].filter(([, { askedAt }]) => now - askedAt > abandonedMilliseconds).forEach(([id]) =>
+                abort(id)
+            );
+        },
+    };
+}
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -5,6 +5,7 @@
  */
 import type { AdapterMessage } from "../adapters/messages.js";
 import type { ConfigMessage } from "../config/index.js";
+import type { ForwardingMessage } from "../forwarding/index.js";
 import type { LimitsMessage } from "../limits/index.js";
 import type { MembershipMessage } from "../membership/index.js";
 import type { PlacementMessage } from "../placement/index.js";
@@ -26,6 +27,7 @@
     readonly quotas: QuotaMessage;
     readonly relay: RelayMessage;
     readonly quarantines: QuarantineMessage;
+    readonly forwarding: ForwardingMessage;
     readonly resumption: ResumptionMessage;
 }
 
--- a/src/serving/outcomePolicy.ts
+++ b/src/serving/outcomePolicy.ts
@@ -55,7 +55,7 @@
  * @returns `false` when no byte was sent, so that the attempt doesn't count
  */
 export function hasSentBytes(fault: AttemptFault): boolean {
-    return fault.kind !== "notSent" && fault.kind !== "withdrawn";
+    return fault.kind !== "notSent" && fault.kind !== "withdrawn" && fault.kind !== "rerouted";
 }
 
 /**
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -196,14 +196,14 @@
             if (mode === "ignoring") {
                 return;
             }
-            if (fault.kind !== "withdrawn") {
+            if (isServerFault(fault)) {
                 parts.records.markFailure(run, fault.kind === "notSent", parts.clock.now());
             }
             if (hasSentBytes(fault)) {
                 parts.onBroken();
                 writeBrokenLog(state, run, fault, parts.clock.now());
                 // bytes that are no answer say that the server is faulty, not that the request ended it
-                if (!state.isSound && fault.kind === "broken" && !isUseless) {
+                if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !isUseless) {
                     parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
                 }
             }
@@ -211,7 +211,10 @@
                 log.info("server not reached", { id: state.request.attemptId, run, detail: fault.detail });
             }
             state.placeOutcome = describePlaceOutcome(fault);
-            state.excludedServers.add(run);
+            // the same server may be reached through another instance
+            if (fault.kind !== "rerouted") {
+                state.excludedServers.add(run);
+            }
             if (!hasSentBytes(fault)) {
                 state.triedServers.delete(run);
             }
@@ -259,15 +262,29 @@
     });
 }
 
+function isServerFault(fault: AttemptFault): boolean {
+    switch (fault.kind) {
+        case "withdrawn":
+        case "rerouted":
+            return false;
+        case "broken":
+            return fault.isBetweenInstances !== true;
+        case "notSent":
+        case "crossed":
+            return true;
+    }
+}
+
 function describePlaceOutcome(fault: AttemptFault): PlaceOutcome {
     switch (fault.kind) {
         case "notSent":
             return "unreachable";
         case "withdrawn":
+        case "rerouted":
             return "unknown";
         case "broken":
         case "crossed":
-            return "failed";
+            return isServerFault(fault) ? "failed" : "unknown";
     }
 }
 
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -21,8 +21,13 @@
     | { readonly kind: "notSent"; readonly detail: string; }
     /** No byte of the request was sent, because the server takes no more requests. */
     | { readonly kind: "withdrawn"; readonly detail: string; }
-    /** The connection failed or the response was incomplete; the request may have run. */
-    | { readonly kind: "broken"; readonly detail: string; }
+    /** No byte of the request was sent, because this instance reaches no server at present, while others do. */
+    | { readonly kind: "rerouted"; readonly detail: string; }
+    /**
+     * The connection failed or the response was incomplete; the request may have run. `isBetweenInstances` when the server
+     * has no part in it.
+     */
+    | { readonly kind: "broken"; readonly detail: string; readonly isBetweenInstances?: boolean; }
     /** The response carries the attempt id of another request; this request may have run. */
     | { readonly kind: "crossed"; readonly detail: string; };
 
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -8,6 +8,7 @@
 import type { ShardHolder } from "../adapters/shardHolders.js";
 import { createShardTask } from "../adapters/shardTask.js";
 import type { EngineControl, ShardGroup } from "../adapters/types.js";
+import { checkServer, createForwardingConnections, forwardingMessageSchema } from "../forwarding/index.js";
 import { createPeerTask } from "../peers/peerTask.js";
 import { createRequestGuard, quarantineMessageSchema } from "../quarantine/index.js";
 import { createStreamOrigins, resumptionMessageSchema } from "../resumption/index.js";
@@ -217,7 +218,10 @@
         clock,
         startedAt,
         findHolderChangedAt: adapters.holders.findChangedAt,
-        isMember: () => directory.isLoaded() && directory.isAmongLargest(options.shardCount * membersPerShard),
+        // who reaches no engine can order nothing there
+        isMember: () =>
+            directory.isLoaded() && directory.isAmongLargest(options.shardCount * membersPerShard) &&
+            !forwarding.isCutOff(),
         onShardGained: adapters.handleShardGained,
         onShardLost: adapters.handleShardLost,
         onMembershipChange: adapters.handleMembershipChange,
@@ -262,18 +266,32 @@
         onLeaving: server => handleLeaving(formatServerRunId(server), "response"),
         idleTimeout: serverIdleTimeoutMilliseconds,
     });
+    const forwarding = createForwardingConnections({
+        runId: `${self.id}@${startUnixTime}`,
+        failureDomain: options.failureDomain,
+        clock,
+        random,
+        network: peers.network,
+        direct: connections,
+        listCandidates: directory.listOthers,
+        listServers: servers.listAll,
+        findServer: servers.find,
+        probe: checkServer,
+        onLeaving: server => handleLeaving(formatServerRunId(server), "response"),
+        onForwarded: metrics.countForwardedAttempt,
+    });
     const handleLeaving = (run: ServerRunId, learnedFrom: LeavingSource): void => {
         if (servers.markLeaving(run)) {
             metrics.countLeavingServer();
             log.info("server leaves", { run, learnedFrom });
-            connections.remove(run);
+            forwarding.remove(run);
             adapters.handleLeaving(run, learnedFrom);
         }
     };
     const applyServerChange = (change: ServerListChange): void => {
         for (const server of change.removed) {
             const run = formatServerRunId(server);
-            connections.remove(run);
+            forwarding.remove(run);
             records.remove(run);
         }
         if (change.added.length + change.removed.length > 0) {
@@ -318,7 +336,7 @@
         failureDomain: options.failureDomain,
         servers,
         records,
-        connections,
+        connections: forwarding,
         headers: dependencies.headers,
         adapters,
         permits: adapters.permits,
@@ -402,6 +420,7 @@
         adapters.tick();
         guard.tick();
         origins.tick();
+        forwarding.tick();
         return shards.list().length > 0 ? holderTickMilliseconds : tickMilliseconds;
     });
     const announce = createRegistrationTask(options.clock, dependencies.log, directory, self);
@@ -420,6 +439,10 @@
         "quarantines",
         (from, message) => guard.handleMessage(from, quarantineMessageSchema.parse(message)),
     );
+    peers.network.handle(
+        "forwarding",
+        (from, message) => forwarding.handleMessage(forwardingMessageSchema.parse(message)),
+    );
     peers.network.handle(
         "resumption",
         (from, message) => origins.handleMessage(resumptionMessageSchema.parse(message)),
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -18,6 +18,8 @@
     readonly countBrokenAnswer: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
     readonly countResumedStream: (by: StreamResumer) => void;
+    /** Counts an attempt that was sent through another instance, as this one reached no server. */
+    readonly countForwardedAttempt: () => void;
     /** Counts a server whose responses announce that it is about to stop. */
     readonly countLeavingServer: () => void;
     /** Returns all metrics in the text format of Prometheus. */
@@ -108,6 +110,11 @@
         labelNames: ["by"],
         registers,
     });
+    const forwardedAttempts = new Counter({
+        name: "oriolehatch_forwarded_attempts_total",
+        help: "Attempts sent through another instance, as this one reached no server",
+        registers,
+    });
     const leavingServers = new Counter({
         name: "oriolehatch_leaving_servers_total",
         help: "Servers that announced in a response that they are about to stop",
@@ -157,6 +164,7 @@
         countStoreFailure: topic => storeFailures.inc({ topic }),
         countBrokenAnswer: () => brokenAnswers.inc(),
         countResumedStream: by => resumedStreams.inc({ by }),
+        countForwardedAttempt: () => forwardedAttempts.inc(),
         countLeavingServer: () => leavingServers.inc(),
         render: () => registry.metrics(),
     };
