fix(serving): a stream that is bound to a version may go on at a server that broke it off

streamVersions.test.ts, "when their server breaks them off", failed once in a run of several files: 26 of 30 streams finished, nine of ten are asked for (three runs before and three after passed; what a run resets depends on where streams stand). Cause: both servers of the version had reset the stream's connections in turn and were excluded, though both served. A stream whose head is sent and that finds all servers of its version excluded takes them up again, but those that asked to be left alone; attempts and retry budget bound it as before.

--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -11,7 +11,7 @@
 import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
 import { describeGuarded, runAttempt } from "./runAttempt.js";
 import { chooseServer } from "./serverChoice.js";
-import { type BackendServer, type ClientRequest, formatServerRunId } from "./types.js";
+import { type BackendServer, type ClientRequest, formatServerRunId, type ServerRunId } from "./types.js";
 
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
@@ -180,6 +180,9 @@
     const shedding = parts.servers.listShedding(now);
     const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
     const servers = listServers();
+    if (origin && state.headSentAt !== undefined) {
+        restoreServers(state, servers, excluded, shedding);
+    }
     if (origin && servers.every(server => excluded.has(formatServerRunId(server)))) {
         return undefined;
     }
@@ -225,6 +228,20 @@
     }
 }
 
+// a stream that is bound to a version may go on at a server that broke it off, where no other one is left
+function restoreServers(
+    state: RequestState,
+    servers: readonly BackendServer[],
+    excluded: Set<ServerRunId>,
+    shedding: ReadonlyMap<ServerRunId, Milliseconds>,
+): void {
+    const runs = servers.map(formatServerRunId);
+    if (runs.every(run => excluded.has(run))) {
+        runs.filter(run => !shedding.has(run)).forEach(run => excluded.delete(run));
+        state.excludedServers.clear();
+    }
+}
+
 // an instance with few requests finds most servers idle: the first of equal ones must not be the same for all instances
 function moveStart<Item>(items: readonly Item[], fraction: number): readonly Item[] {
     const start = Math.floor(items.length * fraction);
