--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -5,13 +5,12 @@
  * @packageDocumentation
  */
 import type { GuardedRequest } from "../quarantine/index.js";
-import type { StreamId } from "../resumption/index.js";
 import { createLogger, type Milliseconds } from "../shared/index.js";
 import { createEventSplitter, type EventSplitter } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
-import { listServices } from "./resumedStreams.js";
 import type { Attempt, AttemptFault } from "./serverConnections.js";
+import { describeStream, recordDelivery } from "./streamDelivery.js";
 import { type BackendServer, formatServerRunId, type PlaceOutcome, type ServerResponseHead } from "./types.js";
 
 /**
@@ -301,48 +300,6 @@
     return events.bytes;
 }
 
-// called before the events are written to the client
-function recordDelivery(
-    parts: RequestParts,
-    state: RequestState,
-    server: BackendServer,
-    resumedAfter: number | undefined,
-): void {
-    if (state.hasDelivered) {
-        return;
-    }
-    state.hasDelivered = true;
-    markOrigin(parts, state, server);
-    const isOwn = state.deliveredVersions.size > 0;
-    if (isOwn || state.request.resumed) {
-        parts.onResumed(isOwn ? "instance" : "client");
-        log.info("stream resumed", {
-            id: state.request.attemptId,
-            by: isOwn ? "instance" : "client",
-            firstAttempt: state.request.resumed?.firstAttemptId,
-            after: resumedAfter,
-            run: formatServerRunId(server),
-            version: server.softwareVersion,
-            earlierVersions: [...state.deliveredVersions].join(),
-        });
-    }
-    state.deliveredVersions.add(String(server.softwareVersion ?? "unstated"));
-}
-
-function markOrigin(parts: RequestParts, state: RequestState, server: BackendServer): void {
-    const { route } = state.admission;
-    if (route.kind !== "stream" || !route.canResume) {
-        return;
-    }
-    state.origin ??= { service: server.service, version: server.softwareVersion };
-    parts.origins.markBegun(describeStream(state), state.origin, listServices(route));
-}
-
-function describeStream({ admission, request }: RequestState): StreamId {
-    const firstAttemptId = request.resumed ? request.resumed.firstAttemptId : request.attemptId;
-    return { account: admission.account?.name, firstAttemptId };
-}
-
 function recordResponseHead(
     parts: RequestParts,
     state: RequestState,
