fix(serving): streams that began after a start of all instances are known to others

An instance that can't rule out an earlier version tells its streams as beside a second one. streamOrigins.test.ts failed before.

--- a/src/resumption/__tests__/streamOrigins.test.ts
+++ b/src/resumption/__tests__/streamOrigins.test.ts
@@ -195,6 +195,14 @@
         expect(await find(world, "i-2", "any")).to.deep.equal(describeKnown("v1"));
     });
 
+    // guards against over-caution after all instances have started again: streams that began since are known
+    it("is known of streams that began after all instances have started again", async () => {
+        const world = createWorld(8, createServers("v1"), false);
+        begin(world, "i-0", "new");
+        world.ended.add("i-0");
+        expect(await find(world, "i-5", "new")).to.deep.equal(describeKnown("v1"));
+    });
+
     // guards against a guess by an instance that reaches nobody who keeps streams
     it("is unknown where no instance answers", async () => {
         const world = createWorld(8, createServers("v1"));
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -1,7 +1,7 @@
 /**
  * Tells at which service and software version a stream goes on that a client takes up again, at any instance. While
  * servers of several versions serve, the version of each stream is told to two instances before its first event is
- * written to the client; while one version serves, nothing is sent.
+ * written to the client; while one version is known to have served all the time, nothing is sent.
  *
  * @packageDocumentation
  */
@@ -154,7 +154,9 @@
                 return;
             }
             own.put({ key, origin }, readExpiry());
-            if (readView(services).origins.length > 1) {
+            // others can't rule out an earlier version while this instance can't
+            const { origins, isComplete } = readView(services);
+            if (origins.length > 1 || !isComplete) {
                 sendRecords([{ key, origin }], listCopies);
             }
         },
