test(serving): servers of the test fleet take a new port at each run

Cause: a server that ended listened on its former port again, which another process, here the other run's fleet, had taken meanwhile; its server answered 421 to our requests. Each instance reaches a server through a link with a port of its own, so the server needs no fixed one. No check and no bound is changed.

--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -294,7 +294,7 @@
     };
     const ports = await findFreePorts(options.instances * 4);
     const links = await Promise.all(
-        Array.from({ length: options.instances }, () => createServerLinks(servers.map(({ port }) => port))),
+        Array.from({ length: options.instances }, () => createServerLinks(servers.map(({ readPort }) => readPort))),
     );
     const running = Array.from({ length: options.instances }, (unused, index) => {
         const [clientPort, readyPort, peerPort, metricsPort] = ports.slice(index * 4, index * 4 + 4);
@@ -367,11 +367,11 @@
 async function startServer(
     index: number,
     world: ServerWorld,
-): Promise<TestServer & { readonly port: number; readonly close: () => void; }> {
+): Promise<TestServer & { readonly readPort: () => number | undefined; readonly close: () => void; }> {
     const { options, store } = world;
     const sockets = new Set<Socket>();
     let run = 0;
-    let port = 0;
+    let port: number | undefined;
     let server: Server | undefined;
     let version: string | number = "v1";
     const readId = (): string => `s-${index}-${run}`;
@@ -380,6 +380,7 @@
             return;
         }
         run++;
+        port = undefined;
         world.crashes.push(performance.now());
         server?.close();
         sockets.forEach(socket => socket.resetAndDestroy());
@@ -441,7 +442,7 @@
             socket.on("error", () => undefined);
             socket.once("close", () => sockets.delete(socket));
         });
-        await new Promise<void>(resolve => server!.listen(port, "127.0.0.1", resolve));
+        await new Promise<void>(resolve => server!.listen(0, "127.0.0.1", resolve));
         port = (server.address() as AddressInfo).port;
         writeEntry();
     };
@@ -451,7 +452,7 @@
             id: readId(),
             startedAt: run,
             service,
-            address: `127.0.0.1:${port}`,
+            address: formatServerAddress(index),
             failureDomain: "a",
             isDraining: false,
             softwareVersion: version,
@@ -462,7 +463,7 @@
     };
     await listen();
     return {
-        port,
+        readPort: () => port,
         writeEntry,
         deleteEntry: () => store.put("servers", readId(), undefined),
         restart: () => end(run),
@@ -481,11 +482,16 @@
     readonly close: () => void;
 }
 
-async function createServerLinks(ports: readonly number[]): Promise<ServerLinks> {
-    const links = await Promise.all(ports.map(createServerLink));
+// entries name the server; each instance reaches it through a port of its own, which stays while the server restarts
+function formatServerAddress(index: number): string {
+    return `server:${index}`;
+}
+
+async function createServerLinks(readPorts: readonly (() => number | undefined)[]): Promise<ServerLinks> {
+    const links = await Promise.all(readPorts.map(createServerLink));
     return {
         translate: address => {
-            const index = ports.indexOf(Number(address.slice(address.lastIndexOf(":") + 1)));
+            const index = links.findIndex((unused, server) => formatServerAddress(server) === address);
             return `127.0.0.1:${links[index]!.port}`;
         },
         setCut: async cut => void await Promise.all(links.map(link => link.setCut(cut))),
@@ -493,9 +499,14 @@
     };
 }
 
-async function createServerLink(serverPort: number) {
+async function createServerLink(readPort: () => number | undefined) {
     const sockets = new Set<Socket>();
     const relay = createNetServer(near => {
+        const serverPort = readPort();
+        if (serverPort === undefined) {
+            near.resetAndDestroy();
+            return;
+        }
         const far = connect({ host: "127.0.0.1", port: serverPort });
         for (const [socket, other] of [[near, far], [far, near]] as const) {
             sockets.add(socket);
