fix(serving): a crash of all servers of a service isn't taken for a cut of the instance

Found by reading: an instance that couldn't reach two servers of a small service asked others whether they had reached them within two seconds; where these had crashed just then, all had. It would have sent attempts through others and left the shard group for half a second or more.

--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -113,8 +113,12 @@
             ...pickSome(candidates.filter(candidate => !isNear(candidate)), askedOfOthers),
         ];
     };
-    const requestReach = async (candidate: InstanceId, runs: readonly ServerRunId[]): Promise<boolean> => {
-        const message: ForwardingMessage = { kind: "askReach", runs: [...runs] };
+    const requestReach = async (
+        candidate: InstanceId,
+        runs: readonly ServerRunId[],
+        age: Milliseconds,
+    ): Promise<boolean> => {
+        const message: ForwardingMessage = { kind: "askReach", runs: [...runs], age };
         const response = await network.request(candidate, "forwarding", message, askTimeoutMilliseconds);
         const answer = response.ok ? forwardingMessageSchema.safeParse(response.value) : undefined;
         const data = answer?.success ? answer.data : undefined;
@@ -125,9 +129,9 @@
         return isReaching;
     };
     // whether others reach servers that this instance doesn't reach
-    const checkReach = async (runs: readonly ServerRunId[]): Promise<boolean> => {
+    const checkReach = async (runs: readonly ServerRunId[], age: Milliseconds): Promise<boolean> => {
         confirmedAt = clock.now();
-        const answers = await Promise.all(pickCandidates().map(candidate => requestReach(candidate, runs)));
+        const answers = await Promise.all(pickCandidates().map(candidate => requestReach(candidate, runs, age)));
         return answers.includes(true);
     };
     const checkCut = (): Promise<boolean> => {
@@ -138,7 +142,9 @@
         if (!pendingRound && clock.now() - confirmedAt < confirmIntervalMilliseconds) {
             return Promise.resolve(false);
         }
-        pendingRound ??= checkReach(suspects).then(isConfirmed => {
+        // an older response of a server doesn't show that it hasn't ended since
+        const age = clock.now() - reach.readUnreachedSince();
+        pendingRound ??= checkReach(suspects, age).then(isConfirmed => {
             if (isConfirmed && !isCutOff) {
                 isCutOff = true;
                 log.warn("servers out of reach", { suspects: suspects.length, helpers: [...helpers.keys()].join() });
@@ -158,7 +164,7 @@
         let hasHead = false;
         const handleFault = (fault: AttemptFault): void => {
             if (fault.kind === "notSent" || (fault.kind === "broken" && !hasHead)) {
-                reach.markUnreached(run);
+                reach.markUnreached(run, clock.now());
             }
             if (fault.kind !== "notSent") {
                 handlers.onFault(fault);
@@ -234,7 +240,7 @@
                 case "askReach":
                     return {
                         kind: "reach",
-                        reached: [...reach.filterReached(message.runs, clock.now())],
+                        reached: [...reach.filterReached(message.runs, clock.now() - message.age)],
                         hasRoom: service.hasRoom(),
                     };
                 case "start":
@@ -260,7 +266,8 @@
                 void checkAgain();
             }
             if (now - confirmedAt >= confirmIntervalMilliseconds) {
-                void checkReach(options.listServers().slice(0, askedServers).map(formatServerRunId));
+                const runs = options.listServers().slice(0, askedServers).map(formatServerRunId);
+                void checkReach(runs, helperLifetimeMilliseconds);
             }
         },
     };
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -45,8 +45,8 @@
 
 /** Schema of the messages about forwarded attempts. */
 export const forwardingMessageSchema = z.discriminatedUnion("kind", [
-    // asks which of these runs of servers the receiver has reached lately
-    z.object({ kind: z.literal("askReach"), runs: z.array(z.string()) }),
+    // asks which of these runs of servers the receiver has had a response of in the last `age` milliseconds
+    z.object({ kind: z.literal("askReach"), runs: z.array(z.string()), age: z.number().nonnegative() }),
     z.object({ kind: z.literal("reach"), reached: z.array(z.string()), hasRoom: z.boolean() }),
     z.object({
         kind: z.literal("start"),
--- a/src/forwarding/reach.ts
+++ b/src/forwarding/reach.ts
@@ -12,18 +12,18 @@
     /** Records that a server responded. */
     readonly markReached: (run: ServerRunId, now: Milliseconds) => void;
     /** Records that no connection to a server could be opened. */
-    readonly markUnreached: (run: ServerRunId) => void;
+    readonly markUnreached: (run: ServerRunId, now: Milliseconds) => void;
     /** Servers that couldn't be reached since one responded last, where they are enough to suspect a cut; else none. */
     readonly listSuspects: (listedCount: number) => readonly ServerRunId[];
-    /** Which of the servers responded lately. */
-    readonly filterReached: (runs: readonly ServerRunId[], now: Milliseconds) => readonly ServerRunId[];
+    /** Time of the first of these failures. */
+    readonly readUnreachedSince: () => Milliseconds;
+    /** Which of the servers responded at `since` or later. */
+    readonly filterReached: (runs: readonly ServerRunId[], since: Milliseconds) => readonly ServerRunId[];
     readonly remove: (run: ServerRunId) => void;
 }
 
 /** One server that can't be reached may have ended; two in a row without a response from any other are rare. */
 const suspectCount = 2;
-/** Time for which a response shows that its server can be reached. */
-const reachedMilliseconds = 2_000;
 
 /**
  * Creates the reach of an instance that has sent nothing yet.
@@ -32,16 +32,16 @@
  */
 export function createReach(): Reach {
     const reachedAt = new Map<ServerRunId, Milliseconds>();
-    const unreached = new Set<ServerRunId>();
+    const unreached = new Map<ServerRunId, Milliseconds>();
     return {
         markReached: (run, now) => {
             reachedAt.set(run, now);
             unreached.clear();
         },
-        markUnreached: run => void unreached.add(run),
-        listSuspects: listedCount => unreached.size >= Math.min(suspectCount, listedCount) ? [...unreached] : [],
-        filterReached: (runs, now) =>
-            runs.filter(run => now - (reachedAt.get(run) ?? Number.NEGATIVE_INFINITY) <= reachedMilliseconds),
+        markUnreached: (run, now) => void unreached.set(run, unreached.get(run) ?? now),
+        listSuspects: listedCount => unreached.size >= Math.min(suspectCount, listedCount) ? [...unreached.keys()] : [],
+        readUnreachedSince: () => Math.min(...unreached.values()),
+        filterReached: (runs, since) => runs.filter(run => (reachedAt.get(run) ?? Number.NEGATIVE_INFINITY) >= since),
         remove: run => {
             reachedAt.delete(run);
             unreached.delete(run);
