--- /dev/null
+++ b/src/serving/__tests__/testInstance.ts
@@ -0,0 +1,82 @@
+/**
+ * One whole instance on local ports, with the store in memory.
+ */
+import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
+import { createServingInstance } from "../servingInstance.js";
+import type { BackendServer } from "../types.js";
+import { testCodec, testConfig } from "./testCodec.js";
+import type { MemoryStore } from "./testStore.js";
+
+/** Settings of an instance. */
+export interface TestInstanceOptions {
+    readonly name: string;
+    /** Ports for clients, the readiness probe, other instances and metrics. */
+    readonly ports: readonly number[];
+    readonly store: MemoryStore;
+    /** Returns the address at which this instance reaches a server that is listed with another one. */
+    readonly translateAddress: (address: string) => string;
+}
+
+/** A running instance. */
+export interface TestInstance {
+    readonly stop: () => void;
+    /** Resolves when all its connections are closed. */
+    readonly ended: Promise<void>;
+}
+
+/**
+ * Writes the configuration of the tests to the store.
+ *
+ * @param store - the store
+ */
+export function putTestConfiguration(store: MemoryStore): void {
+    store.put("configuration", "config", Buffer.from("{}"));
+}
+
+/**
+ * Starts an instance.
+ *
+ * @param options - name, ports and store
+ * @returns the instance
+ */
+export function startTestInstance({ name, ports, store, translateAddress }: TestInstanceOptions): TestInstance {
+    const [clientPort, readyPort, peerPort, metricsPort] = ports;
+    const instance = createServingInstance({
+        instanceName: name,
+        host: "127.0.0.1",
+        failureDomain: "a",
+        cores: 1,
+        clientPort: clientPort!,
+        readyPort: readyPort!,
+        peerPort: peerPort!,
+        metricsPort: metricsPort!,
+        shardCount: 4,
+        shardTtl: 1_500,
+        orderLease: 3_000,
+        areOrdersFenced: true,
+        revocationBound: 5_000,
+        versionBound: 5_000,
+        grace: 1_000,
+        isFirstStart: true,
+        quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
+        retry: { window: 10_000, ratio: 0.2, slack: 50 },
+        clock: createSystemClock(),
+    }, {
+        log: store,
+        shards: store.group,
+        control: {
+            order: async () => ({ kind: "unreachable" }),
+            report: async () => wrapError({ kind: "unanswered", detail: "no engine" }),
+        },
+        headers: testCodec,
+        records: {
+            decodeOperatorRecord: () => wrapValue({ kind: "configuration", config: testConfig }),
+            decodeServerEntry: (id, value) => {
+                const entry = JSON.parse(Buffer.from(value).toString()) as BackendServer;
+                return wrapValue({ ...entry, address: translateAddress(entry.address) });
+            },
+        },
+    });
+    const leaving = new AbortController();
+    return { stop: () => leaving.abort(), ended: instance.run(leaving.signal) };
+}
