feat(serving): log and metrics tell how late the event loop is and how soon a request ends after its client

The maintenance's timer shows how late the loop is ('event loop late', a histogram), and each request whose client disconnected says what it waited for then and how long it still took here (leftWhile, endDelay, a histogram). No decision changes.

--- a/src/serving/instanceTasks.ts
+++ b/src/serving/instanceTasks.ts
@@ -6,6 +6,7 @@
 import type { Clock, Milliseconds } from "../shared/index.js";
 import { type Task, waitForAbort } from "../supervision/index.js";
 import { encodeInstanceEntry, type InstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
+import type { LoopDelay } from "./loopDelay.js";
 import type { KeyedLog } from "./types.js";
 
 const registrationRetryMilliseconds = 100;
@@ -14,15 +15,24 @@
  * Creates the task that calls `maintain` again and again.
  *
  * @param clock - source of the pauses
- * @param maintain - does what is due, and returns the time until its next call
+ * @param loop - learns from the pauses whether the event loop is late
+ * @param maintain - does what is due, gets the lateness of its call, and returns the time until the next one
  * @returns the task, which the caller runs
  */
-export function createMaintenanceTask(clock: Clock, maintain: () => Milliseconds): Task {
+export function createMaintenanceTask(
+    clock: Clock,
+    loop: LoopDelay,
+    maintain: (delay: Milliseconds) => Milliseconds,
+): Task {
     return {
         name: "maintenance",
         run: async signal => {
+            let delay = 0;
             while (!signal.aborted) {
-                await clock.sleep(maintain(), signal);
+                const pause = maintain(delay);
+                loop.recordTimer(clock.now(), clock.now() + pause);
+                await clock.sleep(pause, signal);
+                delay = loop.recordTimer(clock.now(), Number.POSITIVE_INFINITY);
             }
         },
     };
--- /dev/null
+++ b/src/serving/loopDelay.ts
@@ -0,0 +1,41 @@
+/**
+ * Tells whether the event loop is late, so that what is read now may have waited unread for long: a request whose client
+ * has left since, for example. It is learned from the regular maintenance, and costs nothing while the loop is on time.
+ *
+ * @packageDocumentation
+ */
+import type { Milliseconds } from "../shared/index.js";
+
+/** Delay of the event loop of this process. */
+export interface LoopDelay {
+    /** Records that a timer was handled which was due before; returns by how much it was late. */
+    readonly recordTimer: (now: Milliseconds, nextDueAt: Milliseconds) => Milliseconds;
+    /** Whether what is read now may have waited unread for long. */
+    readonly isLate: (now: Milliseconds) => boolean;
+}
+
+/** Lateness of a timer from which on the loop counts as late. */
+const lateMilliseconds = 50;
+/** Time after a late timer for which the loop counts as late: what has waited is read in several turns. */
+const catchUpMilliseconds = 1_000;
+
+/**
+ * Creates the delay of a loop whose first timer isn't due yet.
+ *
+ * @returns the delay
+ */
+export function createLoopDelay(): LoopDelay {
+    let dueAt = Number.POSITIVE_INFINITY;
+    let lateUntil = Number.NEGATIVE_INFINITY;
+    return {
+        recordTimer: (now, nextDueAt) => {
+            const delay = Math.max(0, now - dueAt);
+            dueAt = nextDueAt;
+            if (delay > lateMilliseconds) {
+                lateUntil = now + catchUpMilliseconds;
+            }
+            return delay;
+        },
+        isLate: now => now < lateUntil || now - dueAt > lateMilliseconds,
+    };
+}
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -9,6 +9,7 @@
 import type { StreamOrigin, StreamOrigins } from "../resumption/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
+import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
 import type { ServerList } from "./serverList.js";
 import type { ServerRecords } from "./serverRecords.js";
@@ -49,7 +50,7 @@
 }
 
 /** Report on a request that has ended, for log and metrics; all fields are written to the log under their names. */
-export interface RequestReport {
+export interface RequestReport extends LeavingReport {
     /**
      * How the request ended: `answered` when a whole response was delivered, `refused` when no server has run the
      * request, `failed` when a server may have run it but the client got an error status instead of its response, `cut`
@@ -88,6 +89,7 @@
     readonly deadlineAt: Milliseconds;
     /** Aborted when the client disconnects. */
     readonly signal: AbortSignal;
+    readonly stages: RequestStages;
     /** Servers that may have received the request. */
     readonly triedServers: Set<ServerRunId>;
     /** Servers that the request must not be sent to again. */
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -7,6 +7,7 @@
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { type Admission, applyQuota, decideAdmission } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
+import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
 import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
 import { describeGuarded, runAttempt } from "./runAttempt.js";
@@ -47,6 +48,7 @@
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
+    const stages = createRequestStages(parts.clock, signal);
     const allowed = decideAdmission(parts, request);
     const digest = allowed.kind === "admitted"
         ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
@@ -70,6 +72,7 @@
             placeWait: 0,
             headAfter: undefined,
             longestPause: 0,
+            ...stages.describe(),
         };
     }
     const { route } = admission;
@@ -82,6 +85,7 @@
         startedAt,
         deadlineAt: startedAt + Math.min(route.timeout, request.deadline ?? route.timeout),
         signal,
+        stages,
         triedServers: new Set(),
         excludedServers: new Set(),
         attemptCount: 0,
@@ -135,6 +139,7 @@
 async function runAttempts(parts: RequestParts, state: RequestState): Promise<RequestReport["outcome"]> {
     parts.retryBudget.countRequest(state.admission.service, state.startedAt);
     for (;;) {
+        state.stages.mark("server");
         const isOpen = await checkQuarantine(parts, state);
         if (!isOpen) {
             return refuseQuarantined(parts, state);
@@ -154,6 +159,7 @@
             selected.release?.("unknown");
             return refuseQuarantined(parts, state);
         }
+        state.stages.mark("response");
         const end = await runAttempt(parts, state, selected);
         switch (end.kind) {
             case "complete":
@@ -309,5 +315,6 @@
         placeWait: Math.round(state.placeWait),
         headAfter: state.headSentAt === undefined ? undefined : Math.round(state.headSentAt - state.startedAt),
         longestPause: Math.round(state.longestPause),
+        ...state.stages.describe(),
     };
 }
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -28,6 +28,7 @@
 import { readClocks } from "./freshness.js";
 import { createInstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
 import { createMaintenanceTask, createRegistrationTask } from "./instanceTasks.js";
+import { createLoopDelay } from "./loopDelay.js";
 import { createAccountShards, createQuotaClient } from "./quotaClient.js";
 import { createQuotaHolder } from "./quotaHolder.js";
 import { quotaMessageSchema } from "./quotaMessages.js";
@@ -143,6 +144,8 @@
  */
 const readinessNoticeMilliseconds = 2_500;
 const drainPollMilliseconds = 50;
+/** Lateness of the event loop from which on it is logged. */
+const reportedDelayMilliseconds = 200;
 /** Part of the grace time that is reserved for closing connections and ending the process. */
 const exitReserveMilliseconds = 700;
 const log = createLogger("serving");
@@ -169,6 +172,7 @@
     const records = createServerRecords();
     const directory = createInstanceDirectory(self);
     const retryBudget = createRetryBudget(options.retry);
+    const loop = createLoopDelay();
     const metrics = createServingMetrics(
         () => adapters.readLoadStatus(),
         dependencies.listUndecodedHeaders ?? (() => []),
@@ -413,7 +417,11 @@
         },
         onAdapterVersion: adapters.recordVersion,
     });
-    const maintenance = createMaintenanceTask(clock, () => {
+    const maintenance = createMaintenanceTask(clock, loop, delay => {
+        metrics.observeLoopDelay(delay);
+        if (delay >= reportedDelayMilliseconds) {
+            log.warn("event loop late", { delay: Math.round(delay) });
+        }
         retryBudget.setInstanceCount(directory.countInstances());
         applyServerChange(servers.expire(clock.now()));
         quotas.tick();
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -22,6 +22,8 @@
     readonly countForwardedAttempt: () => void;
     /** Counts a server whose responses announce that it is about to stop. */
     readonly countLeavingServer: () => void;
+    /** Observes by how much a timer was late. */
+    readonly observeLoopDelay: (delay: Milliseconds) => void;
     /** Returns all metrics in the text format of Prometheus. */
     readonly render: () => Promise<string>;
 }
@@ -115,6 +117,19 @@
         help: "Attempts sent through another instance, as this one reached no server",
         registers,
     });
+    const loopDelaySeconds = new Histogram({
+        name: "oriolehatch_loop_delay_seconds",
+        help: "Lateness of the timer of the regular maintenance, which other events share",
+        buckets: latencyBuckets,
+        registers,
+    });
+    const cancelSeconds = new Histogram({
+        name: "oriolehatch_cancel_seconds",
+        help: "Time from the end of a client's connection to the end of its request here, by what it was waiting for",
+        labelNames: ["stage"],
+        buckets: latencyBuckets,
+        registers,
+    });
     const leavingServers = new Counter({
         name: "oriolehatch_leaving_servers_total",
         help: "Servers that announced in a response that they are about to stop",
@@ -155,6 +170,9 @@
             if (report.outcome === "refused") {
                 refusals.inc({ reason: report.reason.split(":")[0] });
             }
+            if (report.leftWhile !== undefined) {
+                cancelSeconds.observe({ stage: report.leftWhile }, (report.endDelay ?? 0) / millisecondsPerSecond);
+            }
             requestSeconds.observe({ account }, took / millisecondsPerSecond);
             if (report.headAfter !== undefined) {
                 headSeconds.observe({ account }, report.headAfter / millisecondsPerSecond);
@@ -166,6 +184,7 @@
         countResumedStream: by => resumedStreams.inc({ by }),
         countForwardedAttempt: () => forwardedAttempts.inc(),
         countLeavingServer: () => leavingServers.inc(),
+        observeLoopDelay: delay => loopDelaySeconds.observe(delay / millisecondsPerSecond),
         render: () => registry.metrics(),
     };
 }
