fix(serving): a request whose client left while it waited to be read reaches no server

Callers that had left still had their requests run (GONE). Cause: an instance whose event loop is late reads a request in one turn and the close of its client in the next, and sends the request on between the two; it knew of the close one turn later still, as the response is closed after the socket has ended.

While the maintenance's timer is overdue, and for a second after it was, a request is handled, and written to a server, only after the events that wait in the system have been handled, which takes two turns; the end of the socket itself ends the request. A loop that is on time pays one comparison for each. A request that is taken off a new connection leaves it open.

--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -16,7 +16,9 @@
         host: "127.0.0.1",
         port: 0,
         findLimits: () => ({ headerBytes: 1_000, bodyBytes: 50, headerTimeout: 3_000, idleTimeout: 15_000 }),
+        loop: { isLate: () => false, handleWaiting: () => Promise.resolve() },
         isDraining: () => isDraining,
+        onUnread: () => undefined,
         handle: request => {
             received.push(request);
             handle(request);
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { createServerConnections, type ServerConnections } from "../serverConnections.js";
+import type { LoopGate } from "../loopDelay.js";
+import { type Attempt, createServerConnections, type ServerConnections } from "../serverConnections.js";
 import { type BackendServer, formatServerRunId, type HeaderCodec } from "../types.js";
 
 const codec: HeaderCodec = {
@@ -24,6 +25,8 @@
     }),
 };
 
+const onTime: LoopGate = { isLate: () => false, handleWaiting: () => Promise.resolve() };
+
 interface ObservedAttempt {
     readonly end: string;
     readonly body: string;
@@ -47,6 +50,7 @@
         headers: codec,
         findConnectionLimit: () => 1,
         mayReceive: () => true,
+        loop: onTime,
         onLeaving: () => undefined,
         idleTimeout: 1_000,
     });
@@ -78,6 +82,7 @@
         headers: codec,
         findConnectionLimit: () => 1,
         mayReceive: () => !hasLeft,
+        loop: onTime,
         onLeaving: leaving => {
             hasLeft = true;
             connections.remove(formatServerRunId(leaving));
@@ -102,6 +107,7 @@
     connections: ServerConnections,
     port: number,
     attemptId: string,
+    onSent: (attempt: Attempt) => void = () => undefined,
 ): Promise<Omit<ObservedAttempt, "received">> {
     const server: BackendServer = {
         id: "i-1",
@@ -116,7 +122,7 @@
     };
     return new Promise(resolve => {
         let body = "";
-        connections.send(
+        const attempt = connections.send(
             {
                 server,
                 attemptId,
@@ -132,6 +138,7 @@
                 onFault: fault => resolve({ end: fault.kind, body }),
             },
         );
+        onSent(attempt);
     });
 }
 
@@ -153,6 +160,7 @@
             headers: codec,
             findConnectionLimit: () => 1,
             mayReceive: () => true,
+            loop: onTime,
             onLeaving: () => undefined,
             idleTimeout: 1_000,
         });
@@ -211,4 +219,46 @@
     it("heeds what a response to another request says of the server", async () => {
         expect(await runWhileLeaving("8")).to.deep.equal({ ends: ["crossed", "withdrawn", "withdrawn"], received: 1 });
     });
+
+    // guards against a request that reaches a server although its client has left while the loop was late (GONE)
+    it("isn't written while the loop is late, when it is aborted meanwhile, and its new connection is kept", async () => {
+        let received = "";
+        let accepted = 0;
+        const server = createServer(socket => {
+            accepted++;
+            socket.on("error", () => undefined);
+            socket.on("data", chunk => {
+                received += chunk.toString("latin1");
+                socket.write(`${head}Content-Length: 3\r\n\r\nabc`);
+            });
+        });
+        const port = await listen(server);
+        let checks = 0;
+        let first: Attempt | undefined;
+        const connections = createServerConnections({
+            headers: codec,
+            findConnectionLimit: () => 1,
+            mayReceive: () => true,
+            loop: {
+                // late only when the connection of the first attempt is open
+                isLate: () => {
+                    checks++;
+                    return checks === 2;
+                },
+                handleWaiting: async () => first!.abort(),
+            },
+            onLeaving: () => undefined,
+            idleTimeout: 1_000,
+        });
+        void sendOnce(connections, port, "7", attempt => first = attempt);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const { end } = await sendOnce(connections, port, "7");
+        connections.close();
+        server.close();
+        expect({ end, accepted, written: received.match(/POST/g)?.length }).to.deep.equal({
+            end: "end",
+            accepted: 1,
+            written: 1,
+        });
+    });
 });
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo } from "node:net";
 import restana from "restana";
 import type { Milliseconds } from "../shared/index.js";
+import type { LoopGate } from "./loopDelay.js";
 import type { ClientResponse } from "./requestState.js";
 import type { ClientLimits } from "./types.js";
 
@@ -30,10 +31,13 @@
     readonly port: number;
     /** Current limits; `undefined` before the first configuration, when only the limit of the HTTP parser applies. */
     readonly findLimits: () => ClientLimits | undefined;
+    readonly loop: LoopGate;
     /** Whether connections are to be closed after the response in progress. */
     readonly isDraining: () => boolean;
     /** Handles a request; it must not reject. */
     readonly handle: (request: ReceivedRequest) => Promise<void>;
+    /** Counts a request that was read when its client had disconnected, so that it isn't handled. */
+    readonly onUnread: () => void;
 }
 
 /** HTTP server for clients. */
@@ -118,16 +122,9 @@
         refuseEarly(response, headerTooLargeStatus);
         return;
     }
-    const leaving = new AbortController();
-    response.once("close", () => {
-        if (!response.writableFinished) {
-            leaving.abort();
-        }
-    });
-    response.on("error", () => leaving.abort());
+    const leaving = trackLeaving(request, response);
     const chunks: Buffer[] = [];
     let size = 0;
-    request.on("error", () => leaving.abort());
     request.on("data", (chunk: Buffer) => {
         size += chunk.length;
         if (limits && size > limits.bodyBytes) {
@@ -138,18 +135,42 @@
         chunks.push(chunk);
     });
     request.once("end", () => {
-        if (response.headersSent || leaving.signal.aborted) {
+        if (response.headersSent || leaving.aborted) {
             return;
         }
-        void options.handle({
+        const received: ReceivedRequest = {
             method: request.method ?? "GET",
             target: request.url ?? "/",
             rawHeaders: request.rawHeaders,
             body: size === 0 ? undefined : Buffer.concat(chunks),
             answer: createClientResponse(response, options.isDraining),
-            signal: leaving.signal,
-        });
+            signal: leaving,
+        };
+        if (!options.loop.isLate()) {
+            void options.handle(received);
+            return;
+        }
+        void options.loop.handleWaiting().then(() => leaving.aborted ? options.onUnread() : options.handle(received));
+    });
+}
+
+// the end of the connection is heard of before the response is closed, which takes one turn of the event loop more
+function trackLeaving(request: IncomingMessage, response: ServerResponse): AbortSignal {
+    const { socket } = request;
+    const leaving = new AbortController();
+    const abort = (): void => leaving.abort();
+    const events = ["end", "error", "close"] as const;
+    events.forEach(event => socket.once(event, abort));
+    response.once("finish", () => events.forEach(event => socket.removeListener(event, abort)));
+    response.once("close", () => {
+        events.forEach(event => socket.removeListener(event, abort));
+        if (!response.writableFinished) {
+            abort();
+        }
     });
+    response.on("error", abort);
+    request.on("error", abort);
+    return leaving.signal;
 }
 
 // responds without a body and closes the connection, because the rest of the request is not read
--- a/src/serving/loopDelay.ts
+++ b/src/serving/loopDelay.ts
@@ -14,6 +14,14 @@
     readonly isLate: (now: Milliseconds) => boolean;
 }
 
+/** Asks for the events that already wait, before something is done that can't be undone. */
+export interface LoopGate {
+    /** Whether what is read now may have waited unread for long. */
+    readonly isLate: () => boolean;
+    /** Resolves when the events that wait now have been handled, such as the close of a client's connection. */
+    readonly handleWaiting: () => Promise<void>;
+}
+
 /** Lateness of a timer from which on the loop counts as late. */
 const lateMilliseconds = 50;
 /** Time after a late timer for which the loop counts as late: what has waited is read in several turns. */
@@ -39,3 +47,18 @@
         isLate: now => now < lateUntil || now - dueAt > lateMilliseconds,
     };
 }
+
+/**
+ * Waits until the events that wait in the system now have been handled.
+ *
+ * @returns a promise that resolves between two turns of the event loop
+ */
+export async function waitForEvents(): Promise<void> {
+    // the first of them comes at the end of this turn, which may have read only some of them; the next turn reads all
+    await waitForTurnEnd();
+    await waitForTurnEnd();
+}
+
+function waitForTurnEnd(): Promise<void> {
+    return new Promise(resolve => setImmediate(resolve));
+}
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
+import type { LoopGate } from "./loopDelay.js";
 import {
     type BackendServer,
     formatServerRunId,
@@ -82,6 +83,8 @@
     readonly mayReceive: (run: ServerRunId) => boolean;
     /** Called with each response, also one to another request, in which a server announces that it is about to stop. */
     readonly onLeaving: (server: BackendServer) => void;
+    /** Asked before the first byte of a request is written, so that no request is sent whose client has left. */
+    readonly loop: LoopGate;
     /** Time after which an idle connection isn't used again; a `Keep-Alive` header of the server overrides it. */
     readonly idleTimeout: Milliseconds;
 }
@@ -213,6 +216,10 @@
     const run = formatServerRunId(request.server);
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
+    // whether a connected socket may be written to now, as all events that waited have been handled
+    let isChecked = false;
+    // whether the request has been taken off a connection and is dispatched again
+    let isPostponed = false;
     const finish = (notify: () => void): void => {
         unsentAttempts.remove(run, withdraw);
         if (!isOver) {
@@ -229,14 +236,16 @@
     const handler: Dispatcher.DispatchHandler = {
         // undici calls this on a connected socket, immediately before it writes the first byte
         onRequestStart: started => {
-            controller = started;
-            unsentAttempts.remove(run, withdraw);
-            if (!options.mayReceive(run)) {
+            if (!isOver && !options.mayReceive(run)) {
                 withdraw();
             }
-            if (isOver) {
-                started.abort(new Error("attempt aborted"));
+            isPostponed = !isOver && !isChecked && options.loop.isLate();
+            if (isOver || isPostponed) {
+                // undici keeps the connection when this throws; it closes it when the request is aborted
+                throw new Error("request not written");
             }
+            controller = started;
+            unsentAttempts.remove(run, withdraw);
         },
         onResponseStart: (started, status, headers) => {
             if (status < lowestFinalStatus) {
@@ -270,21 +279,44 @@
                     : handlers.onEnd()
             ),
         onResponseError: (dispatch, error) => {
+            if (isPostponed) {
+                isPostponed = false;
+                sendChecked();
+                return;
+            }
             const detail = (error as NodeJS.ErrnoException).code ?? error.message;
             finish(() => handlers.onFault({ kind: controller ? "broken" : "notSent", detail }));
         },
     };
+    const send = (): void => {
+        pool.dispatch(
+            {
+                path: request.target,
+                method: request.method as Dispatcher.HttpMethod,
+                headers: request.headers,
+                body: request.body,
+                idempotent: false,
+            },
+            handler,
+        );
+    };
+    const sendChecked = (): void => {
+        void options.loop.handleWaiting().then(() => {
+            if (isOver) {
+                return;
+            }
+            isChecked = true;
+            send();
+            isChecked = false;
+        });
+    };
     unsentAttempts.add(run, withdraw);
-    pool.dispatch(
-        {
-            path: request.target,
-            method: request.method as Dispatcher.HttpMethod,
-            headers: request.headers,
-            body: request.body,
-            idempotent: false,
-        },
-        handler,
-    );
+    if (options.loop.isLate()) {
+        sendChecked();
+    }
+    else {
+        send();
+    }
     return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
 }
 
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -28,7 +28,7 @@
 import { readClocks } from "./freshness.js";
 import { createInstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
 import { createMaintenanceTask, createRegistrationTask } from "./instanceTasks.js";
-import { createLoopDelay } from "./loopDelay.js";
+import { createLoopDelay, type LoopGate, waitForEvents } from "./loopDelay.js";
 import { createAccountShards, createQuotaClient } from "./quotaClient.js";
 import { createQuotaHolder } from "./quotaHolder.js";
 import { quotaMessageSchema } from "./quotaMessages.js";
@@ -173,6 +173,7 @@
     const directory = createInstanceDirectory(self);
     const retryBudget = createRetryBudget(options.retry);
     const loop = createLoopDelay();
+    const gate: LoopGate = { isLate: () => loop.isLate(clock.now()), handleWaiting: waitForEvents };
     const metrics = createServingMetrics(
         () => adapters.readLoadStatus(),
         dependencies.listUndecodedHeaders ?? (() => []),
@@ -268,6 +269,7 @@
         findConnectionLimit,
         mayReceive: run => servers.mayReceive(run, clock.now()),
         onLeaving: server => handleLeaving(formatServerRunId(server), "response"),
+        loop: gate,
         idleTimeout: serverIdleTimeoutMilliseconds,
     });
     const forwarding = createForwardingConnections({
@@ -362,8 +364,10 @@
         host: options.host,
         port: options.clientPort,
         findLimits: () => configuration.read()?.config.limits,
+        loop: gate,
         isDraining: () => isDraining,
         handle: handleRequest,
+        onUnread: metrics.countUnreadRequest,
     });
     const metricsServer = createMetricsServer({ host: options.host, port: options.metricsPort }, metrics);
     const readinessServer = createReadinessServer({
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -22,6 +22,8 @@
     readonly countForwardedAttempt: () => void;
     /** Counts a server whose responses announce that it is about to stop. */
     readonly countLeavingServer: () => void;
+    /** Counts a request whose client had disconnected when it was read. */
+    readonly countUnreadRequest: () => void;
     /** Observes by how much a timer was late. */
     readonly observeLoopDelay: (delay: Milliseconds) => void;
     /** Returns all metrics in the text format of Prometheus. */
@@ -130,6 +132,11 @@
         buckets: latencyBuckets,
         registers,
     });
+    const unreadRequests = new Counter({
+        name: "oriolehatch_unread_requests_total",
+        help: "Requests whose client had disconnected when they were read, and that were not handled",
+        registers,
+    });
     const leavingServers = new Counter({
         name: "oriolehatch_leaving_servers_total",
         help: "Servers that announced in a response that they are about to stop",
@@ -184,6 +191,7 @@
         countResumedStream: by => resumedStreams.inc({ by }),
         countForwardedAttempt: () => forwardedAttempts.inc(),
         countLeavingServer: () => leavingServers.inc(),
+        countUnreadRequest: () => unreadRequests.inc(),
         observeLoopDelay: delay => loopDelaySeconds.observe(delay / millisecondsPerSecond),
         render: () => registry.metrics(),
     };
