fix(serving,adapters): what a request waits for or has taken ends with its client

Seen by reading, and by tests that failed before (they ran into their time limit, five of five): the wait for what began a stream, for the quota and its delay, for a quarantine trial and a permit went on to its end; a holder was told to forget a place only after its first answer; a request stayed in the queue for slots; a load that nobody waited for any more was still ordered; units of the quota were lost.

Now one signal, from the end of the client's connection, ends each of them: the waits at this instance, the queue and the place at the holder (told at once, not after its answer), the load that hasn't started when its last request has left. Units of a request that no server has run go back to the account's holder, and so do those of requests that are refused for want of a server.

--- a/src/adapters/__tests__/engineManager.test.ts
+++ b/src/adapters/__tests__/engineManager.test.ts
@@ -205,6 +205,28 @@
         expect(engine.readMaximumAdapterCount()).to.equal(3);
     });
 
+    // guards against loads for clients that have left
+    it("drops a load that waits for the weight store when all who asked for it have left, and only then", async () => {
+        const engine = createEngine();
+        const loadScheduler = createLoadScheduler(() => undefined);
+        // loads of other engines take all places at the weight store
+        const started: boolean[] = [];
+        for (let count = 0; count === started.length; count++) {
+            loadScheduler.schedule({ priority: 9, usefulUntil: 0, until: 100 }, () => started.push(true), 0);
+        }
+        const { manager } = createManager(engine.control, undefined, loadScheduler);
+        const [first, second] = [new AbortController(), new AbortController()];
+        const asked = [first, second].map(({ signal }) => manager.ensure({ ...createRequest("a1"), signal }));
+        let hasEnded = false;
+        void Promise.any(asked).then(() => hasEnded = true);
+        first.abort();
+        await new Promise(resolve => setImmediate(resolve));
+        expect(hasEnded).to.equal(false);
+        second.abort();
+        expect((await Promise.all(asked)).map(({ outcome }) => outcome)).to.deep.equal(["expired", "expired"]);
+        expect([...engine.adapters]).to.deep.equal([]);
+    });
+
     // the duration would include the time without responses: the scheduler would estimate a lower capacity of the
     // store, start fewer loads and poll even later
     it("reports no duration to the load scheduler for a load whose polls got no response", async () => {
--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -13,7 +13,11 @@
 const servers = Array.from({ length: 12 }, (unused, index) => createTestServer(`i-${index}`));
 const shards = createEngineShards(shardCount);
 
-type Answer = (holder: string, shard: number, request: PlaceRequest) => PlaceResponse | undefined;
+type Answer = (
+    holder: string,
+    shard: number,
+    request: PlaceRequest,
+) => PlaceResponse | undefined | Promise<PlaceResponse>;
 
 interface TestClient {
     readonly client: PlaceClient;
@@ -111,6 +115,17 @@
         expect(asked).to.deep.equal([...preferred, `${preferred[1]} again`]);
     });
 
+    // guards against a holder that orders a load, and keeps a place, for a client that has left
+    it("is told to be forgotten at once when the client leaves before the holder has answered", async () => {
+        const leaving = new AbortController();
+        const { acquire, asked, ended } = await createClient(() => new Promise(() => undefined));
+        const acquiring = acquire({ signal: leaving.signal });
+        leaving.abort();
+        expect(await acquiring).to.equal(undefined);
+        expect(asked).to.deep.equal([preferred[0]]);
+        expect(ended).to.deep.equal([`${preferred[0]} unknown`]);
+    });
+
     it("is asked of the next holder when one is silent, and the silent one is told to forget the request", async () => {
         const { acquire, asked, ended } = await createClient(holder =>
             holder === preferred[0] ? undefined : createPlaced(ranked[1]!.engine)
--- a/src/adapters/__tests__/slotQueue.test.ts
+++ b/src/adapters/__tests__/slotQueue.test.ts
@@ -8,9 +8,10 @@
 } {
     const woken: string[] = [];
     const queue = createSlotQueue({ now: () => 0, sleep: () => new Promise(() => undefined) });
-    return { queue, woken, add: wait => void queue.wait(wait).then(() => woken.push(wait.key)) };
+    return { queue, woken, add: wait => void queue.wait(wait, staying).then(() => woken.push(wait.key)) };
 }
 
+const staying = new AbortController().signal;
 const waitTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
 
 describe("requests that wait for a slot", () => {
@@ -39,6 +40,19 @@
 
     it("are woken when their time has passed", async () => {
         const queue = createSlotQueue({ now: () => 0, sleep: () => Promise.resolve() });
-        await queue.wait({ key: "a", priority: 0, usefulUntil: 100, until: 200 });
+        await queue.wait({ key: "a", priority: 0, usefulUntil: 100, until: 200 }, staying);
+    });
+
+    // guards against requests that stay in the queue after their clients have left
+    it("leave the queue at once when they are ended, so that none of them takes the turn of another", async () => {
+        const { queue, woken, add } = createQueue();
+        const leaving = new AbortController();
+        const left = queue.wait({ key: "left", priority: 0, usefulUntil: 300, until: 5_000 }, leaving.signal);
+        add({ key: "waiting", priority: 5, usefulUntil: 400, until: 5_000 });
+        leaving.abort();
+        await left;
+        queue.wakeNext(100);
+        await waitTurn();
+        expect(woken).to.deep.equal(["waiting"]);
     });
 });
--- a/src/adapters/adapterMover.ts
+++ b/src/adapters/adapterMover.ts
@@ -57,7 +57,7 @@
                 deadline: patienceMilliseconds,
                 isLoadIgnored: true,
             };
-            void options.finder.find(request, () => false);
+            void options.finder.find(request, new AbortController().signal);
         }
     };
     return {
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -48,8 +48,8 @@
 
 /** Finder of engines for requests. */
 export interface EngineFinder {
-    /** Finds an engine; `isCancelled` tells whether the request still waits. */
-    readonly find: (request: PlaceRequest, isCancelled: () => boolean) => Promise<FoundEngine>;
+    /** Finds an engine; `signal` is aborted when the request doesn't wait any longer. */
+    readonly find: (request: PlaceRequest, signal: AbortSignal) => Promise<FoundEngine>;
     /** Records that an engine may have a free slot; wakes a request that waits for one. */
     readonly markFree: (run: ServerRunId) => void;
     /** Records that an adapter is resident now; wakes the requests that wait for it. */
@@ -133,6 +133,7 @@
         request: PlaceRequest,
         key: AdapterKey,
         startedAt: Milliseconds,
+        signal: AbortSignal,
     ): Promise<EnsureOutcome> => {
         const run = formatServerRunId(server);
         const waited = clock.now() - startedAt;
@@ -145,6 +146,7 @@
             priority,
             usefulFor: request.usefulFor - waited,
             patience: request.patience - waited,
+            signal,
         });
         const outcome = result?.outcome ?? "notHolder";
         if (outcome === "resident") {
@@ -170,12 +172,12 @@
         const run = formatServerRunId(server);
         return listUsable(request).some(listed => formatServerRunId(listed) === run);
     };
-    const findEngine = async (request: PlaceRequest, isCancelled: () => boolean): Promise<FoundEngine> => {
+    const findEngine = async (request: PlaceRequest, signal: AbortSignal): Promise<FoundEngine> => {
         const key = formatAdapterKey(request.model, request.adapter ?? "");
         const startedAt = clock.now();
         const until = startedAt + request.patience;
         const unavailable = new Set<ServerRunId>();
-        while (clock.now() < until && !isCancelled()) {
+        while (clock.now() < until && !signal.aborted) {
             const selection = select(request, key, unavailable);
             switch (selection.kind) {
                 case "resident":
@@ -191,10 +193,10 @@
                         priority: request.priority,
                         usefulUntil: startedAt + request.usefulFor,
                         until,
-                    });
+                    }, signal);
                     break;
                 case "load": {
-                    const outcome = await loadOnto(selection.server, request, key, startedAt);
+                    const outcome = await loadOnto(selection.server, request, key, startedAt, signal);
                     if (outcome === "resident" && isListed(request, selection.server)) {
                         return describeFound(selection.server, key);
                     }
@@ -209,8 +211,8 @@
         return { kind: "unavailable" };
     };
     return {
-        find: async (request, isCancelled) => {
-            const found = await findEngine(request, isCancelled);
+        find: async (request, signal) => {
+            const found = await findEngine(request, signal);
             // this request may have been woken for a slot that it didn't need
             slotQueue.wakeNext(clock.now());
             return found;
--- a/src/adapters/engineManager.ts
+++ b/src/adapters/engineManager.ts
@@ -55,6 +55,13 @@
     readonly stop: () => void;
 }
 
+/** A load that requests wait for. */
+interface PendingLoad {
+    readonly result: Promise<EnsureResult>;
+    /** Number of requests that wait. */
+    requests: number;
+}
+
 /** Duration of a load from the engine's own memory, as a fraction of a load from the weight store. */
 const memoryLoadFraction = 0.1;
 const loadPollIntervalMilliseconds = 35;
@@ -78,7 +85,7 @@
     const { clock, loadScheduler } = options;
     const run = formatServerRunId(options.server);
     const orders = createEngineOrders({ ...options, run });
-    const loads = new Map<AdapterKey, Promise<EnsureResult>>();
+    const loads = new Map<AdapterKey, PendingLoad>();
     // adapters that the engine had loaded and probably still caches in its memory, least recently loaded first
     const cachedAdapters = new Set<AdapterKey>();
     // loads that wait for the load scheduler
@@ -197,10 +204,24 @@
         waitingLoads.get(key)?.extend(createLoadRequest(request));
         let pending = loads.get(key);
         if (!pending) {
-            pending = load(request, request.adapter, key).finally(() => loads.delete(key));
+            const result = load(request, request.adapter, key).finally(() => loads.delete(key));
+            pending = { result, requests: 0 };
             loads.set(key, pending);
         }
-        return pending;
+        joinLoad(key, pending, request.signal);
+        return pending.result;
+    };
+    // a load that hasn't started is dropped when nobody waits for it any more
+    const joinLoad = (key: AdapterKey, pending: PendingLoad, signal: AbortSignal | undefined): void => {
+        const abort = (): void => {
+            pending.requests--;
+            if (pending.requests === 0 && loads.get(key) === pending) {
+                waitingLoads.get(key)?.drop();
+            }
+        };
+        pending.requests++;
+        signal?.addEventListener("abort", abort, { once: true });
+        void pending.result.finally(() => signal?.removeEventListener("abort", abort));
     };
     return {
         run,
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -53,6 +53,8 @@
     readonly usefulFor: Milliseconds;
     /** Time until the client request stops waiting for the load. */
     readonly patience: Milliseconds;
+    /** Aborted when the client request ends sooner; `undefined` for a load that no client request asks for. */
+    readonly signal?: AbortSignal;
 }
 
 /** Result of ensuring that an adapter is resident. */
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -14,7 +14,7 @@
     type ServerRunId,
     type SoftwareVersion,
 } from "../serving/types.js";
-import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
+import { type Clock, createLogger, type InstanceId, type Milliseconds, waitUnlessAborted } from "../shared/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
 import type { EngineShards } from "./engineShards.js";
 import { type AdapterKey, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
@@ -147,8 +147,8 @@
         message: PlaceRequest,
     ): Promise<PlaceResponse | undefined> => {
         for (;;) {
-            const response = await options.ask(holder, shard, message);
-            if (response?.kind !== "waiting") {
+            const response = await waitUnlessAborted(options.ask(holder, shard, message), request.signal);
+            if (response?.kind !== "waiting" && !request.signal.aborted) {
                 return response;
             }
             if (!isWithinTime(request)) {
--- a/src/adapters/placeService.ts
+++ b/src/adapters/placeService.ts
@@ -34,7 +34,7 @@
 interface UndecidedRequest {
     readonly response: Promise<PlaceResponse>;
     readonly expiresAt: Milliseconds;
-    isCancelled: boolean;
+    readonly cancel: AbortController;
 }
 
 /** Time after which an undecided request gets its first response. */
@@ -55,7 +55,7 @@
         if (found.kind !== "found") {
             return found;
         }
-        if (entry.isCancelled) {
+        if (entry.cancel.signal.aborted) {
             return { kind: "unavailable" };
         }
         // another request may have taken the last permit since the engine was selected
@@ -91,10 +91,10 @@
     const start = (request: PlaceRequest): UndecidedRequest => {
         const entry = {
             expiresAt: clock.now() + request.patience + decisionLifetimeMilliseconds,
-            isCancelled: false,
+            cancel: new AbortController(),
             response: Promise.resolve<PlaceResponse>({ kind: "unavailable" }),
         };
-        entry.response = finder.find(request, () => entry.isCancelled).then(found => takePlace(request, found, entry));
+        entry.response = finder.find(request, entry.cancel.signal).then(found => takePlace(request, found, entry));
         requests.set(request.id, entry);
         return entry;
     };
@@ -118,7 +118,7 @@
         end: (id, outcome) => {
             const entry = requests.get(id);
             if (entry) {
-                entry.isCancelled = true;
+                entry.cancel.abort();
                 requests.delete(id);
             }
             const place = places.free(id);
@@ -129,7 +129,7 @@
         expire: now => {
             for (const [id, entry] of requests) {
                 if (entry.expiresAt <= now) {
-                    entry.isCancelled = true;
+                    entry.cancel.abort();
                     requests.delete(id);
                 }
             }
--- a/src/adapters/slotQueue.ts
+++ b/src/adapters/slotQueue.ts
@@ -20,8 +20,8 @@
 
 /** Queue of waiting requests. */
 export interface SlotQueue {
-    /** Resolves when the request is woken or its time has passed. */
-    readonly wait: (request: SlotWait) => Promise<void>;
+    /** Resolves when the request is woken, its time has passed or the signal is aborted. */
+    readonly wait: (request: SlotWait, signal: AbortSignal) => Promise<void>;
     /** Wakes the most urgent request: one that can be in time before others, then by priority, then by its time. */
     readonly wakeNext: (now: Milliseconds) => void;
     /** Wakes all requests for an adapter that has become resident. */
@@ -41,18 +41,20 @@
 export function createSlotQueue(clock: Clock): SlotQueue {
     const waiting = new Set<WaitingRequest>();
     return {
-        wait: request =>
+        wait: (request, signal) =>
             new Promise(resolve => {
                 const cancel = new AbortController();
                 const entry: WaitingRequest = {
                     ...request,
                     wake: () => {
                         waiting.delete(entry);
+                        signal.removeEventListener("abort", entry.wake);
                         cancel.abort();
                         resolve();
                     },
                 };
                 waiting.add(entry);
+                signal.addEventListener("abort", entry.wake, { once: true });
                 void clock.sleep(Math.max(0, request.until - clock.now()), cancel.signal).then(entry.wake);
             }),
         wakeNext: now => {
--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -311,6 +311,7 @@
             startDuration: 500,
             countInstances: directory.countInstances,
             ask: quotas.ask,
+            giveBack: quotas.giveBack,
         }),
         requestPlace: async adapter => {
             const now = clock.now();
--- a/src/serving/__tests__/accountLimits.test.ts
+++ b/src/serving/__tests__/accountLimits.test.ts
@@ -2,7 +2,7 @@
 import { createSeededRandom } from "../../shared/index.js";
 import { type AccountLimits, createAccountLimits } from "../accountLimits.js";
 import { createQuotaHolder, type QuotaHolder } from "../quotaHolder.js";
-import type { QuotaRequest } from "../quotaMessages.js";
+import type { QuotaDecision, QuotaRequest } from "../quotaMessages.js";
 import type { ServingAccount } from "../types.js";
 
 const ratePerSecond = 1_000;
@@ -51,6 +51,10 @@
                     : fleet.holders[holder]!.take(`i-${index}`, request, fleet.now);
                 return Promise.resolve(decision);
             },
+            giveBack: (name, units) => {
+                const holder = fleet.asked[index];
+                fleet.holders[holder ?? 0]!.giveBack(name, units, fleet.now);
+            },
         });
     const createHolder = (): QuotaHolder => {
         const holder = createQuotaHolder({ countInstances: () => size, findShard: () => 0 });
@@ -273,12 +277,30 @@
             startDuration: 600,
             countInstances: () => known.instances,
             ask: () => Promise.resolve(undefined),
+            giveBack: () => undefined,
         });
         expect((await limits.take(account, 20)).kind).to.equal("exceeded");
         known.instances = 8;
         expect((await limits.take(account, 20)).kind).to.equal("admitted");
     });
 
+    // guards against a quota that callers use up who have left
+    it("have the units of requests again that no server has run, with a holder and without one", async () => {
+        const fleet = createFleet({ size: 1 });
+        fleet.now = 60_000;
+        const limits = fleet.limits[0]!;
+        await limits.take(account, 1);
+        fleet.now += 10_000;
+        const takeMost = (): Promise<QuotaDecision> => limits.take(account, burst);
+        expect((await takeMost()).kind).to.equal("admitted");
+        expect((await takeMost()).kind).to.equal("exceeded");
+        limits.giveBack(account, burst);
+        expect((await takeMost()).kind).to.equal("admitted");
+        limits.giveBack(account, 10 * burst);
+        expect((await takeMost()).kind).to.equal("admitted");
+        expect((await takeMost()).kind).to.equal("exceeded");
+    });
+
     it("apply a lower rate at once", () => {
         const holder = createQuotaHolder({ countInstances: () => 1, findShard: () => 0 });
         const request = { account: "acme", admittedAlone: 0, allowance: 0 };
--- a/src/serving/__tests__/resumedStreams.test.ts
+++ b/src/serving/__tests__/resumedStreams.test.ts
@@ -18,7 +18,7 @@
 
 function applyDecision(decision: OriginDecision, request: Partial<ClientRequest>): Promise<Admission> {
     const origins = { find: () => Promise.resolve(decision) } as unknown as StreamOrigins;
-    return applyStreamOrigin(origins, admitted, request as ClientRequest);
+    return applyStreamOrigin(origins, admitted, request as ClientRequest, new AbortController().signal);
 }
 
 describe("admission of a request for the rest of a stream", () => {
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -1,8 +1,10 @@
 import { expect } from "chai";
 import type { PlaceClient } from "../../adapters/placeClient.js";
+import type { QuarantineDecision } from "../../quarantine/index.js";
 import { createSeededRandom } from "../../shared/index.js";
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
+import type { QuotaDecision } from "../quotaMessages.js";
 import type { ClientResponse, RequestReport } from "../requestState.js";
 import { createRetryBudget } from "../retryBudget.js";
 import { runRequest } from "../runRequest.js";
@@ -23,6 +25,8 @@
     readonly seed?: number;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
+    /** What is never decided: what began its stream, its quota, the delay of its quota, its trial or its permit. */
+    readonly undecided?: "origin" | "quota" | "delay" | "trial" | "permit";
 }
 
 interface CaseResult {
@@ -34,8 +38,12 @@
     readonly aborted: number;
     /** Times that the account's quota was asked for units. */
     readonly quotaUses: number;
+    /** Units that were given back. */
+    readonly returnedUnits: number;
 }
 
+const never = new Promise<never>(() => undefined);
+
 const headers: HeaderCodec = {
     decodeRequest: () => {
         throw new Error("not used here");
@@ -85,6 +93,19 @@
     };
     const quota = { unit: "requests", ratePerSecond: 1, burst: 1, defaultTokens: 1 } as const;
     let quotaUses = 0;
+    let returnedUnits = 0;
+    const { undecided } = requestCase;
+    const take = async (): Promise<QuotaDecision> => {
+        quotaUses++;
+        return undecided === "quota" ? never : { kind: "admitted", delay: undecided === "delay" ? 10_000 : 0 };
+    };
+    const decideGuarded = (): QuarantineDecision => {
+        const scope = { kind: "part", part: "bad", account: undefined } as const;
+        if (requestCase.isQuarantined) {
+            return { kind: "quarantined", scope, remaining: 20_000 };
+        }
+        return undecided === "trial" ? { kind: "due", scope } : { kind: "open" };
+    };
     const configuration = createConfigurationState();
     configuration.apply({
         version: 1,
@@ -134,14 +155,14 @@
         tokens: undefined,
         prompt: undefined,
         lastEventId: undefined,
-        resumed: undefined,
+        resumed: undecided === "origin" ? { firstAttemptId: "0" } : undefined,
         passedHeaders: [],
     };
     const leaving = new AbortController();
     const running = runRequest(
         {
             configuration,
-            limits: { take: () => Promise.resolve({ kind: "admitted", delay: 0 * ++quotaUses }) },
+            limits: { take, giveBack: (account, units) => returnedUnits += units },
             retryBudget: createRetryBudget({ window: 10_000, ratio: 0.2, slack: 50 }),
             random: createSeededRandom(requestCase.seed ?? 1),
             maximumConfigAge: 4_000,
@@ -171,17 +192,13 @@
             },
             headers,
             adapters: {} as PlaceClient,
-            permits: { recordLimit: () => undefined, acquirePermit: () => Promise.resolve(true) },
+            permits: {
+                recordLimit: () => undefined,
+                acquirePermit: () => undecided === "permit" ? never : Promise.resolve(true),
+            },
             guard: {
-                decide: () =>
-                    requestCase.isQuarantined
-                        ? {
-                            kind: "quarantined",
-                            scope: { kind: "part", part: "bad", account: undefined },
-                            remaining: 20_000,
-                        }
-                        : { kind: "open" },
-                requestTrial: () => Promise.resolve(false),
+                decide: decideGuarded,
+                requestTrial: () => undecided === "trial" ? never : Promise.resolve(false),
                 markBroken: () => undefined,
                 markServerAnswered: () => undefined,
                 markAnswered: () => undefined,
@@ -193,7 +210,7 @@
             origins: {
                 markBegun: () => undefined,
                 markComplete: () => undefined,
-                find: () => Promise.resolve({ kind: "unknown", reason: "test" }),
+                find: () => undecided === "origin" ? never : Promise.resolve({ kind: "unknown", reason: "test" }),
                 handleServers: () => undefined,
                 handleMessage: () => undefined,
                 tick: () => undefined,
@@ -210,7 +227,7 @@
         setTimeout(() => leaving.abort(), requestCase.disconnectAfter);
     }
     const report = await running;
-    return { report, sent, status, body: written.join(""), end, aborted, quotaUses };
+    return { report, sent, status, body: written.join(""), end, aborted, quotaUses, returnedUnits };
 }
 
 const sendComplete = (body: string): AttemptScript => handlers => {
@@ -250,6 +267,24 @@
         expect(outcome.report).to.deep.include({ outcome: "refused", reason: "quarantined prompt" });
     });
 
+    // guards against work, and use of a quota, for a client that left while another instance was asked for something
+    it("ends with its client in each wait, is sent nowhere, and gives its quota back", async () => {
+        const cases = ["origin", "quota", "delay", "trial", "permit"] as const;
+        for (const undecided of cases) {
+            const outcome = await runCase({
+                undecided,
+                route: resumable,
+                disconnectAfter: 20,
+                attempts: [sendComplete("x")],
+            });
+            const { report, sent, status, returnedUnits } = outcome;
+            expect([report.outcome, sent.length, status], undecided).to.deep.equal(["clientLeft", 0, undefined]);
+            expect(report.endDelay, undecided).to.be.below(100);
+            const hasTaken = undecided !== "origin" && undecided !== "quota";
+            expect(returnedUnits, undecided).to.equal(hasTaken ? 1 : 0);
+        }
+    });
+
     it("is sent once and fails with 502 when it is not idempotent and its connection breaks", async () => {
         const outcome = await runCase({ route: once, attempts: [failConnection, sendComplete("again")] });
         expect([outcome.status, outcome.sent.length]).to.deep.equal([502, 1]);
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -14,6 +14,8 @@
 export interface AccountLimits {
     /** Admits a request of `units` or returns how long to wait. An account without a quota has no limit. */
     readonly take: (account: ServingAccount, units: number) => Promise<QuotaDecision>;
+    /** Gives the units of an admitted request back that no server has run. */
+    readonly giveBack: (account: ServingAccount, units: number) => void;
 }
 
 /** Dependencies of the limits. */
@@ -28,6 +30,8 @@
     readonly countInstances: () => number | undefined;
     /** Asks the holder of the account's quota; `undefined` when none responds in time. */
     readonly ask: (request: QuotaRequest) => Promise<QuotaDecision | undefined>;
+    /** Tells the holder of the account's quota of units that weren't used. */
+    readonly giveBack: (account: ClientAccountId, units: number) => void;
 }
 
 interface AccountState {
@@ -128,6 +132,20 @@
             }
             return decision;
         },
+        giveBack: (account, units) => {
+            const state = states.get(account.name);
+            if (!state) {
+                return;
+            }
+            if (state.ownUnits === undefined) {
+                options.giveBack(account.name, units);
+                return;
+            }
+            // they were admitted without a holder, or by one that is silent now
+            const unreported = Math.min(units, state.admittedAlone);
+            state.admittedAlone -= unreported;
+            state.ownUnits += unreported;
+        },
     };
 }
 
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -6,7 +6,7 @@
  */
 import type { StreamOrigin } from "../resumption/index.js";
 import type { Clock, Milliseconds, SeededRandom } from "../shared/index.js";
-import { millisecondsPerSecond } from "../shared/index.js";
+import { millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
 import { type AccountLimits, computeRequestCost } from "./accountLimits.js";
 import type { ConfigurationState } from "./configurationState.js";
 import { readClocks } from "./freshness.js";
@@ -34,6 +34,8 @@
         /** What began the stream that the request resumes; `undefined` for other requests. */
         readonly origin?: StreamOrigin;
     }
+    /** The client has disconnected meanwhile. */
+    | { readonly kind: "clientLeft"; readonly route: string; readonly account: string | undefined; }
     | {
         readonly kind: "refused";
         readonly status: number;
@@ -91,22 +93,29 @@
  * @param parts - account limits, clock and random numbers
  * @param admitted - admission by route and key
  * @param request - the request
+ * @param signal - aborted when the client disconnects
  * @returns the admission, or the refusal of a request beyond the quota
  */
 export async function applyQuota(
     parts: AdmissionParts & { readonly clock: Clock; },
     admitted: Extract<Admission, { readonly kind: "admitted"; }>,
     request: ClientRequest,
+    signal: AbortSignal,
 ): Promise<Admission> {
     const { account, route } = admitted;
     if (!account?.quota) {
         return admitted;
     }
-    const decision = await parts.limits.take(account, computeRequestCost(account, request));
+    const taken = parts.limits.take(account, computeRequestCost(account, request));
+    const decision = await waitUnlessAborted(taken, signal);
+    if (!decision) {
+        void taken.then(({ kind }) => kind === "admitted" && returnQuota(parts, admitted, request));
+        return { kind: "clientLeft", route: route.name, account: account.name };
+    }
     switch (decision.kind) {
         case "admitted":
             if (decision.delay > 0) {
-                await parts.clock.sleep(decision.delay);
+                await parts.clock.sleep(decision.delay, signal);
             }
             return admitted;
         case "exceeded": {
@@ -120,6 +129,23 @@
     }
 }
 
+/**
+ * Returns the units of a request that no server has run or will run.
+ *
+ * @param parts - account limits
+ * @param admitted - admission of the request
+ * @param request - the request
+ */
+export function returnQuota(
+    parts: Pick<AdmissionParts, "limits">,
+    { account }: Pick<Extract<Admission, { readonly kind: "admitted"; }>, "account">,
+    request: ClientRequest,
+): void {
+    if (account?.quota) {
+        parts.limits.giveBack(account, computeRequestCost(account, request));
+    }
+}
+
 function refuse(
     status: number,
     reason: string,
--- a/src/serving/quotaBucket.ts
+++ b/src/serving/quotaBucket.ts
@@ -16,6 +16,8 @@
     readonly take: (amount: number, now: Milliseconds) => QuotaDecision;
     /** Adds units that may be used in addition to the rate. */
     readonly grant: (amount: number) => void;
+    /** Adds units that were taken and not used. */
+    readonly giveBack: (amount: number, now: Milliseconds) => void;
     /** Subtracts units that were admitted without asking. */
     readonly charge: (amount: number, now: Milliseconds) => void;
     /** Replaces rate and burst. */
@@ -65,6 +67,10 @@
         grant: amount => {
             allowance += amount;
         },
+        giveBack: (amount, present) => {
+            fillLevel(present);
+            level = Math.min(limits.burst, level + amount);
+        },
         charge: (amount, present) => {
             fillLevel(present);
             level = Math.max(-debtLimitSeconds * limits.ratePerSecond, level - amount);
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -28,6 +28,8 @@
 export interface QuotaClient {
     /** Asks the holder; `undefined` when none is known or it doesn't respond in time. */
     readonly ask: (request: QuotaRequest) => Promise<QuotaDecision | undefined>;
+    /** Tells the holder of units that weren't used; they are lost when none is known. */
+    readonly giveBack: (account: ClientAccountId, units: number) => void;
     readonly handleMessage: (from: InstanceId, message: QuotaMessage) => QuotaMessage | undefined;
     /** Tells the holders that this instance asks them, and forgets what it no longer holds; call it regularly. */
     readonly tick: () => void;
@@ -85,6 +87,7 @@
                 return response.value;
             case "notHolder":
             case "take":
+            case "giveBack":
             case "present":
                 void holders.refresh();
                 return undefined;
@@ -123,6 +126,15 @@
             }
             return requestUnits(holder, request);
         },
+        giveBack: (account, units) => {
+            const holder = holders.find(findShard(account));
+            if (isHeldHere(account)) {
+                quotaHolder.giveBack(account, units, clock.now());
+            }
+            else if (holder !== undefined && holder !== self) {
+                network.send(holder, "quotas", { kind: "giveBack", account, units });
+            }
+        },
         handleMessage: (from, message) => {
             holders.markResponsive(from);
             switch (message.kind) {
@@ -130,6 +142,9 @@
                     return isHeldHere(message.account)
                         ? quotaHolder.take(from, message, clock.now())
                         : { kind: "notHolder" };
+                case "giveBack":
+                    quotaHolder.giveBack(message.account, message.units, clock.now());
+                    return undefined;
                 case "present":
                     quotaHolder.markPresent(from, message.shards, clock.now());
                     return undefined;
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -14,6 +14,8 @@
 export interface QuotaHolder {
     /** Decides a request of another instance, or of this one. */
     readonly take: (from: InstanceId, request: QuotaRequest, now: Milliseconds) => QuotaDecision;
+    /** Takes units back that were granted and not used; an account of which nothing is known here has nothing to get. */
+    readonly giveBack: (account: ClientAccountId, units: number, now: Milliseconds) => void;
     /** Replaces the quotas by those of a new configuration; levels are kept. */
     readonly update: (accounts: readonly ServingAccount[], now: Milliseconds) => void;
     /** Records the shards for whose accounts an instance asks here; it must be told again and again. */
@@ -99,6 +101,7 @@
             bucket.charge(request.admittedAlone, now);
             return bucket.take(request.units, now);
         },
+        giveBack: (account, units, now) => buckets.get(account)?.giveBack(units, now),
         update: (accounts, now) => {
             quotas.clear();
             for (const account of accounts) {
--- a/src/serving/quotaMessages.ts
+++ b/src/serving/quotaMessages.ts
@@ -35,6 +35,8 @@
     z.object({ kind: z.literal("admitted"), delay: z.number() }),
     z.object({ kind: z.literal("exceeded"), wait: z.number() }),
     z.object({ kind: z.literal("notHolder") }),
+    // units of a request that was admitted, and that no server has run
+    z.object({ kind: z.literal("giveBack"), account: z.string(), units: z.number().nonnegative() }),
     // the sender asks the receiver for the quotas of the accounts of these shards
     z.object({ kind: z.literal("present"), shards: z.array(z.number().int().nonnegative()) }),
 ]);
--- a/src/serving/resumedStreams.ts
+++ b/src/serving/resumedStreams.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { isSameOrigin, type StreamId, type StreamOrigin, type StreamOrigins } from "../resumption/index.js";
-import { createLogger, type Milliseconds } from "../shared/index.js";
+import { createLogger, type Milliseconds, waitUnlessAborted } from "../shared/index.js";
 import type { Admission } from "./admission.js";
 import type { BackendServer, ClientRequest, ServingRoute } from "./types.js";
 
@@ -21,12 +21,14 @@
  * @param origins - origins of streams
  * @param admitted - admission by route and key
  * @param request - the request
+ * @param signal - aborted when the client disconnects
  * @returns the admission with the service that began the stream, or a refusal; other requests are left as they are
  */
 export async function applyStreamOrigin(
     origins: StreamOrigins,
     admitted: Extract<Admission, { readonly kind: "admitted"; }>,
     request: ClientRequest,
+    signal: AbortSignal,
 ): Promise<Admission> {
     const { route, account } = admitted;
     if (!request.resumed || route.kind !== "stream") {
@@ -34,7 +36,10 @@
     }
     const stream: StreamId = { account: account?.name, firstAttemptId: request.resumed.firstAttemptId };
     const services = listServices(route);
-    const decision = await origins.find(stream, services);
+    const decision = await waitUnlessAborted(origins.find(stream, services), signal);
+    if (!decision) {
+        return { kind: "clientLeft", route: route.name, account: account?.name };
+    }
     const isRouted = decision.kind === "known" && services.includes(decision.origin.service);
     log.info("stream taken up", {
         id: request.attemptId,
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -4,8 +4,8 @@
  * @packageDocumentation
  */
 import { computeRequestDigest, type QuarantineScope, type RequestDigest } from "../quarantine/index.js";
-import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
-import { type Admission, applyQuota, decideAdmission } from "./admission.js";
+import { type Milliseconds, millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
+import { type Admission, applyQuota, decideAdmission, returnQuota } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
 import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
@@ -54,16 +54,21 @@
         ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
         : "";
     const decided = refuseIfQuarantined(parts, allowed, request, digest, startedAt);
-    const located = decided.kind === "admitted" ? await applyStreamOrigin(parts.origins, decided, request) : decided;
-    const admission = located.kind === "admitted" ? await applyQuota(parts, located, request) : located;
-    if (admission.kind === "refused") {
-        const { status, retryAfter, reason } = admission;
-        answer.writeHead(status, parts.headers.encodeRefusalHeaders(request.attemptId, retryAfter), 0);
-        answer.end();
+    const located = decided.kind === "admitted"
+        ? await applyStreamOrigin(parts.origins, decided, request, signal)
+        : decided;
+    const admission = located.kind === "admitted" ? await applyQuota(parts, located, request, signal) : located;
+    if (admission.kind !== "admitted") {
+        const refusal = admission.kind === "refused" ? admission : undefined;
+        if (refusal) {
+            const { status, retryAfter } = refusal;
+            answer.writeHead(status, parts.headers.encodeRefusalHeaders(request.attemptId, retryAfter), 0);
+            answer.end();
+        }
         return {
-            outcome: "refused",
-            status,
-            reason,
+            outcome: admission.kind,
+            status: refusal?.status,
+            reason: refusal?.reason ?? "",
             service: undefined,
             route: admission.route,
             account: admission.account,
@@ -108,6 +113,9 @@
         returnAt: startedAt,
     };
     const outcome = await runAttempts(parts, state);
+    if (state.triedServers.size === 0) {
+        returnQuota(parts, admission, request);
+    }
     return createReport(state, outcome);
 }
 
@@ -119,7 +127,7 @@
     digest: RequestDigest,
     now: Milliseconds,
 ): Admission {
-    if (admission.kind === "refused") {
+    if (admission.kind !== "admitted") {
         return admission;
     }
     const account = admission.account?.name;
@@ -141,6 +149,9 @@
     for (;;) {
         state.stages.mark("server");
         const isOpen = await checkQuarantine(parts, state);
+        if (state.signal.aborted) {
+            return "clientLeft";
+        }
         if (!isOpen) {
             return refuseQuarantined(parts, state);
         }
@@ -226,7 +237,11 @@
     const shifted = moveStart(candidates, parts.random.next());
     for (;;) {
         const server = chooseServer({ servers: shifted, records, failureDomain, excluded, now });
-        if (!server || await parts.permits.acquirePermit(server)) {
+        const isPermitted = server && await waitUnlessAborted(parts.permits.acquirePermit(server), state.signal);
+        if (state.signal.aborted) {
+            return undefined;
+        }
+        if (!server || isPermitted) {
             return server && { server, requiredVersion: undefined, release: undefined };
         }
         // servers whose limit has no room are left out for this attempt only
@@ -263,7 +278,8 @@
         case "quarantined":
             return false;
         case "due":
-            state.isTrial = !state.isTrial && await parts.guard.requestTrial(decision.scope);
+            state.isTrial = !state.isTrial &&
+                await waitUnlessAborted(parts.guard.requestTrial(decision.scope), state.signal) === true;
             return state.isTrial;
     }
 }
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -253,6 +253,7 @@
         startDuration: process.uptime() * millisecondsPerSecond,
         countInstances,
         ask: quotas.ask,
+        giveBack: quotas.giveBack,
     });
     adapters.setShardTask(shards);
     const findConnectionLimit = (server: BackendServer): number => {
--- a/src/shared/time.ts
+++ b/src/shared/time.ts
@@ -27,6 +27,28 @@
     return { now: () => performance.now(), sleep: sleepFor };
 }
 
+/**
+ * Waits for a result, but no longer than until the signal is aborted.
+ *
+ * @param result - result that is being worked on, which goes on after the abort
+ * @param signal - ends the wait
+ * @returns the result; `undefined` when the signal is aborted first, or was before
+ */
+export function waitUnlessAborted<Result>(
+    result: Promise<Result>,
+    signal: AbortSignal,
+): Promise<Result | undefined> {
+    return new Promise((resolve, reject) => {
+        const abort = (): void => resolve(undefined);
+        if (signal.aborted) {
+            abort();
+            return;
+        }
+        signal.addEventListener("abort", abort, { once: true });
+        result.then(resolve, reject).finally(() => signal.removeEventListener("abort", abort));
+    });
+}
+
 function sleepFor(duration: Milliseconds, signal?: AbortSignal): Promise<void> {
     return new Promise(resolve => {
         if (signal?.aborted) {
