fix(forwarding): the server of a forwarded attempt stops when the client leaves, also when a message is lost

Cause: the abort was one message that nobody acknowledged, and none was sent when the other instance had not answered within a second; its attempt ran on for 1.5 s and more.

The abort is acknowledged and sent up to three times, and also when an answer is missing.

--- a/src/forwarding/__tests__/forwardedAttempt.test.ts
+++ b/src/forwarding/__tests__/forwardedAttempt.test.ts
@@ -48,6 +48,8 @@
     readonly log: string[];
     isReaching: boolean;
     /** What becomes of a message to the helper and of its answer. */
+    /** Messages to the helper that are lost from now on. */
+    lostMessages: number;
     link: "open" | "unreachable" | "answerLost" | "unknownTopic";
 }
 
@@ -60,6 +62,7 @@
         log,
         clock,
         isReaching: true,
+        lostMessages: 0,
         link: "open",
         service: createForwardService({
             clock: { now: () => clock.now, sleep: createSystemClock().sleep },
@@ -90,8 +93,9 @@
                 return rig.service.read(message.id);
             case "abort":
                 rig.service.abort(message.id);
-                return undefined;
+                return { kind: "aborted" };
             case "askReach":
+            case "aborted":
             case "reach":
             case "events":
             case "refused":
@@ -100,8 +104,18 @@
     };
     return {
         self: "i-0",
-        send: (to, topic, message) => void handle(message as ForwardingMessage),
+        send: (to, topic, message) => {
+            if (rig.lostMessages > 0) {
+                rig.lostMessages--;
+                return;
+            }
+            void handle(message as ForwardingMessage);
+        },
         request: async (to, topic, message) => {
+            if (rig.lostMessages > 0) {
+                rig.lostMessages--;
+                return wrapError({ kind: "timeout" });
+            }
             if (rig.link === "unreachable") {
                 return wrapError({ kind: "unreachable", detail: "" });
             }
@@ -210,6 +224,25 @@
         expect(ended.log.at(-1)).to.equal("aborted");
     });
 
+    // guards against servers that work on for a client that has left, while a message between instances is lost
+    it("is aborted at the server when the abort is lost at first, and when the other instance stops answering", async () => {
+        const left = createRig();
+        const { attempt } = send(left);
+        await settle();
+        left.lostMessages = 2;
+        attempt.abort();
+        await settle();
+        expect(left.log.at(-1)).to.equal("aborted");
+        const silent = createRig();
+        const { seen } = send(silent);
+        await settle();
+        silent.arrived[0]!.onHead(head);
+        silent.lostMessages = 1;
+        await settle();
+        expect(seen.fault?.kind).to.equal("broken");
+        expect(silent.log.at(-1)).to.equal("aborted");
+    });
+
     // guards against an answer that fills the memory of the other instance while its client reads slowly
     it("holds its server back while the client doesn't read", async () => {
         const rig = createRig();
--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -6,11 +6,15 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../serving/serverConnections.js";
 import { formatServerRunId } from "../serving/types.js";
-import type { InstanceId } from "../shared/index.js";
+import { createLogger, type InstanceId } from "../shared/index.js";
 import { type AttemptEvent, type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
 
 /** An answer is due after the wait of the other instance at the latest. */
 const answerTimeoutMilliseconds = 1_000;
+/** Time for the answer to an abort, which may be lost like any message; it is then sent again. */
+const abortTimeoutMilliseconds = 120;
+const maximumAborts = 3;
+const log = createLogger("forwarding");
 
 /**
  * Sends an attempt through a helper.
@@ -51,6 +55,20 @@
             notify();
         }
     };
+    const abortAtHelper = async (): Promise<void> => {
+        for (let aborts = 0; aborts < maximumAborts; aborts++) {
+            const response = await network.request(
+                helper,
+                "forwarding",
+                { kind: "abort", id },
+                abortTimeoutMilliseconds,
+            );
+            if (response.ok) {
+                return;
+            }
+        }
+        log.warn("forwarded attempt not aborted", { id: request.attemptId, helper });
+    };
     const deliver = (event: AttemptEvent): void => {
         if (isOver) {
             return;
@@ -93,7 +111,11 @@
                 message = { kind: "read", id };
                 continue;
             }
-            finish(() => handlers.onFault(describeFault(answer, message)));
+            const fault = describeFault(answer, message);
+            if (fault.kind === "broken" && !isOver) {
+                void abortAtHelper();
+            }
+            finish(() => handlers.onFault(fault));
         }
     };
     const resume = (): void => {
@@ -105,7 +127,7 @@
         abort: () => {
             isOver = true;
             resume();
-            network.send(helper, "forwarding", { kind: "abort", id });
+            void abortAtHelper();
         },
         pause: () => {
             isPaused = true;
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -249,8 +249,9 @@
                     return service.read(message.id);
                 case "abort":
                     service.abort(message.id);
-                    return undefined;
+                    return { kind: "aborted" };
                 case "reach":
+                case "aborted":
                 case "events":
                 case "refused":
                     return undefined;
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -64,6 +64,8 @@
     // the receiver has sent nothing, and won't
     z.object({ kind: z.literal("refused"), reason: z.string() }),
     z.object({ kind: z.literal("abort"), id: z.string() }),
+    // the receiver of an abort works on nothing of that id
+    z.object({ kind: z.literal("aborted") }),
 ]);
 
 /** Message about forwarded attempts. */
