fix(serving): an instance that stops doesn't wait for the answers of the store

The tasks of an instance are stopped one after the other, and each follower of a topic ended only when its long poll did, so that the port for other instances stayed open for many seconds after everything else was closed (found by a test that starts instances again; ports 2 and 6 of 8 open 4 s after the end before, none now). Not the cause of tests that end late: sheddingServer.test.js takes 63 s in all as before.

--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -4,7 +4,7 @@
  *
  * @packageDocumentation
  */
-import { type Milliseconds, type Result, wrapValue } from "../shared/index.js";
+import { type Milliseconds, type Result, waitUnlessAborted, wrapValue } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { TopicCache } from "./topicCache.js";
@@ -57,8 +57,9 @@
     let nextOffset: number | undefined;
     let failures = 0;
     while (!signal.aborted) {
-        const result = await readOnce(options, nextOffset);
-        if (signal.aborted) {
+        // a stopped instance doesn't wait for the store, whose answer may take long
+        const result = await waitUnlessAborted(readOnce(options, nextOffset), signal);
+        if (signal.aborted || !result) {
             return;
         }
         if (result.ok) {
