fix(resumption): streams of two versions go on after all instances were killed

Cause: what began a stream was kept only in the memory of instances.

While several versions serve, or an instance can't rule out an earlier one, each stream's origin is already told to two holders of shards. These write what they are told to a log of the store now, in batches of 300 ms, so that at most as many instances write as there are holders. Each instance reads that log once when it starts, but at the first start of the whole system. A stream that isn't found there is refused as before; so is each one while the store can't be read.

--- a/src/platform/logRecords.ts
+++ b/src/platform/logRecords.ts
@@ -16,32 +16,55 @@
 const lengthFieldBytes = 4;
 const offsetFieldBytes = 8;
 
+/** Response to a read. */
+export interface ReadResponse {
+    readonly records: readonly Buffer[];
+    /** Offset after the last record of the topic, also beyond those of this response. */
+    readonly endOffset: number;
+}
+
 /**
- * Decodes the response to a read of a keyed topic: two offsets, which are not used, and the records.
+ * Decodes the response to a read: the topic's end and first offset, and the records.
  *
  * @param bytes - body of the response
- * @param from - offset of the first record, as requested
- * @returns the records and the offset after the last one; an error when the bytes end within an offset or a record
+ * @returns contents of the records; an error when the bytes end within an offset or a record
  */
-export function decodeKeyedReadResponse(bytes: Buffer, from: number): Result<KeyedSnapshot, LogRecordError> {
+export function decodeReadResponse(bytes: Buffer): Result<ReadResponse, LogRecordError> {
     if (bytes.length < 2 * offsetFieldBytes) {
         return wrapError({ kind: "malformed", detail: "the response is shorter than its two offsets" });
     }
-    const records: KeyedRecord[] = [];
+    const records: Buffer[] = [];
     let position = 2 * offsetFieldBytes;
     while (position < bytes.length) {
         const end = position + lengthFieldBytes + readContentLength(bytes, position);
         if (end > bytes.length) {
             return wrapError({ kind: "malformed", detail: "the response ends within a record" });
         }
-        const record = decodeKeyedRecord(bytes.subarray(position + lengthFieldBytes, end), from + records.length);
-        if (record) {
-            records.push(record);
-        }
-        else {
+        records.push(bytes.subarray(position + lengthFieldBytes, end));
+        position = end;
+    }
+    return wrapValue({ records, endOffset: Number(bytes.readBigUInt64BE(0)) });
+}
+
+/**
+ * Decodes the response to a read of a keyed topic.
+ *
+ * @param bytes - body of the response
+ * @param from - offset of the first record, as requested
+ * @returns the records and the offset after the last one; an error when the bytes end within an offset or a record
+ */
+export function decodeKeyedReadResponse(bytes: Buffer, from: number): Result<KeyedSnapshot, LogRecordError> {
+    const response = decodeReadResponse(bytes);
+    if (!response.ok) {
+        return response;
+    }
+    const records: KeyedRecord[] = [];
+    for (const content of response.value.records) {
+        const record = decodeKeyedRecord(content, from + records.length);
+        if (!record) {
             return wrapError({ kind: "malformed", detail: "a record is shorter than its key" });
         }
-        position = end;
+        records.push(record);
     }
     return wrapValue({ records, endOffset: from + records.length });
 }
@@ -68,7 +91,16 @@
  */
 export function encodeKeyedRecord(key: string, value: Uint8Array | undefined): Buffer {
     const keyBytes = Buffer.from(key, "utf8");
-    const content = Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, value ?? Buffer.alloc(0)]);
+    return encodeRecord(Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, value ?? Buffer.alloc(0)]));
+}
+
+/**
+ * Encodes one record.
+ *
+ * @param content - content of the record
+ * @returns a new buffer with the content and its length before it
+ */
+export function encodeRecord(content: Uint8Array): Buffer {
     const length = Buffer.alloc(lengthFieldBytes);
     length.writeUInt32BE(content.length);
     return Buffer.concat([length, content]);
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -101,6 +101,7 @@
     }, {
         log: store,
         shards: store.shards,
+        streams: store.streams,
         control: createEngineControlClient(checkHeaders("engine")),
         headers: createPlatformHeaderCodec(checkHeaders("server")),
         listUndecodedHeaders: headerTrace.list,
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -6,14 +6,16 @@
 import { Pool } from "undici";
 import * as z from "zod";
 import type { ShardGroup, ShardMembership, ShardOwner } from "../adapters/types.js";
-import type { KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
+import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
 import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { type HttpRequest, type HttpResponse, sendHttpRequest } from "./httpRequest.js";
-import { decodeKeyedReadResponse, encodeKeyedRecord } from "./logRecords.js";
+import { decodeKeyedReadResponse, decodeReadResponse, encodeKeyedRecord, encodeRecord } from "./logRecords.js";
 
 /** Client of the store. */
 export interface PlatformStore extends KeyedLog {
     readonly shards: ShardGroup;
+    /** Log of what began streams. */
+    readonly streams: ExpiringLog;
     readonly close: () => void;
 }
 
@@ -26,6 +28,8 @@
 /** Topic whose partitions the store assigns to the members of the group. Each partition is one shard of the engines. */
 const engineShardTopic = "oriolehatch-engine-shards";
 const engineShardGroup = "oriolehatch-engines";
+/** Topic without keys, whose records expire. */
+const streamTopic = "oriolehatch-streams";
 const requestTimeoutMilliseconds = 700;
 /** Added to the wait that a long-poll read requests; a response that takes longer counts as lost. */
 const longPollMarginMilliseconds = 600;
@@ -96,6 +100,7 @@
             return answer.ok ? wrapValue(undefined) : answer;
         },
         shards: createShardGroup(sendRequest),
+        streams: createExpiringLog(sendRequest, streamTopic),
         close: () => void pool.destroy(),
     };
 }
@@ -115,7 +120,7 @@
         case 200:
             return wrapValue(answer.body);
         case recordsExpiredStatus:
-            return wrapError({ kind: "expired" });
+            return wrapError({ kind: "expired", firstOffset: decodeFirstOffset(answer.body) });
         case 429:
         case 503:
             return wrapError({ kind: "busy", status: answer.status });
@@ -124,6 +129,52 @@
     }
 }
 
+function decodeFirstOffset(body: Buffer): number | undefined {
+    const decoded = decodeJson(z.object({ first_offset: z.number() }), body);
+    return decoded.ok ? decoded.value.first_offset : undefined;
+}
+
+function createExpiringLog(sendRequest: StoreRequestSender, topic: string): ExpiringLog {
+    const readPage = (offset: number): Promise<Result<Buffer, StoreError>> =>
+        sendRequest({
+            method: "GET",
+            path: `/log-read?topic=${topic}&part=0&from=${offset}&wait_ms=0`,
+            timeout: requestTimeoutMilliseconds,
+        });
+    const readRest = async (offset: number): Promise<Result<readonly Uint8Array[], StoreError>> => {
+        const records: Uint8Array[] = [];
+        for (;;) {
+            const answer = await readPage(offset + records.length);
+            if (!answer.ok) {
+                return answer;
+            }
+            const page = decodeReadResponse(answer.value);
+            if (!page.ok) {
+                return wrapError({ kind: "unreachable", detail: page.error.detail });
+            }
+            records.push(...page.value.records);
+            if (page.value.records.length === 0 || offset + records.length >= page.value.endOffset) {
+                return wrapValue(records);
+            }
+        }
+    };
+    return {
+        append: async record => {
+            const answer = await sendRequest({
+                method: "POST",
+                path: `/log-append?topic=${topic}&part=0`,
+                body: encodeRecord(record),
+                timeout: requestTimeoutMilliseconds,
+            });
+            return answer.ok ? wrapValue(undefined) : answer;
+        },
+        readAll: async () => {
+            const read = await readRest(0);
+            return !read.ok && read.error.kind === "expired" ? readRest(read.error.firstOffset ?? 0) : read;
+        },
+    };
+}
+
 async function readLatestRecords(
     sendRequest: StoreRequestSender,
     topic: string,
--- a/src/resumption/__tests__/streamOrigins.test.ts
+++ b/src/resumption/__tests__/streamOrigins.test.ts
@@ -68,6 +68,7 @@
         },
         shardCount,
         isFirstStart,
+        archive: { add: () => undefined, find: () => Promise.resolve(undefined), load: () => Promise.resolve() },
         readStreamLifetime: () => streamLifetime,
     });
     world.origins.set(self, origins);
--- a/src/resumption/index.ts
+++ b/src/resumption/index.ts
@@ -5,5 +5,6 @@
  */
 export * from "./messages.js";
 export * from "./originDecision.js";
+export * from "./streamArchive.js";
 export * from "./streamOrigins.js";
 export * from "./types.js";
--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -5,13 +5,19 @@
  */
 import * as z from "zod";
 
-const originSchema = z.object({ service: z.string(), version: z.union([z.string(), z.number()]).optional() })
+/** Schema of a service and software version. */
+export const originSchema = z.object({ service: z.string(), version: z.union([z.string(), z.number()]).optional() })
     .transform(({ service, version }) => ({ service, version }));
 
 /** Schema of the messages about streams that clients take up again. */
 export const resumptionMessageSchema = z.discriminatedUnion("kind", [
     // streams that have begun, for the receiver to keep
-    z.object({ kind: z.literal("began"), streams: z.array(z.object({ key: z.string(), origin: originSchema })) }),
+    z.object({
+        kind: z.literal("began"),
+        streams: z.array(z.object({ key: z.string(), origin: originSchema })),
+        // whether another instance has been told before, which has written them to the store
+        isCopy: z.boolean().optional(),
+    }),
     // without a key only the view is asked for
     z.object({ kind: z.literal("askOrigin"), key: z.string().optional(), services: z.array(z.string()) }),
     z.object({
--- /dev/null
+++ b/src/resumption/streamArchive.ts
@@ -0,0 +1,126 @@
+/**
+ * Keeps what began streams in a log of the platform's store, so that clients can return after all instances were killed.
+ * Records are written in batches, and read once at a start. Nothing is concluded from a stream that isn't found there.
+ *
+ * @packageDocumentation
+ */
+import * as z from "zod";
+import type { ExpiringLog } from "../serving/types.js";
+import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
+import { originSchema } from "./messages.js";
+import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
+import type { StreamOrigin } from "./types.js";
+
+/** Archive of one instance. */
+export interface StreamArchive {
+    /** Adds streams to the next batch. */
+    readonly add: (streams: readonly StreamRecord[]) => void;
+    /** Finds a stream from before the start; waits a while for the records to be read. */
+    readonly find: (key: string) => Promise<StreamOrigin | undefined>;
+    /** Reads the records that earlier instances have written; tries again until it succeeds or they are too old. */
+    readonly load: () => Promise<void>;
+}
+
+/** Time in which streams are collected before they are written. */
+const batchMilliseconds = 300;
+/** Streams in one record; a record of the store has a size limit. */
+const streamsPerRecord = 2_000;
+/** Streams that wait for a write; more are lost while the store is away. */
+const maximumWaitingStreams = 8_000;
+const maximumArchivedStreams = 32_768;
+/** Time after the start in which clients return whose streams began before it. */
+const archiveLifetimeMilliseconds = 60_000;
+const loadRetryMilliseconds = 500;
+/** Longest wait of a request for the records to be read. */
+const findWaitMilliseconds = 300;
+const recordSchema = z.object({ streams: z.array(z.object({ origin: originSchema, keys: z.array(z.string()) })) });
+const log = createLogger("resumption");
+
+/**
+ * Creates an archive.
+ *
+ * @param clock - source of the pauses
+ * @param store - log that the records are written to
+ * @returns the archive, of which nothing is loaded yet
+ */
+export function createStreamArchive(clock: Clock, store: ExpiringLog): StreamArchive {
+    const archived = createStreamRecords(maximumArchivedStreams);
+    let waiting: StreamRecord[] = [];
+    let isWriting = false;
+    let loading: Promise<void> = Promise.resolve();
+    const writeBatch = async (): Promise<void> => {
+        const batch = waiting.slice(0, streamsPerRecord);
+        waiting = waiting.slice(streamsPerRecord);
+        const written = await store.append(encodeRecord(batch));
+        if (!written.ok) {
+            waiting = [...batch, ...waiting].slice(-maximumWaitingStreams);
+            log.warn("streams not written", { ...written.error, waiting: waiting.length });
+        }
+    };
+    const write = async (): Promise<void> => {
+        isWriting = true;
+        while (waiting.length > 0) {
+            await clock.sleep(batchMilliseconds);
+            await writeBatch();
+        }
+        isWriting = false;
+    };
+    const readRecords = async (expiresAt: Milliseconds): Promise<boolean> => {
+        const records = await store.readAll();
+        if (!records.ok) {
+            log.warn("streams not read", { ...records.error });
+            return false;
+        }
+        const streams = records.value.flatMap(decodeRecord);
+        streams.forEach(stream => archived.put(stream, expiresAt));
+        log.info("streams read", { records: records.value.length, streams: streams.length });
+        return true;
+    };
+    const load = async (): Promise<void> => {
+        const expiresAt = clock.now() + archiveLifetimeMilliseconds;
+        while (!await readRecords(expiresAt) && clock.now() < expiresAt) {
+            await clock.sleep(loadRetryMilliseconds);
+        }
+    };
+    return {
+        add: streams => {
+            waiting = [...waiting, ...streams].slice(-maximumWaitingStreams);
+            if (!isWriting) {
+                void write();
+            }
+        },
+        find: async key => {
+            const cancel = new AbortController();
+            await Promise.race([loading, clock.sleep(findWaitMilliseconds, cancel.signal)]);
+            cancel.abort();
+            return archived.find(key, clock.now());
+        },
+        load: () => {
+            loading = load();
+            return loading;
+        },
+    };
+}
+
+function encodeRecord(streams: readonly StreamRecord[]): Uint8Array {
+    const byOrigin = new Map<string, { readonly origin: StreamOrigin; readonly keys: string[]; }>();
+    for (const { key, origin } of streams) {
+        const name = JSON.stringify([origin.service, origin.version]);
+        const entry = byOrigin.get(name) ?? { origin, keys: [] };
+        byOrigin.set(name, entry);
+        entry.keys.push(key);
+    }
+    return Buffer.from(JSON.stringify({ streams: [...byOrigin.values()] }));
+}
+
+// a record that can't be read, as of an instance of another version, tells nothing
+function decodeRecord(record: Uint8Array): readonly StreamRecord[] {
+    try {
+        const { streams } = recordSchema.parse(JSON.parse(Buffer.from(record).toString()));
+        return streams.flatMap(({ origin, keys }) => keys.map(key => ({ key, origin })));
+    }
+    catch (error) {
+        log.warn("record of streams passed over", { bytes: record.length, error: String(error).slice(0, 200) });
+        return [];
+    }
+}
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -12,6 +12,7 @@
 import { listKeepers } from "./keepers.js";
 import { type ResumptionMessage, resumptionMessageSchema } from "./messages.js";
 import { decideOrigin, type OriginAnswer } from "./originDecision.js";
+import type { StreamArchive } from "./streamArchive.js";
 import { computeStreamKey, type StreamKey } from "./streamKey.js";
 import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
 import type { OriginDecision, OriginView, StreamId, StreamOrigin } from "./types.js";
@@ -26,6 +27,8 @@
     readonly shardCount: number;
     /** Whether no server has served before this instance started. */
     readonly isFirstStart: boolean;
+    /** Streams from before the start of all instances. */
+    readonly archive: StreamArchive;
     /** Longest time from the beginning of a stream to the end of a client's last return. */
     readonly readStreamLifetime: () => Milliseconds;
 }
@@ -64,7 +67,7 @@
  * @returns the origins, without streams
  */
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
-    const { clock, holders, network, self } = options;
+    const { archive, clock, holders, network, self } = options;
     const history = createVersionHistory(options.isFirstStart);
     const own = createStreamRecords(maximumOwnStreams);
     const kept = createStreamRecords(maximumKeptStreams);
@@ -81,6 +84,7 @@
     const sendRecords = (
         records: readonly StreamRecord[],
         listReceivers: (key: StreamKey) => readonly InstanceId[],
+        isCopy = false,
     ): void => {
         const byKeeper = new Map<InstanceId, StreamRecord[]>();
         for (const record of records) {
@@ -94,10 +98,15 @@
         for (const [keeper, streams] of byKeeper) {
             for (let first = 0; first < streams.length; first += streamsPerMessage) {
                 const part = streams.slice(first, first + streamsPerMessage);
-                network.send(keeper, "resumption", { kind: "began", streams: part });
+                network.send(keeper, "resumption", { kind: "began", streams: part, isCopy });
             }
         }
     };
+    // those that are told write the streams to the store, so that few instances write
+    const publishStreams = (records: readonly StreamRecord[]): void => {
+        sendRecords(records, listCopies);
+        archive.add(records.filter(({ key }) => listCopies(key).length === 0));
+    };
     const createAnswer = (key: StreamKey | undefined, services: readonly string[]): OriginAnswer => {
         const now = clock.now();
         const origin = key === undefined ? undefined : kept.find(key, now) ?? own.find(key, now);
@@ -127,8 +136,10 @@
     const find = async (stream: StreamId, services: readonly string[]): Promise<OriginDecision> => {
         const key = computeStreamKey(stream);
         const ownOrigin = key === undefined ? undefined : own.find(key, clock.now());
-        if (ownOrigin) {
-            return { kind: "known", origin: ownOrigin };
+        const archived = key === undefined || ownOrigin ? undefined : await archive.find(key);
+        const known = ownOrigin ?? archived;
+        if (known) {
+            return { kind: "known", origin: known };
         }
         const asks = listHolders(key ?? "", askedCount).map(keeper => requestOrigin(keeper, key, services));
         const answers = await collectAnswers(asks);
@@ -157,7 +168,7 @@
             // others can't rule out an earlier version while this instance can't
             const { origins, isComplete } = readView(services);
             if (origins.length > 1 || !isComplete) {
-                sendRecords([{ key, origin }], listCopies);
+                publishStreams([{ key, origin }]);
             }
         },
         markComplete: stream => {
@@ -177,13 +188,16 @@
             if (mixed.length > 0) {
                 const streams = own.list(clock.now()).filter(({ origin }) => mixed.includes(origin.service));
                 log.info("several software versions", { services: mixed.join(), streams: streams.length });
-                sendRecords(streams, listCopies);
+                publishStreams(streams);
             }
         },
         handleMessage: message => {
             switch (message.kind) {
                 case "began":
                     keep(message.streams);
+                    if (!message.isCopy) {
+                        archive.add(message.streams);
+                    }
                     return undefined;
                 case "askOrigin": {
                     const { origin, origins, isComplete } = createAnswer(message.key, message.services);
@@ -203,6 +217,7 @@
                 sendRecords(
                     kept.list(now),
                     key => listHolders(key, askedCount).filter(keeper => gained.includes(keeper)),
+                    true,
                 );
             }
         },
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -2,7 +2,7 @@
  * A few whole instances on local ports, with a store in memory and servers that can end under a request or name a limit.
  */
 import { sendRequest, type TestAnswer, type TestRequest } from "./testClient.js";
-import { putTestConfiguration, startTestInstance } from "./testInstance.js";
+import { putTestConfiguration, startTestInstance, type TestInstance } from "./testInstance.js";
 import {
     createServerLinks,
     findFreePorts,
@@ -40,6 +40,10 @@
     readonly stopInstance: (instance: number) => Promise<void>;
     /** Gives each shard another holder. */
     readonly moveShards: () => void;
+    /** Ends all instances and starts them again; nothing of them is left but what is in the store. */
+    readonly restartInstances: () => Promise<void>;
+    /** Has writes and reads of what began streams fail, or ends that. */
+    readonly setStoreAway: (isAway: boolean) => void;
     readonly stop: () => Promise<void>;
 }
 
@@ -61,27 +65,44 @@
         ),
     );
     putTestConfiguration(store);
-    const ports = await findFreePorts(options.instances * 4);
+    let ports: readonly number[] = [];
     const links = await Promise.all(
         Array.from({ length: options.instances }, () => createServerLinks(servers.map(({ readPort }) => readPort))),
     );
-    const running = Array.from({ length: options.instances }, (unused, index) => {
+    const startInstance = (index: number, isFirstStart: boolean): TestInstance => {
         const started = startTestInstance({
             name: `front-${index}`,
             ports: ports.slice(index * 4, index * 4 + 4),
             store,
+            isFirstStart,
             translateAddress: links[index]!.translate,
         });
         stopping.signal.addEventListener("abort", started.stop);
         return started;
-    });
-    await pause(1_200);
+    };
+    const startAll = async (isFirstStart: boolean): Promise<readonly TestInstance[]> => {
+        // ports of an earlier run may have been taken since
+        ports = await findFreePorts(options.instances * 4);
+        const started = Array.from(
+            { length: options.instances },
+            (unused, index) => startInstance(index, isFirstStart),
+        );
+        await pause(1_200);
+        return started;
+    };
+    let running = await startAll(true);
     return {
         send: (instance, request) => sendRequest(ports[instance * 4]!, request),
         arrivals,
         crashes,
         servers,
         moveShards: store.moveShards,
+        setStoreAway: store.setAway,
+        restartInstances: async () => {
+            running.forEach(instance => instance.stop());
+            await Promise.all(running.map(({ ended }) => ended));
+            running = await startAll(false);
+        },
         setCut: (instance, cut) => links[instance]!.setCut(cut),
         stopInstance: index => {
             running[index]!.stop();
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -13,6 +13,8 @@
     /** Ports for clients, the readiness probe, other instances and metrics. */
     readonly ports: readonly number[];
     readonly store: MemoryStore;
+    /** Whether no server has served before. @default true */
+    readonly isFirstStart?: boolean;
     /** Returns the address at which this instance reaches a server that is listed with another one. */
     readonly translateAddress: (address: string) => string;
 }
@@ -39,7 +41,8 @@
  * @param options - name, ports and store
  * @returns the instance
  */
-export function startTestInstance({ name, ports, store, translateAddress }: TestInstanceOptions): TestInstance {
+export function startTestInstance(options: TestInstanceOptions): TestInstance {
+    const { name, ports, store, translateAddress, isFirstStart = true } = options;
     const [clientPort, readyPort, peerPort, metricsPort] = ports;
     const instance = createServingInstance({
         instanceName: name,
@@ -57,13 +60,14 @@
         revocationBound: 5_000,
         versionBound: 5_000,
         grace: 1_000,
-        isFirstStart: true,
+        isFirstStart,
         quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
         retry: { window: 10_000, ratio: 0.2, slack: 50 },
         clock: createSystemClock(),
     }, {
         log: store,
         shards: store.group,
+        streams: store.streams,
         control: {
             order: async () => ({ kind: "unreachable" }),
             report: async () => wrapError({ kind: "unanswered", detail: "no engine" }),
--- a/src/serving/__tests__/testStore.ts
+++ b/src/serving/__tests__/testStore.ts
@@ -2,13 +2,16 @@
  * The platform's store in memory, for tests over whole instances.
  */
 import type { ShardGroup } from "../../adapters/types.js";
-import { wrapValue } from "../../shared/index.js";
-import type { KeyedLog, KeyedRecord, KeyedTopic } from "../types.js";
+import { wrapError, wrapValue } from "../../shared/index.js";
+import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedTopic } from "../types.js";
 
 /** Store in memory: keyed topics with delayed reads, and shards dealt to its members in turn. */
 export interface MemoryStore extends KeyedLog {
     readonly put: (topic: KeyedTopic, key: string, value: Uint8Array | undefined) => void;
     readonly group: ShardGroup;
+    /** Log without keys, whose records don't expire; a write fails while the store is away. */
+    readonly streams: ExpiringLog;
+    readonly setAway: (isAway: boolean) => void;
     /** Deals each shard to the next member, under a new generation. */
     readonly moveShards: () => void;
 }
@@ -27,6 +30,8 @@
         return state;
     };
     const members: string[] = [];
+    const streamRecords: Uint8Array[] = [];
+    let isAway = false;
     let generation = 0;
     let moves = 0;
     const findOwner = (shard: number): string => members[(shard + moves) % members.length]!;
@@ -58,6 +63,17 @@
             put(topic, key, value);
             return wrapValue(undefined);
         },
+        setAway: next => isAway = next,
+        streams: {
+            append: async record => {
+                if (isAway) {
+                    return wrapError({ kind: "unreachable", detail: "away" });
+                }
+                streamRecords.push(record);
+                return wrapValue(undefined);
+            },
+            readAll: async () => isAway ? wrapError({ kind: "unreachable", detail: "away" }) : wrapValue(streamRecords),
+        },
         group: {
             join: async member => {
                 if (!members.includes(member)) {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -11,7 +11,7 @@
 import { checkServer, createForwardingConnections, forwardingMessageSchema } from "../forwarding/index.js";
 import { createPeerTask } from "../peers/peerTask.js";
 import { createRequestGuard, quarantineMessageSchema } from "../quarantine/index.js";
-import { createStreamOrigins, resumptionMessageSchema } from "../resumption/index.js";
+import { createStreamArchive, createStreamOrigins, resumptionMessageSchema } from "../resumption/index.js";
 import {
     type Clock,
     createLogger,
@@ -48,6 +48,7 @@
 import { createTopicCache } from "./topicCache.js";
 import {
     type BackendServer,
+    type ExpiringLog,
     formatServerRunId,
     type HeaderCodec,
     type KeyedLog,
@@ -59,6 +60,8 @@
 export interface ServingDependencies {
     /** Keyed topics of the platform's store. */
     readonly log: KeyedLog;
+    /** Log of what began streams. */
+    readonly streams: ExpiringLog;
     /** Group in which the store assigns shards of engines to instances. */
     readonly shards: ShardGroup;
     /** Calls that load and unload adapters. */
@@ -323,6 +326,7 @@
         append: dependencies.log.append,
     });
     const readStreamLifetime = (): Milliseconds => computeStreamLifetime(configuration.read()?.config.routes ?? []);
+    const archive = createStreamArchive(clock, dependencies.streams);
     const origins = createStreamOrigins({
         self: self.id,
         clock,
@@ -330,6 +334,7 @@
         holders: adapters.holders,
         shardCount: options.shardCount,
         isFirstStart: options.isFirstStart,
+        archive,
         readStreamLifetime,
     });
     let knownServers: readonly BackendServer[] = [];
@@ -481,6 +486,9 @@
         const stopping = new AbortController();
         await peers.listen();
         const running = supervisor.run(stopping.signal);
+        if (!options.isFirstStart) {
+            void archive.load();
+        }
         await Promise.all([clientServer.listen(), readinessServer.listen(), metricsServer.listen()]);
         log.info("started", { id: self.id, host: options.host, domain: options.failureDomain });
         await new Promise<void>(resolve => {
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -291,7 +291,7 @@
     /** The store did nothing; the call may be retried. */
     | { readonly kind: "busy"; readonly status: number; }
     /** The store no longer has the requested offset; read the newest records instead. */
-    | { readonly kind: "expired"; }
+    | { readonly kind: "expired"; readonly firstOffset?: number; }
     /** The store rejected the call, or its response could not be decoded. */
     | { readonly kind: "refused"; readonly status: number; readonly detail: string; };
 
@@ -335,6 +335,14 @@
     ) => Promise<Result<undefined, StoreError>>;
 }
 
+/** Log of the platform's store whose records expire after a while. */
+export interface ExpiringLog {
+    /** Writes one record. */
+    readonly append: (record: Uint8Array) => Promise<Result<undefined, StoreError>>;
+    /** Reads all records that the store still has, oldest first. */
+    readonly readAll: () => Promise<Result<readonly Uint8Array[], StoreError>>;
+}
+
 /** A record that the operator wrote. */
 export type OperatorRecord =
     | { readonly kind: "configuration"; readonly config: ServingConfig; }
