fix(serving): a refusal counts only for the request that it names

A copy with the id of an earlier request was answered 502 already. A second way, found by reading: a request that is sent again to a server that has refused it (421, then loaded there) has the same id on the same kept connection, and a copy of the 421 was believed.

A refusal that doesn't name the request is a crossed response now: the request may have run. A request goes to a server that has refused it on a connection of its own, on which no such copy can come. Both tests failed before.

--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -102,6 +102,7 @@
             target,
             headers,
             body,
+            wasRefused: request.wasRefused,
         };
         while (!isOver) {
             const answer = await requestHelper(message);
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -114,6 +114,7 @@
                     target: message.target,
                     headers: message.headers,
                     body: message.body && Buffer.from(message.body),
+                    wasRefused: message.wasRefused,
                 },
                 {
                     onHead: head => add(entry, { kind: "head", head }),
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -57,6 +57,8 @@
         target: z.string(),
         headers: z.array(z.string()),
         body: bytes.optional(),
+        // whether the server has refused this request before
+        wasRefused: z.boolean().optional(),
     }),
     // the events since the last answer; the receiver waits a while for the first one
     z.object({ kind: z.literal("read"), id: z.string() }),
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -12,9 +12,9 @@
     encodeRefusalHeaders: () => [],
     decodeResponseHead: (status, rawHeaders) => ({
         status,
-        attemptId: rawHeaders[rawHeaders.indexOf("Id") + 1],
+        attemptId: rawHeaders.includes("Id") ? rawHeaders[rawHeaders.indexOf("Id") + 1] : undefined,
         isSigned: true,
-        isNotRun: false,
+        isNotRun: rawHeaders.includes("Not-Run"),
         load: undefined,
         requestLimit: undefined,
         retryAfter: undefined,
@@ -107,7 +107,10 @@
     connections: ServerConnections,
     port: number,
     attemptId: string,
-    onSent: (attempt: Attempt) => void = () => undefined,
+    { onSent = () => undefined, wasRefused = false }: {
+        readonly onSent?: (attempt: Attempt) => void;
+        readonly wasRefused?: boolean;
+    } = {},
 ): Promise<Omit<ObservedAttempt, "received">> {
     const server: BackendServer = {
         id: "i-1",
@@ -130,9 +133,10 @@
                 target: "/a?b",
                 headers: ["X-A", "1"],
                 body: Buffer.from("x\xff", "latin1"),
+                wasRefused,
             },
             {
-                onHead: () => undefined,
+                onHead: ({ isNotRun }) => isNotRun && resolve({ end: "refused", body }),
                 onData: chunk => body += chunk.toString("latin1"),
                 onEnd: () => resolve({ end: "end", body }),
                 onFault: fault => resolve({ end: fault.kind, body }),
@@ -250,7 +254,7 @@
             onLeaving: () => undefined,
             idleTimeout: 1_000,
         });
-        void sendOnce(connections, port, "7", attempt => first = attempt);
+        void sendOnce(connections, port, "7", { onSent: attempt => first = attempt });
         await new Promise(resolve => setTimeout(resolve, 50));
         const { end } = await sendOnce(connections, port, "7");
         connections.close();
@@ -261,4 +265,44 @@
             written: 1,
         });
     });
+
+    // guards against a caller that is told "not run" of a request that a server runs (REFUSED, TWICE)
+    it("isn't refused by an answer that names no request, or by a second copy of an earlier refusal", async () => {
+        const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n";
+        const named = await runAttempt(socket => socket.write(`${refusal}Id: 7\r\n\r\n`));
+        const unnamed = await runAttempt(socket => socket.write(`${refusal}\r\n`));
+        const foreign = await runAttempt(socket => socket.write(`${refusal}Id: 6\r\n\r\n`));
+        expect([named, unnamed, foreign].map(({ end }) => end)).to.deep.equal(["refused", "crossed", "crossed"]);
+    });
+
+    // the copy names the same attempt, as a request is sent to a server again once its adapter is loaded there
+    it("isn't refused by a second copy when it is sent to the server again that has refused it", async () => {
+        const refusal = "HTTP/1.1 421 Elsewhere\r\nNot-Run: 1\r\nId: 7\r\nContent-Length: 0\r\n\r\n";
+        const served = new Map<Socket, number>();
+        let requests = 0;
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.on("data", () => {
+                requests++;
+                const ofSocket = (served.get(socket) ?? 0) + 1;
+                served.set(socket, ofSocket);
+                // the earlier refusal is written once more where the answer to the second request is due
+                socket.write(requests === 1 || ofSocket > 1 ? refusal : `${head}Content-Length: 3\r\n\r\nabc`);
+            });
+        });
+        const port = await listen(server);
+        const connections = createServerConnections({
+            headers: codec,
+            findConnectionLimit: () => 1,
+            mayReceive: () => true,
+            loop: onTime,
+            onLeaving: () => undefined,
+            idleTimeout: 1_000,
+        });
+        const first = await sendOnce(connections, port, "7");
+        const second = await sendOnce(connections, port, "7", { wasRefused: true });
+        connections.close();
+        server.close();
+        expect([first.end, second]).to.deep.equal(["refused", { end: "end", body: "abc" }]);
+    });
 });
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -92,6 +92,8 @@
     readonly stages: RequestStages;
     /** Servers that may have received the request. */
     readonly triedServers: Set<ServerRunId>;
+    /** Servers that have said of this request that they haven't run it. */
+    readonly refusedBy: Set<ServerRunId>;
     /** Servers that the request must not be sent to again. */
     readonly excludedServers: Set<ServerRunId>;
     /** Attempts so far, including those that no server has received or run. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -255,6 +255,7 @@
                     lastEventId: state.lastEventId,
                 }),
                 body: state.body,
+                wasRefused: state.refusedBy.has(run),
             },
             { onHead: handleHead, onData: handleData, onEnd: handleEnd, onFault: handleFault },
         );
@@ -321,6 +322,7 @@
         recordLimit(parts, selected.server, head.requestLimit);
     }
     if (head.isNotRun) {
+        state.refusedBy.add(run);
         if (state.request.choice && head.status === misdirectedStatus) {
             state.placeOutcome = "missing";
         }
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -92,6 +92,7 @@
         signal,
         stages,
         triedServers: new Set(),
+        refusedBy: new Set(),
         excludedServers: new Set(),
         attemptCount: 0,
         mayHaveRun: false,
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -29,7 +29,7 @@
      * has no part in it.
      */
     | { readonly kind: "broken"; readonly detail: string; readonly isBetweenInstances?: boolean; }
-    /** The response carries the attempt id of another request; this request may have run. */
+    /** The response belongs to another request, or may do so; this request may have run. */
     | { readonly kind: "crossed"; readonly detail: string; };
 
 /** Callbacks of an attempt. None is called after `onEnd`, `onFault` or `abort`. */
@@ -59,6 +59,11 @@
     /** Names and values in turn. */
     readonly headers: string[];
     readonly body: Buffer | undefined;
+    /**
+     * Whether this server has refused the request before: a second copy of that answer would be taken for one to this
+     * attempt, so that it gets a connection of its own.
+     */
+    readonly wasRefused?: boolean;
 }
 
 /** Connections to all backend servers. */
@@ -103,26 +108,30 @@
     const pools = new Map<ServerRunId, Pool>();
     const unsentAttempts = createUnsentAttempts();
     const resetDetector = createResetDetector();
+    const createPool = (server: BackendServer, poolOptions: Pool.Options): Pool =>
+        new Pool(`http://${server.address}`, {
+            pipelining: 1,
+            connect: resetDetector.connect,
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            keepAliveTimeout: options.idleTimeout,
+            ...poolOptions,
+        });
     const getPool = (server: BackendServer): Pool => {
         const run = formatServerRunId(server);
         let pool = pools.get(run);
         if (!pool) {
-            pool = new Pool(`http://${server.address}`, {
-                connections: options.findConnectionLimit(server),
-                pipelining: 1,
-                connect: resetDetector.connect,
-                headersTimeout: 0,
-                bodyTimeout: 0,
-                keepAliveTimeout: options.idleTimeout,
-            });
+            pool = createPool(server, { connections: options.findConnectionLimit(server) });
             pools.set(run, pool);
         }
         return pool;
     };
+    const getPoolFor = ({ server, wasRefused }: AttemptRequest): Pool =>
+        wasRefused ? createPool(server, { connections: 1, maxRequestsPerClient: 1 }) : getPool(server);
     return {
         send: (request, handlers) =>
             options.mayReceive(formatServerRunId(request.server))
-                ? sendAttempt(getPool(request.server), options, { resetDetector, unsentAttempts }, request, handlers)
+                ? sendAttempt(getPoolFor(request), options, { resetDetector, unsentAttempts }, request, handlers)
                 : withdrawAttempt(handlers),
         remove: run => {
             const pool = pools.get(run);
@@ -258,10 +267,9 @@
             if (isOver) {
                 return;
             }
-            if (head.attemptId !== undefined && head.attemptId !== request.attemptId) {
-                finish(() =>
-                    handlers.onFault({ kind: "crossed", detail: `response carries attempt id ${head.attemptId}` })
-                );
+            if (!isOwnResponse(head, request)) {
+                const detail = `response of status ${head.status} carries attempt id ${head.attemptId ?? "none"}`;
+                finish(() => handlers.onFault({ kind: "crossed", detail }));
                 started.abort(new Error("response belongs to another request"));
                 return;
             }
@@ -320,6 +328,11 @@
     return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
 }
 
+// a refusal is believed only when it names this request: it may be a second copy of an answer to an earlier one
+function isOwnResponse(head: ServerResponseHead, request: AttemptRequest): boolean {
+    return head.attemptId === request.attemptId || (head.attemptId === undefined && !head.isNotRun);
+}
+
 function convertHeaders(rawHeaders: unknown, headers: IncomingHttpHeaders): string[] {
     if (Array.isArray(rawHeaders)) {
         return rawHeaders.map(part => Buffer.isBuffer(part) ? part.toString("latin1") : String(part));
