fix(serving): only the next events of a stream enter it

An error status, an unsigned answer or one of another type never got through.

What enters a stream that may be resumed is whole events with an id above the last one, each line of them a field of events; anything else ends the answer as broken, and it goes on elsewhere while that is allowed. The first answer is held to the same rule; in a stream whose events have no ids only lines that are no event are refused.

--- a/src/serving/__tests__/decisions.test.ts
+++ b/src/serving/__tests__/decisions.test.ts
@@ -79,7 +79,7 @@
     it("returns complete events only, with unchanged bytes, for any chunk size", () => {
         const stream = Buffer.from("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nx: 1\nid: 13\ndata: c\n\nid: 14\nda");
         for (let size = 1; size <= stream.length; size++) {
-            const splitter = createEventSplitter();
+            const splitter = createEventSplitter({ after: undefined, isNumbered: true });
             const passed: Buffer[] = [];
             let lastId: number | undefined;
             for (let start = 0; start < stream.length; start += size) {
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -344,6 +344,28 @@
         expect([single.sent.length, single.end]).to.deep.equal([1, "destroyed"]);
     });
 
+    // guards against an error's text, a second answer's head or events twice in the middle of a client's stream
+    it("goes on with a stream at another server when one writes anything but its next events", async () => {
+        const head = createHead({ isEventStream: true });
+        const createScript = (text: string, end: "end" | "break"): AttemptScript => handlers => {
+            handlers.onHead(head);
+            handlers.onData(Buffer.from(text));
+            return end === "end" ? handlers.onEnd() : handlers.onFault({ kind: "broken", detail: "ECONNRESET" });
+        };
+        const writeFirst = createScript("id: 1\ndata: a\n\n", "break");
+        const writeLast = createScript("id: 2\ndata: b\n\n", "end");
+        const texts = ["internal error\n\n", "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "id: 1\ndata: a\n\n"];
+        for (const text of texts) {
+            const outcome = await runCase({
+                route: { ...resumable, attemptLimit: 3 },
+                attempts: [writeFirst, createScript(text, "end"), writeLast],
+            });
+            expect(outcome, text).to.deep.include({ body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", end: "end" });
+            const cut = await runCase({ route: resumable, attempts: [writeFirst, createScript(text, "end")] });
+            expect(cut, text).to.deep.include({ body: "id: 1\ndata: a\n\n", end: "destroyed" });
+        }
+    });
+
     // guards against memory that fills with an event that never ends, or with bytes that are no events
     it("gives a stream up that sends bytes without end, and resumes it on another server", async () => {
         const chunk = Buffer.alloc(65_536, "x");
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -6,7 +6,7 @@
  */
 import type { GuardedRequest } from "../quarantine/index.js";
 import { createLogger, type Milliseconds } from "../shared/index.js";
-import { createEventSplitter, type EventSplitter } from "./eventSplitter.js";
+import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
 import type { Attempt, AttemptFault } from "./serverConnections.js";
@@ -138,7 +138,12 @@
             }
             mode = "delivering";
             state.beganAt = head.status < lowestRedirectStatus ? parts.clock.now() : undefined;
-            splitter = head.isEventStream ? createEventSplitter() : undefined;
+            splitter = head.isEventStream
+                ? createEventSplitter({
+                    after: state.lastEventId,
+                    isNumbered: route.kind === "stream" && route.canResume,
+                })
+                : undefined;
             if (head.isEventStream || (head.contentLength ?? 0) > responseBufferBytes) {
                 deliverHead(head, isRetryable(route) ? undefined : head.contentLength);
             }
@@ -176,20 +181,24 @@
                 return;
             }
             const resumedAfter = state.lastEventId;
-            const bytes = splitter ? takeCompleteEvents(state, splitter, chunk, parts.clock.now()) : chunk;
-            if (splitter && bytes.length > 0) {
+            const events = splitter && takeCompleteEvents(state, splitter, chunk, parts.clock.now());
+            const bytes = events?.bytes ?? chunk;
+            if (events && bytes.length > 0) {
                 recordDelivery(parts, state, server, resumedAfter);
             }
-            if (splitter && splitter.countUselessBytes() > uselessBytesLimit) {
-                attempt?.abort();
-                isUseless = true;
-                handleFault({ kind: "broken", detail: `${uselessBytesLimit} bytes without an event` });
-                return;
-            }
             if (bytes.length > 0 && !state.answer.write(bytes)) {
                 attempt?.pause();
                 state.answer.onDrain(() => attempt?.resume());
             }
+            const useless = events?.foreign ??
+                (splitter && splitter.countUselessBytes() > uselessBytesLimit
+                    ? `${uselessBytesLimit} bytes without an event`
+                    : undefined);
+            if (useless !== undefined) {
+                attempt?.abort();
+                isUseless = true;
+                handleFault({ kind: "broken", detail: useless });
+            }
         };
         const handleFault = (fault: AttemptFault): void => {
             if (mode === "ignoring") {
@@ -293,12 +302,17 @@
     return state.request.choice && Math.min(lowestPriority, account?.priority ?? route.priority);
 }
 
-function takeCompleteEvents(state: RequestState, splitter: EventSplitter, chunk: Buffer, now: Milliseconds): Buffer {
+function takeCompleteEvents(
+    state: RequestState,
+    splitter: EventSplitter,
+    chunk: Buffer,
+    now: Milliseconds,
+): SplitEvents {
     const events = splitter.push(chunk);
     state.longestPause = Math.max(state.longestPause, now - (state.lastDataAt ?? now));
     state.lastDataAt = now;
     state.lastEventId = events.lastId ?? state.lastEventId;
-    return events.bytes;
+    return events;
 }
 
 function recordResponseHead(
