fix(serving): streams that are taken up go before new requests where a quota is short

A stream that is taken up may wait up to a second for units of its account's bucket, others 120 ms as before. What is admitted stays within the rate, as it is sent only when its units are there. Test failed before (half of the units went to new requests).

--- a/src/serving/__tests__/accountLimits.test.ts
+++ b/src/serving/__tests__/accountLimits.test.ts
@@ -301,6 +301,30 @@
         expect((await takeMost()).kind).to.equal("exceeded");
     });
 
+    // guards against streams that can't go on because new requests use up what a bucket gets back, as after a restart
+    it("let streams that are taken up go before new requests, within the same rate", async () => {
+        const fleet = createFleet({ size: 1 });
+        fleet.now = 60_000;
+        const limits = fleet.limits[0]!;
+        const units = 300;
+        let admitted = 0;
+        let resumed = 0;
+        // uses up what is there at the start
+        while ((await limits.take(account, units)).kind === "admitted") {
+            fleet.now += 1;
+        }
+        const startedAt = fleet.now;
+        for (; fleet.now < startedAt + 8_000; fleet.now += 100) {
+            const isNew = (await limits.take(account, units)).kind === "admitted";
+            const isResumed = (await limits.take(account, units, true)).kind === "admitted";
+            admitted += Number(isNew) + Number(isResumed);
+            resumed += Number(isResumed);
+        }
+        // what came, and what is waited for at the end
+        expect(admitted * units).to.be.at.most(9 * ratePerSecond);
+        expect(resumed).to.be.above(0.8 * admitted);
+    });
+
     it("apply a lower rate at once", () => {
         const holder = createQuotaHolder({ countInstances: () => 1, findShard: () => 0 });
         const request = { account: "acme", admittedAlone: 0, allowance: 0 };
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -13,7 +13,7 @@
 /** Quotas of all client accounts. */
 export interface AccountLimits {
     /** Admits a request of `units` or returns how long to wait. An account without a quota has no limit. */
-    readonly take: (account: ServingAccount, units: number) => Promise<QuotaDecision>;
+    readonly take: (account: ServingAccount, units: number, isResumed?: boolean) => Promise<QuotaDecision>;
     /** Gives the units of an admitted request back that no server has run. */
     readonly giveBack: (account: ServingAccount, units: number) => void;
 }
@@ -110,7 +110,7 @@
         return { kind: "admitted", delay: 0 };
     };
     return {
-        take: async (account, units) => {
+        take: async (account, units, isResumed = false) => {
             const { quota } = account;
             if (!quota) {
                 return { kind: "admitted", delay: 0 };
@@ -120,7 +120,7 @@
             // requests that are decided at the same time must not pass the same units on twice
             state.admittedAlone = 0;
             state.allowance = state.allowance === undefined ? undefined : 0;
-            const decision = await options.ask({ account: account.name, units, admittedAlone, allowance });
+            const decision = await options.ask({ account: account.name, units, admittedAlone, allowance, isResumed });
             if (!decision) {
                 state.admittedAlone += admittedAlone;
                 state.allowance = state.allowance === undefined ? undefined : state.allowance + allowance;
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -106,7 +106,8 @@
     if (!account?.quota) {
         return admitted;
     }
-    const taken = parts.limits.take(account, computeRequestCost(account, request));
+    const isResumed = admitted.origin !== undefined;
+    const taken = parts.limits.take(account, computeRequestCost(account, request), isResumed);
     const decision = await waitUnlessAborted(taken, signal);
     if (!decision) {
         void taken.then(({ kind }) => kind === "admitted" && returnQuota(parts, admitted, request));
--- a/src/serving/quotaBucket.ts
+++ b/src/serving/quotaBucket.ts
@@ -11,9 +11,9 @@
 export interface QuotaBucket {
     /**
      * Takes `amount` units if the bucket has them, or has them soon. A full bucket admits any amount, and its level may
-     * then fall below zero.
+     * then fall below zero. A resumed stream may wait longer for its units than others, so that it goes before them.
      */
-    readonly take: (amount: number, now: Milliseconds) => QuotaDecision;
+    readonly take: (amount: number, now: Milliseconds, isResumed?: boolean) => QuotaDecision;
     /** Adds units that may be used in addition to the rate. */
     readonly grant: (amount: number) => void;
     /** Adds units that were taken and not used. */
@@ -30,6 +30,7 @@
 const debtLimitSeconds = 4;
 /** Longest delay of an admitted request; a holder that has just taken over starts with an empty bucket. */
 const delayLimitMilliseconds = 120;
+const resumedDelayLimitMilliseconds = 1_000;
 
 /**
  * Creates an empty bucket. It doesn't start full because the account may have used its rate at the previous holder.
@@ -50,13 +51,13 @@
         updatedAt = present;
     };
     return {
-        take: (amount, present) => {
+        take: (amount, present, isResumed = false) => {
             fillLevel(present);
             // a full bucket admits a request larger than the burst, which could otherwise never run
             const needed = Math.min(amount, limits.burst);
             const rate = Math.max(1, limits.ratePerSecond * share);
             const wait = Math.max(0, (needed - level - allowance) / rate * millisecondsPerSecond);
-            if (wait > delayLimitMilliseconds) {
+            if (wait > (isResumed ? resumedDelayLimitMilliseconds : delayLimitMilliseconds)) {
                 return { kind: "exceeded", wait };
             }
             const granted = Math.min(allowance, amount);
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -99,7 +99,7 @@
             const bucket = getBucket(request.account, quota, now);
             bucket.grant(request.allowance);
             bucket.charge(request.admittedAlone, now);
-            return bucket.take(request.units, now);
+            return bucket.take(request.units, now, request.isResumed);
         },
         giveBack: (account, units, now) => buckets.get(account)?.giveBack(units, now),
         update: (accounts, now) => {
--- a/src/serving/quotaMessages.ts
+++ b/src/serving/quotaMessages.ts
@@ -14,6 +14,8 @@
     readonly admittedAlone: number;
     /** Start allowance that the sender has not passed on yet. */
     readonly allowance: number;
+    /** Whether the request takes up a stream of which its client already has a part. */
+    readonly isResumed?: boolean;
 }
 
 /** Decision on a request for units. */
@@ -31,6 +33,7 @@
         units: z.number().nonnegative(),
         admittedAlone: z.number().nonnegative(),
         allowance: z.number().nonnegative(),
+        isResumed: z.boolean().optional(),
     }),
     z.object({ kind: z.literal("admitted"), delay: z.number() }),
     z.object({ kind: z.literal("exceeded"), wait: z.number() }),
