--- a/src/resumption/streamArchive.ts
+++ b/src/resumption/streamArchive.ts
@@ -21,8 +21,8 @@
     readonly load: () => Promise<void>;
 }
 
-/** Time in which streams are collected before they are written. */
-const batchMilliseconds = 300;
+/** Time in which streams are collected before they are written; those of the last batch are lost when all are killed. */
+const batchMilliseconds = 100;
 /** Streams in one record; a record of the store has a size limit. */
 const streamsPerRecord = 2_000;
 /** Streams that wait for a write; more are lost while the store is away. */
