fix(quarantine): a part of prompts that ends servers is found also when it comes seldom

Cause: each such request ends three servers within a tenth of a second, is blamed by itself a second later, and its ends count for none of its parts from then on; the next request with the part comes after that, so that never two of them meet.

Requests that are blamed by themselves count against a part that at least two different ones of them share, as long as nobody with the part was answered since. One request that ends servers says nothing of its parts, as before.

--- a/src/quarantine/__tests__/crashEvidence.test.ts
+++ b/src/quarantine/__tests__/crashEvidence.test.ts
@@ -148,6 +148,47 @@
     });
 
     // guards against a network that resets all connections at once, which ends no server
+    // guards against a part that comes seldom: each request with it is blamed by itself before the next one comes
+    it("blames the part that several requests have which were each blamed by themselves", () => {
+        const evidence = createCrashEvidence();
+        const blamed: { readonly at: number; readonly scope: BlamedScope["scope"]; }[] = [];
+        for (let now = 0; now < 12_000; now += 20) {
+            const arrival = Math.floor(now / 1_200);
+            // each request ends three servers, one right after the other
+            if ([0, 40, 80].includes(now % 1_200)) {
+                const request = createRequest(`own-${arrival}`, ["first", "bad"], arrival % 2 === 0 ? "acme" : "bolt");
+                evidence.addBreak({ run: `s-${now}`, service: "llm", at: now, requests: [request] });
+            }
+            evidence.addAnswer(createAnswer(["first", "calm"], now));
+            for (const { scope } of evidence.listBlamed(now)) {
+                evidence.addExplanation(scope);
+                blamed.push({ at: now, scope });
+            }
+        }
+        const part = blamed.find(({ scope }) => scope.kind === "part" && scope.part === "bad");
+        const fifthEnd = 1_200 + 40;
+        expect(part?.at).to.be.at.most(fifthEnd + 3_000);
+        expect(blamed.some(({ scope }) => scope.kind === "part" && scope.part === "first")).to.equal(false);
+    });
+
+    // guards against a part that is blamed as it is in a request that ends servers by itself, and in others beside it
+    it("blames no part for one request that ends servers again and again beside others with the same parts", () => {
+        const evidence = createCrashEvidence();
+        const blamed: BlamedScope[] = [];
+        for (let now = 0; now < 12_000; now += 50) {
+            if (now % 400 === 0) {
+                const crashing = createRequest("own-0", ["first", "topic"]);
+                const beside = createRequest(`own-${now}`, ["first", `topic-${now % 1_200}`]);
+                evidence.addBreak({ run: `s-${now}`, service: "llm", at: now, requests: [crashing, beside] });
+            }
+            evidence.addAnswer(createAnswer(["first", `topic-${now % 1_200}`], now + 100));
+            const found = evidence.listBlamed(now);
+            found.forEach(({ scope }) => evidence.addExplanation(scope));
+            blamed.push(...found);
+        }
+        expect(blamed.map(({ scope }) => scope.kind)).to.deep.equal(["request"]);
+    });
+
     it("blames nothing for servers that break off at one moment, or that go on answering", () => {
         const together = createCrashEvidence();
         for (let server = 0; server < 9; server++) {
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -47,7 +47,8 @@
     readonly listBlamed: (now: Milliseconds) => readonly BlamedScope[];
     /**
      * Lets the ends of servers that a scope explains, also of later ones, count against no other. Those that a request
-     * explains still count against the parts of other requests.
+     * explains still count against the parts of other requests, and against those that it shares with other requests that
+     * explain ends.
      */
     readonly addExplanation: (scope: QuarantineScope) => void;
     /** Lets the ends of servers under a scope count again. */
@@ -113,9 +114,16 @@
     const listSuspicions = (recent: readonly ServerBreak[]): readonly Suspicion[] => {
         const suspicions = new Map<ScopeKey, Suspicion>();
         const moments = { part: listMoments(recent, "part"), request: listMoments(recent, "request") };
+        const shared = listSharedParts(recent);
         for (const [index, ended] of recent.entries()) {
             const isEndExplained = ended.requests.some(request => isExplained(describeRequest(request)));
-            for (const request of ended.requests.filter(each => !isExplained(describeRequest(each)))) {
+            for (const request of ended.requests) {
+                if (isExplained(describeRequest(request))) {
+                    listScopes(request)
+                        .filter(scope => shared.has(formatScopeKey(scope)) && ended.at > sound.find(scope))
+                        .forEach(scope => addToSuspicion(suspicions, scope, moments.part[index]!, ended, request));
+                    continue;
+                }
                 listScopes(request)
                     .filter(scope => ended.at > sound.find(scope) && (scope.kind === "part" || !isEndExplained))
                     .forEach(scope => addToSuspicion(suspicions, scope, moments[scope.kind][index]!, ended, request));
@@ -123,6 +131,18 @@
         }
         return [...suspicions.values()];
     };
+    // one request that ends servers says nothing of its parts; different ones that each do so by themselves say what they share
+    const listSharedParts = (recent: readonly ServerBreak[]): ReadonlySet<ScopeKey> => {
+        const owners = new Map<ScopeKey, Set<string>>();
+        const explained = recent.flatMap(({ requests }) => requests).filter(each => isExplained(describeRequest(each)));
+        for (const request of explained) {
+            for (const scope of listScopes(request).filter(({ kind }) => kind === "part")) {
+                const key = formatScopeKey(scope);
+                owners.set(key, (owners.get(key) ?? new Set()).add(request.own));
+            }
+        }
+        return new Set([...owners].filter(([, { size }]) => size >= differentRequestCount).map(([key]) => key));
+    };
     const countOtherAnswers = ({ part }: PartScope, since: Milliseconds): number =>
         answers.filter(answer => answer.beganAt > since && !answer.shared.includes(part)).length;
     const isChance = ({ scope, services, moments }: Suspicion, recent: readonly ServerBreak[]): boolean => {
--- a/src/serving/__tests__/crashingPrompt.test.ts
+++ b/src/serving/__tests__/crashingPrompt.test.ts
@@ -5,6 +5,9 @@
 const runMilliseconds = 9_000;
 const soundIntervalMilliseconds = 25;
 const crashingIntervalMilliseconds = 150;
+/** Longer than it takes to blame a single request, which each of them is then by itself. */
+const rareIntervalMilliseconds = 1_200;
+const rareRunMilliseconds = 14_000;
 
 interface SentRequest {
     readonly at: number;
@@ -13,7 +16,11 @@
 }
 
 // sound requests and such with the crashing part, which share their accounts and all other parts, at all instances
-async function sendRequests(fleet: TestFleet): Promise<readonly SentRequest[]> {
+async function sendRequests(
+    fleet: TestFleet,
+    crashingInterval = crashingIntervalMilliseconds,
+    duration = runMilliseconds,
+): Promise<readonly SentRequest[]> {
     const sent: Promise<SentRequest>[] = [];
     const start = performance.now();
     let count = 0;
@@ -22,12 +29,12 @@
         const at = performance.now();
         const parts = ["first", ...isCrashing ? ["bad"] : [`topic-${count % 7}`], `topic-${count % 5}`, `own-${count}`];
         const key = `${count % 2 === 0 ? "acme" : "bolt"}-key`;
-        const answer = fleet.send(count % 3, { id: `r${count}`, parts, key });
+        const answer = fleet.send(count % 3, { id: `r${count}`, parts, key, body: `body-${count}` });
         sent.push(answer.then(received => ({ at, isCrashing, answer: received })));
     };
     const sound = setInterval(() => send(false), soundIntervalMilliseconds);
-    const crashing = setInterval(() => send(true), crashingIntervalMilliseconds);
-    while (performance.now() - start < runMilliseconds) {
+    const crashing = setInterval(() => send(true), crashingInterval);
+    while (performance.now() - start < duration) {
         await new Promise(resolve => setTimeout(resolve, 50));
     }
     clearInterval(sound);
@@ -77,3 +84,24 @@
         expect(Math.max(...refused.map(({ took }) => took))).to.be.below(500);
     });
 });
+
+describe("requests that end the servers that answer them, and come seldom", () => {
+    // guards against requests that are each quarantined by themselves, while what they share is never found
+    it("reach at most three servers once five have ended and the window to tell all instances is over", async () => {
+        const fleet = await startTestFleet({
+            instances: 3,
+            servers: 9,
+            crashingPart: "bad",
+            restartDelay: 700,
+            answerDuration: 150,
+        });
+        const requests = await sendRequests(fleet, rareIntervalMilliseconds, rareRunMilliseconds);
+        await fleet.stop();
+        const from = fleet.crashes[4]! + stableWindowMilliseconds;
+        expect(fleet.arrivals.filter(({ at, parts }) => at > from && parts.includes("bad"))).to.have.length.at.most(3);
+        const sound = requests.filter(({ at, isCrashing }) => at > from + stableWindowMilliseconds && !isCrashing);
+        const served = sound.filter(({ answer }) => answer.status === 200 && answer.isComplete);
+        expect(sound.length).to.be.at.least(20);
+        expect(served.length / sound.length).to.be.at.least(0.9);
+    });
+});
