refactor(serving): what a response's head shows of its server in a file of its own

Also: a wait that ends with its client no longer leaves a later failure without a handler, which would have ended the process.

--- a/src/adapters/adapterMover.ts
+++ b/src/adapters/adapterMover.ts
@@ -44,6 +44,8 @@
  * @returns the mover
  */
 export function createAdapterMover(options: AdapterMoverOptions): AdapterMover {
+    // no client waits for these loads
+    const { signal } = new AbortController();
     const loadAhead = ({ service, adapters }: PrepareMessage): void => {
         for (const key of adapters) {
             const request = {
@@ -57,7 +59,7 @@
                 deadline: patienceMilliseconds,
                 isLoadIgnored: true,
             };
-            void options.finder.find(request, new AbortController().signal);
+            void options.finder.find(request, signal);
         }
     };
     return {
--- a/src/adapters/engineManager.ts
+++ b/src/adapters/engineManager.ts
@@ -221,7 +221,8 @@
         };
         pending.requests++;
         signal?.addEventListener("abort", abort, { once: true });
-        void pending.result.finally(() => signal?.removeEventListener("abort", abort));
+        const forget = (): void => signal?.removeEventListener("abort", abort);
+        pending.result.then(forget, forget);
     };
     return {
         run,
--- a/src/serving/quotaBucket.ts
+++ b/src/serving/quotaBucket.ts
@@ -30,6 +30,7 @@
 const debtLimitSeconds = 4;
 /** Longest delay of an admitted request; a holder that has just taken over starts with an empty bucket. */
 const delayLimitMilliseconds = 120;
+/** Longest delay of a stream that is taken up: its client has a part already, which is lost when it is refused. */
 const resumedDelayLimitMilliseconds = 1_000;
 
 /**
--- /dev/null
+++ b/src/serving/responseRecords.ts
@@ -0,0 +1,72 @@
+/**
+ * Records what the head of a response shows of its server: load, limits, failures, and whether it has run the request.
+ *
+ * @packageDocumentation
+ */
+import { createLogger } from "../shared/index.js";
+import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
+import { type BackendServer, formatServerRunId, type ServerResponseHead } from "./types.js";
+
+/** Status of a server that doesn't hold the model or adapter that the request selects. */
+const misdirectedStatus = 421;
+const lowestServerErrorStatus = 500;
+const log = createLogger("serving");
+
+/**
+ * Records the head of a response.
+ *
+ * @param parts - parts of the instance
+ * @param state - state of the request, which is updated
+ * @param selected - server of the present attempt
+ * @param head - the head
+ */
+export function recordResponseHead(
+    parts: RequestParts,
+    state: RequestState,
+    selected: SelectedServer,
+    head: ServerResponseHead,
+): void {
+    const run = formatServerRunId(selected.server);
+    const now = parts.clock.now();
+    const record = parts.records.getRecord(run);
+    if (head.load) {
+        record.load = head.load;
+        record.loadReceivedAt = now;
+    }
+    if (head.retryAfter !== undefined) {
+        log.info("server wants no requests", { run, duration: head.retryAfter, id: state.request.attemptId });
+        parts.servers.markShedding(run, now + head.retryAfter);
+    }
+    if (head.status !== misdirectedStatus) {
+        recordLimit(parts, selected.server, head.requestLimit);
+    }
+    if (head.isNotRun) {
+        state.refusedBy.add(run);
+        if (state.request.choice && head.status === misdirectedStatus) {
+            state.placeOutcome = "missing";
+        }
+        else {
+            state.excludedServers.add(run);
+        }
+        return;
+    }
+    if (head.status >= lowestServerErrorStatus || !head.isSigned) {
+        state.excludedServers.add(run);
+        state.placeOutcome = "failed";
+        parts.records.markFailure(run, false, now);
+        return;
+    }
+    state.placeOutcome = "answered";
+    parts.guard.markServerAnswered(run, state.sentAt, now);
+    parts.records.markSuccess(run, now);
+}
+
+function recordLimit(parts: RequestParts, server: BackendServer, requestsPerSecond: number | undefined): void {
+    const run = formatServerRunId(server);
+    const record = parts.records.getRecord(run);
+    if (record.requestLimit !== requestsPerSecond) {
+        log.info("limit of a server", { run, previous: record.requestLimit, requestsPerSecond });
+        record.requestLimit = requestsPerSecond;
+    }
+    parts.permits.recordLimit(server, requestsPerSecond);
+}
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -9,9 +9,10 @@
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
+import { recordResponseHead } from "./responseRecords.js";
 import type { Attempt, AttemptFault } from "./serverConnections.js";
 import { describeStream, recordDelivery } from "./streamDelivery.js";
-import { type BackendServer, formatServerRunId, type PlaceOutcome, type ServerResponseHead } from "./types.js";
+import { formatServerRunId, type PlaceOutcome, type ServerResponseHead } from "./types.js";
 
 /**
  * How an attempt ended: `complete` when the whole response was delivered, `repeat` when the request may be sent again,
@@ -42,10 +43,7 @@
 const uselessBytesLimit = 1_048_576;
 /** Lowest priority that servers know; lower ones are raised to it. */
 const lowestPriority = 9;
-/** Status of a server that doesn't hold the model or adapter that the request selects. */
-const misdirectedStatus = 421;
 const lowestRedirectStatus = 300;
-const lowestServerErrorStatus = 500;
 const log = createLogger("serving");
 
 /**
@@ -315,47 +313,6 @@
     return events;
 }
 
-function recordResponseHead(
-    parts: RequestParts,
-    state: RequestState,
-    selected: SelectedServer,
-    head: ServerResponseHead,
-): void {
-    const run = formatServerRunId(selected.server);
-    const now = parts.clock.now();
-    const record = parts.records.getRecord(run);
-    if (head.load) {
-        record.load = head.load;
-        record.loadReceivedAt = now;
-    }
-    if (head.retryAfter !== undefined) {
-        log.info("server wants no requests", { run, duration: head.retryAfter, id: state.request.attemptId });
-        parts.servers.markShedding(run, now + head.retryAfter);
-    }
-    if (head.status !== misdirectedStatus) {
-        recordLimit(parts, selected.server, head.requestLimit);
-    }
-    if (head.isNotRun) {
-        state.refusedBy.add(run);
-        if (state.request.choice && head.status === misdirectedStatus) {
-            state.placeOutcome = "missing";
-        }
-        else {
-            state.excludedServers.add(run);
-        }
-        return;
-    }
-    if (head.status >= lowestServerErrorStatus || !head.isSigned) {
-        state.excludedServers.add(run);
-        state.placeOutcome = "failed";
-        parts.records.markFailure(run, false, now);
-        return;
-    }
-    state.placeOutcome = "answered";
-    parts.guard.markServerAnswered(run, state.sentAt, now);
-    parts.records.markSuccess(run, now);
-}
-
 /**
  * Describes a request to the guard.
  *
@@ -390,16 +347,6 @@
     });
 }
 
-function recordLimit(parts: RequestParts, server: BackendServer, requestsPerSecond: number | undefined): void {
-    const run = formatServerRunId(server);
-    const record = parts.records.getRecord(run);
-    if (record.requestLimit !== requestsPerSecond) {
-        log.info("limit of a server", { run, previous: record.requestLimit, requestsPerSecond });
-        record.requestLimit = requestsPerSecond;
-    }
-    parts.permits.recordLimit(server, requestsPerSecond);
-}
-
 function isBeforeDeadline(parts: RequestParts, state: RequestState): boolean {
     return parts.clock.now() < state.deadlineAt;
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -290,7 +290,7 @@
     | { readonly kind: "unreachable"; readonly detail: string; }
     /** The store did nothing; the call may be retried. */
     | { readonly kind: "busy"; readonly status: number; }
-    /** The store no longer has the requested offset; read the newest records instead. */
+    /** The store no longer has the requested offset, but those from `firstOffset` on, where it says so. */
     | { readonly kind: "expired"; readonly firstOffset?: number; }
     /** The store rejected the call, or its response could not be decoded. */
     | { readonly kind: "refused"; readonly status: number; readonly detail: string; };
--- a/src/shared/time.ts
+++ b/src/shared/time.ts
@@ -40,12 +40,12 @@
 ): Promise<Result | undefined> {
     return new Promise((resolve, reject) => {
         const abort = (): void => resolve(undefined);
+        // a failure after the abort has nobody left to be told
+        void result.then(resolve, reject).finally(() => signal.removeEventListener("abort", abort));
+        signal.addEventListener("abort", abort, { once: true });
         if (signal.aborted) {
             abort();
-            return;
         }
-        signal.addEventListener("abort", abort, { once: true });
-        result.then(resolve, reject).finally(() => signal.removeEventListener("abort", abort));
     });
 }
 
