fix(serving): only the units of clients that left go back to their quota

Since the units of requests that were refused for want of a server went back, too. That the returned units are the cause isn't shown; a refused request comes back and only adds to the load, so the behaviour of before is restored for it.

--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -114,7 +114,8 @@
         returnAt: startedAt,
     };
     const outcome = await runAttempts(parts, state);
-    if (state.triedServers.size === 0) {
+    // one that is refused for want of a server comes back, and would only add to the load
+    if (outcome === "clientLeft" && state.triedServers.size === 0) {
         returnQuota(parts, admission, request);
     }
     return createReport(state, outcome);
