fix(serving): comments between the events of a stream are passed on

Found by reading the change before the landing: the rule that only the next events enter a stream, of this work, would have cut streams whose servers keep the connection open by comments. They are passed on, and don't count as progress; test with it.

--- a/src/serving/__tests__/eventSplitter.test.ts
+++ b/src/serving/__tests__/eventSplitter.test.ts
@@ -93,6 +93,15 @@
         expect(push("id: 4\ndata: x\n\n", 3)).to.equal(undefined);
     });
 
+    // guards against slow but sound streams that are cut because their server keeps the connection open by comments
+    it("passes comments on between events, which don't count as progress", () => {
+        const splitter = createEventSplitter({ after: 3, isNumbered: true });
+        const events = splitter.push(Buffer.from("id: 4\ndata: a\n\n: ping\n\n"));
+        expect([events.bytes.toString(), events.foreign]).to.deep.equal(["id: 4\ndata: a\n\n: ping\n\n", undefined]);
+        splitter.push(Buffer.from(": ping\n\n"));
+        expect(splitter.countUselessBytes()).to.equal(": ping\n\n".length);
+    });
+
     it("passes events without ids on where the stream has none", () => {
         const splitter = createEventSplitter({ after: undefined, isNumbered: false });
         const events = splitter.push(Buffer.from("data: a\n\ndata: b\n\n"));
--- a/src/serving/eventSplitter.ts
+++ b/src/serving/eventSplitter.ts
@@ -36,7 +36,10 @@
 
 interface ParsedEvent {
     readonly id: number | undefined;
+    /** Whether each line is a comment or a field of an event. */
     readonly isEvent: boolean;
+    /** Whether it holds comments only, as servers send them to keep a connection open. */
+    readonly isComment: boolean;
 }
 
 const lineFeed = 0x0a;
@@ -59,12 +62,12 @@
     let uselessBytes = 0;
     let lastId = after;
     let hasIds = isNumbered || after !== undefined;
-    const describeForeign = ({ id, isEvent }: ParsedEvent): string | undefined => {
+    const describeForeign = ({ id, isEvent, isComment }: ParsedEvent): string | undefined => {
         if (!isEvent) {
             return "lines that are no event";
         }
         if (id === undefined) {
-            return hasIds ? "an event without an id" : undefined;
+            return hasIds && !isComment ? "an event without an id" : undefined;
         }
         return lastId !== undefined && id <= lastId ? `event ${id} after event ${lastId}` : undefined;
     };
@@ -113,6 +116,7 @@
     const ids = lines.flatMap(line => idLinePattern.exec(line)?.[1] ?? []);
     return {
         id: ids.length > 0 ? Number(ids.at(-1)) : undefined,
+        isComment: lines.every(line => line.startsWith(":")),
         isEvent: lines.every(line => eventLinePattern.test(line) && !responseHeaderPattern.test(line)),
     };
 }
