--- a/review/1/run.mjs
+++ b/review/1/run.mjs
@@ -14,16 +14,20 @@
 import { startStore } from "../lib/store.mjs";
 
 const host = "127.0.0.1";
+// TROUBLE=0 does the same without the disruption
+const isTroubled = process.env.TROUBLE !== "0";
 const service = "order-app";
 const routeTimeout = 800;
 const slack = 500;
 const sendInterval = 50;
 const calmMilliseconds = 4_000;
 const troubleMilliseconds = 16_000;
-// `garble` of the site file: a share of .6 of the servers spoils x = 0.02 to 0.05 of its answers
-const garblingServers = ["i-1", "i-2"];
+// `garble` of the site file: a share of .6 of the servers spoils x = 0.02 of their answers
+const serverIds = ["i-1", "i-2", "i-3", "i-4", "i-5"];
+const garblingServers = ["i-1", "i-2", "i-3"];
 const garbledShare = 0.02;
-// the rule counts requests that last longer; fewer than this are taken for chance
+const wrongLines = ["HTTP/1.1 099 -", "HTTP/1.1 101 Switching Protocols"];
+// fewer late answers than this are taken for chance; the rule names no number here
 const smallestCount = 8;
 const config = {
     version: 1,
@@ -50,18 +54,23 @@
     opened.onEnd(() => store.close());
     store.put("keyed.op", "config", config);
     let isGarbling = false;
-    let answers = 0;
+    const answers = new Map(serverIds.map(id => [id, 0]));
+    let wrongCount = 0;
     // in place of the answer come bytes that are no answer to this request
     const respond = ({ id, attempt, response }) => {
-        answers++;
-        if (!isGarbling || !garblingServers.includes(id) || answers % Math.round(1 / garbledShare) !== 0) {
+        if (!isGarbling || !garblingServers.includes(id)) {
             return false;
         }
+        answers.set(id, answers.get(id) + 1);
+        if (answers.get(id) % Math.round(1 / garbledShare) !== 0) {
+            return false;
+        }
+        const line = wrongLines[wrongCount++ % wrongLines.length];
         opened.write(`${id} hands out wrong bytes in place of its answer to ${attempt}`);
-        response.socket.write("HTTP/1.1 101 Switching Protocols\r\n\r\n");
+        response.socket.write(`${line}\r\n\r\n`);
         return true;
     };
-    for (const id of ["i-1", "i-2", "i-3"]) {
+    for (const id of serverIds) {
         const server = await startPlainServer({ host, store, service, id, respond });
         opened.onEnd(() => server.close());
     }
@@ -101,24 +110,17 @@
     const traffic = setInterval(() => machines.forEach(machine => void send(machine)), sendInterval);
     const questions = setInterval(() => machines.forEach(machine => void ask(machine)), 1_000);
     await sleep(calmMilliseconds);
-    isGarbling = opened.isTroubled;
+    isGarbling = isTroubled;
     await sleep(troubleMilliseconds);
     clearInterval(traffic);
     clearInterval(questions);
     // as long as any request may be unanswered
     await sleep(10_000);
-    const broken = [];
-    for (const { name } of machines) {
-        const own = requests.filter(request => request.machine === name);
-        const open = own.filter(({ took }) => took > routeTimeout);
-        const late = open.filter(({ took }) => took > routeTimeout + slack);
-        const text = `${name}: of ${own.length} requests ${open.length} had no answer at their route's ` +
-            `timeout_ms, and ${late.length} of these none half a second later; the last one came after ` +
-            `${Math.round(Math.max(0, ...own.map(({ took }) => took)))} ms`;
-        opened.write(text);
-        if (late.length >= smallestCount && late.length > open.length / 2) {
-            broken.push(text);
-        }
-    }
-    return broken;
+    // all machines are in touch all the time; a client that gave up at its deadline had no answer until then
+    const open = requests.filter(({ took }) => took > routeTimeout);
+    const late = open.filter(({ took }) => took > routeTimeout + slack);
+    const text = `of ${requests.length} requests ${open.length} had no answer at their route's timeout_ms, and ` +
+        `${late.length} of these none half a second later`;
+    opened.write(text);
+    return late.length >= smallestCount && late.length > open.length / 2 ? [text] : [];
 });
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,3 @@
 #!/bin/sh
-exec node "$(dirname "$0")/run.mjs"
+# TROUBLE=0 does the same without the disruption
+TROUBLE="${TROUBLE:-1}" exec node "$(dirname "$0")/run.mjs"
--- a/review/2/run.mjs
+++ b/review/2/run.mjs
@@ -1,163 +1,149 @@
-// Rule VERSION: a new version of an adapter is announced while one tenant sends many times its usual.
+// Rule DRAIN: single machines are partitioned from the store while servers leave.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
-import { bounds, createAttemptId, planMachine, runCase, sendRequest, sleep, startMachines } from "../lib/deployment.mjs";
-import { startEngine } from "../lib/engine.mjs";
+import {
+    bounds,
+    createAttemptId,
+    planMachine,
+    runCase,
+    sendRequest,
+    sleep,
+    startLink,
+    startMachines,
+} from "../lib/deployment.mjs";
+import { startPlainServer } from "../lib/servers.mjs";
 import { startStore } from "../lib/store.mjs";
 
 const host = "127.0.0.1";
-const service = "llm";
-const slots = 8;
-const adapterSlots = 4;
-const events = 40;
-const eventGapMs = 100;
-// two engines run 4 streams a second; 0.8 of it is asked for
-const usualPerSecond = 3.2;
-// `hot_tenant` in the site file: 7.5 times its usual for 6.5 s
-const hotFactor = 7.5;
-const hotMilliseconds = 6_500;
-const hotLeadMilliseconds = 5_000;
-const tenants = ["t1", "t2", "t3"];
-const rounds = 3;
-const roundMilliseconds = 24_000;
+// TROUBLE=0 does the same without the disruption
+const isTroubled = process.env.TROUBLE !== "0";
+const serverCount = 14;
+// 2 of 14 servers leave, a share of .143; the largest of the site file is .153
+const leavingCount = 2;
+const rounds = 6;
+// a cut lasts 4 s, 5.5 s are named
+const cutMilliseconds = 4_000;
+const cutLeadMilliseconds = 20;
+const service = "order-app";
 const config = {
     version: 1,
     routes: [{
-        name: "draft",
-        host: "drafts.example",
-        path_prefix: "/draft/",
-        kind: "stream",
-        timeout_ms: 12000,
-        target_latency_ms: 600,
-        target_gap_ms: 300,
-        priority: 1,
+        name: "confirm",
+        host: "orders.example",
+        path_prefix: "/confirm/",
+        kind: "unsafe",
+        timeout_ms: 800,
+        target_latency_ms: 100,
+        priority: 2,
         service,
-        max_attempts: 2,
-        public: false,
-        sticky: true,
-        can_resume: true,
+        max_attempts: 1,
+        public: true,
+        sticky: false,
+        can_resume: false,
     }],
-    services: [{
-        name: service,
-        health_path: "/health",
-        connection_limit: 240,
-        protocol: "h1",
-        tls: false,
-        engine: {
-            slots,
-            kv_cache_tokens: 105300,
-            models: [{ name: "m0", size_mb: 72700, load_time_s: 0.6, adapters: 3000, adapter_mb: 66 }],
-            size_mb: 75400,
-            adapter_slots: adapterSlots,
-            loads_per_s: 4.7,
-        },
-    }],
-    // no rate_per_s: no limit
-    tenants: tenants.map(name => ({ name, api_keys: [`key-${name}`], priority: 1 })),
+    services: [{ name: service, health_path: "/health", connection_limit: 110, protocol: "h1", tls: false }],
     limits: { header_bytes: 16384, body_bytes: 4194304, header_timeout_ms: 3000, idle_timeout_ms: 15000 },
 };
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async opened => {
     const store = await startStore({ host });
     opened.onEnd(() => store.close());
-    const versions = new Map([["a1", 1], ["a2", 1]]);
-    let announcedAt;
+    const leftAt = new Map();
+    const senders = new Map();
     const broken = [];
-    const onEvent = event => {
-        if (event.kind !== "begin") {
-            opened.write(JSON.stringify(event));
+    let cutMachine;
+    const onRun = ({ id, attempt }) => {
+        const since = leftAt.has(id) ? performance.now() - leftAt.get(id) : undefined;
+        if (since === undefined) {
             return;
         }
-        const { id, attempt, adapter, version, expected, waited } = event;
-        const since = announcedAt === undefined ? undefined : performance.now() - announcedAt;
-        const text = `${id} began ${attempt} on ${adapter}@${version} after ${Math.round(waited)} ms in its queue, ` +
-            `expected version ${expected ?? "any"}, ${Math.round(since ?? 0)} ms after version ` +
-            `${versions.get("a1")} of a1 was acknowledged`;
+        const text = `${id} got ${attempt}, passed on by ${senders.get(attempt)}, ${Math.round(since)} ms after the ` +
+            "store acknowledged that it is draining";
         opened.write(text);
-        if (adapter === "a1" && version < versions.get("a1") && since > bounds.version_ms) {
+        if (since > bounds.drain_ms && senders.get(attempt) !== cutMachine?.name) {
             broken.push(text);
         }
     };
-    for (const id of ["i-1", "i-2"]) {
-        const engine = await startEngine({
-            host,
-            store,
-            service,
-            id,
-            model: "m0",
-            adapterSlots,
-            slots,
-            queueLimit: 24,
-            events,
-            eventGapMs,
-            onEvent,
-            newestVersion: adapter => versions.get(adapter) ?? 1,
-        });
-        opened.onEnd(() => engine.stop());
+    const servers = [];
+    let started = 0;
+    const addServer = async () => {
+        started++;
+        const server = await startPlainServer({ host, store, service, id: `i-${started}`, onRun });
+        servers.push(server);
+        opened.onEnd(() => server.close());
+    };
+    for (let index = 0; index < serverCount; index++) {
+        await addServer();
     }
     store.put("keyed.op", "config", config);
     const machines = [];
-    for (const name of ["front-1", "front-2"]) {
-        machines.push(await planMachine({ name, store: store.address }));
+    for (const name of ["front-1", "front-2", "front-3", "front-4"]) {
+        const link = await startLink(opened, host, store.address);
+        machines.push({ ...await planMachine({ name, store: link.address }), link });
     }
     await startMachines(opened, machines);
-    await sleep(4_000);
+    await sleep(5_000);
+    // the machine through which the others of its zone read the list of servers is seen by its own reads
+    const reads = new Map(machines.map(({ name }) => [name, 0]));
+    store.control.intercept = request => {
+        if (request.url.startsWith("/log-read?topic=keyed.servers")) {
+            const reader = machines.find(({ link }) => link.hasPort(request.socket.remotePort));
+            reads.set(reader?.name, reads.get(reader?.name) + 1);
+        }
+        return false;
+    };
+    await sleep(3_000);
+    store.control.intercept = undefined;
+    const reader = machines.reduce((most, machine) => reads.get(machine.name) > reads.get(most.name) ? machine : most);
+    opened.write(`reads of the list of servers in 3 s: ${JSON.stringify([...reads])}; ${reader.name} will be cut off`);
     const counts = new Map();
-    const open = new Set();
-    let sent = 0;
-    const send = async tenant => {
+    const send = async machine => {
         const attempt = createAttemptId();
-        // one adapter gets most of the requests
-        const adapter = sent % 5 === 4 ? "a2" : "a1";
-        const machine = machines[sent % machines.length];
-        sent++;
+        senders.set(attempt, machine.name);
         const answer = await sendRequest({
             host: machine.host,
             port: machine.ports.front,
-            path: "/draft/1",
+            path: "/confirm/1",
             headers: {
-                Host: "drafts.example",
+                Host: "orders.example",
                 "X-Oriolehatch-Attempt-Id": attempt,
-                "X-Oriolehatch-Deadline-Ms": "12000",
-                "X-Oriolehatch-Model": `m0/${adapter}`,
-                "X-Oriolehatch-Token-Counts": "826,240",
-                "X-Oriolehatch-Key": `key-${tenant}`,
+                "X-Oriolehatch-Deadline-Ms": "1500",
             },
-            body: "draft",
+            body: "order",
         });
-        opened.write(`answer to ${attempt} of ${tenant}: ${answer.status}, ${answer.isWhole ? "whole" : "cut"}`);
         counts.set(answer.status, (counts.get(answer.status) ?? 0) + 1);
     };
-    let factor = 1;
-    let isSending = true;
-    const sendAll = async tenant => {
-        while (isSending) {
-            const one = send(tenant);
-            open.add(one);
-            void one.finally(() => open.delete(one));
-            await sleep(1_000 * tenants.length / usualPerSecond / (tenant === tenants[0] ? factor : 1));
-        }
-    };
-    const traffic = Promise.all(tenants.map(sendAll));
-    await sleep(5_000);
+    const traffic = setInterval(
+        () => machines.filter(machine => machine !== cutMachine).forEach(machine => void send(machine)),
+        12,
+    );
     for (let round = 0; round < rounds; round++) {
-        const startedAt = performance.now();
-        if (opened.isTroubled) {
-            opened.write(`${tenants[0]} sends ${hotFactor} times its usual for ${hotMilliseconds} ms`);
-            factor = hotFactor;
-            setTimeout(() => factor = 1, hotMilliseconds);
+        if (isTroubled) {
+            opened.write(`${reader.name} is partitioned from the store`);
+            cutMachine = reader;
+            reader.link.cut();
+        }
+        await sleep(cutLeadMilliseconds);
+        const leaving = servers.splice(0, leavingCount);
+        for (const server of leaving) {
+            server.entry.state = "draining";
+            store.put("keyed.servers", server.id, server.entry);
+            leftAt.set(server.id, performance.now());
+        }
+        opened.write(`the store has acknowledged that ${leaving.map(({ id }) => id).join()} are draining`);
+        await sleep(cutMilliseconds);
+        reader.link.heal();
+        // they have served for drain_ms and a little longer
+        for (const server of leaving) {
+            server.close();
+            store.put("keyed.servers", server.id, undefined);
+            await addServer();
         }
-        await sleep(hotLeadMilliseconds);
-        const version = versions.get("a1") + 1;
-        versions.set("a1", version);
-        store.put("keyed.op", "version/m0.a1", { model: "m0", adapter: "a1", version });
-        announcedAt = performance.now();
-        opened.write(`the store has acknowledged version ${version} of a1`);
-        await sleep(roundMilliseconds - (performance.now() - startedAt));
+        await sleep(5_000);
+        cutMachine = undefined;
     }
-    isSending = false;
-    await traffic;
-    await Promise.all(open);
+    clearInterval(traffic);
+    await sleep(1_000);
     opened.write(`answers by status: ${JSON.stringify([...counts])}`);
     return broken;
 });
--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -80,7 +80,6 @@
     const enders = [];
     const opened = {
         settingsFolder,
-        isTroubled: process.env.TROUBLE !== "0",
         onEnd: ender => enders.push(ender),
         write: text => lines.push(`${((performance.now() - startedAt) / 1000).toFixed(3)} ${text}`),
         end: async () => {
@@ -248,9 +247,9 @@
 // An id of a client attempt.
 export const createAttemptId = () => randomBytes(8).toString("hex");
 
-// Sends one request. Resolves when the connection or the response has ended: status, headers, body and whether the
+// Sends one request; the client gives up at its deadline, as it tells it. Resolves when the connection or the response has ended: status, headers, body and whether the
 // response is whole.
-export function sendRequest({ host, port, method = "POST", path, headers = {}, body = "", onData, agent = false }) {
+export function sendRequest({ host, port, method = "POST", path, headers = {}, body = "", agent = false }) {
     return new Promise(resolve => {
         const result = { status: undefined, headers: {}, body: "", isWhole: false, error: undefined };
         const request = sendHttp({ host, port, method, path, headers, agent }, response => {
@@ -259,7 +258,6 @@
             response.setEncoding("utf8");
             response.on("data", text => {
                 result.body += text;
-                onData?.(text);
             });
             response.once("end", () => {
                 result.isWhole = response.complete;
@@ -275,6 +273,11 @@
             result.error = error.code ?? error.message;
             resolve(result);
         });
+        const deadline = setTimeout(() => request.destroy(), Number(headers["X-Oriolehatch-Deadline-Ms"]));
+        request.once("close", () => {
+            clearTimeout(deadline);
+            resolve(result);
+        });
         request.end(body);
     });
 }
