feat(serving): the log tells which record was refused, and why a process ends

Change: one line for each refused record and reason (topic, key, field, reason, all of bounded length), not one for each heartbeat of the same entry, and the metric oriolehatch_refused_records_total. At an error that ends the process one line with reason, origin and the first calls goes to standard error; the process still ends. The runtime's own print begins with a source line of the bundle, a megabyte long.

--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -5,10 +5,11 @@
  *
  * @packageDocumentation
  */
-import { readFileSync } from "node:fs";
+import { readFileSync, writeSync } from "node:fs";
 import { parseArgs } from "node:util";
 import { createServingInstance } from "../serving/servingInstance.js";
 import { createSystemClock, sendLogsToStandardOutput, setLogLevel } from "../shared/index.js";
+import { describeProcessEnd } from "../supervision/index.js";
 import { createEngineControlClient } from "./engineControlClient.js";
 import { createPlatformHeaderCodec, decodedResponseHeaders } from "./headers.js";
 import { createHeaderTrace, type ResponseSource } from "./headerTrace.js";
@@ -31,6 +32,8 @@
 `;
 const usageErrorExitCode = 2;
 const maximumPort = 65_535;
+/** File descriptor of standard error. */
+const standardError = 2;
 /** Delay before the process exits, in which the last log lines are written in the background. */
 const logFlushMilliseconds = 60;
 /** Lifetime of this instance's membership in the shard group, unless the store requires a longer one. */
@@ -61,6 +64,7 @@
     setLogLevel(values.logLevel);
     const { metricsPort } = values;
     const flushLog = sendLogsToStandardOutput();
+    process.on("uncaughtExceptionMonitor", writeProcessEnd);
     const file = settings.value;
     const headerTrace = createHeaderTrace(decodedResponseHeaders);
     const checkHeaders = (source: ResponseSource) => (names: Iterable<string>): void =>
@@ -113,6 +117,17 @@
     return 0;
 }
 
+// the process ends after this, so that lines which are written in the background would be lost
+function writeProcessEnd(error: unknown, origin: string): void {
+    const line = { time: new Date().toISOString(), level: "error", scope: "process", event: "process ends" };
+    try {
+        writeSync(standardError, `${JSON.stringify({ ...line, ...describeProcessEnd(error, origin) })}\n`);
+    }
+    catch {
+        // standard error is closed or its reader is behind; there is nowhere else to write to
+    }
+}
+
 interface DaemonOptions {
     readonly help: boolean;
     readonly metricsPort: number;
--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -15,6 +15,7 @@
     ServingService,
 } from "../serving/types.js";
 import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import { describeRecordError } from "./recordError.js";
 
 const routeSchema = z.object({
     name: z.string(),
@@ -111,7 +112,7 @@
         return wrapValue(isConfiguration ? decodeConfiguration(parsed) : decodeAdapterVersion(parsed));
     }
     catch (error) {
-        return wrapError({ kind: "unreadable", detail: error instanceof Error ? error.message : String(error) });
+        return wrapError(describeRecordError(error));
     }
 }
 
--- a/src/platform/serverEntry.ts
+++ b/src/platform/serverEntry.ts
@@ -6,6 +6,7 @@
 import * as z from "zod";
 import type { BackendServer, LoadedModel, RecordError } from "../serving/types.js";
 import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import { describeRecordError } from "./recordError.js";
 
 const loadedAdapterSchema = z.string().transform(decodeLoadedAdapter);
 
@@ -55,7 +56,7 @@
         });
     }
     catch (error) {
-        return wrapError({ kind: "unreadable", detail: error instanceof Error ? error.message : String(error) });
+        return wrapError(describeRecordError(error));
     }
 }
 
--- a/src/serving/__tests__/followers.test.ts
+++ b/src/serving/__tests__/followers.test.ts
@@ -4,6 +4,7 @@
 import { createConfigurationState } from "../configurationState.js";
 import { createFollowers } from "../followers.js";
 import { createInstanceDirectory } from "../instanceDirectory.js";
+import { createRefusedRecords } from "../refusedRecords.js";
 import { createServerList } from "../serverList.js";
 import type { KeyedRecord, KeyedSnapshot, ServingConfig, StoreError } from "../types.js";
 
@@ -43,13 +44,14 @@
                         : { kind: "adapterVersion", model: "base", adapter: key, version },
                 );
             },
-            decodeServerEntry: () => wrapError({ kind: "unreadable", detail: "" }),
+            decodeServerEntry: () => wrapError({ kind: "unreadable", field: "", detail: "" }),
         },
         clock: { now: () => 5_000, sleep: () => Promise.resolve() },
         configuration: createConfigurationState(),
         servers: createServerList(),
         directory: createInstanceDirectory({ id: "i", address: "a", failureDomain: "a", cores: 1 }),
         guard: { replaceAll: () => undefined, applyRecord: () => undefined },
+        refused: createRefusedRecords(),
         onStoreFailure: () => undefined,
         onServers: () => undefined,
         onConfiguration: taken => observed.configs.push(taken.version),
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -11,6 +11,7 @@
 import { readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
 import { createKeyedFollower } from "./keyedFollower.js";
+import type { RefusedRecords } from "./refusedRecords.js";
 import type { ServerList, ServerListChange } from "./serverList.js";
 import type { TopicCache } from "./topicCache.js";
 import type {
@@ -35,6 +36,7 @@
     readonly servers: ServerList;
     readonly directory: InstanceDirectory;
     readonly guard: Pick<RequestGuard, "replaceAll" | "applyRecord">;
+    readonly refused: Pick<RefusedRecords, "add" | "remove">;
     /** Called after each read that failed. */
     readonly onStoreFailure: (topic: KeyedTopic) => void;
     /** Called after each update of the server list; the change may be empty. */
@@ -93,9 +95,10 @@
             return;
         }
         if (!decoded.ok) {
-            log.warn("operator record unreadable", { key: record.key, detail: decoded.error.detail });
+            options.refused.add("configuration", record.key, decoded.error);
             return;
         }
+        options.refused.remove("configuration", record.key);
         switch (decoded.value.kind) {
             case "configuration":
                 if (configuration.apply(decoded.value.config)) {
@@ -132,9 +135,11 @@
     const decodeServer = (record: KeyedRecord): BackendServer | undefined => {
         const decoded = record.value && options.codec.decodeServerEntry(record.key, record.value);
         if (decoded && !decoded.ok) {
-            log.warn("server entry unreadable", { key: record.key, detail: decoded.error.detail.slice(0, 200) });
+            options.refused.add("servers", record.key, decoded.error);
+            return undefined;
         }
-        return decoded?.ok ? decoded.value : undefined;
+        options.refused.remove("servers", record.key);
+        return decoded?.value;
     };
     return createKeyedFollower({
         log: options.log,
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -33,6 +33,7 @@
 import { createQuotaHolder } from "./quotaHolder.js";
 import { quotaMessageSchema } from "./quotaMessages.js";
 import { createReadinessServer } from "./readinessServer.js";
+import { createRefusedRecords } from "./refusedRecords.js";
 import { createRelayedLog } from "./relayedLog.js";
 import { relayMessageSchema } from "./relayMessages.js";
 import { writeRequestLog } from "./requestLog.js";
@@ -412,6 +413,7 @@
         servers,
         directory,
         guard,
+        refused: createRefusedRecords(metrics.countRefusedRecord),
         onServers: applyServerChange,
         onStoreFailure: metrics.countStoreFailure,
         onConfiguration: config => {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -14,6 +14,8 @@
     /** Counts a request that has ended; `took` is the time since its arrival. */
     readonly countRequest: (report: RequestReport, took: Milliseconds) => void;
     readonly countStoreFailure: (topic: string) => void;
+    /** Counts a record of the store that can't be used. */
+    readonly countRefusedRecord: (topic: string) => void;
     /** Counts an answer that a server broke off, or a request that it left without one. */
     readonly countBrokenAnswer: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
@@ -103,6 +105,12 @@
         labelNames: ["topic"],
         registers,
     });
+    const refusedRecords = new Counter({
+        name: "oriolehatch_refused_records_total",
+        help: "Records of the platform's store that can't be used",
+        labelNames: ["topic"],
+        registers,
+    });
     const brokenAnswers = new Counter({
         name: "oriolehatch_broken_answers_total",
         help: "Requests that a server received and whose answer it broke off or never began",
@@ -187,6 +195,7 @@
             }
         },
         countStoreFailure: topic => storeFailures.inc({ topic }),
+        countRefusedRecord: topic => refusedRecords.inc({ topic }),
         countBrokenAnswer: () => brokenAnswers.inc(),
         countResumedStream: by => resumedStreams.inc({ by }),
         countForwardedAttempt: () => forwardedAttempts.inc(),
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -353,6 +353,8 @@
 /** Why a record could not be decoded. */
 export interface RecordError {
     readonly kind: "unreadable";
+    /** Path of the first field that isn't valid, in names of the wire; empty for the record as a whole. */
+    readonly field: string;
     readonly detail: string;
 }
 
--- a/src/supervision/index.ts
+++ b/src/supervision/index.ts
@@ -4,4 +4,5 @@
  * @packageDocumentation
  */
 export * from "./mailbox.js";
+export * from "./processEnd.js";
 export * from "./supervisor.js";
