--- a/src/platform/__tests__/delivered/wireConfiguration.ts
+++ b/src/platform/__tests__/delivered/wireConfiguration.ts
@@ -5,6 +5,9 @@
 /** Host and path prefix of the route of the plain configuration. */
 export const plainRoute = { host: "orders.example", path: "/confirm/" } as const;
 
+/** Host and path prefix of the route of the configuration with streams. */
+export const streamRoute = { host: "orders.example", path: "/draft/" } as const;
+
 /**
  * Encodes a configuration with one public route of requests that may run once.
  *
@@ -12,22 +15,40 @@
  * @returns value of the record
  */
 export function createPlainConfiguration(service: string): string {
+    return encodeConfiguration(service, {
+        name: "confirm",
+        path_prefix: plainRoute.path,
+        kind: "unsafe",
+        timeout_ms: 800,
+        target_latency_ms: 100,
+        max_attempts: 1,
+        can_resume: false,
+    });
+}
+
+/**
+ * Encodes a configuration with one public route of streams that can be resumed.
+ *
+ * @param service - service of the route
+ * @returns value of the record
+ */
+export function createStreamConfiguration(service: string): string {
+    return encodeConfiguration(service, {
+        name: "draft",
+        path_prefix: streamRoute.path,
+        kind: "stream",
+        timeout_ms: 12_000,
+        target_latency_ms: 600,
+        target_gap_ms: 300,
+        max_attempts: 2,
+        can_resume: true,
+    });
+}
+
+function encodeConfiguration(service: string, route: Readonly<Record<string, unknown>>): string {
     return JSON.stringify({
         version: 1,
-        routes: [{
-            name: "confirm",
-            host: plainRoute.host,
-            path_prefix: plainRoute.path,
-            kind: "unsafe",
-            timeout_ms: 800,
-            target_latency_ms: 100,
-            priority: 2,
-            service,
-            max_attempts: 1,
-            public: true,
-            sticky: false,
-            can_resume: false,
-        }],
+        routes: [{ host: plainRoute.host, priority: 2, service, public: true, sticky: false, ...route }],
         services: [{ name: service, health_path: "/health", connection_limit: 110 }],
         limits: { header_bytes: 16_384, body_bytes: 4_194_304, header_timeout_ms: 3_000, idle_timeout_ms: 15_000 },
     });
