fix(shared): an address is an IP and a port that the network accepts

Messages to an instance whose entry has such an address, and checks of such a server, ended in rejections that nobody handled. Cause: the address was checked by a pattern of digits, or not at all; undici, ws and net.connect throw at it later. Evidence, before: five tests failed, among them checkServer with "RangeError [ERR_SOCKET_BAD_PORT]", and the request to such an instance, which ran into its time-out because connectToPeer had thrown. Change: parseNetworkAddress of src/shared reads IP:PORT strictly. Entries of servers and of instances with another text are refused; settings are refused with the field's name; checkServer finds no server there and connectToPeer returns a typed error. Addresses that a process listens at may have the port 0, which chooses a free one, as in the test of the bundle. After: networkAddress, records, instanceDirectory, checkServer, peers and bundle tests pass.

--- a/src/forwarding/checkServer.ts
+++ b/src/forwarding/checkServer.ts
@@ -5,6 +5,7 @@
  */
 import { connect } from "node:net";
 import type { BackendServer } from "../serving/types.js";
+import { parseNetworkAddress } from "../shared/index.js";
 
 const probeTimeoutMilliseconds = 400;
 
@@ -12,12 +13,15 @@
  * Opens a connection to a server and closes it.
  *
  * @param server - the server
- * @returns whether the connection could be opened in time
+ * @returns whether the connection could be opened in time; not when the address is none for the network
  */
 export function checkServer({ address }: Pick<BackendServer, "address">): Promise<boolean> {
-    const colon = address.lastIndexOf(":");
+    const target = parseNetworkAddress(address);
+    if (!target) {
+        return Promise.resolve(false);
+    }
     return new Promise(resolve => {
-        const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)) });
+        const socket = connect(target);
         const finish = (isOpen: boolean): void => {
             socket.destroy();
             resolve(isOpen);
--- a/src/peers/__tests__/peers.test.ts
+++ b/src/peers/__tests__/peers.test.ts
@@ -48,6 +48,21 @@
         expect(left.readStatus().connections).to.equal(1);
     });
 
+    // guards against an exception in a promise that nobody handles, which ends the process
+    it("fails a request to an instance whose address is none for the network", async () => {
+        const left = await startPeer("left");
+        for (const address of ["127.0.0.1:99999", "999.0.0.1:80", "", "a b", "127.0.0.1:x"]) {
+            addresses.set(`right ${address}`, address);
+            const answer = await left.network.request(
+                `right ${address}`,
+                "config",
+                requestBody,
+                answerTimeoutMilliseconds,
+            );
+            expect(answer.ok ? "" : answer.error.kind, address).to.equal("unreachable");
+        }
+    });
+
     it("counts messages that their handler can't read, and goes on", async () => {
         const [left, right] = [await startPeer("left"), await startPeer("right")];
         let seen = 0;
--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { WebSocket } from "ws";
-import { createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
+import { createLogger, type InstanceId, type Milliseconds, parseNetworkAddress } from "../shared/index.js";
 import {
     connectTimeoutMilliseconds,
     frameLimitBytes,
@@ -61,6 +61,10 @@
     address: string,
     events: ConnectionEvents,
 ): Promise<HandshakeError | undefined> {
+    // the WebSocket throws at such an address
+    if (!parseNetworkAddress(address)) {
+        return Promise.resolve({ kind: "unreachable", detail: `${peer} has no address for the network: ${address}` });
+    }
     return new Promise(resolve => {
         const socket = new WebSocket(`ws://${address}`, {
             handshakeTimeout: connectTimeoutMilliseconds,
--- a/src/platform/__tests__/records.test.ts
+++ b/src/platform/__tests__/records.test.ts
@@ -176,6 +176,14 @@
         expect(decodeServerEntry("i-1", Buffer.from([0xff, 0xfe])).ok).to.equal(false);
     });
 
+    // guards against an entry that is accepted by its look and ends processes at the first connection to its server
+    it("refuses an entry with an address that is none for the network", () => {
+        const entry = { service: "llm", zone: "a", slots: 1, state: "ready" };
+        for (const address of ["127.0.0.1:99999", "127.0.0.1:0", "999.1.1.1:80", "127.0.0.01:80", "10.0.0.9:080"]) {
+            expect(decodeServerEntry("i-1", encodeJson({ ...entry, address })).ok, address).to.equal(false);
+        }
+    });
+
     it("describes the mistake in invalid settings", () => {
         expect(decodeSettings("{")).to.deep.equal({
             ok: false,
@@ -199,4 +207,29 @@
             'platform.form: only the log interface of the store is supported; set it to "log"',
         );
     });
+
+    // guards against settings that fail only when the process listens or calls the store
+    it("refuses settings with addresses and ports that are none for the network", () => {
+        const settings = {
+            node_name: "front-1",
+            ip_address: "10.0.0.1",
+            zone: "a",
+            listen_addresses: { front: "10.0.0.1:1", ready: "10.0.0.1:2" },
+            internal_ports: [7600, 7615],
+            heartbeat_ms: 1200,
+            bounds: { grace_s: 8 },
+            platform: { address: "10.0.0.2:3", form: "log", parts: 12 },
+        };
+        const changed: readonly (readonly [field: string, change: object])[] = [
+            ["ip_address", { ip_address: "10.0.0.999" }],
+            ["listen_addresses.front", { listen_addresses: { front: "10.0.0.1:99999", ready: "10.0.0.1:2" } }],
+            ["listen_addresses.ready", { listen_addresses: { front: "10.0.0.1:1", ready: "10.0.0.1" } }],
+            ["internal_ports.0", { internal_ports: [70_000, 70_001] }],
+            ["platform.address", { platform: { ...settings.platform, address: "store:8225" } }],
+        ];
+        for (const [field, change] of changed) {
+            const decoded = decodeSettings(JSON.stringify({ ...settings, ...change }));
+            expect(decoded.ok ? "accepted" : decoded.error.detail.split(":")[0]).to.equal(field);
+        }
+    });
 });
--- a/src/platform/serverEntry.ts
+++ b/src/platform/serverEntry.ts
@@ -5,7 +5,7 @@
  */
 import * as z from "zod";
 import type { BackendServer, LoadedModel, RecordError } from "../serving/types.js";
-import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import { parseNetworkAddress, type Result, wrapError, wrapValue } from "../shared/index.js";
 
 const loadedAdapterSchema = z.string().transform(decodeLoadedAdapter);
 
@@ -19,7 +19,7 @@
 
 const serverEntrySchema = z.object({
     service: z.string().min(1),
-    address: z.string().regex(/^\d+\.\d+\.\d+\.\d+:\d+$/),
+    address: z.string().refine(text => parseNetworkAddress(text) !== undefined, "no IP address and port"),
     // failure domain
     zone: z.string(),
     // version of its software
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -3,8 +3,17 @@
  *
  * @packageDocumentation
  */
+import { isIPv4 } from "node:net";
 import * as z from "zod";
-import { type Milliseconds, millisecondsPerSecond, type Result, wrapError, wrapValue } from "../shared/index.js";
+import {
+    maximumPort,
+    type Milliseconds,
+    millisecondsPerSecond,
+    parseNetworkAddress,
+    type Result,
+    wrapError,
+    wrapValue,
+} from "../shared/index.js";
 
 /** Environment variable with the path of the settings file. */
 export const settingsFileVariable = "ORIOLEHATCH_NODE_FILE";
@@ -70,16 +79,26 @@
     readonly detail: string;
 }
 
+const addressSchema = z.string().refine(
+    text => parseNetworkAddress(text) !== undefined,
+    "give an IP address and a port from 1 to 65535, such as 10.0.0.1:8221",
+);
+// a port of 0 chooses a free one
+const listenAddressSchema = z.string().refine(
+    text => parseNetworkAddress(text, 0) !== undefined,
+    "give an IP address and a port from 0 to 65535, such as 10.0.0.1:8221",
+);
+const portSchema = z.number().int().min(0).max(maximumPort);
 const settingsSchema = z.object({
     node_name: z.string(),
-    ip_address: z.string(),
+    ip_address: z.string().refine(text => isIPv4(text), "give an IP address, such as 10.0.0.1"),
     zone: z.string(),
     // whether the whole system starts for the first time
     bootstrap: z.boolean().default(false),
     // `front` is for clients, `ready` for readiness checks
-    listen_addresses: z.object({ front: z.string(), ready: z.string() }),
+    listen_addresses: z.object({ front: listenAddressSchema, ready: listenAddressSchema }),
     // first and last port
-    internal_ports: z.tuple([z.number().int(), z.number().int()]),
+    internal_ports: z.tuple([portSchema, portSchema]),
     heartbeat_ms: z.number(),
     // share of a core, and its speed relative to a normal one
     limits: z.object({ cpu_share: z.number().default(1), cpu_speed_factor: z.number().default(1) }).default({
@@ -105,7 +124,7 @@
     }),
     // the store
     platform: z.object({
-        address: z.string(),
+        address: addressSchema,
         // interface of the store
         form: z.literal("log", { message: 'only the log interface of the store is supported; set it to "log"' }),
         // shards of engines
--- a/src/serving/__tests__/instanceDirectory.test.ts
+++ b/src/serving/__tests__/instanceDirectory.test.ts
@@ -25,6 +25,17 @@
         expect(directory.listOthers().map(entry => entry.id)).to.deep.equal(["front-1"]);
     });
 
+    // guards against an entry that makes each message to its instance throw
+    it("leaves out an entry with an address that is none for the network", () => {
+        const directory = createDirectory(1, () => 1);
+        for (const address of ["10.0.0.2:99999", "999.0.0.1:80", "", "a b", "10.0.0.2"]) {
+            const entry = { ...self, id: "front-2", address };
+            directory.applyRecord({ key: "front-2", value: encodeInstanceEntry(entry), offset: 2 });
+            expect(directory.findAddress("front-2"), address).to.equal(undefined);
+        }
+        expect(directory.listOthers().map(entry => entry.id)).to.deep.equal(["front-1"]);
+    });
+
     it("finds the present address of an instance", () => {
         const directory = createDirectory(2, () => 1);
         const moved = { ...self, id: "front-1", address: "10.0.0.9:1" };
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import { compareText, hashForRendezvous, type InstanceId } from "../shared/index.js";
+import { compareText, hashForRendezvous, type InstanceId, parseNetworkAddress } from "../shared/index.js";
 import type { KeyedRecord } from "./types.js";
 
 /** Entry of an instance in the platform's store. */
@@ -52,7 +52,7 @@
 const relayedDomainSize = 4;
 const readersPerDomain = 2;
 const entrySchema = z.object({
-    address: z.string(),
+    address: z.string().refine(text => parseNetworkAddress(text) !== undefined, "no IP address and port"),
     failureDomain: z.string().default(""),
     cores: z.number().default(0),
 });
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -9,6 +9,7 @@
 export * from "./json.js";
 export * from "./logger.js";
 export * from "./logSink.js";
+export * from "./networkAddress.js";
 export * from "./random.js";
 export * from "./result.js";
 export * from "./time.js";
