fix(platform): decoded numbers and texts keep to named ranges

Callers saw nothing yet: these are values that the type allows and that fail, or ruin a sum, later. Entries of servers passed with slots of 1e308 or -3 and with ids that no header can carry, at which each request to the server throws; a configuration with a negative idle time makes the HTTP server throw, and times beyond 2,147,483,647 ms make timers fire at once. Cause: the schemas checked types only; JSON was walked whatever its size and depth. Change: src/shared/inputRanges.ts names the ranges, with units; parseBoundedJson checks size, depth and UTF-8 first. Entries, reports and adapter versions out of a range are refused with the field; numbers of configurations and settings are moved to the end of the range, as the store accepts only valid configurations and a process that doesn't start serves nobody. An account whose name can't be sent in a header is left out, the others hold. Token counts and deadlines of clients are bounded, impossible loads of servers say nothing.

--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -15,24 +15,36 @@
     ReportError,
 } from "../adapters/types.js";
 import type { BackendServer } from "../serving/types.js";
-import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import {
+    createListSchema,
+    nameSchema,
+    ordinalSchema,
+    parseBoundedJson,
+    type Result,
+    startTimeSchema,
+    wrapError,
+    wrapValue,
+} from "../shared/index.js";
 import { decodeLeavingNotice } from "./headers.js";
 import { type HttpResponse, sendHttpRequest } from "./httpRequest.js";
-import { loadedModelsSchema } from "./serverEntry.js";
+import { decodeLoadedAdapter, loadedModelsSchema } from "./serverEntry.js";
 
 /** Engines respond immediately, and an order without a response delays all later orders to its engine. */
 const requestTimeoutMilliseconds = 60;
 const connectTimeoutMilliseconds = 250;
 const idleTimeoutMilliseconds = 3_000;
 
+/** Largest report that is read. */
+const maximumReportBytes = 4_194_304;
+
 const reportSchema = z.object({
     // start of the process as Unix time in milliseconds
-    born: z.number().optional(),
+    born: startTimeSchema.optional(),
     // number of orders that the engine has accepted since its start
-    sequence: z.number(),
+    sequence: ordinalSchema,
     models: loadedModelsSchema.default([]),
     // adapters that are being loaded, as MODEL/ADAPTER@VERSION
-    pending: z.array(z.string()).default([]),
+    pending: createListSchema(nameSchema).default([]),
 });
 
 /**
@@ -78,7 +90,7 @@
                 return wrapError({ kind: "unanswered", detail: answer.error.detail });
             }
             const notice = decodeNotice(answer.value);
-            const report = decodeReport(answer.value.status, answer.value.body.toString("utf8"));
+            const report = decodeEngineReport(answer.value.status, answer.value.body.toString("utf8"));
             return report.ok
                 ? wrapValue({ ...report.value, ...notice })
                 : wrapError({ ...report.error, ...notice });
@@ -128,17 +140,24 @@
     }
 }
 
-function decodeReport(status: number, body: string): Result<EngineReport, ReportError> {
+/**
+ * Decodes an engine's report.
+ *
+ * @param status - status of the response
+ * @param body - content of the response; not trusted
+ * @returns the report; an error when the response is none
+ */
+export function decodeEngineReport(status: number, body: string): Result<EngineReport, ReportError> {
     if (status !== 200) {
         return wrapError({ kind: "unanswered", detail: `status ${status}` });
     }
     try {
-        const report = reportSchema.parse(JSON.parse(body));
+        const report = reportSchema.parse(parseBoundedJson(body, maximumReportBytes));
         return wrapValue({
             startedAt: report.born,
             sequence: report.sequence,
             models: report.models,
-            pending: report.pending.map(decodePendingLoad),
+            pending: report.pending.filter(text => text.includes("/")).map(decodePendingLoad),
         });
     }
     catch (error) {
@@ -148,6 +167,6 @@
 
 function decodePendingLoad(text: string): EngineReport["pending"][number] {
     const slash = text.indexOf("/");
-    const [adapter, version] = text.slice(slash + 1).split("@");
-    return { model: text.slice(0, slash), adapter: adapter!, version: Number(version ?? 1) || 1 };
+    const { name, version } = decodeLoadedAdapter(text.slice(slash + 1));
+    return { model: text.slice(0, slash), adapter: name, version };
 }
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -13,7 +13,7 @@
     ServerLoad,
     ServerResponseHead,
 } from "../serving/types.js";
-import { millisecondsPerSecond } from "../shared/index.js";
+import { longestTimerMilliseconds, maximumCount, maximumServerSlots, millisecondsPerSecond } from "../shared/index.js";
 
 /** Names of headers on the wire. */
 const names = {
@@ -142,7 +142,7 @@
         target,
         host: decodeHost(values.get("host") ?? ""),
         key: values.get(names.key),
-        deadline: decodeWholeNumber(values.get(names.deadline)),
+        deadline: decodeLimitedNumber(values.get(names.deadline), longestTimerMilliseconds),
         choice: decodeModelChoice(values.get(names.model)),
         tokens: decodeTokenCounts(values.get(names.tokens)),
         prompt: decodePromptParts(values.get(names.promptParts)),
@@ -246,6 +246,12 @@
     return text !== undefined && /^\d{1,15}$/.test(text.trim()) ? Number(text) : undefined;
 }
 
+// more than the limit is as good as the limit: a client that names more must not be charged less
+function decodeLimitedNumber(text: string | undefined, maximum: number): number | undefined {
+    const value = decodeWholeNumber(text);
+    return value === undefined ? undefined : Math.min(value, maximum);
+}
+
 // either header says that the client has events, also where its value can't be read
 function decodeResumedStream(lastEventId: string | undefined, resumes: string | undefined): ResumedStream | undefined {
     if (lastEventId === undefined && resumes === undefined) {
@@ -266,7 +272,7 @@
 }
 
 function decodeTokenCounts(text: string | undefined): ClientRequest["tokens"] {
-    const [prompt, output] = (text ?? "").split(",").map(part => decodeWholeNumber(part));
+    const [prompt, output] = (text ?? "").split(",").map(part => decodeLimitedNumber(part, maximumCount));
     return prompt === undefined || output === undefined ? undefined : { prompt, output };
 }
 
@@ -304,7 +310,10 @@
 
 function decodeServerLoad(text: string | undefined): ServerLoad | undefined {
     const [running, waiting, slots] = (text ?? "").split(",").map(part => decodeWholeNumber(part));
-    return running === undefined || waiting === undefined || slots === undefined
-        ? undefined
-        : { running, waiting, slots };
+    if (running === undefined || waiting === undefined || slots === undefined) {
+        return undefined;
+    }
+    // no server has so many; such a load says nothing
+    const isPossible = Math.max(running, waiting) <= maximumCount && slots <= maximumServerSlots;
+    return isPossible ? { running, waiting, slots } : undefined;
 }
--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -14,9 +14,31 @@
     ServingRoute,
     ServingService,
 } from "../serving/types.js";
-import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import {
+    createLimitedNumber,
+    maximumCount,
+    ordinalSchema,
+    parseBoundedJson,
+    type Result,
+    wrapError,
+    wrapValue,
+} from "../shared/index.js";
 import { describeRecordError } from "./recordError.js";
 
+/** Largest record that is read; the store's own limit is lower. */
+const maximumRecordBytes = 16_777_216;
+/** Longest time of a route or limit, about 11 days: a timer can also keep it with a margin added. */
+const longestTimeoutMilliseconds = 1_000_000_000;
+/** Highest rate and burst of a quota. */
+const maximumQuotaRate = 1_000_000_000_000;
+/** Slowest loads from the weight store. */
+const minimumLoadsPerSecond = 0.01;
+
+// the store accepts only valid configurations, so that a number out of its range is moved to the end of it
+const timeout = createLimitedNumber(0, longestTimeoutMilliseconds);
+const amount = createLimitedNumber(0, maximumCount);
+const quotaAmount = createLimitedNumber(0, maximumQuotaRate);
+
 const routeSchema = z.object({
     name: z.string(),
     host: z.string(),
@@ -25,15 +47,15 @@
     kind: z.enum(["safe", "unsafe", "stream"]),
     // a route names one service, or several with weights in `split`
     service: z.string().optional(),
-    split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
-    timeout_ms: z.number(),
-    target_latency_ms: z.number(),
+    split: z.array(z.object({ service: z.string(), weight: amount })).optional(),
+    timeout_ms: timeout,
+    target_latency_ms: timeout,
     // intended maximum pause between two events of a stream
-    target_gap_ms: z.number().optional(),
+    target_gap_ms: timeout.optional(),
     // number of servers that one request may be sent to
-    max_attempts: z.number().default(1),
+    max_attempts: amount.default(1),
     // 0 is the highest
-    priority: z.number().default(0),
+    priority: amount.default(0),
     // whether requests are accepted without an API key
     public: z.boolean().default(false),
     // whether an interrupted stream may continue on another server, after the last event that the client received
@@ -41,38 +63,38 @@
 });
 const engineSchema = z.object({
     // maximum number of requests that one engine runs in a batch
-    slots: z.number(),
-    kv_cache_tokens: z.number().default(Infinity),
+    slots: createLimitedNumber(1, maximumCount),
+    kv_cache_tokens: amount.default(Infinity),
     // memory of one engine for base models and adapters
-    size_mb: z.number().default(Infinity),
-    adapter_slots: z.number().default(0),
+    size_mb: amount.default(Infinity),
+    adapter_slots: amount.default(0),
     // base models that all engines together may fetch from the weight store per second
-    loads_per_s: z.number().default(1),
+    loads_per_s: createLimitedNumber(minimumLoadsPerSecond, maximumCount).default(1),
     models: z.array(z.object({
         name: z.string(),
-        size_mb: z.number().default(0),
+        size_mb: amount.default(0),
         // memory of each adapter of this base model
-        adapter_mb: z.number().default(0),
+        adapter_mb: amount.default(0),
     })).default([]),
 });
 const serviceSchema = z.object({
     name: z.string(),
     // connections that one server accepts from all instances together
-    connection_limit: z.number().default(Infinity),
+    connection_limit: amount.default(Infinity),
     engine: engineSchema.optional(),
 });
 const accountSchema = z.object({
     name: z.string(),
     api_keys: z.array(z.string()).default([]),
     // overrides the priority of the route
-    priority: z.number().optional(),
+    priority: amount.optional(),
     // "tokens", or anything else for requests
     unit: z.string().optional(),
     // tokens that are charged for a request without token counts
-    plain_tokens: z.number().default(1),
+    plain_tokens: amount.default(1),
     // 0 for no limit
-    rate_per_s: z.number().default(0),
-    burst: z.number().default(0),
+    rate_per_s: quotaAmount.default(0),
+    burst: quotaAmount.default(0),
 });
 const configSchema = z.object({
     version: z.number(),
@@ -81,13 +103,15 @@
     // client accounts; without the field, requests carry no API keys
     tenants: z.array(accountSchema).optional(),
     limits: z.object({
-        header_bytes: z.number().default(16_384),
-        body_bytes: z.number().default(4_194_304),
-        header_timeout_ms: z.number().default(3_000),
-        idle_timeout_ms: z.number().default(15_000),
+        header_bytes: amount.default(16_384),
+        body_bytes: amount.default(4_194_304),
+        header_timeout_ms: timeout.default(3_000),
+        idle_timeout_ms: timeout.default(15_000),
     }),
 });
-const adapterVersionSchema = z.object({ model: z.string(), adapter: z.string(), version: z.number() });
+/** Names that can be sent in a header; an account with another could not be told to servers. */
+const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]+$/;
+const adapterVersionSchema = z.object({ model: z.string(), adapter: z.string(), version: ordinalSchema });
 
 const requestKindsByWireName: Readonly<Record<"safe" | "unsafe" | "stream", RequestKind>> = {
     safe: "idempotent",
@@ -108,7 +132,7 @@
         return wrapValue({ kind: "other" });
     }
     try {
-        const parsed: unknown = JSON.parse(Buffer.from(value).toString("utf8"));
+        const parsed: unknown = parseBoundedJson(value, maximumRecordBytes);
         return wrapValue(isConfiguration ? decodeConfiguration(parsed) : decodeAdapterVersion(parsed));
     }
     catch (error) {
@@ -122,11 +146,12 @@
         version: file.version,
         routes: file.routes.map(decodeRoute).filter(route => route.targets.length > 0),
         services: new Map(file.services.map(service => [service.name, decodeService(service)])),
-        accounts: file.tenants?.map(decodeAccount),
+        accounts: file.tenants?.filter(({ name }) => headerValuePattern.test(name)).map(decodeAccount),
         limits: {
             headerBytes: file.limits.header_bytes,
             bodyBytes: file.limits.body_bytes,
-            headerTimeout: file.limits.header_timeout_ms,
+            // the HTTP server counts whole milliseconds
+            headerTimeout: Math.ceil(file.limits.header_timeout_ms),
             idleTimeout: file.limits.idle_timeout_ms,
         },
     };
--- a/src/platform/serverEntry.ts
+++ b/src/platform/serverEntry.ts
@@ -5,31 +5,46 @@
  */
 import * as z from "zod";
 import type { BackendServer, LoadedModel, RecordError } from "../serving/types.js";
-import { parseNetworkAddress, type Result, wrapError, wrapValue } from "../shared/index.js";
+import {
+    addressSchema,
+    createListSchema,
+    maximumServerSlots,
+    nameSchema,
+    ordinalSchema,
+    parseBoundedJson,
+    type Result,
+    startTimeSchema,
+    wrapError,
+    wrapValue,
+} from "../shared/index.js";
 import { describeRecordError } from "./recordError.js";
 
-const loadedAdapterSchema = z.string().transform(decodeLoadedAdapter);
+/** Largest entry that is read; an engine with thousands of adapters has less. */
+const maximumEntryBytes = 1_048_576;
+/** Ids that can be sent in a header, as each request names its server. */
+const serverIdSchema = z.string().regex(/^[\x21-\x7e]{1,255}$/, "can't be sent in a header");
+const loadedAdapterSchema = nameSchema.transform(decodeLoadedAdapter);
 
 /** Base models that a server has loaded, with their adapters, as list entries and engine reports have them. */
-export const loadedModelsSchema = z.array(z.object({
-    name: z.string(),
-    version: z.number().default(1),
+export const loadedModelsSchema = createListSchema(z.object({
+    name: nameSchema,
+    version: ordinalSchema.default(1),
     // NAME@VERSION, or NAME for version 1
-    adapters: z.array(loadedAdapterSchema).default([]),
+    adapters: createListSchema(loadedAdapterSchema).default([]),
 }));
 
 const serverEntrySchema = z.object({
-    service: z.string().min(1),
-    address: z.string().refine(text => parseNetworkAddress(text) !== undefined, "no IP address and port"),
+    service: nameSchema.min(1),
+    address: addressSchema,
     // failure domain
-    zone: z.string(),
+    zone: nameSchema,
     // version of its software
-    version: z.union([z.string(), z.number()]).optional(),
+    version: z.union([nameSchema, z.number()]).optional(),
     // maximum number of requests that the server runs at a time
-    slots: z.number().default(1),
+    slots: z.number().int().min(1).max(maximumServerSlots).default(1),
     state: z.enum(["ready", "draining"]),
     // start of the process as Unix time in milliseconds
-    born: z.number().int().default(0),
+    born: startTimeSchema.default(0),
     models: loadedModelsSchema.default([]),
 });
 
@@ -42,9 +57,9 @@
  */
 export function decodeServerEntry(id: string, value: Uint8Array): Result<BackendServer, RecordError> {
     try {
-        const entry = serverEntrySchema.parse(JSON.parse(Buffer.from(value).toString("utf8")));
+        const entry = serverEntrySchema.parse(parseBoundedJson(value, maximumEntryBytes));
         return wrapValue({
-            id,
+            id: serverIdSchema.parse(id),
             startedAt: entry.born,
             service: entry.service,
             address: entry.address,
@@ -60,7 +75,13 @@
     }
 }
 
-function decodeLoadedAdapter(text: string): { readonly name: string; readonly version: number; } {
-    const [name, version] = text.split("@");
-    return { name: name!, version: Number(version ?? 1) || 1 };
+/**
+ * Decodes an adapter as servers list it.
+ *
+ * @param text - NAME@VERSION, or NAME for version 1
+ * @returns name and version, which is 1 where it isn't written in digits
+ */
+export function decodeLoadedAdapter(text: string): { readonly name: string; readonly version: number; } {
+    const [name, version = ""] = text.split("@");
+    return { name: name!, version: (/^\d{1,15}$/.test(version) ? Number(version) : 1) || 1 };
 }
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -6,9 +6,14 @@
 import { isIPv4 } from "node:net";
 import * as z from "zod";
 import {
+    createLimitedNumber,
+    maximumCount,
     maximumPort,
+    maximumShardCount,
     type Milliseconds,
     millisecondsPerSecond,
+    nameSchema,
+    parseBoundedJson,
     parseNetworkAddress,
     type Result,
     wrapError,
@@ -79,6 +84,20 @@
     readonly detail: string;
 }
 
+/** Largest file that is read; the platform's templates have less than 64 KiB. */
+const maximumFileBytes = 4_194_304;
+/** Longest time, about 11 days: a timer can also keep it with a margin added. */
+const longestTimeMilliseconds = 1_000_000_000;
+const longestTimeSeconds = longestTimeMilliseconds / millisecondsPerSecond;
+/** Shortest window, as counts are divided by it. */
+const shortestWindowSeconds = 0.001;
+const minimumCores = 0.001;
+
+// a number out of its range is moved to the end of it, as a process that doesn't start serves nobody
+const milliseconds = createLimitedNumber(0, longestTimeMilliseconds);
+const seconds = createLimitedNumber(0, longestTimeSeconds);
+const windowSeconds = createLimitedNumber(shortestWindowSeconds, longestTimeSeconds);
+const amount = createLimitedNumber(0, maximumCount);
 const addressSchema = z.string().refine(
     text => parseNetworkAddress(text) !== undefined,
     "give an IP address and a port from 1 to 65535, such as 10.0.0.1:8221",
@@ -90,37 +109,37 @@
 );
 const portSchema = z.number().int().min(0).max(maximumPort);
 const settingsSchema = z.object({
-    node_name: z.string(),
+    node_name: nameSchema.min(1),
     ip_address: z.string().refine(text => isIPv4(text), "give an IP address, such as 10.0.0.1"),
-    zone: z.string(),
+    zone: nameSchema,
     // whether the whole system starts for the first time
     bootstrap: z.boolean().default(false),
     // `front` is for clients, `ready` for readiness checks
     listen_addresses: z.object({ front: listenAddressSchema, ready: listenAddressSchema }),
     // first and last port
     internal_ports: z.tuple([portSchema, portSchema]),
-    heartbeat_ms: z.number(),
+    heartbeat_ms: milliseconds,
     // share of a core, and its speed relative to a normal one
-    limits: z.object({ cpu_share: z.number().default(1), cpu_speed_factor: z.number().default(1) }).default({
+    limits: z.object({ cpu_share: amount.default(1), cpu_speed_factor: amount.default(1) }).default({
         cpu_share: 1,
         cpu_speed_factor: 1,
     }),
     bounds: z.object({
-        drain_ms: z.number().default(2_000),
-        grace_s: z.number().default(8),
-        revoke_ms: z.number().default(5_000),
-        lease_ms: z.number().default(3_000),
+        drain_ms: milliseconds.default(2_000),
+        grace_s: seconds.default(8),
+        revoke_ms: milliseconds.default(5_000),
+        lease_ms: milliseconds.default(3_000),
         require_fencing: z.boolean().default(false),
-        version_ms: z.number().default(5_000),
+        version_ms: milliseconds.default(5_000),
         // the retry budget
-        budget_ratio: z.number().default(0.2),
-        budget_window_s: z.number().default(10),
-        budget_slack: z.number().default(0),
-        quota_window_s: z.number().default(8),
-        quota_over: z.number().default(0),
-        quota_slack: z.number().default(0),
+        budget_ratio: amount.default(0.2),
+        budget_window_s: windowSeconds.default(10),
+        budget_slack: amount.default(0),
+        quota_window_s: windowSeconds.default(8),
+        quota_over: amount.default(0),
+        quota_slack: amount.default(0),
         // window of the limit on model loads
-        ceiling_window_s: z.number().default(5),
+        ceiling_window_s: windowSeconds.default(5),
     }),
     // the store
     platform: z.object({
@@ -128,9 +147,9 @@
         // interface of the store
         form: z.literal("log", { message: 'only the log interface of the store is supported; set it to "log"' }),
         // shards of engines
-        parts: z.number().int().positive(),
+        parts: z.number().int().positive().max(maximumShardCount),
         // shortest lifetime of a group membership
-        min_ttl_ms: z.number().default(1_000),
+        min_ttl_ms: milliseconds.default(1_000),
     }),
 });
 
@@ -159,7 +178,7 @@
         readinessAddress: file.listen_addresses.ready,
         peerPort: file.internal_ports[0],
         storeAddress: file.platform.address,
-        cores: file.limits.cpu_share * file.limits.cpu_speed_factor,
+        cores: Math.min(maximumCount, Math.max(minimumCores, file.limits.cpu_share * file.limits.cpu_speed_factor)),
         engineShardCount: file.platform.parts,
         minimumMembershipTtl: file.platform.min_ttl_ms,
         serverHeartbeatInterval: file.heartbeat_ms,
@@ -184,7 +203,7 @@
 
 function parseJson(text: string): unknown {
     try {
-        return JSON.parse(text);
+        return parseBoundedJson(text, maximumFileBytes);
     }
     catch {
         // the caller reports the error
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -3,9 +3,11 @@
  *
  * @packageDocumentation
  */
+export * from "./boundedJson.js";
 export * from "./constants.js";
 export * from "./hash.js";
 export * from "./identifiers.js";
+export * from "./inputRanges.js";
 export * from "./json.js";
 export * from "./logger.js";
 export * from "./logSink.js";
