fix(serving): messages between instances keep to named ranges, and answers are decoded too

Callers saw: a request whose quota is held by an instance that answers in another form ended in an exception ("Cannot read properties of undefined (reading 'kind')"); a relayed read with such an answer ended its follower, which was started again. Cause: answers about quotas, places, permits, holders and quarantines were used as they came, that of a relayed read was parsed by a function that throws; the schemas of messages had types without ranges. Change: each schema has the ranges of src/shared/inputRanges.ts; addresses, methods, paths and headers of forwarded attempts are such as the network and HTTP take. An answer that can't be read is none.

--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -15,7 +15,7 @@
     type PlaceOutcome,
     type ServerRunId,
 } from "../serving/types.js";
-import type { Clock, FailureDomainId, InstanceId, Milliseconds, SeededRandom } from "../shared/index.js";
+import type { Clock, FailureDomainId, InstanceId, Milliseconds, Result, SeededRandom } from "../shared/index.js";
 import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createEngineFinder } from "./engineFinder.js";
@@ -26,6 +26,7 @@
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
 import {
     type AdapterMessage,
+    adapterMessageSchema,
     formatAdapterKey,
     parseAdapterKey,
     type PlaceRequest,
@@ -209,7 +210,8 @@
                 { kind: "askHolders" },
                 holderTimeoutMilliseconds,
             );
-            return response.ok && response.value.kind === "holders" ? response.value.holders : undefined;
+            const answer = decodeAnswer(response);
+            return answer?.kind === "holders" ? answer.holders : undefined;
         },
         readStore: options.readHolders,
         onMoved: (shard, holder) => sendRelease(shard, holder),
@@ -294,7 +296,8 @@
             return undefined;
         }
         holders.markResponsive(holder);
-        return isPlaceResponse(response.value) ? response.value : undefined;
+        const answer = decodeAnswer(response);
+        return answer && isPlaceResponse(answer) ? answer : undefined;
     };
     const end = (holder: InstanceId, id: string, outcome: PlaceOutcome): void => {
         if (holder === self) {
@@ -330,7 +333,8 @@
             if (!response.ok) {
                 holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
             }
-            const wait = response.ok && response.value.kind === "permit" ? response.value.wait : undefined;
+            const answer = decodeAnswer(response);
+            const wait = answer?.kind === "permit" ? answer.wait : undefined;
             if (wait === undefined) {
                 void holders.refresh();
             }
@@ -491,6 +495,11 @@
     };
 }
 
+// an unreadable answer, as of an instance of another version, is none
+function decodeAnswer(response: Result<unknown, unknown>): AdapterMessage | undefined {
+    return response.ok ? adapterMessageSchema.safeParse(response.value).data : undefined;
+}
+
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
     return ["placed", "waiting", "busy", "unavailable", "notHolder"].includes(message.kind);
 }
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -7,7 +7,19 @@
  */
 import * as z from "zod";
 import type { PlaceOutcome, ServerRunId, SoftwareVersion } from "../serving/types.js";
-import type { Milliseconds } from "../shared/index.js";
+import {
+    addressSchema,
+    ageSchema,
+    amountSchema,
+    createListSchema,
+    type Milliseconds,
+    nameSchema,
+    ordinalSchema,
+    shardNumberSchema,
+    startTimeSchema,
+    timeLeftSchema,
+    waitSchema,
+} from "../shared/index.js";
 
 /** Key of an adapter: `MODEL/ADAPTER`. */
 export type AdapterKey = string;
@@ -113,22 +125,20 @@
     readonly engines: readonly (readonly [service: string, requests: number, slots: number])[];
 }
 
-const shardNumber = z.number().int().nonnegative();
-const duration = z.number();
 const placeRequestSchema = z.object({
     kind: z.literal("place"),
-    shard: shardNumber,
-    id: z.string(),
-    service: z.string(),
-    model: z.string(),
-    adapter: z.string().optional(),
-    softwareVersion: z.union([z.string(), z.number()]).optional(),
-    excluded: z.array(z.string()),
-    allowed: z.array(z.string()).optional(),
-    priority: z.number(),
-    usefulFor: duration,
-    patience: duration,
-    deadline: duration,
+    shard: shardNumberSchema,
+    id: nameSchema,
+    service: nameSchema,
+    model: nameSchema,
+    adapter: nameSchema.optional(),
+    softwareVersion: z.union([nameSchema, z.number()]).optional(),
+    excluded: createListSchema(nameSchema),
+    allowed: createListSchema(nameSchema).optional(),
+    priority: amountSchema,
+    usefulFor: timeLeftSchema,
+    patience: timeLeftSchema,
+    deadline: timeLeftSchema,
     isLoadIgnored: z.boolean(),
 });
 const placeOutcomeSchema = z.enum(["answered", "failed", "unreachable", "missing", "unknown"]) satisfies z.ZodType<
@@ -140,43 +150,43 @@
     placeRequestSchema,
     z.object({
         kind: z.literal("placed"),
-        server: z.object({ id: z.string(), startedAt: z.number(), address: z.string() }),
-        version: z.number().optional(),
+        server: z.object({ id: nameSchema, startedAt: startTimeSchema, address: addressSchema }),
+        version: ordinalSchema.optional(),
     }),
     z.object({ kind: z.literal("waiting") }),
-    z.object({ kind: z.literal("busy"), load: z.number() }),
+    z.object({ kind: z.literal("busy"), load: amountSchema }),
     z.object({ kind: z.literal("unavailable") }),
     z.object({ kind: z.literal("notHolder") }),
     // the request with this id has ended, or gave up waiting for a place
-    z.object({ kind: z.literal("ended"), id: z.string(), outcome: placeOutcomeSchema }),
+    z.object({ kind: z.literal("ended"), id: nameSchema, outcome: placeOutcomeSchema }),
     // requests a second that a server takes from all instances together; missing when it no longer names a limit
-    z.object({ kind: z.literal("limit"), run: z.string(), requestsPerSecond: z.number().nonnegative().optional() }),
+    z.object({ kind: z.literal("limit"), run: nameSchema, requestsPerSecond: amountSchema.optional() }),
     // a server has announced that it is about to stop
-    z.object({ kind: z.literal("leaving"), run: z.string() }),
+    z.object({ kind: z.literal("leaving"), run: nameSchema }),
     // asks to have adapters of an engine that takes no more requests loaded elsewhere, busiest first
-    z.object({ kind: z.literal("prepare"), service: z.string(), adapters: z.array(z.string()) }),
+    z.object({ kind: z.literal("prepare"), service: nameSchema, adapters: createListSchema(nameSchema) }),
     z.object({
         kind: z.literal("askPermit"),
-        shard: shardNumber,
-        run: z.string(),
-        requestsPerSecond: z.number().nonnegative(),
+        shard: shardNumberSchema,
+        run: nameSchema,
+        requestsPerSecond: amountSchema,
     }),
     // time until the server takes a request; 0 grants it now
-    z.object({ kind: z.literal("permit"), wait: duration.optional() }),
+    z.object({ kind: z.literal("permit"), wait: waitSchema.optional() }),
     z.object({ kind: z.literal("askHolders") }),
-    z.object({ kind: z.literal("holders"), holders: z.array(z.tuple([shardNumber, z.string()])) }),
+    z.object({ kind: z.literal("holders"), holders: createListSchema(z.tuple([shardNumberSchema, nameSchema])) }),
     z.object({
         kind: z.literal("loads"),
-        running: z.number(),
-        waiting: z.number(),
-        engines: z.array(z.tuple([z.string(), z.number(), z.number()])),
+        running: amountSchema,
+        waiting: amountSchema,
+        engines: createListSchema(z.tuple([nameSchema, amountSchema, amountSchema])),
     }),
     // the sender has released a shard; `sinceLastOrder` is the time since it last sent an order for it
     z.object({
         kind: z.literal("released"),
-        shard: shardNumber,
-        generation: z.number(),
-        sinceLastOrder: duration,
+        shard: shardNumberSchema,
+        generation: ordinalSchema,
+        sinceLastOrder: ageSchema,
     }),
 ]);
 
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -7,20 +7,44 @@
 import * as z from "zod";
 import type { AttemptFault } from "../serving/serverConnections.js";
 import type { ServerResponseHead } from "../serving/types.js";
+import {
+    ageSchema,
+    amountSchema,
+    countSchema,
+    createListSchema,
+    maximumServerSlots,
+    nameSchema,
+    ordinalSchema,
+    textSchema,
+    waitSchema,
+} from "../shared/index.js";
 
 const bytes = z.custom<Uint8Array>(value => value instanceof Uint8Array);
+const tokenPattern = /^[!#$%&'*+\-.^_`|~0-9A-Za-z]+$/;
+const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]*$/;
+// names and values in turn, as HTTP takes them: others would fail when they are written
+const headersSchema = createListSchema(textSchema).refine(
+    headers =>
+        headers.length % 2 === 0 &&
+        headers.every((text, index) => (index % 2 === 0 ? tokenPattern : headerValuePattern).test(text)),
+    "no names and values of headers in turn",
+);
 const headSchema = z.object({
-    status: z.number(),
-    attemptId: z.string().optional(),
+    status: z.number().int().min(100).max(999),
+    attemptId: textSchema.optional(),
     isSigned: z.boolean(),
     isNotRun: z.boolean(),
-    load: z.object({ running: z.number(), waiting: z.number(), slots: z.number() }).optional(),
-    requestLimit: z.number().optional(),
-    retryAfter: z.number().optional(),
+    load: z.object({
+        running: countSchema,
+        waiting: countSchema,
+        slots: z.number().int().min(0).max(maximumServerSlots),
+    }).optional(),
+    requestLimit: amountSchema.optional(),
+    retryAfter: waitSchema.optional(),
     isLeaving: z.boolean(),
     isEventStream: z.boolean(),
-    contentLength: z.number().optional(),
-    passedHeaders: z.array(z.string()),
+    contentLength: ordinalSchema.optional(),
+    passedHeaders: headersSchema,
 }).transform((head): ServerResponseHead => ({
     ...head,
     attemptId: head.attemptId,
@@ -31,7 +55,7 @@
 }));
 const faultSchema = z.object({
     kind: z.enum(["notSent", "withdrawn", "broken", "crossed"]),
-    detail: z.string(),
+    detail: textSchema,
 }) satisfies z.ZodType<Exclude<AttemptFault, { readonly kind: "rerouted"; }>>;
 const eventSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("head"), head: headSchema }),
@@ -46,26 +70,26 @@
 /** Schema of the messages about forwarded attempts. */
 export const forwardingMessageSchema = z.discriminatedUnion("kind", [
     // asks which of these runs of servers the receiver has had a response of in the last `age` milliseconds
-    z.object({ kind: z.literal("askReach"), runs: z.array(z.string()), age: z.number().nonnegative() }),
-    z.object({ kind: z.literal("reach"), reached: z.array(z.string()), hasRoom: z.boolean() }),
+    z.object({ kind: z.literal("askReach"), runs: createListSchema(nameSchema), age: ageSchema }),
+    z.object({ kind: z.literal("reach"), reached: createListSchema(nameSchema), hasRoom: z.boolean() }),
     z.object({
         kind: z.literal("start"),
-        id: z.string(),
-        run: z.string(),
-        attemptId: z.string().optional(),
-        method: z.string(),
-        target: z.string(),
-        headers: z.array(z.string()),
+        id: nameSchema,
+        run: nameSchema,
+        attemptId: textSchema.optional(),
+        method: nameSchema.regex(tokenPattern),
+        target: textSchema.regex(/^\/[\x21-\xff]*$/),
+        headers: headersSchema,
         body: bytes.optional(),
         // whether the server has refused this request before
         wasRefused: z.boolean().optional(),
     }),
     // the events since the last answer; the receiver waits a while for the first one
-    z.object({ kind: z.literal("read"), id: z.string() }),
-    z.object({ kind: z.literal("events"), events: z.array(eventSchema) }),
+    z.object({ kind: z.literal("read"), id: nameSchema }),
+    z.object({ kind: z.literal("events"), events: createListSchema(eventSchema) }),
     // the receiver has sent nothing, and won't
-    z.object({ kind: z.literal("refused"), reason: z.string() }),
-    z.object({ kind: z.literal("abort"), id: z.string() }),
+    z.object({ kind: z.literal("refused"), reason: textSchema }),
+    z.object({ kind: z.literal("abort"), id: nameSchema }),
     // the receiver of an abort works on nothing of that id
     z.object({ kind: z.literal("aborted") }),
 ]);
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -5,12 +5,13 @@
  * @packageDocumentation
  */
 import * as z from "zod";
+import { ageSchema, createListSchema, nameSchema } from "../shared/index.js";
 import type { QuarantineScope } from "./types.js";
 
-const partId = z.string();
-const age = z.number().nonnegative();
-const account = z.string().optional();
-const digest = z.string();
+const partId = nameSchema;
+const age = ageSchema;
+const account = nameSchema.optional();
+const digest = nameSchema;
 
 /** Schema of a scope; one without a kind is that of a part. */
 export const quarantineScopeSchema = z.union([
@@ -23,21 +24,25 @@
     z.object({
         kind: z.literal("report"),
         // runs of servers that broke off requests at the beginning of their answers
-        breaks: z.array(z.object({
-            run: z.string(),
-            service: z.string().default(""),
+        breaks: createListSchema(z.object({
+            run: nameSchema,
+            service: nameSchema.default(""),
             age,
-            requests: z.array(z.object({ account, digest: digest.default(""), own: partId, shared: z.array(partId) })),
+            requests: createListSchema(
+                z.object({ account, digest: digest.default(""), own: partId, shared: createListSchema(partId) }),
+            ),
         })),
         // runs that answered a request that was sent after they had broken off others
-        alive: z.array(z.string()),
+        alive: createListSchema(nameSchema),
         // requests that were answered; the age is that of the beginning of the answer
-        answers: z.array(z.object({ account, digest: digest.default(""), age, shared: z.array(partId) })),
+        answers: createListSchema(
+            z.object({ account, digest: digest.default(""), age, shared: createListSchema(partId) }),
+        ),
         // newest answers to requests of scopes that the receiver suspects or has quarantined
-        sound: z.array(z.object({ scope: quarantineScopeSchema, age })),
+        sound: createListSchema(z.object({ scope: quarantineScopeSchema, age })),
     }),
     // scopes of which the receiver is to report answers
-    z.object({ kind: z.literal("suspects"), scopes: z.array(quarantineScopeSchema) }),
+    z.object({ kind: z.literal("suspects"), scopes: createListSchema(quarantineScopeSchema) }),
     // asks to send one request of a scope whose quarantine has lasted its time
     z.object({ kind: z.literal("askTrial"), scope: quarantineScopeSchema }),
     z.object({ kind: z.literal("trial"), isGranted: z.boolean() }),
--- a/src/quarantine/requestGuard.ts
+++ b/src/quarantine/requestGuard.ts
@@ -9,7 +9,7 @@
 import type { KeyedLog, KeyedRecord, ServerRunId } from "../serving/types.js";
 import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
 import { createCrashReporter } from "./crashReporter.js";
-import type { CrashReport, QuarantineMessage } from "./messages.js";
+import { type CrashReport, type QuarantineMessage, quarantineMessageSchema } from "./messages.js";
 import { createQuarantineDecider } from "./quarantineDecider.js";
 import { createQuarantineList, type KnownQuarantine, type QuarantineDecision } from "./quarantineList.js";
 import type { BrokenRequest, GuardedRequest, QuarantineScope, ServerBreak } from "./types.js";
@@ -87,11 +87,12 @@
         if (!response.ok) {
             holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
         }
-        if (!response.ok || response.value.kind === "notDecider") {
+        const parsed = response.ok ? quarantineMessageSchema.safeParse(response.value) : undefined;
+        if (!parsed?.success || parsed.data.kind === "notDecider") {
             void holders.refresh();
             return undefined;
         }
-        return response.value;
+        return parsed.data;
     };
     const deliver = async (report: CrashReport): Promise<readonly QuarantineScope[] | undefined> => {
         if (isDecider()) {
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -8,7 +8,7 @@
 import type { PeerNetwork } from "../peers/index.js";
 import { type ClientAccountId, type Clock, hashForRendezvous, type InstanceId } from "../shared/index.js";
 import type { QuotaHolder } from "./quotaHolder.js";
-import type { QuotaDecision, QuotaMessage, QuotaRequest } from "./quotaMessages.js";
+import { type QuotaDecision, type QuotaMessage, quotaMessageSchema, type QuotaRequest } from "./quotaMessages.js";
 
 /** Dependencies of the client. */
 export interface QuotaClientOptions {
@@ -81,10 +81,13 @@
             void holders.refresh();
             return undefined;
         }
-        switch (response.value.kind) {
+        const parsed = quotaMessageSchema.safeParse(response.value);
+        switch (parsed.data?.kind) {
             case "admitted":
             case "exceeded":
-                return response.value;
+                return parsed.data;
+            // unreadable, as of an instance of another version
+            case undefined:
             case "notHolder":
             case "take":
             case "giveBack":
--- a/src/serving/quotaMessages.ts
+++ b/src/serving/quotaMessages.ts
@@ -4,7 +4,15 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import type { ClientAccountId, Milliseconds } from "../shared/index.js";
+import {
+    type ClientAccountId,
+    createListSchema,
+    maximumQuotaUnits,
+    type Milliseconds,
+    nameSchema,
+    shardNumberSchema,
+    waitSchema,
+} from "../shared/index.js";
 
 /** Request for units of an account's quota. */
 export interface QuotaRequest {
@@ -25,23 +33,25 @@
     /** `wait` is the time until the quota has enough units. */
     | { readonly kind: "exceeded"; readonly wait: Milliseconds; };
 
+const units = z.number().min(0).max(maximumQuotaUnits);
+
 /** Schema of the messages about quotas. */
 export const quotaMessageSchema = z.discriminatedUnion("kind", [
     z.object({
         kind: z.literal("take"),
-        account: z.string(),
-        units: z.number().nonnegative(),
-        admittedAlone: z.number().nonnegative(),
-        allowance: z.number().nonnegative(),
+        account: nameSchema,
+        units,
+        admittedAlone: units,
+        allowance: units,
         isResumed: z.boolean().optional(),
     }),
-    z.object({ kind: z.literal("admitted"), delay: z.number() }),
-    z.object({ kind: z.literal("exceeded"), wait: z.number() }),
+    z.object({ kind: z.literal("admitted"), delay: waitSchema }),
+    z.object({ kind: z.literal("exceeded"), wait: waitSchema }),
     z.object({ kind: z.literal("notHolder") }),
     // units of a request that was admitted, and that no server has run
-    z.object({ kind: z.literal("giveBack"), account: z.string(), units: z.number().nonnegative() }),
+    z.object({ kind: z.literal("giveBack"), account: nameSchema, units }),
     // the sender asks the receiver for the quotas of the accounts of these shards
-    z.object({ kind: z.literal("present"), shards: z.array(z.number().int().nonnegative()) }),
+    z.object({ kind: z.literal("present"), shards: createListSchema(shardNumberSchema) }),
 ]);
 
 /** Message about quotas. */
--- a/src/serving/relayMessages.ts
+++ b/src/serving/relayMessages.ts
@@ -4,13 +4,14 @@
  * @packageDocumentation
  */
 import * as z from "zod";
+import { ageSchema, createListSchema, nameSchema, ordinalSchema, waitSchema } from "../shared/index.js";
 import type { KeyedTopic } from "./types.js";
 
 const topicSchema = z.enum(["configuration", "servers", "instances", "quarantines"]) satisfies z.ZodType<KeyedTopic>;
 const recordSchema = z.tuple([
-    z.string(),
+    nameSchema,
     z.custom<Uint8Array>(value => value instanceof Uint8Array).optional(),
-    z.number(),
+    ordinalSchema,
 ]);
 
 /** Schema of the messages. */
@@ -19,15 +20,15 @@
     z.object({
         kind: z.literal("read"),
         topic: topicSchema,
-        offset: z.number().optional(),
-        wait: z.number(),
+        offset: ordinalSchema.optional(),
+        wait: waitSchema,
     }),
     // records as key, value and offset; `age` is the time since the sender's data was last confirmed as current
     z.object({
         kind: z.literal("records"),
-        records: z.array(recordSchema),
-        endOffset: z.number(),
-        age: z.number().nonnegative(),
+        records: createListSchema(recordSchema),
+        endOffset: ordinalSchema,
+        age: ageSchema,
     }),
     // the sender no longer knows which keys were deleted since the offset
     z.object({ kind: z.literal("expired") }),
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -400,7 +400,7 @@
         isReader: directory.isReader,
         ask: async (reader, message, timeout) => {
             const response = await peers.network.request(reader, "relay", message, timeout);
-            return response.ok ? relayMessageSchema.parse(response.value) : undefined;
+            return response.ok ? relayMessageSchema.safeParse(response.value).data : undefined;
         },
         caches,
     });
