fix(platform): names that no message or record can hold are refused where they come from

Callers saw nothing yet: a client with a long adapter name would make the holders of engines refuse messages and so count as silent; a key beyond 255 bytes overflowed the byte of its length, and no reader could decode the record. Cause: texts of clients, settings and configuration went into messages and keys at any length. Change: a longer model name counts as none, an account with a longer name is left out, settings with a longer name are refused, and an append with a longer key is refused before it is sent.

--- a/src/platform/__tests__/decodedRanges.test.ts
+++ b/src/platform/__tests__/decodedRanges.test.ts
@@ -4,6 +4,7 @@
 import { decodeOperatorRecord } from "../operatorRecords.js";
 import { decodeServerEntry } from "../serverEntry.js";
 import { decodeSettings } from "../settings.js";
+import { createPlatformStore } from "../store.js";
 
 const encodeJson = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value), "utf8");
 const createNested = (depth: number): string => "[".repeat(depth) + "]".repeat(depth);
@@ -123,7 +124,10 @@
 
     // guards against an account whose name fails as a header's value at each of its requests
     it("leave out an account whose name can't be sent in a header, and keep the others", () => {
-        const tenants = ["acme", "b\n", "\u0161", "Müller & Söhne"].map(name => ({ name, api_keys: [name] }));
+        const tenants = ["acme", "b\n", "\u0161", "Müller & Söhne", "n".repeat(1_025)].map(name => ({
+            name,
+            api_keys: [name],
+        }));
         const decoded = decodeOperatorRecord("config", encodeJson({ ...config, tenants }));
         const value = decoded.ok && decoded.value.kind === "configuration" ? decoded.value.config : undefined;
         expect(value!.accounts!.map(account => account.name)).to.deep.equal(["acme", "Müller & Söhne"]);
@@ -170,6 +174,25 @@
         expect(decodeLoad("3,0,8")).to.deep.equal({ running: 3, waiting: 0, slots: 8 });
     });
 
+    // guards against a client whose long name makes holders of engines refuse messages, so that they count as silent
+    it("take a model or adapter whose name is too long for messages as none", () => {
+        const codec = createPlatformHeaderCodec(() => undefined);
+        const decodeChoice = (name: string): unknown =>
+            codec.decodeRequest("POST", "/a", ["X-Oriolehatch-Model", name]).choice;
+        expect(decodeChoice(`base/${"a".repeat(1_020)}`)).to.equal(undefined);
+        expect(decodeChoice("base/a1")).to.deep.equal({ model: "base", adapter: "a1" });
+    });
+
+    // guards against a record whose length of the key overflows its byte, so that no reader can decode it
+    it("refuse keys that are too long for a record, as names of instances and in appends", async () => {
+        const name = "n".repeat(256);
+        expect(decodeSettings(JSON.stringify({ ...settings, node_name: name })).ok).to.equal(false);
+        const store = createPlatformStore("127.0.0.1:1", () => undefined);
+        const written = await store.append("quarantines", name, Buffer.from("{}"));
+        store.close();
+        expect(written.ok ? "written" : written.error.kind).to.equal("refused");
+    });
+
     // guards against settings whose times make timers fire at once, or make each tick take for ever
     it("keep the settings within what can be used", () => {
         const decoded = decodeSettings(JSON.stringify({
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -13,7 +13,13 @@
     ServerLoad,
     ServerResponseHead,
 } from "../serving/types.js";
-import { longestTimerMilliseconds, maximumCount, maximumServerSlots, millisecondsPerSecond } from "../shared/index.js";
+import {
+    longestTimerMilliseconds,
+    maximumCount,
+    maximumNameLength,
+    maximumServerSlots,
+    millisecondsPerSecond,
+} from "../shared/index.js";
 
 /** Names of headers on the wire. */
 const names = {
@@ -262,7 +268,7 @@
 }
 
 function decodeModelChoice(text: string | undefined): ModelChoice | undefined {
-    if (text === undefined || text === "") {
+    if (text === undefined || text === "" || text.length > maximumNameLength) {
         return undefined;
     }
     const slash = text.indexOf("/");
--- a/src/platform/logRecords.ts
+++ b/src/platform/logRecords.ts
@@ -13,6 +13,9 @@
     readonly detail: string;
 }
 
+/** Longest key of a record, whose length has one byte. */
+export const maximumKeyBytes = 255;
+
 const lengthFieldBytes = 4;
 const offsetFieldBytes = 8;
 
--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -110,7 +110,7 @@
     }),
 });
 /** Names that can be sent in a header; an account with another could not be told to servers. */
-const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]+$/;
+const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]{1,1024}$/;
 const adapterVersionSchema = z.object({ model: z.string(), adapter: z.string(), version: ordinalSchema });
 
 const requestKindsByWireName: Readonly<Record<"safe" | "unsafe" | "stream", RequestKind>> = {
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -19,6 +19,7 @@
     wrapError,
     wrapValue,
 } from "../shared/index.js";
+import { maximumKeyBytes } from "./logRecords.js";
 
 /** Environment variable with the path of the settings file. */
 export const settingsFileVariable = "ORIOLEHATCH_NODE_FILE";
@@ -109,7 +110,10 @@
 );
 const portSchema = z.number().int().min(0).max(maximumPort);
 const settingsSchema = z.object({
-    node_name: nameSchema.min(1),
+    node_name: z.string().min(1).refine(
+        text => Buffer.byteLength(text) <= maximumKeyBytes,
+        `give a name of at most ${maximumKeyBytes} bytes`,
+    ),
     ip_address: z.string().refine(text => isIPv4(text), "give an IP address, such as 10.0.0.1"),
     zone: nameSchema,
     // whether the whole system starts for the first time
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -9,7 +9,13 @@
 import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
 import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { type HttpRequest, type HttpResponse, sendHttpRequest } from "./httpRequest.js";
-import { decodeKeyedReadResponse, decodeReadResponse, encodeKeyedRecord, encodeRecord } from "./logRecords.js";
+import {
+    decodeKeyedReadResponse,
+    decodeReadResponse,
+    encodeKeyedRecord,
+    encodeRecord,
+    maximumKeyBytes,
+} from "./logRecords.js";
 
 /** Client of the store. */
 export interface PlatformStore extends KeyedLog {
@@ -91,6 +97,9 @@
             return decoded.ok ? decoded : wrapError({ kind: "unreachable", detail: decoded.error.detail });
         },
         append: async (topic, key, value) => {
+            if (Buffer.byteLength(key) > maximumKeyBytes) {
+                return wrapError({ kind: "refused", status: 0, detail: `key of more than ${maximumKeyBytes} bytes` });
+            }
             const answer = await sendRequest({
                 method: "POST",
                 path: `/log-append?topic=${topicNames[topic]}&part=0`,
--- a/src/serving/topicCache.ts
+++ b/src/serving/topicCache.ts
@@ -97,7 +97,7 @@
             const present = new Set(newest.map(record => record.key));
             // keys that are missing were deleted at an unknown offset before the end
             const missing = [...records.keys()].filter(key => !present.has(key));
-            missing.forEach(key => put({ key, value: undefined, offset: end - 1 }));
+            missing.forEach(key => put({ key, value: undefined, offset: Math.max(0, end - 1) }));
             newest.forEach(put);
             endOffset = end;
             endChange();
