fix(serving): readers go on after a record that can't be read or taken

Callers saw: a follower stood still for good at a record shorter than its key, or at one at which its handler threw, and no later change came into force; one invalid item hid all others of a page. Cause: decodeKeyedReadResponse gave up the whole read; a handler's exception ended the follower, which was started again and met the same record; pages were parsed as a whole, and a page of very many records was spread over arguments. Change: such records are left out with a log line and the offsets of the others stay right. Entries of instances, records of streams and of quarantines have ranges, a largest size and a deepest nesting; one that is out of them is left out, the others hold.

--- a/src/platform/logRecords.ts
+++ b/src/platform/logRecords.ts
@@ -54,22 +54,30 @@
  *
  * @param bytes - body of the response
  * @param from - offset of the first record, as requested
+ * @param onRefused - called with the offset of each record that is shorter than its key, which is left out
  * @returns the records and the offset after the last one; an error when the bytes end within an offset or a record
  */
-export function decodeKeyedReadResponse(bytes: Buffer, from: number): Result<KeyedSnapshot, LogRecordError> {
+export function decodeKeyedReadResponse(
+    bytes: Buffer,
+    from: number,
+    onRefused: (offset: number) => void = () => undefined,
+): Result<KeyedSnapshot, LogRecordError> {
     const response = decodeReadResponse(bytes);
     if (!response.ok) {
         return response;
     }
     const records: KeyedRecord[] = [];
-    for (const content of response.value.records) {
-        const record = decodeKeyedRecord(content, from + records.length);
-        if (!record) {
-            return wrapError({ kind: "malformed", detail: "a record is shorter than its key" });
+    for (const [index, content] of response.value.records.entries()) {
+        const record = decodeKeyedRecord(content, from + index);
+        if (record) {
+            records.push(record);
+        }
+        else {
+            // the store keeps the record, so that a reader that stopped here would never go on
+            onRefused(from + index);
         }
-        records.push(record);
     }
-    return wrapValue({ records, endOffset: from + records.length });
+    return wrapValue({ records, endOffset: from + response.value.records.length });
 }
 
 function readContentLength(bytes: Buffer, position: number): number {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -7,7 +7,15 @@
 import * as z from "zod";
 import type { ShardGroup, ShardMembership, ShardOwner } from "../adapters/types.js";
 import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
-import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import {
+    createLogger,
+    type Milliseconds,
+    ordinalSchema,
+    type Result,
+    shardNumberSchema,
+    wrapError,
+    wrapValue,
+} from "../shared/index.js";
 import { type HttpRequest, type HttpResponse, sendHttpRequest } from "./httpRequest.js";
 import {
     decodeKeyedReadResponse,
@@ -43,21 +51,23 @@
 const maximumConnections = 8;
 /** The store has deleted the records at the requested offset. */
 const recordsExpiredStatus = 410;
+const log = createLogger("platform");
 
 const latestRecordsPageSchema = z.object({
     // values are in Base64; a deleted key has none
-    items: z.array(z.object({ key: z.string(), value: z.string().nullish(), offset: z.number() })),
+    items: z.array(z.unknown()),
     has_more: z.boolean().default(false),
     // offset after the last record
-    end_offset: z.number(),
+    end_offset: ordinalSchema,
 });
+const latestRecordSchema = z.object({ key: z.string(), value: z.string().nullish(), offset: ordinalSchema });
 const groupMembershipSchema = z.object({
-    generation: z.number(),
+    generation: ordinalSchema,
     // partitions that the member holds: topic, partition and committed offset
-    parts: z.array(z.tuple([z.string(), z.number()]).rest(z.unknown())),
+    parts: z.array(z.tuple([z.string(), shardNumberSchema]).rest(z.unknown())),
 });
 // rows of topic, partition, member and committed offset
-const ownerRowsSchema = z.array(z.tuple([z.string(), z.number(), z.string()]).rest(z.unknown()));
+const ownerRowsSchema = z.array(z.tuple([z.string(), shardNumberSchema, z.string()]).rest(z.unknown()));
 const groupOwnersSchema = z.union([
     ownerRowsSchema,
     z.object({ parts: ownerRowsSchema }).transform(body => body.parts),
@@ -93,7 +103,11 @@
             if (!answer.ok) {
                 return answer;
             }
-            const decoded = decodeKeyedReadResponse(answer.value, offset);
+            const decoded = decodeKeyedReadResponse(
+                answer.value,
+                offset,
+                refused => log.warn("record shorter than its key", { topic, offset: refused }),
+            );
             return decoded.ok ? decoded : wrapError({ kind: "unreachable", detail: decoded.error.detail });
         },
         append: async (topic, key, value) => {
@@ -139,7 +153,7 @@
 }
 
 function decodeFirstOffset(body: Buffer): number | undefined {
-    const decoded = decodeJson(z.object({ first_offset: z.number() }), body);
+    const decoded = decodeJson(z.object({ first_offset: ordinalSchema }), body);
     return decoded.ok ? decoded.value.first_offset : undefined;
 }
 
@@ -161,7 +175,8 @@
             if (!page.ok) {
                 return wrapError({ kind: "unreachable", detail: page.error.detail });
             }
-            records.push(...page.value.records);
+            // not spread over arguments, of which there may be too many
+            page.value.records.forEach(record => records.push(record));
             if (page.value.records.length === 0 || offset + records.length >= page.value.endOffset) {
                 return wrapValue(records);
             }
@@ -193,7 +208,7 @@
     // records may be appended between two pages: reading from the first page's end offset on misses none of them
     let endOffset: number | undefined;
     for (;;) {
-        const path = `/log-newest?topic=${topic}&part=0${after === "" ? "" : `&after=${encodeURIComponent(after)}`}`;
+        const path = `/log-newest?topic=${topic}&part=0${after === "" ? "" : `&after=${encodeKey(after)}`}`;
         const answer = await sendRequest({ method: "GET", path, timeout: requestTimeoutMilliseconds });
         if (!answer.ok) {
             return answer;
@@ -204,16 +219,21 @@
         }
         records.push(...page.value.records);
         endOffset ??= page.value.endOffset;
-        const last = page.value.records.at(-1);
-        if (!page.value.hasMore || !last) {
+        if (!page.value.hasMore || page.value.lastKey === undefined) {
             return wrapValue({ records, endOffset });
         }
-        after = last.key;
+        after = page.value.lastKey;
     }
 }
 
+// a key may hold half of a character, which has no encoding and is replaced
+function encodeKey(key: string): string {
+    return encodeURIComponent(Buffer.from(key, "utf8").toString("utf8"));
+}
+
 interface LatestRecordsPage extends KeyedSnapshot {
     readonly hasMore: boolean;
+    readonly lastKey: string | undefined;
 }
 
 function decodeLatestRecordsPage(body: Buffer): Result<LatestRecordsPage, StoreError> {
@@ -221,12 +241,24 @@
     if (!parsed.ok) {
         return parsed;
     }
-    const records = parsed.value.items.map(item => ({
+    const items = parsed.value.items
+        .map(item => latestRecordSchema.safeParse(item).data)
+        .filter(item => item !== undefined);
+    if (items.length < parsed.value.items.length) {
+        log.warn("records not valid", { count: parsed.value.items.length - items.length });
+    }
+    const records = items.map(item => ({
         key: item.key,
         value: typeof item.value === "string" ? Buffer.from(item.value, "base64") : undefined,
         offset: item.offset,
     }));
-    return wrapValue({ records, endOffset: parsed.value.end_offset, hasMore: parsed.value.has_more });
+    return wrapValue({
+        records,
+        endOffset: parsed.value.end_offset,
+        hasMore: parsed.value.has_more,
+        // of the last item also where the item isn't valid, so that the next page is another one
+        lastKey: z.object({ key: z.string() }).safeParse(parsed.value.items.at(-1)).data?.key ?? items.at(-1)?.key,
+    });
 }
 
 function createShardGroup(sendRequest: StoreRequestSender): ShardGroup {
--- a/src/quarantine/quarantineList.ts
+++ b/src/quarantine/quarantineList.ts
@@ -6,7 +6,7 @@
  */
 import * as z from "zod";
 import type { KeyedRecord } from "../serving/types.js";
-import { createLogger, type Milliseconds } from "../shared/index.js";
+import { countSchema, createLogger, type Milliseconds, parseBoundedJson } from "../shared/index.js";
 import { quarantineScopeSchema } from "./messages.js";
 import {
     formatScopeKey,
@@ -46,7 +46,10 @@
 const maximumRequestTrials = 2;
 /** Time after which a client may return whose request is not tried again by itself. */
 const noTrialMilliseconds = 3_600_000;
-const trialsSchema = z.object({ trials: z.number().int().nonnegative() });
+/** Largest record that is read. */
+const maximumRecordBytes = 65_536;
+const maximumDetailLength = 200;
+const trialsSchema = z.object({ trials: countSchema });
 const log = createLogger("quarantine");
 
 /**
@@ -122,11 +125,11 @@
 
 function decodeQuarantine(key: string, value: Uint8Array): Quarantine | undefined {
     try {
-        const record: unknown = JSON.parse(Buffer.from(value).toString("utf8"));
+        const record: unknown = parseBoundedJson(value, maximumRecordBytes);
         return { ...quarantineScopeSchema.parse(record), ...trialsSchema.parse(record) };
     }
     catch (error) {
-        log.warn("quarantine unreadable, it is left out", { key, detail: String(error) });
+        log.warn("quarantine unreadable, it is left out", { key, detail: String(error).slice(0, maximumDetailLength) });
         return undefined;
     }
 }
--- /dev/null
+++ b/src/resumption/__tests__/streamArchive.test.ts
@@ -0,0 +1,34 @@
+import { expect } from "chai";
+import { createSystemClock, wrapValue } from "../../shared/index.js";
+import { createStreamArchive } from "../streamArchive.js";
+
+const createRecord = (service: string, key: string, version: unknown = "v1"): Uint8Array =>
+    Buffer.from(JSON.stringify({ streams: [{ origin: { service, version }, keys: [key] }] }));
+
+describe("archive of streams", () => {
+    // guards against a record of another writer that hides the streams of the others
+    it("passes over records that can't be read or are out of their ranges, and keeps the others", async () => {
+        const records = [
+            Buffer.from([0xff, 0x00]),
+            Buffer.from("{"),
+            Buffer.from("[".repeat(200_000)),
+            createRecord("llm", "first"),
+            createRecord("x".repeat(1_025), "long service"),
+            createRecord("llm", "y".repeat(1_025)),
+            createRecord("llm", "long version", "z".repeat(1_025)),
+            createRecord("llm", "no version", {}),
+            Buffer.from(JSON.stringify({ streams: [], other: "x".repeat(17_000_000) })),
+            createRecord("llm", "__proto__"),
+        ];
+        const archive = createStreamArchive(createSystemClock(), {
+            append: async () => wrapValue(undefined),
+            readAll: async () => wrapValue(records),
+        });
+        await archive.load();
+        const keys = ["first", "long service", "y".repeat(1_025), "long version", "no version", "__proto__"];
+        const found = await Promise.all(keys.map(key => archive.find(key)));
+        expect(found.map(origin => origin?.service)).to.deep.equal(
+            ["llm", undefined, undefined, undefined, undefined, "llm"],
+        );
+    });
+});
--- a/src/resumption/streamArchive.ts
+++ b/src/resumption/streamArchive.ts
@@ -6,7 +6,14 @@
  */
 import * as z from "zod";
 import type { ExpiringLog } from "../serving/types.js";
-import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
+import {
+    type Clock,
+    createListSchema,
+    createLogger,
+    type Milliseconds,
+    nameSchema,
+    parseBoundedJson,
+} from "../shared/index.js";
 import { originSchema } from "./messages.js";
 import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
 import type { StreamOrigin } from "./types.js";
@@ -33,7 +40,11 @@
 const loadRetryMilliseconds = 500;
 /** Longest wait of a request for the records to be read. */
 const findWaitMilliseconds = 300;
-const recordSchema = z.object({ streams: z.array(z.object({ origin: originSchema, keys: z.array(z.string()) })) });
+/** Largest record that is read; the store's own limit is lower. */
+const maximumRecordBytes = 16_777_216;
+const recordSchema = z.object({
+    streams: createListSchema(z.object({ origin: originSchema, keys: createListSchema(nameSchema) })),
+});
 const log = createLogger("resumption");
 
 /**
@@ -116,7 +127,7 @@
 // a record that can't be read, as of an instance of another version, tells nothing
 function decodeRecord(record: Uint8Array): readonly StreamRecord[] {
     try {
-        const { streams } = recordSchema.parse(JSON.parse(Buffer.from(record).toString()));
+        const { streams } = recordSchema.parse(parseBoundedJson(record, maximumRecordBytes));
         return streams.flatMap(({ origin, keys }) => keys.map(key => ({ key, origin })));
     }
     catch (error) {
--- a/src/serving/__tests__/instanceDirectory.test.ts
+++ b/src/serving/__tests__/instanceDirectory.test.ts
@@ -36,6 +36,22 @@
         expect(directory.listOthers().map(entry => entry.id)).to.deep.equal(["front-1"]);
     });
 
+    // guards against numbers that ruin the order by size, and entries that take long to walk
+    it("leaves out an entry that is out of its ranges", () => {
+        const directory = createDirectory(1, () => 1);
+        const entry = { address: "10.0.0.2:1", failureDomain: "a", cores: 1 };
+        const changes = [{ cores: -1 }, { cores: 1e308 }, { failureDomain: "a".repeat(1_025) }, {
+            id: "x".repeat(70_000),
+        }];
+        for (const change of changes) {
+            const value = Buffer.from(JSON.stringify({ ...entry, ...change }));
+            directory.applyRecord({ key: "front-2", value, offset: 2 });
+            expect(directory.findAddress("front-2"), JSON.stringify(change).slice(0, 50)).to.equal(undefined);
+        }
+        directory.applyRecord({ key: "__proto__", value: Buffer.from(JSON.stringify(entry)), offset: 3 });
+        expect(directory.findAddress("__proto__")).to.equal("10.0.0.2:1");
+    });
+
     it("finds the present address of an instance", () => {
         const directory = createDirectory(2, () => 1);
         const moved = { ...self, id: "front-1", address: "10.0.0.9:1" };
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -4,7 +4,15 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import { compareText, hashForRendezvous, type InstanceId, parseNetworkAddress } from "../shared/index.js";
+import {
+    addressSchema,
+    amountSchema,
+    compareText,
+    hashForRendezvous,
+    type InstanceId,
+    nameSchema,
+    parseBoundedJson,
+} from "../shared/index.js";
 import type { KeyedRecord } from "./types.js";
 
 /** Entry of an instance in the platform's store. */
@@ -51,10 +59,12 @@
 /** Instances of a failure domain from which on most of them read the store through others. */
 const relayedDomainSize = 4;
 const readersPerDomain = 2;
+/** Largest entry that is read. */
+const maximumEntryBytes = 65_536;
 const entrySchema = z.object({
-    address: z.string().refine(text => parseNetworkAddress(text) !== undefined, "no IP address and port"),
-    failureDomain: z.string().default(""),
-    cores: z.number().default(0),
+    address: addressSchema,
+    failureDomain: nameSchema.default(""),
+    cores: amountSchema.default(0),
 });
 
 /**
@@ -137,7 +147,7 @@
 
 function decodeEntry(id: InstanceId, value: Uint8Array): InstanceEntry | undefined {
     try {
-        return { id, ...entrySchema.parse(JSON.parse(Buffer.from(value).toString("utf8"))) };
+        return { id, ...entrySchema.parse(parseBoundedJson(value, maximumEntryBytes)) };
     }
     catch {
         // an unreadable entry is treated as a missing one
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -1,10 +1,11 @@
 /**
  * Follows a keyed topic: reads the newest record of each key, then later records as they are written. Starts again
- * with the newest records when the store no longer has the next offset or refuses the read.
+ * with the newest records when the store no longer has the next offset or refuses the read. A record at which a handler
+ * throws is logged and passed over: it stays in the store, so that a follower which stopped there would never go on.
  *
  * @packageDocumentation
  */
-import { type Milliseconds, type Result, waitUnlessAborted, wrapValue } from "../shared/index.js";
+import { createLogger, type Milliseconds, type Result, waitUnlessAborted, wrapValue } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { TopicCache } from "./topicCache.js";
@@ -42,6 +43,9 @@
 
 const initialRetryMilliseconds = 50;
 const maximumRetryMilliseconds = 400;
+const maximumDetailLength = 200;
+const maximumKeyLength = 100;
+const log = createLogger("serving");
 
 /**
  * Creates a task that follows a topic until it is stopped.
@@ -100,11 +104,42 @@
 
 function deliverRead(options: KeyedFollowerOptions, isSnapshot: boolean, read: KeyedSnapshot): void {
     if (isSnapshot) {
-        options.onSnapshot(read.records);
+        deliverSnapshot(options, read.records);
         options.cache?.replaceAll(read.records, read.endOffset);
     }
     else if (read.records.length > 0) {
-        options.onRecords(read.records);
+        read.records.forEach(record => tryRecord(options, record));
         options.cache?.apply(read.records, read.endOffset);
     }
 }
+
+// whole, as the handler learns from it which keys no longer exist; without the records that it can't take, if there are any
+function deliverSnapshot(options: KeyedFollowerOptions, records: readonly KeyedRecord[]): void {
+    try {
+        options.onSnapshot(records);
+    }
+    catch {
+        const usable = records.filter(record => tryRecord(options, record));
+        if (usable.length === records.length) {
+            log.error("newest records not taken as a whole", { topic: options.topic });
+            return;
+        }
+        deliverSnapshot(options, usable);
+    }
+}
+
+function tryRecord(options: KeyedFollowerOptions, record: KeyedRecord): boolean {
+    try {
+        options.onRecords([record]);
+        return true;
+    }
+    catch (error) {
+        log.error("record passed over", {
+            topic: options.topic,
+            key: record.key.slice(0, maximumKeyLength),
+            offset: record.offset,
+            error: String(error instanceof Error ? error.stack : error).slice(0, maximumDetailLength),
+        });
+        return false;
+    }
+}
