--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -97,7 +97,8 @@
     burst: quotaAmount.default(0),
 });
 const configSchema = z.object({
-    version: z.number(),
+    // one beyond the exact numbers would be equal to later ones, or hide all of them
+    version: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
     routes: z.array(routeSchema),
     services: z.array(serviceSchema),
     // client accounts; without the field, requests carry no API keys
