test(platform): the test of the bundle takes a free port for metrics

The test failed once: the daemon ended with "listen EADDRINUSE: address already in use 127.0.0.1:39464", traced by starting it by hand with its output shown. 39464 is within the ports that the system gives to any connection (32768 to 60999 here), so that any connection of another process may hold it. The port is now a free one below that range; what is checked is the same. After: bundle 2 tests pass.

--- a/src/platform/__tests__/bundle.test.ts
+++ b/src/platform/__tests__/bundle.test.ts
@@ -8,6 +8,25 @@
 import { join } from "node:path";
 
 const startLimitMilliseconds = 20_000;
+/** Ports from here on are below those that the system gives to any connection. */
+const firstMetricsPort = 20_000;
+const metricsPortCount = 10_000;
+
+async function findMetricsPort(): Promise<number> {
+    for (let tried = 0; tried < metricsPortCount; tried++) {
+        const port = firstMetricsPort + (process.pid + tried) % metricsPortCount;
+        const server = createServer();
+        const isFree = await new Promise<boolean>(resolve => {
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        if (isFree) {
+            await new Promise(resolve => server.close(resolve));
+            return port;
+        }
+    }
+    throw new Error("no free port for metrics");
+}
 
 describe("daemon bundle", () => {
     let folder: string;
@@ -50,7 +69,8 @@
                 platform: { address: `127.0.0.1:${port}`, form: "log", parts: 4 },
             }),
         );
-        const daemon = spawn(process.execPath, [file, "--metrics-port", "39464"], {
+        const metricsPort = String(await findMetricsPort());
+        const daemon = spawn(process.execPath, [file, "--metrics-port", metricsPort], {
             env: { PATH: process.env["PATH"], ORIOLEHATCH_NODE_FILE: settings },
             stdio: "ignore",
         });
