fix(serving): a request is no longer put off until its deadline while the loop counts as late

What callers saw: 504 at the route's timeout of a request that no server had received; the process is sound, the servers idle.

Cause: while the loop counts as late (for a second after one late timer) a request that has got its connection waits for the events that wait, and is dispatched again. Where the pool dispatches it later than in the same call, as with few connections, it was taken off again, without an end while the loop counted as late: a turn of the loop each time, and work that keeps the loop late.

Evidence: the HTTP client's trace has 'request not written' of one request hundreds of times until its 504, at a server that never saw it.

--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import type { LoopGate } from "../loopDelay.js";
+import { type LoopGate, waitForEvents } from "../loopDelay.js";
 import { type Attempt, createServerConnections, type ServerConnections } from "../serverConnections.js";
 import { type BackendServer, formatServerRunId, type HeaderCodec } from "../types.js";
 
@@ -25,6 +25,8 @@
     }),
 };
 
+/** A late loop counts as late for a second; what is sent meanwhile must not wait for that. */
+const lateLimitMilliseconds = 1_000;
 const onTime: LoopGate = { isLate: () => false, handleWaiting: () => Promise.resolve() };
 
 interface ObservedAttempt {
@@ -266,6 +268,46 @@
         });
     });
 
+    // guards against a request that is put off until its deadline while the loop counts as late (LOST)
+    it("is written while the loop stays late, on new and on kept connections, though many wait for one", async () => {
+        const server = createServer(socket => {
+            socket.on("error", () => undefined);
+            socket.on("data", chunk => {
+                const requests = chunk.toString("latin1").match(/POST/g)?.length ?? 0;
+                socket.write(`${head}Content-Length: 3\r\n\r\nabc`.repeat(requests));
+            });
+        });
+        const port = await listen(server);
+        let waits = 0;
+        const connections = createServerConnections({
+            headers: codec,
+            findConnectionLimit: () => 1,
+            mayReceive: () => true,
+            loop: {
+                isLate: () => true,
+                handleWaiting: () => {
+                    waits++;
+                    return waitForEvents();
+                },
+            },
+            onLeaving: () => undefined,
+            idleTimeout: 1_000,
+        });
+        const ends: string[] = [];
+        const limit = new Promise(resolve => setTimeout(resolve, lateLimitMilliseconds));
+        for (let round = 0; round < 3; round++) {
+            const sent = Array.from({ length: 4 }, () => sendOnce(connections, port, "7"));
+            await Promise.race([
+                limit,
+                Promise.all(sent.map(async each => void ends.push((await each).end))),
+            ]);
+        }
+        connections.close();
+        server.close();
+        expect(ends).to.deep.equal(Array.from({ length: 12 }, () => "end"));
+        expect(waits, "waits of 12 requests").to.be.at.most(48);
+    });
+
     // guards against a caller that is told "not run" of a request that a server runs (REFUSED, TWICE)
     it("isn't refused by an answer that names no request, or by a second copy of an earlier refusal", async () => {
         const refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n";
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -97,6 +97,11 @@
 const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
 const connectTimeoutMilliseconds = 400;
 const lowestFinalStatus = 200;
+/**
+ * Times that a request waits for the events that wait: before it is dispatched, and once it has a connection. It is then
+ * written, as a loop counts as late for longer than some requests may take.
+ */
+const maximumChecks = 2;
 
 /**
  * Creates the connection pools. A connection is opened when a request needs it.
@@ -227,6 +232,8 @@
     let isOver = false;
     // whether a connected socket may be written to now, as all events that waited have been handled
     let isChecked = false;
+    // how often the events that waited have been handled for this request
+    let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
     const finish = (notify: () => void): void => {
@@ -248,7 +255,7 @@
             if (!isOver && !options.mayReceive(run)) {
                 withdraw();
             }
-            isPostponed = !isOver && !isChecked && options.loop.isLate();
+            isPostponed = !isOver && !isChecked && checks < maximumChecks && options.loop.isLate();
             if (isOver || isPostponed) {
                 // undici keeps the connection when this throws; it closes it when the request is aborted
                 throw new Error("request not written");
@@ -309,6 +316,7 @@
         );
     };
     const sendChecked = (): void => {
+        checks++;
         void options.loop.handleWaiting().then(() => {
             if (isOver) {
                 return;
