--- a/src/platform/__tests__/delivered/wireStore.ts
+++ b/src/platform/__tests__/delivered/wireStore.ts
@@ -11,6 +11,8 @@
     readonly address: string;
     /** Writes a record of a keyed topic as it stands; `undefined` deletes the key. */
     readonly put: (topic: string, key: string, value: string | Uint8Array | undefined) => void;
+    /** Writes a record of a topic without keys. */
+    readonly append: (topic: string, content: Uint8Array) => void;
     /** Set by a test that has the store fail: called with each call, returns whether it has dealt with it. */
     intercept: ((request: IncomingMessage, response: ServerResponse) => boolean) | undefined;
     readonly close: () => void;
@@ -190,6 +192,7 @@
             const record = encodeKeyedRecord(key, value === undefined ? undefined : Buffer.from(value));
             append(getPartition(topic, "0"), [record.subarray(lengthFieldBytes)]);
         },
+        append: (topic, content) => void append(getPartition(topic, "0"), [Buffer.from(content)]),
         close: () => {
             server.close();
             server.closeAllConnections();
