--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -218,7 +218,7 @@
     const { clock, history, store, servers } = world;
     const self: InstanceEntry = {
         id: `front-${index}`,
-        address: `10.0.0.${index}:1`,
+        address: `10.0.${Math.floor(index / 256)}.${index % 256}:1`,
         failureDomain: `domain-${index % domainCount}`,
         cores: index % 4 === 0 ? 1.35 : 0.324,
     };
