feat(supervision): one way to start a task that nobody waits for

What callers saw: one exception in a promise that was started and left alone (`void ...`, about 35 in the serving form) ended the process with all its requests. Cause: such a promise has no place where its failure goes. Change: startTask and runTask give a task a name and a place for its failure, which is logged in one bounded line (name, reason, first calls) and counted under its name; callGuarded does the same for a callback. There is no handler of uncaught exceptions: what isn't a task still ends the process.

--- a/src/supervision/index.ts
+++ b/src/supervision/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * from "./backgroundTasks.js";
 export * from "./mailbox.js";
 export * from "./processEnd.js";
 export * from "./supervisor.js";
