fix(serving): loops that fail go on, with a pause that grows, and end after a minute

What callers saw: a follower whose handler threw read the whole topic again, 10 times a second; one throwing part of the regular maintenance kept all later parts from running; a shard whose gain failed was held without its engines; writes of streams stopped for good after one exception. Cause: a constant restart delay, the offset kept inside one run, one chain of calls, flags that an exception left set. Change: the pause before a restart doubles from 100 ms up to 2 s and begins anew after a run of 10 s; a follower keeps its offset over runs; the parts of the maintenance are guarded one by one; a task or part that fails for 60 s without a sound run ends the instance: it drains, logs the reason, and run() rejects, so that the exit status isn't 0. Failures are counted as oriolehatch_task_failures_total{task}.

--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -105,7 +105,14 @@
         }
         for (const shard of gained) {
             held.set(shard, { fencingNumber: generation, activeAt: computeActiveAt(shard, now) });
-            options.onShardGained(shard);
+            try {
+                options.onShardGained(shard);
+            }
+            catch (error) {
+                // a shard without its engines would be held for nothing; the next join gains it again
+                held.delete(shard);
+                throw error;
+            }
         }
         if (hasChanged) {
             log.info("shards", { generation, shards: membership.shards, gained, lost });
--- a/src/resumption/streamArchive.ts
+++ b/src/resumption/streamArchive.ts
@@ -5,8 +5,9 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import type { ExpiringLog } from "../serving/types.js";
-import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
+import type { ExpiringLog, StoreError } from "../serving/types.js";
+import { type Clock, createLogger, type Milliseconds, type Result, wrapError } from "../shared/index.js";
+import { recordTaskFailure, startTask } from "../supervision/index.js";
 import { originSchema } from "./messages.js";
 import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
 import type { StreamOrigin } from "./types.js";
@@ -48,10 +49,23 @@
     let waiting: StreamRecord[] = [];
     let isWriting = false;
     let loading: Promise<void> = Promise.resolve();
+    // an exception is a failed call, which is tried again
+    const callStore = async <Value>(
+        name: string,
+        call: () => Promise<Result<Value, StoreError>>,
+    ): Promise<Result<Value, StoreError>> => {
+        try {
+            return await call();
+        }
+        catch (error) {
+            recordTaskFailure(name, error);
+            return wrapError({ kind: "unreachable", detail: "failed inside" });
+        }
+    };
     const writeBatch = async (): Promise<void> => {
         const batch = waiting.slice(0, streamsPerRecord);
         waiting = waiting.slice(streamsPerRecord);
-        const written = await store.append(encodeRecord(batch));
+        const written = await callStore("write streams", () => store.append(encodeRecord(batch)));
         if (!written.ok) {
             waiting = [...batch, ...waiting].slice(-maximumWaitingStreams);
             log.warn("streams not written", { ...written.error, waiting: waiting.length });
@@ -59,14 +73,18 @@
     };
     const write = async (): Promise<void> => {
         isWriting = true;
-        while (waiting.length > 0) {
-            await clock.sleep(batchMilliseconds);
-            await writeBatch();
+        try {
+            while (waiting.length > 0) {
+                await clock.sleep(batchMilliseconds);
+                await writeBatch();
+            }
+        }
+        finally {
+            isWriting = false;
         }
-        isWriting = false;
     };
     const readRecords = async (expiresAt: Milliseconds): Promise<boolean> => {
-        const records = await store.readAll();
+        const records = await callStore("read streams", store.readAll);
         if (!records.ok) {
             log.warn("streams not read", { ...records.error });
             return false;
@@ -86,7 +104,7 @@
         add: streams => {
             waiting = [...waiting, ...streams].slice(-maximumWaitingStreams);
             if (!isWriting) {
-                void write();
+                startTask("write streams", write);
             }
         },
         find: async key => {
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -44,27 +44,37 @@
 const maximumRetryMilliseconds = 400;
 
 /**
- * Creates a task that follows a topic until it is stopped.
+ * Creates a task that follows a topic until it is stopped. After a failure, as of a handler that throws, the next run goes
+ * on from the last offset whose records were all delivered.
  *
  * @param options - topic, timing and callbacks
  * @returns the task, which the caller runs
  */
 export function createKeyedFollower(options: KeyedFollowerOptions): Task {
-    return { name: `follow ${options.topic}`, run: signal => readTopic(options, signal) };
+    const position: FollowerPosition = { nextOffset: undefined };
+    return { name: `follow ${options.topic}`, run: signal => readTopic(options, position, signal) };
 }
 
-async function readTopic(options: KeyedFollowerOptions, signal: AbortSignal): Promise<void> {
-    let nextOffset: number | undefined;
+interface FollowerPosition {
+    /** Offset of the next read; `undefined` to begin with the newest records of all keys. */
+    nextOffset: number | undefined;
+}
+
+async function readTopic(
+    options: KeyedFollowerOptions,
+    position: FollowerPosition,
+    signal: AbortSignal,
+): Promise<void> {
     let failures = 0;
     while (!signal.aborted) {
         // a stopped instance doesn't wait for the store, whose answer may take long
-        const result = await waitUnlessAborted(readOnce(options, nextOffset), signal);
+        const result = await waitUnlessAborted(readOnce(options, position.nextOffset), signal);
         if (signal.aborted || !result) {
             return;
         }
         if (result.ok) {
-            const hasNews = nextOffset !== result.value;
-            nextOffset = result.value;
+            const hasNews = position.nextOffset !== result.value;
+            position.nextOffset = result.value;
             failures = 0;
             if (hasNews && options.pause) {
                 await options.sleep(options.pause, signal);
@@ -73,7 +83,9 @@
         }
         options.onFailure(result.error);
         // other failures leave the offset valid, so that the follower needs no new snapshot
-        nextOffset = result.error.kind === "expired" || result.error.kind === "refused" ? undefined : nextOffset;
+        if (result.error.kind === "expired" || result.error.kind === "refused") {
+            position.nextOffset = undefined;
+        }
         await options.sleep(Math.min(maximumRetryMilliseconds, initialRetryMilliseconds * 2 ** failures), signal);
         failures++;
     }
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -20,14 +20,14 @@
     type Milliseconds,
     millisecondsPerSecond,
 } from "../shared/index.js";
-import { createSupervisor } from "../supervision/index.js";
+import { createSupervisor, runTask, startTask } from "../supervision/index.js";
 import { createAccountLimits } from "./accountLimits.js";
 import { createClientServer, type ReceivedRequest } from "./clientServer.js";
 import { createConfigurationState } from "./configurationState.js";
 import { createFollowers } from "./followers.js";
 import { readClocks } from "./freshness.js";
 import { createInstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
-import { createMaintenanceTask, createRegistrationTask } from "./instanceTasks.js";
+import { createGuardedParts, createMaintenanceTask, createRegistrationTask, waitForEnd } from "./instanceTasks.js";
 import { createLoopDelay, type LoopGate, waitForEvents } from "./loopDelay.js";
 import { createAccountShards, createQuotaClient } from "./quotaClient.js";
 import { createQuotaHolder } from "./quotaHolder.js";
@@ -148,6 +148,11 @@
  */
 const readinessNoticeMilliseconds = 2_500;
 const drainPollMilliseconds = 50;
+/**
+ * Time for which a task may fail again and again: what it keeps, such as the list of servers, is then too old to be
+ * trusted, and the instance ends.
+ */
+const failureLimitMilliseconds = 60_000;
 /** Lateness of the event loop from which on it is logged. */
 const reportedDelayMilliseconds = 200;
 /** Part of the grace time that is reserved for closing connections and ending the process. */
@@ -429,18 +434,21 @@
         },
         onAdapterVersion: adapters.recordVersion,
     });
+    const runParts = createGuardedParts({
+        "expiry of servers": () => applyServerChange(servers.expire(clock.now())),
+        "upkeep of quotas": quotas.tick,
+        "upkeep of adapters": adapters.tick,
+        "upkeep of the quarantine": guard.tick,
+        "upkeep of streams": origins.tick,
+        "upkeep of forwarding": forwarding.tick,
+    }, failureLimitMilliseconds);
     const maintenance = createMaintenanceTask(clock, loop, delay => {
         metrics.observeLoopDelay(delay);
         if (delay >= reportedDelayMilliseconds) {
             log.warn("event loop late", { delay: Math.round(delay) });
         }
         retryBudget.setInstanceCount(directory.countInstances());
-        applyServerChange(servers.expire(clock.now()));
-        quotas.tick();
-        adapters.tick();
-        guard.tick();
-        origins.tick();
-        forwarding.tick();
+        runParts(clock.now());
         return shards.list().length > 0 ? holderTickMilliseconds : tickMilliseconds;
     });
     const announce = createRegistrationTask(options.clock, dependencies.log, directory, self);
@@ -448,6 +456,7 @@
         name: "serving",
         clock,
         maximumRestarts: Number.POSITIVE_INFINITY,
+        failureLimit: failureLimitMilliseconds,
         children: [peers, ...followers, shards, maintenance, announce],
     });
     peers.network.handle(
@@ -473,7 +482,10 @@
         const drainStart = clock.now();
         isDraining = true;
         log.info("draining", { open: clientServer.countOpen() });
-        const leaving = Promise.all([shards.leave(), dependencies.log.append("instances", self.id, undefined)]);
+        const leaving = Promise.all([
+            runTask("leave shards", shards.leave),
+            runTask("remove instance", () => dependencies.log.append("instances", self.id, undefined)),
+        ]);
         await clock.sleep(readinessNoticeMilliseconds);
         clientServer.drain();
         while (
@@ -489,20 +501,18 @@
         await peers.listen();
         const running = supervisor.run(stopping.signal);
         if (!options.isFirstStart) {
-            void archive.load();
+            startTask("read streams", archive.load);
         }
         await Promise.all([clientServer.listen(), readinessServer.listen(), metricsServer.listen()]);
         log.info("started", { id: self.id, host: options.host, domain: options.failureDomain });
-        await new Promise<void>(resolve => {
-            signal.addEventListener("abort", () => resolve(), { once: true });
-            void running.catch(() => resolve());
-        });
+        const failure = await waitForEnd(signal, running);
         await drain();
         stopping.abort();
         clientServer.close();
         readinessServer.close();
         metricsServer.close();
         connections.close();
+        failure?.rethrow();
     };
     return { run };
 }
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -7,6 +7,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { LoadStatus } from "../adapters/loadScheduler.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+import { listTaskFailures, startTask } from "../supervision/index.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
 
 /** Metrics of an instance. */
@@ -159,6 +160,16 @@
             Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
         },
     });
+    new Counter({
+        name: "oriolehatch_task_failures_total",
+        help: "Exceptions in tasks of this process, by task",
+        labelNames: ["task"],
+        registers,
+        collect() {
+            this.reset();
+            listTaskFailures().forEach((count, task) => this.inc({ task }, count));
+        },
+    });
     new Gauge({
         name: "oriolehatch_undecoded_headers",
         help: "Responses with a header that nothing here decodes, since the start",
@@ -222,7 +233,11 @@
             response.writeHead(notFoundStatus).end();
             return;
         }
-        void metrics.render().then(text => response.writeHead(200, { "Content-Type": "text/plain" }).end(text));
+        const respond = async (): Promise<void> => {
+            const text = await metrics.render();
+            response.writeHead(200, { "Content-Type": "text/plain" }).end(text);
+        };
+        startTask("metrics", respond, () => response.destroy());
     });
     return {
         listen: () =>
--- a/src/supervision/__tests__/supervisor.test.ts
+++ b/src/supervision/__tests__/supervisor.test.ts
@@ -44,6 +44,51 @@
         expect(await running).to.match(/task hopeless failed 3 times/);
     });
 
+    // guards against a task that fails again and again and takes up the process with its restarts
+    it("pauses longer and longer before the restarts of a child, up to a bound", async () => {
+        const history = createHistory<never>({ seed: 1 });
+        const starts: number[] = [];
+        const failing = {
+            name: "failing",
+            run: (): Promise<void> => {
+                starts.push(history.clock.now());
+                return Promise.reject(new Error("always"));
+            },
+        };
+        const options = { clock: history.clock, maximumRestarts: Number.POSITIVE_INFINITY, maximumRestartDelay: 1_000 };
+        const tree = createSupervisor({ name: "root", children: [failing], ...options });
+        const controller = new AbortController();
+        const running = tree.run(controller.signal);
+        await history.runAsync(4_600);
+        controller.abort();
+        await running;
+        const pauses = starts.slice(1).map((start, index) => start - starts[index]!);
+        expect(pauses).to.deep.equal([100, 200, 400, 800, 1_000, 1_000, 1_000]);
+    });
+
+    // guards against a task that fails for good while its instance goes on with what it kept before
+    it("fails when a child fails again and again for too long, and not when it runs between", async () => {
+        const history = createHistory<never>({ seed: 1 });
+        const run = (childName: string, lifetime: number): Promise<string> => {
+            const child = {
+                name: childName,
+                run: async (): Promise<void> => {
+                    await history.clock.sleep(lifetime);
+                    throw new Error("ends");
+                },
+            };
+            const limits = { maximumRestarts: Number.POSITIVE_INFINITY, restartWindow: 5_000, failureLimit: 60_000 };
+            return createSupervisor({ name: "root", children: [child], clock: history.clock, ...limits })
+                .run(new AbortController().signal).then(() => "ended", (error: unknown) => String(error));
+        };
+        let recovering: string | undefined;
+        const failing = run("failing", 10);
+        run("recovering", 6_000).then(end => recovering = end, () => undefined);
+        await history.runAsync(120_000);
+        expect(await failing).to.match(/task failing fails since 6\d{4} ms: Error: ends/);
+        expect(recovering).to.equal(undefined);
+    });
+
     it("handles the messages of a mailbox one at a time and in order", async () => {
         const mailbox = createMailbox<number>();
         const controller = new AbortController();
--- a/src/supervision/supervisor.ts
+++ b/src/supervision/supervisor.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { Clock, Milliseconds } from "../shared/index.js";
-import { createLogger } from "../shared/index.js";
+import { recordTaskFailure } from "./backgroundTasks.js";
 
 /** A long-running part of the instance that owns its sockets and its state. */
 export interface Task {
@@ -14,6 +14,9 @@
     readonly run: (signal: AbortSignal) => Promise<void>;
 }
 
+/** A failure that has lasted too long: its task isn't started again. */
+export class LastingFailure extends Error {}
+
 /** Settings of a supervisor. */
 export interface SupervisorOptions {
     readonly name: string;
@@ -23,14 +26,23 @@
     readonly maximumRestarts?: number;
     /** Period over which a child's failures are counted. @default 10_000 */
     readonly restartWindow?: Milliseconds;
-    /** Delay before a restart. @default 100 */
+    /** Delay before the first restart; it doubles with each failure that follows within the window. @default 100 */
     readonly restartDelay?: Milliseconds;
+    /** Longest delay before a restart. @default 2_000 */
+    readonly maximumRestartDelay?: Milliseconds;
+    /**
+     * Time for which a child may fail again and again, without running for a whole window meanwhile; after it, the
+     * supervisor itself fails. @default unlimited
+     */
+    readonly failureLimit?: Milliseconds;
 }
 
 const defaultMaximumRestarts = 5;
 const defaultRestartWindowMilliseconds = 10_000;
 const defaultRestartDelayMilliseconds = 100;
-const debug = createLogger("supervision");
+const defaultMaximumRestartDelayMilliseconds = 2_000;
+/** Doublings of the delay before a restart, so that the number stays finite. */
+const maximumDoublings = 20;
 
 /**
  * Creates a supervisor. A supervisor is itself a task, so supervisors can be nested.
@@ -67,23 +79,43 @@
     const maximumRestarts = options.maximumRestarts ?? defaultMaximumRestarts;
     const restartWindow = options.restartWindow ?? defaultRestartWindowMilliseconds;
     let failures: readonly Milliseconds[] = [];
+    let failingSince: Milliseconds | undefined;
+    let doublings = 0;
     while (!signal.aborted) {
+        const startedAt = options.clock.now();
         const error = await runOnce(child, signal);
         if (signal.aborted) {
             return;
         }
         const now = options.clock.now();
+        recordTaskFailure(child.name, error);
+        if (error instanceof LastingFailure) {
+            throw error;
+        }
         failures = [...failures.filter(time => now - time < restartWindow), now];
-        debug.warn("task failed", { task: child.name, supervisor: options.name, error: String(error) });
         if (failures.length > maximumRestarts) {
             throw new Error(
                 `task ${child.name} failed ${failures.length} times in ${restartWindow} ms: ${String(error)}`,
             );
         }
-        await options.clock.sleep(options.restartDelay ?? defaultRestartDelayMilliseconds, signal);
+        if (failingSince === undefined || now - startedAt >= restartWindow) {
+            failingSince = now;
+            doublings = 0;
+        }
+        if (now - failingSince >= (options.failureLimit ?? Number.POSITIVE_INFINITY)) {
+            throw new Error(`task ${child.name} fails since ${Math.round(now - failingSince)} ms: ${String(error)}`);
+        }
+        await options.clock.sleep(computeRestartDelay(options, doublings), signal);
+        doublings++;
     }
 }
 
+function computeRestartDelay(options: SupervisorOptions, doublings: number): Milliseconds {
+    const first = options.restartDelay ?? defaultRestartDelayMilliseconds;
+    const longest = Math.max(first, options.maximumRestartDelay ?? defaultMaximumRestartDelayMilliseconds);
+    return Math.min(longest, first * 2 ** Math.min(doublings, maximumDoublings));
+}
+
 async function runOnce(child: Task, signal: AbortSignal): Promise<unknown> {
     try {
         await child.run(signal);
