fix(serving): an exception costs the request or the task that it is in, not the process

Cause: the promise of each request and of about 35 other tasks of the serving form was nobody's; callbacks of undici, ws and http threw into their library. Change: all of them start by startTask. A request that fails inside is answered 500, as it may have run, or cut off when its head was sent; its attempt is aborted, its place released, its units given back where no server has got it. An answer that can't be decoded is a broken one. A wait whose timer fails ends. The supervisor survives a clock that throws.

--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -16,6 +16,7 @@
     type ServerRunId,
 } from "../serving/types.js";
 import type { Clock, FailureDomainId, InstanceId, Milliseconds, SeededRandom } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createEngineFinder } from "./engineFinder.js";
@@ -260,7 +261,7 @@
         });
         managers.set(manager.run, manager);
         heldEngines.clear();
-        void manager.refresh();
+        startTask("report of an engine", manager.refresh);
     };
     const openManagers = (servers: readonly BackendServer[]): void =>
         servers
@@ -332,7 +333,7 @@
             }
             const wait = response.ok && response.value.kind === "permit" ? response.value.wait : undefined;
             if (wait === undefined) {
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
             }
             return wait;
         },
@@ -383,12 +384,8 @@
         for (const manager of managers.values()) {
             for (const key of manager.listOutdated(newest)) {
                 const version = newest.get(key);
-                void manager.ensure({
-                    ...parseAdapterKey(key),
-                    version,
-                    wasDenied: false,
-                    ...replacementLoadParameters,
-                });
+                const parameters = { ...parseAdapterKey(key), version, wasDenied: false, ...replacementLoadParameters };
+                startTask("replace an adapter", () => manager.ensure(parameters));
             }
         }
     };
@@ -400,7 +397,7 @@
         missingModelsCheckedAt = clock.now();
         for (const manager of managers.values()) {
             if (!manager.hasModel()) {
-                void manager.refresh();
+                startTask("report of an engine", manager.refresh);
             }
         }
     };
@@ -477,7 +474,7 @@
             const orderTimes = closed.map(manager => manager?.readLastOrderAt() ?? Number.NEGATIVE_INFINITY);
             releasedAt.set(shard, { generation, lastOrderAt: Math.max(Number.NEGATIVE_INFINITY, ...orderTimes) });
         },
-        handleMembershipChange: () => void holders.reload(),
+        handleMembershipChange: () => startTask("holders of shards", holders.reload),
         handleMessage,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
--- a/src/adapters/adapterMover.ts
+++ b/src/adapters/adapterMover.ts
@@ -6,6 +6,7 @@
  */
 import type { BackendServer } from "../serving/types.js";
 import type { InstanceId, Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { EngineFinder } from "./engineFinder.js";
 import type { EngineShards } from "./engineShards.js";
 import { type AdapterKey, type AdapterMessage, parseAdapterKey } from "./messages.js";
@@ -59,7 +60,7 @@
                 deadline: patienceMilliseconds,
                 isLoadIgnored: true,
             };
-            void options.finder.find(request, signal);
+            startTask("load ahead", () => options.finder.find(request, signal));
         }
     };
     return {
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -7,6 +7,7 @@
 import type { ServerRecords } from "../serving/serverRecords.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "../serving/types.js";
 import { type Clock, createLogger, type FailureDomainId, type Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
 import { computeLowestLoad, type EngineSelection, selectEngine } from "./engineSelection.js";
 import {
@@ -156,7 +157,11 @@
         log.info("adapter not loaded", { request: request.id, run, model, adapter, outcome });
         if (outcome === "full") {
             fullEngines.add(run);
-            void clock.sleep(fullRetryMilliseconds).then(() => markFree(run));
+            const waitAndFree = async (): Promise<void> => {
+                await clock.sleep(fullRetryMilliseconds);
+                markFree(run);
+            };
+            startTask("try a full engine again", waitAndFree, () => markFree(run));
         }
         if (outcome === "unreachable") {
             records.markFailure(run, true, clock.now());
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -6,6 +6,7 @@
  */
 import type { BackendServer, EngineLimits, ServerRunId } from "../serving/types.js";
 import { type Clock, createLogger, type Milliseconds, rankByRendezvous } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { AdapterKey, EngineTable, EnsureOutcome, ResidencyChange } from "./messages.js";
 import {
     type AdapterSlot,
@@ -76,6 +77,8 @@
 /** Time by which an engine's report may lag behind its state. */
 const reportLagMilliseconds = 300;
 const unloadPollIntervalMilliseconds = 250;
+/** Pause after an exception in the wait for an unload. */
+const unloadFailureMilliseconds = 1_000;
 const orderAttemptLimit = 3;
 /** Time for which no load is ordered after the engine refused an order because it was executing another one. */
 const busyBackoffMilliseconds = 400;
@@ -202,6 +205,15 @@
             });
         }
     };
+    // the engine's slot is taken until the unload is known to be done, so that a failure must not end the wait
+    const startWaitForUnload = (key: AdapterKey): void =>
+        startTask("wait for an unload", () => waitForUnload(key), () => {
+            const waitAgain = async (): Promise<void> => {
+                await clock.sleep(unloadFailureMilliseconds);
+                startWaitForUnload(key);
+            };
+            startTask("wait for an unload", () => isStopped || !slotTable.slots.has(key) || waitAgain());
+        });
     // an order without a response is repeated at once: all attempts carry the same expected sequence, so that the
     // engine executes at most one of them
     const sendUnloadWithRetry = async (slot: AdapterSlot): Promise<OrderOutcome> => {
@@ -227,10 +239,10 @@
                 // order until then
                 sequence = sequence! + 1;
                 removeUncertainSlots(undefined);
-                void waitForUnload(victim);
+                startWaitForUnload(victim);
                 return "full";
             case "unknown":
-                void waitForUnload(victim);
+                startWaitForUnload(victim);
                 return "failed";
             case "conflict":
                 slot.state = "resident";
--- a/src/adapters/holderLoads.ts
+++ b/src/adapters/holderLoads.ts
@@ -7,6 +7,7 @@
 import type { ServerRecords } from "../serving/serverRecords.js";
 import type { BackendServer } from "../serving/types.js";
 import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { sumEngineLoad } from "./engineSelection.js";
 import type { LoadScheduler } from "./loadScheduler.js";
 import type { HolderLoad } from "./messages.js";
@@ -91,10 +92,16 @@
             minimumPublishIntervalMilliseconds,
             options.listOthers().length * publishIntervalMillisecondsPerHolder,
         );
-        void clock.sleep(pause).then(() => {
-            isPublishing = false;
+        const waitAndPublish = async (): Promise<void> => {
+            try {
+                await clock.sleep(pause);
+            }
+            finally {
+                isPublishing = false;
+            }
             publish();
-        });
+        };
+        startTask("publish loads", waitAndPublish);
     };
     return {
         publishSoon,
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -15,6 +15,7 @@
     type SoftwareVersion,
 } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds, waitUnlessAborted } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
 import type { EngineShards } from "./engineShards.js";
 import { type AdapterKey, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
@@ -165,7 +166,7 @@
     ): Promise<AskedPlace> => {
         const holder = holders.find(shard);
         if (holder === undefined || holders.isSilent(holder)) {
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return { kind: "noHolder" };
         }
         lastRequest++;
@@ -189,13 +190,13 @@
             case "unavailable":
                 return response;
             case "notHolder":
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return { kind: "noHolder" };
             case "waiting":
             case undefined:
                 log.warn("holder silent", { request: id, shard, holder });
                 options.end(holder, id, "unknown");
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return { kind: "noHolder" };
         }
     };
--- a/src/adapters/slotQueue.ts
+++ b/src/adapters/slotQueue.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { Clock, Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { AdapterKey } from "./messages.js";
 
 /** A request that waits. Times are on the instance's clock. */
@@ -55,7 +56,11 @@
                 };
                 waiting.add(entry);
                 signal.addEventListener("abort", entry.wake, { once: true });
-                void clock.sleep(Math.max(0, request.until - clock.now()), cancel.signal).then(entry.wake);
+                const waitUntilEnd = async (): Promise<void> => {
+                    await clock.sleep(Math.max(0, request.until - clock.now()), cancel.signal);
+                    entry.wake();
+                };
+                startTask("wait for a slot", waitUntilEnd, entry.wake);
             }),
         wakeNext: now => {
             let first: WaitingRequest | undefined;
--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -7,6 +7,7 @@
 import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../serving/serverConnections.js";
 import { formatServerRunId } from "../serving/types.js";
 import { createLogger, type InstanceId } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { type AttemptEvent, type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
 
 /** An answer is due after the wait of the other instance at the latest. */
@@ -14,6 +15,7 @@
 /** Time for the answer to an abort, which may be lost like any message; it is then sent again. */
 const abortTimeoutMilliseconds = 120;
 const maximumAborts = 3;
+const maximumDetailLength = 200;
 const log = createLogger("forwarding");
 
 /**
@@ -69,6 +71,7 @@
         }
         log.warn("forwarded attempt not aborted", { id: request.attemptId, helper });
     };
+    const startAbort = (): void => startTask("abort forwarded attempt", abortAtHelper);
     const deliver = (event: AttemptEvent): void => {
         if (isOver) {
             return;
@@ -114,7 +117,7 @@
             }
             const fault = describeFault(answer, message);
             if (fault.kind === "broken" && !isOver) {
-                void abortAtHelper();
+                startAbort();
             }
             finish(() => handlers.onFault(fault));
         }
@@ -123,12 +126,16 @@
         isPaused = false;
         wakeReader?.();
     };
-    void run();
+    startTask("forwarded attempt", run, error => {
+        startAbort();
+        const detail = `failed here: ${String(error).slice(0, maximumDetailLength)}`;
+        finish(() => handlers.onFault({ kind: "broken", detail, isBetweenInstances: true }));
+    });
     return {
         abort: () => {
             isOver = true;
             resume();
-            void abortAtHelper();
+            startAbort();
         },
         pause: () => {
             isPaused = true;
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -6,6 +6,7 @@
 import type { Attempt, ServerConnections } from "../serving/serverConnections.js";
 import type { BackendServer, ServerRunId } from "../serving/types.js";
 import type { Clock, Milliseconds } from "../shared/index.js";
+import { recordTaskFailure } from "../supervision/index.js";
 import type { AttemptEvent, ForwardingMessage, StartMessage } from "./messages.js";
 
 /** Dependencies of the service. */
@@ -106,27 +107,40 @@
                 wake: () => undefined,
             };
             attempts.set(message.id, entry);
-            entry.attempt = options.connections.send(
-                {
-                    server,
-                    attemptId: message.attemptId,
-                    method: message.method,
-                    target: message.target,
-                    headers: message.headers,
-                    body: message.body && Buffer.from(message.body),
-                    wasRefused: message.wasRefused,
-                },
-                {
-                    onHead: head => add(entry, { kind: "head", head }),
-                    onData: chunk => add(entry, { kind: "data", chunk }),
-                    onEnd: () => add(entry, { kind: "end" }),
-                    onFault: fault =>
-                        add(entry, {
-                            kind: "fault",
-                            fault: { kind: fault.kind === "rerouted" ? "notSent" : fault.kind, detail: fault.detail },
-                        }),
-                },
-            );
+            const send = (): Attempt =>
+                options.connections.send(
+                    {
+                        server,
+                        attemptId: message.attemptId,
+                        method: message.method,
+                        target: message.target,
+                        headers: message.headers,
+                        body: message.body && Buffer.from(message.body),
+                        wasRefused: message.wasRefused,
+                    },
+                    {
+                        onHead: head => add(entry, { kind: "head", head }),
+                        onData: chunk => add(entry, { kind: "data", chunk }),
+                        onEnd: () => add(entry, { kind: "end" }),
+                        onFault: fault =>
+                            add(entry, {
+                                kind: "fault",
+                                fault: {
+                                    kind: fault.kind === "rerouted" ? "notSent" : fault.kind,
+                                    detail: fault.detail,
+                                },
+                            }),
+                    },
+                );
+            try {
+                entry.attempt = send();
+            }
+            catch (error) {
+                // nothing was sent, so that the other instance may choose again
+                attempts.delete(message.id);
+                recordTaskFailure("attempt of another instance", error);
+                return { kind: "refused", reason: "failed inside" };
+            }
             return take(message.id, entry);
         },
         read: async id => {
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -21,6 +21,7 @@
     type Milliseconds,
     type SeededRandom,
 } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { sendThroughInstance } from "./forwardClient.js";
 import { createForwardService } from "./forwardService.js";
 import { type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
@@ -170,11 +171,13 @@
                 handlers.onFault(fault);
                 return;
             }
-            void checkCut().then(isConfirmed => {
+            const deliverFault = (isConfirmed: boolean): void => {
                 if (!isOver) {
+                    isOver = true;
                     handlers.onFault(isConfirmed ? { kind: "rerouted", detail: fault.detail } : fault);
                 }
-            });
+            };
+            startTask("check of the reach", async () => deliverFault(await checkCut()), () => deliverFault(false));
         };
         const attempt = direct.send(request, {
             ...handlers,
@@ -264,11 +267,11 @@
                 return;
             }
             if (now - probedAt >= probeIntervalMilliseconds) {
-                void checkAgain();
+                startTask("check of the reach", checkAgain);
             }
             if (now - confirmedAt >= confirmIntervalMilliseconds) {
                 const runs = options.listServers().slice(0, askedServers).map(formatServerRunId);
-                void checkReach(runs, helperLifetimeMilliseconds);
+                startTask("check of the reach", () => checkReach(runs, helperLifetimeMilliseconds));
             }
         },
     };
--- a/src/peers/peerTask.ts
+++ b/src/peers/peerTask.ts
@@ -7,7 +7,7 @@
 import type { AddressInfo } from "node:net";
 import { WebSocketServer } from "ws";
 import { type Clock, createLogger, type InstanceId, wrapError, wrapValue } from "../shared/index.js";
-import { type Task, waitForAbort } from "../supervision/index.js";
+import { callGuarded, startTask, type Task, waitForAbort } from "../supervision/index.js";
 import {
     acceptSocket,
     type ConnectionEvents,
@@ -90,7 +90,7 @@
         },
         onFrame: (connection, frame) => {
             counts.receivedFrames++;
-            receiveFrame(connection, frame);
+            callGuarded("message of an instance", () => receiveFrame(connection, frame));
         },
         onClose: connection => {
             if (connections.get(connection.peer) === connection) {
@@ -102,10 +102,11 @@
     const receiveFrame = (connection: PeerConnection, frame: PayloadFrame): void => {
         switch (frame.kind) {
             case "message":
-                void runHandler(frame.topic, connection.peer, frame.body);
+                startTask("message of an instance", () => runHandler(frame.topic, connection.peer, frame.body));
                 break;
             case "request":
-                void runHandler(frame.topic, connection.peer, frame.body).then(body => {
+                startTask("message of an instance", async () => {
+                    const body = await runHandler(frame.topic, connection.peer, frame.body);
                     if (body !== undefined && connection.isOpen()) {
                         sendFrame(connection, { kind: "response", id: frame.id, body });
                     }
@@ -178,7 +179,10 @@
         }
         const waiting: ConnectionAttempt = { frames: [frame] };
         connectionAttempts.set(to, waiting);
-        void connectAndSendWaiting(to, address, waiting);
+        startTask("connection to an instance", () => connectAndSendWaiting(to, address, waiting), error => {
+            connectionAttempts.delete(to);
+            pending.failAll(to, { kind: "unreachable", detail: String(error) });
+        });
         return true;
     };
     const network: PeerNetwork = {
--- a/src/quarantine/requestGuard.ts
+++ b/src/quarantine/requestGuard.ts
@@ -8,6 +8,7 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { KeyedLog, KeyedRecord, ServerRunId } from "../serving/types.js";
 import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { createCrashReporter } from "./crashReporter.js";
 import type { CrashReport, QuarantineMessage } from "./messages.js";
 import { createQuarantineDecider } from "./quarantineDecider.js";
@@ -80,7 +81,7 @@
     const sendToDecider = async (message: QuarantineMessage): Promise<QuarantineMessage | undefined> => {
         const holder = holders.find(deciderShard);
         if (holder === undefined || holder === self || holders.isSilent(holder)) {
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
         const response = await network.request(holder, "quarantines", message, deciderTimeoutMilliseconds);
@@ -88,7 +89,7 @@
             holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
         }
         if (!response.ok || response.value.kind === "notDecider") {
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
         return response.value;
@@ -108,6 +109,14 @@
             return;
         }
         isReporting = true;
+        try {
+            await sendNews();
+        }
+        finally {
+            isReporting = false;
+        }
+    };
+    const sendNews = async (): Promise<void> => {
         // an instance that has asked no holder so far knows none
         if (findReceiver() === undefined) {
             await holders.refresh();
@@ -115,7 +124,6 @@
         const receiver = findReceiver();
         const message = receiver === undefined ? undefined : reporter.createReport(receiver, clock.now());
         const suspects = message && await deliver(message);
-        isReporting = false;
         if (receiver !== undefined && message && suspects) {
             reporter.markReceived(receiver, message);
             reporter.watchScopes(suspects, clock.now());
@@ -124,8 +132,12 @@
     const collectReport = async (): Promise<void> => {
         if (!isCollecting) {
             isCollecting = true;
-            await clock.sleep(collectMilliseconds);
-            isCollecting = false;
+            try {
+                await clock.sleep(collectMilliseconds);
+            }
+            finally {
+                isCollecting = false;
+            }
             await sendReport();
         }
     };
@@ -140,7 +152,7 @@
         },
         markBroken: (server, request, now) => {
             reporter.markBroken(server, describeBroken(request), now);
-            void collectReport();
+            startTask("report of broken requests", collectReport);
         },
         markServerAnswered: reporter.markServerAnswered,
         markAnswered: (request, beganAt) => {
@@ -171,9 +183,9 @@
             trackAdded(added ? [added] : []);
         },
         tick: () => {
-            void sendReport();
+            startTask("report of broken requests", sendReport);
             if (isDecider()) {
-                void decider.update(clock.now());
+                startTask("quarantines", () => decider.update(clock.now()));
             }
         },
     };
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -9,6 +9,7 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { BackendServer } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { listKeepers } from "./keepers.js";
 import { type ResumptionMessage, resumptionMessageSchema } from "./messages.js";
 import { decideOrigin, type OriginAnswer } from "./originDecision.js";
@@ -127,7 +128,7 @@
         const response = await network.request(keeper, "resumption", message, askTimeoutMilliseconds);
         if (!response.ok) {
             holders.markSilent(keeper, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
         const parsed = resumptionMessageSchema.safeParse(response.value);
@@ -238,7 +239,12 @@
                 resolve(answers);
             }
         };
-        asks.forEach(asked => void asked.then(handleAnswer));
+        const waitForAnswer = async (asked: Promise<OriginAnswer | undefined>): Promise<void> =>
+            handleAnswer(await asked);
+        // an ask that failed is one without an answer
+        asks.forEach(asked =>
+            startTask("ask for a stream's origin", () => waitForAnswer(asked), () => handleAnswer(undefined))
+        );
         if (open === 0) {
             resolve([]);
         }
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -25,6 +25,8 @@
     readonly seed?: number;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
+    /** What throws: the request for a permit, or the sending of its attempt. */
+    readonly failsAt?: "permit" | "send";
     /** What is never decided: what began its stream, its quota, the delay of its quota, its trial or its permit. */
     readonly undecided?: "origin" | "quota" | "delay" | "trial" | "permit";
 }
@@ -183,6 +185,9 @@
             connections: {
                 send: (attempt, handlers) => {
                     const runScript = requestCase.attempts[sent.length];
+                    if (requestCase.failsAt === "send") {
+                        throw new TypeError("injected");
+                    }
                     sent.push(attempt);
                     setImmediate(() => runScript?.(handlers, attempt));
                     return { abort: () => aborted++, pause: () => undefined, resume: () => undefined };
@@ -194,7 +199,12 @@
             adapters: {} as PlaceClient,
             permits: {
                 recordLimit: () => undefined,
-                acquirePermit: () => undecided === "permit" ? never : Promise.resolve(true),
+                acquirePermit: () => {
+                    if (requestCase.failsAt === "permit") {
+                        throw new TypeError("injected");
+                    }
+                    return undecided === "permit" ? never : Promise.resolve(true);
+                },
             },
             guard: {
                 decide: decideGuarded,
@@ -391,6 +401,35 @@
         expect([outcome.status, outcome.aborted]).to.deep.equal([504, 1]);
     });
 
+    // guards against an exception in a callback of a connection that ends the process, or leaves the request without an
+    // answer and its server at work (FAULT)
+    it("is answered 500 and ends its attempt when it fails inside", async () => {
+        const attempts: readonly AttemptScript[] = [handlers => handlers.onHead(undefined!)];
+        const { status, end, report, aborted, returnedUnits } = await runCase({ attempts });
+        expect([status, end, report.outcome, aborted, returnedUnits]).to.deep.equal([500, "end", "failed", 1, 0]);
+    });
+
+    it("is cut off when it fails inside after its head was sent", async () => {
+        const attempts: readonly AttemptScript[] = [handlers => {
+            handlers.onHead(createHead({ isEventStream: true }));
+            handlers.onData(undefined!);
+        }];
+        const { end, report, aborted } = await runCase({ attempts });
+        expect([end, report.outcome, aborted]).to.deep.equal(["destroyed", "cut", 1]);
+    });
+
+    it("is answered 500 when its attempt can't be sent", async () => {
+        const { status, end, report } = await runCase({ attempts: [], failsAt: "send" });
+        expect([status, end, report.outcome]).to.deep.equal([500, "end", "failed"]);
+    });
+
+    // guards against units of a quota that are lost with a request that fails inside
+    it("gives its units back and answers 500 when it fails before any server", async () => {
+        const { status, end, report, returnedUnits, sent } = await runCase({ attempts: [], failsAt: "permit" });
+        expect([status, end, report.outcome, sent.length]).to.deep.equal([500, "end", "failed", 0]);
+        expect(returnedUnits).to.be.above(0);
+    });
+
     it("aborts its attempt when the client disconnects", async () => {
         const outcome = await runCase({ disconnectAfter: 20, attempts: [() => undefined] });
         expect([outcome.report.outcome, outcome.aborted]).to.deep.equal(["clientLeft", 1]);
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -2,6 +2,7 @@
  * A few whole instances on local ports, with a store in memory and servers that can end under a request or name a limit.
  */
 import { sendRequest, type TestAnswer, type TestRequest } from "./testClient.js";
+import type { FaultPoint } from "./testFaults.js";
 import { putTestConfiguration, startTestInstance, type TestInstance } from "./testInstance.js";
 import {
     createServerLinks,
@@ -22,6 +23,8 @@
 export interface TestFleetOptions extends TestServerOptions {
     readonly instances: number;
     readonly servers: number;
+    /** Has what is given to the first instance fail at times. @default nothing fails */
+    readonly faults?: FaultPoint;
 }
 
 /** A running fleet. */
@@ -81,6 +84,7 @@
             store,
             isFirstStart,
             translateAddress: links[index]!.translate,
+            ...options.faults && index === 0 ? { faults: options.faults } : {},
         });
         stopping.signal.addEventListener("abort", started.stop);
         return started;
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -1,10 +1,12 @@
 /**
  * One whole instance on local ports, with the store in memory.
  */
+import type { EngineControl } from "../../adapters/types.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createServingInstance } from "../servingInstance.js";
-import type { BackendServer } from "../types.js";
+import type { BackendServer, RecordCodec } from "../types.js";
 import { testCodec, testConfig } from "./testCodec.js";
+import { createFaultPoint, type FaultPoint } from "./testFaults.js";
 import type { MemoryStore } from "./testStore.js";
 
 /** Settings of an instance. */
@@ -17,6 +19,8 @@
     readonly isFirstStart?: boolean;
     /** Returns the address at which this instance reaches a server that is listed with another one. */
     readonly translateAddress: (address: string) => string;
+    /** Has what is given to the instance fail at times. @default nothing fails */
+    readonly faults?: FaultPoint;
 }
 
 /** A running instance. */
@@ -42,7 +46,7 @@
  * @returns the instance
  */
 export function startTestInstance(options: TestInstanceOptions): TestInstance {
-    const { name, ports, store, translateAddress, isFirstStart = true } = options;
+    const { name, ports, store, translateAddress, isFirstStart = true, faults = createFaultPoint(1) } = options;
     const [clientPort, readyPort, peerPort, metricsPort] = ports;
     const instance = createServingInstance({
         instanceName: name,
@@ -63,23 +67,23 @@
         isFirstStart,
         quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
         retry: { window: 10_000, ratio: 0.2, slack: 50 },
-        clock: createSystemClock(),
+        clock: faults.wrap("clock", createSystemClock()),
     }, {
-        log: store,
-        shards: store.group,
-        streams: store.streams,
-        control: {
+        log: faults.wrap("log", store),
+        shards: faults.wrap("shards", store.group),
+        streams: faults.wrap("streams", store.streams),
+        control: faults.wrap<EngineControl>("control", {
             order: async () => ({ kind: "unreachable" }),
             report: async () => wrapError({ kind: "unanswered", detail: "no engine" }),
-        },
-        headers: testCodec,
-        records: {
+        }),
+        headers: faults.wrap("headers", testCodec),
+        records: faults.wrap<RecordCodec>("records", {
             decodeOperatorRecord: () => wrapValue({ kind: "configuration", config: testConfig }),
             decodeServerEntry: (id, value) => {
                 const entry = JSON.parse(Buffer.from(value).toString()) as BackendServer;
                 return wrapValue({ ...entry, address: translateAddress(entry.address) });
             },
-        },
+        }),
     });
     const leaving = new AbortController();
     return { stop: () => leaving.abort(), ended: instance.run(leaving.signal) };
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -7,6 +7,7 @@
 import type { StreamOrigin } from "../resumption/index.js";
 import type { Clock, Milliseconds, SeededRandom } from "../shared/index.js";
 import { millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { type AccountLimits, computeRequestCost } from "./accountLimits.js";
 import type { ConfigurationState } from "./configurationState.js";
 import { readClocks } from "./freshness.js";
@@ -110,7 +111,11 @@
     const taken = parts.limits.take(account, computeRequestCost(account, request), isResumed);
     const decision = await waitUnlessAborted(taken, signal);
     if (!decision) {
-        void taken.then(({ kind }) => kind === "admitted" && returnQuota(parts, admitted, request));
+        startTask("units of a client that left", async () => {
+            if ((await taken).kind === "admitted") {
+                returnQuota(parts, admitted, request);
+            }
+        });
         return { kind: "clientLeft", route: route.name, account: account.name };
     }
     switch (decision.kind) {
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -7,6 +7,7 @@
 import type { AddressInfo } from "node:net";
 import restana from "restana";
 import type { Milliseconds } from "../shared/index.js";
+import { callGuarded, startTask } from "../supervision/index.js";
 import type { LoopGate } from "./loopDelay.js";
 import type { ClientResponse } from "./requestState.js";
 import type { ClientLimits } from "./types.js";
@@ -34,7 +35,7 @@
     readonly loop: LoopGate;
     /** Whether connections are to be closed after the response in progress. */
     readonly isDraining: () => boolean;
-    /** Handles a request; it must not reject. */
+    /** Handles a request; when it rejects, the client gets an error or a closed connection. */
     readonly handle: (request: ReceivedRequest) => Promise<void>;
     /** Counts a request that was read when its client had disconnected, so that it isn't handled. */
     readonly onUnread: () => void;
@@ -65,6 +66,7 @@
 const listenBacklog = 512;
 const headerTooLargeStatus = 431;
 const bodyTooLargeStatus = 413;
+const internalErrorStatus = 500;
 
 /**
  * Creates the server for clients.
@@ -90,7 +92,7 @@
         response.once("close", () => openRequests--);
         // a response whose head was sent before the drain has no `Connection: close` header
         response.once("finish", () => options.isDraining() && request.socket.destroySoon());
-        receiveRequest(options, request, response);
+        callGuarded("read request", () => receiveRequest(options, request, response), () => failResponse(response));
     };
     const service = restana({ server, defaultRoute: receive as never });
     server.on("clientError", (error, socket) => socket.destroy());
@@ -146,12 +148,31 @@
             answer: createClientResponse(response, options.isDraining),
             signal: leaving,
         };
-        if (!options.loop.isLate()) {
-            void options.handle(received);
+        startTask("request", () => handleReceived(options, received), () => failResponse(response));
+    });
+}
+
+async function handleReceived(options: ClientServerOptions, received: ReceivedRequest): Promise<void> {
+    if (options.loop.isLate()) {
+        await options.loop.handleWaiting();
+        if (received.signal.aborted) {
+            options.onUnread();
             return;
         }
-        void options.loop.handleWaiting().then(() => leaving.aborted ? options.onUnread() : options.handle(received));
-    });
+    }
+    await options.handle(received);
+}
+
+// a request that failed inside may have run, which only a status says that doesn't invite to send it again
+function failResponse(response: ServerResponse): void {
+    if (response.writableEnded || response.destroyed) {
+        return;
+    }
+    if (response.headersSent) {
+        response.destroy();
+        return;
+    }
+    refuseEarly(response, internalErrorStatus);
 }
 
 // the end of the connection is heard of before the response is closed, which takes one turn of the event loop more
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -7,6 +7,7 @@
 import type { ShardHolders } from "../adapters/shardHolders.js";
 import type { PeerNetwork } from "../peers/index.js";
 import { type ClientAccountId, type Clock, hashForRendezvous, type InstanceId } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { QuotaHolder } from "./quotaHolder.js";
 import type { QuotaDecision, QuotaMessage, QuotaRequest } from "./quotaMessages.js";
 
@@ -78,7 +79,7 @@
         );
         if (!response.ok) {
             holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
         switch (response.value.kind) {
@@ -89,7 +90,7 @@
             case "take":
             case "giveBack":
             case "present":
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return undefined;
         }
     };
@@ -121,7 +122,7 @@
             }
             const holder = holders.find(findShard(request.account));
             if (holder === undefined || holder === self || holders.isSilent(holder)) {
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return undefined;
             }
             return requestUnits(holder, request);
--- a/src/serving/relayedLog.ts
+++ b/src/serving/relayedLog.ts
@@ -14,6 +14,7 @@
     wrapError,
     wrapValue,
 } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { RelayMessage } from "./relayMessages.js";
 import type { TopicCache } from "./topicCache.js";
 import type { KeyedLog, KeyedSnapshot, KeyedTopic, StoreError } from "./types.js";
@@ -148,10 +149,15 @@
                 cancel.abort();
                 resolve();
             });
-            void clock.sleep(duration, cancel.signal).then(() => {
+            const finish = (): void => {
                 forget();
                 resolve();
-            });
+            };
+            const waitAndFinish = async (): Promise<void> => {
+                await clock.sleep(duration, cancel.signal);
+                finish();
+            };
+            startTask("wait of a relayed read", waitAndFinish, finish);
         });
     return {
         log: {
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -6,6 +6,7 @@
  */
 import type { GuardedRequest } from "../quarantine/index.js";
 import { createLogger, type Milliseconds } from "../shared/index.js";
+import { callGuarded, startTask } from "../supervision/index.js";
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
@@ -75,7 +76,7 @@
     }
     finally {
         record.inFlight--;
-        selected.release?.(state.placeOutcome);
+        callGuarded("release of a place", () => selected.release?.(state.placeOutcome));
     }
 }
 
@@ -83,25 +84,45 @@
     const { server } = selected;
     const run = formatServerRunId(server);
     const { route } = state.admission;
-    return new Promise(resolve => {
-        let mode: "waiting" | "delivering" | "ignoring" = "waiting";
+    return new Promise((resolve, reject) => {
+        let mode = "waiting" as "waiting" | "delivering" | "ignoring";
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
         let isUseless = false;
         let attempt: Attempt | undefined = undefined;
         const cancelTimer = new AbortController();
-        const finish = (end: AttemptOutcome): void => {
+        const abortAttempt = (): void => callGuarded("abort attempt", () => attempt?.abort());
+        const stopListening = (): void => {
             cancelTimer.abort();
             state.signal.removeEventListener("abort", abortForClient);
             mode = "ignoring";
+        };
+        const finish = (end: AttemptOutcome): void => {
+            stopListening();
             resolve(end);
         };
+        // the server may have run the request, and its answer is no longer read
+        const failInside = (error: unknown): void => {
+            state.mayHaveRun = true;
+            stopListening();
+            reject(error);
+            abortAttempt();
+        };
+        const wrapHandler =
+            <Values extends unknown[]>(handle: (...values: Values) => void) => (...values: Values): void => {
+                try {
+                    handle(...values);
+                }
+                catch (error) {
+                    failInside(error);
+                }
+            };
         const abortForClient = (): void => {
-            attempt?.abort();
             finish({ kind: "clientLeft" });
+            abortAttempt();
         };
         const abortAtDeadline = (): void => {
-            attempt?.abort();
+            abortAttempt();
             state.mayHaveRun = true;
             finish({ kind: "timeout" });
         };
@@ -186,14 +207,14 @@
             }
             if (bytes.length > 0 && !state.answer.write(bytes)) {
                 attempt?.pause();
-                state.answer.onDrain(() => attempt?.resume());
+                state.answer.onDrain(wrapHandler(() => attempt?.resume()));
             }
             const useless = events?.foreign ??
                 (splitter && splitter.countUselessBytes() > uselessBytesLimit
                     ? `${uselessBytesLimit} bytes without an event`
                     : undefined);
             if (useless !== undefined) {
-                attempt?.abort();
+                abortAttempt();
                 isUseless = true;
                 handleFault({ kind: "broken", detail: useless });
             }
@@ -241,31 +262,48 @@
             parts.origins.markComplete(describeStream(state));
             finish({ kind: "complete" });
         };
+        const sendAttempt = (): Attempt =>
+            parts.connections.send(
+                {
+                    server,
+                    attemptId: state.request.attemptId,
+                    method: state.request.method,
+                    target: state.request.target,
+                    headers: parts.headers.encodeForwardedHeaders(state.request, {
+                        server: server.id,
+                        account: state.admission.account?.name,
+                        deadline: state.deadlineAt - parts.clock.now(),
+                        priority: choosePriority(state),
+                        version: selected.requiredVersion,
+                        lastEventId: state.lastEventId,
+                    }),
+                    body: state.body,
+                    wasRefused: state.refusedBy.has(run),
+                },
+                {
+                    onHead: wrapHandler(handleHead),
+                    onData: wrapHandler(handleData),
+                    onEnd: wrapHandler(handleEnd),
+                    onFault: wrapHandler(handleFault),
+                },
+            );
         state.signal.addEventListener("abort", abortForClient, { once: true });
-        void parts.clock.sleep(Math.max(0, state.deadlineAt - parts.clock.now()), cancelTimer.signal).then(() => {
+        const waitForDeadline = async (): Promise<void> => {
+            await parts.clock.sleep(Math.max(0, state.deadlineAt - parts.clock.now()), cancelTimer.signal);
             if (!cancelTimer.signal.aborted) {
                 abortAtDeadline();
             }
-        });
-        attempt = parts.connections.send(
-            {
-                server,
-                attemptId: state.request.attemptId,
-                method: state.request.method,
-                target: state.request.target,
-                headers: parts.headers.encodeForwardedHeaders(state.request, {
-                    server: server.id,
-                    account: state.admission.account?.name,
-                    deadline: state.deadlineAt - parts.clock.now(),
-                    priority: choosePriority(state),
-                    version: selected.requiredVersion,
-                    lastEventId: state.lastEventId,
-                }),
-                body: state.body,
-                wasRefused: state.refusedBy.has(run),
-            },
-            { onHead: handleHead, onData: handleData, onEnd: handleEnd, onFault: handleFault },
-        );
+        };
+        startTask("deadline of an attempt", waitForDeadline, failInside);
+        if (mode === "ignoring") {
+            return;
+        }
+        try {
+            attempt = sendAttempt();
+        }
+        catch (error) {
+            failInside(error);
+        }
     });
 }
 
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -5,6 +5,7 @@
  */
 import { computeRequestDigest, type QuarantineScope, type RequestDigest } from "../quarantine/index.js";
 import { type Milliseconds, millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
+import { callGuarded, recordTaskFailure } from "../supervision/index.js";
 import { type Admission, applyQuota, decideAdmission, returnQuota } from "./admission.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
 import { createRequestStages } from "./requestStages.js";
@@ -17,8 +18,10 @@
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
 const serviceUnavailableStatus = 503;
+const internalErrorStatus = 500;
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
+const maximumFaultLength = 200;
 /** Reasons of refusals by the kind of their quarantine's scope. */
 const quarantineReasons: Readonly<Record<QuarantineScope["kind"], string>> = {
     part: "quarantined prompt",
@@ -80,17 +83,32 @@
             ...stages.describe(),
         };
     }
+    const state = createState(parts, { request, body, answer, signal, admission, digest, startedAt, stages });
+    try {
+        const outcome = await runAttempts(parts, state);
+        // one that is refused for want of a server comes back, and would only add to the load
+        if (outcome === "clientLeft" && state.triedServers.size === 0) {
+            returnQuota(parts, admission, request);
+        }
+        return createReport(state, outcome);
+    }
+    catch (error) {
+        recordTaskFailure("attempts of a request", error);
+        return createReport(state, finishAfterFailure(parts, state, error));
+    }
+}
+
+type StateBase = Pick<
+    RequestState,
+    "request" | "body" | "answer" | "signal" | "admission" | "digest" | "startedAt" | "stages"
+>;
+
+function createState(parts: RequestParts, base: StateBase): RequestState {
+    const { admission, request, startedAt } = base;
     const { route } = admission;
-    const state: RequestState = {
-        request,
-        body,
-        digest,
-        answer,
-        admission,
-        startedAt,
+    return {
+        ...base,
         deadlineAt: startedAt + Math.min(route.timeout, request.deadline ?? route.timeout),
-        signal,
-        stages,
         triedServers: new Set(),
         refusedBy: new Set(),
         excludedServers: new Set(),
@@ -113,12 +131,29 @@
         lastFault: "",
         returnAt: startedAt,
     };
-    const outcome = await runAttempts(parts, state);
-    // one that is refused for want of a server comes back, and would only add to the load
-    if (outcome === "clientLeft" && state.triedServers.size === 0) {
-        returnQuota(parts, admission, request);
+}
+
+// the units of a request that reached no server go back; no status may say of it that it never ran
+function finishAfterFailure(parts: RequestParts, state: RequestState, error: unknown): RequestReport["outcome"] {
+    state.lastFault = `failed inside: ${String(error).slice(0, maximumFaultLength)}`;
+    if (state.triedServers.size === 0) {
+        callGuarded("units of a failed request", () => returnQuota(parts, state.admission, state.request));
+    }
+    if (state.signal.aborted) {
+        return "clientLeft";
+    }
+    if (state.headSentAt !== undefined) {
+        state.answer.destroy();
+        return "cut";
     }
-    return createReport(state, outcome);
+    const headers = callGuarded(
+        "headers of a failed request",
+        () => parts.headers.encodeRefusalHeaders(state.request.attemptId, undefined),
+    );
+    state.status = internalErrorStatus;
+    state.answer.writeHead(internalErrorStatus, headers ?? [], 0);
+    state.answer.end();
+    return "failed";
 }
 
 // before the quota, so that requests which reach no server use nothing of it
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
+import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
 import type { LoopGate } from "./loopDelay.js";
 import {
     type BackendServer,
@@ -96,6 +97,7 @@
 
 const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
 const connectTimeoutMilliseconds = 400;
+const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
 
 /**
@@ -138,10 +140,10 @@
             pools.delete(run);
             unsentAttempts.withdraw(run);
             // undici closes the pool after its requests in progress have ended
-            void pool?.close();
+            startTask("close connections", () => pool?.close());
         },
         close: () => {
-            pools.forEach(pool => void pool.destroy());
+            pools.forEach(pool => startTask("close connections", () => pool.destroy()));
             pools.clear();
         },
     };
@@ -200,7 +202,7 @@
         withdraw: run => {
             const ofRun = [...waiting.get(run) ?? []];
             waiting.delete(run);
-            ofRun.forEach(withdraw => withdraw());
+            ofRun.forEach(withdraw => callGuarded("withdraw attempt", withdraw));
         },
     };
 }
@@ -208,7 +210,12 @@
 // for a server that was selected before it became known that it takes no more requests
 function withdrawAttempt(handlers: AttemptHandlers): Attempt {
     let isAborted = false;
-    queueMicrotask(() => isAborted || handlers.onFault(withdrawnFault));
+    startTask("withdraw attempt", async () => {
+        await Promise.resolve();
+        if (!isAborted) {
+            handlers.onFault(withdrawnFault);
+        }
+    });
     return { abort: () => isAborted = true, pause: () => undefined, resume: () => undefined };
 }
 
@@ -242,6 +249,22 @@
         unsentAttempts.remove(run, withdraw);
         controller?.abort(new Error("attempt aborted"));
     };
+    // its server may have run the request; the connection is closed, as the rest of the answer can't be read
+    const failInside = (error: unknown): void => {
+        recordTaskFailure("answer of a server", error);
+        const detail = `failed here: ${String(error).slice(0, maximumDetailLength)}`;
+        finish(() => handlers.onFault({ kind: controller ? "broken" : "notSent", detail }));
+        controller?.abort(new Error("answer failed here"));
+    };
+    const wrapHandler =
+        <Values extends unknown[]>(handle: (...values: Values) => void) => (...values: Values): void => {
+            try {
+                handle(...values);
+            }
+            catch (error) {
+                failInside(error);
+            }
+        };
     const handler: Dispatcher.DispatchHandler = {
         // undici calls this on a connected socket, immediately before it writes the first byte
         onRequestStart: started => {
@@ -256,7 +279,7 @@
             controller = started;
             unsentAttempts.remove(run, withdraw);
         },
-        onResponseStart: (started, status, headers) => {
+        onResponseStart: wrapHandler((started, status, headers) => {
             if (status < lowestFinalStatus) {
                 return;
             }
@@ -274,19 +297,20 @@
                 return;
             }
             handlers.onHead(head);
-        },
-        onResponseData: (dispatch, chunk) => {
+        }),
+        onResponseData: wrapHandler((dispatch, chunk) => {
             if (!isOver) {
                 handlers.onData(chunk);
             }
-        },
-        onResponseEnd: () =>
+        }),
+        onResponseEnd: wrapHandler(() =>
             finish(() =>
                 resetDetector.isResetting()
                     ? handlers.onFault({ kind: "broken", detail: "connection reset before the end of the response" })
                     : handlers.onEnd()
-            ),
-        onResponseError: (dispatch, error) => {
+            )
+        ),
+        onResponseError: wrapHandler((dispatch, error) => {
             if (isPostponed) {
                 isPostponed = false;
                 sendChecked();
@@ -294,7 +318,7 @@
             }
             const detail = (error as NodeJS.ErrnoException).code ?? error.message;
             finish(() => handlers.onFault({ kind: controller ? "broken" : "notSent", detail }));
-        },
+        }),
     };
     const send = (): void => {
         pool.dispatch(
@@ -309,14 +333,15 @@
         );
     };
     const sendChecked = (): void => {
-        void options.loop.handleWaiting().then(() => {
-            if (isOver) {
-                return;
+        const checkAndSend = async (): Promise<void> => {
+            await options.loop.handleWaiting();
+            if (!isOver) {
+                isChecked = true;
+                send();
+                isChecked = false;
             }
-            isChecked = true;
-            send();
-            isChecked = false;
-        });
+        };
+        startTask("send after a check", checkAndSend, failInside);
     };
     unsentAttempts.add(run, withdraw);
     if (options.loop.isLate()) {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -506,7 +506,7 @@
         await Promise.all([clientServer.listen(), readinessServer.listen(), metricsServer.listen()]);
         log.info("started", { id: self.id, host: options.host, domain: options.failureDomain });
         const failure = await waitForEnd(signal, running);
-        await drain();
+        await runTask("drain", drain);
         stopping.abort();
         clientServer.close();
         readinessServer.close();
--- a/src/supervision/supervisor.ts
+++ b/src/supervision/supervisor.ts
@@ -3,8 +3,8 @@
  *
  * @packageDocumentation
  */
-import type { Clock, Milliseconds } from "../shared/index.js";
-import { recordTaskFailure } from "./backgroundTasks.js";
+import { type Clock, createSystemClock, type Milliseconds } from "../shared/index.js";
+import { callGuarded, recordTaskFailure } from "./backgroundTasks.js";
 
 /** A long-running part of the instance that owns its sockets and its state. */
 export interface Task {
@@ -43,6 +43,7 @@
 const defaultMaximumRestartDelayMilliseconds = 2_000;
 /** Doublings of the delay before a restart, so that the number stays finite. */
 const maximumDoublings = 20;
+const systemClock = createSystemClock();
 
 /**
  * Creates a supervisor. A supervisor is itself a task, so supervisors can be nested.
@@ -82,12 +83,12 @@
     let failingSince: Milliseconds | undefined;
     let doublings = 0;
     while (!signal.aborted) {
-        const startedAt = options.clock.now();
+        const startedAt = readTime(options);
         const error = await runOnce(child, signal);
         if (signal.aborted) {
             return;
         }
-        const now = options.clock.now();
+        const now = readTime(options);
         recordTaskFailure(child.name, error);
         if (error instanceof LastingFailure) {
             throw error;
@@ -105,11 +106,30 @@
         if (now - failingSince >= (options.failureLimit ?? Number.POSITIVE_INFINITY)) {
             throw new Error(`task ${child.name} fails since ${Math.round(now - failingSince)} ms: ${String(error)}`);
         }
-        await options.clock.sleep(computeRestartDelay(options, doublings), signal);
+        await pauseBeforeRestart(options, computeRestartDelay(options, doublings), signal);
         doublings++;
     }
 }
 
+// what restarts the others must not end with an exception of its own
+function readTime({ clock }: SupervisorOptions): Milliseconds {
+    return callGuarded("clock of a supervisor", clock.now) ?? systemClock.now();
+}
+
+async function pauseBeforeRestart(
+    { clock }: SupervisorOptions,
+    duration: Milliseconds,
+    signal: AbortSignal,
+): Promise<void> {
+    try {
+        await clock.sleep(duration, signal);
+    }
+    catch (error) {
+        recordTaskFailure("clock of a supervisor", error);
+        await systemClock.sleep(duration, signal);
+    }
+}
+
 function computeRestartDelay(options: SupervisorOptions, doublings: number): Milliseconds {
     const first = options.restartDelay ?? defaultRestartDelayMilliseconds;
     const longest = Math.max(first, options.maximumRestartDelay ?? defaultMaximumRestartDelayMilliseconds);
