fix(serving): a server to which no connection can be made isn't reached

What callers saw: 500 for each request that chose a server whose address is none for the network (before the tasks had owners: the end of the process). Cause: the pool of the server is made inside the request, and throws Invalid URL. Change: nothing was sent, so the attempt ends as notSent and the request goes to another server; the failure is logged and counted. Evidence: unit test of an attempt at port 99999.

--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { startDetached } from "../../testing/index.js";
 import type { LoopGate } from "../loopDelay.js";
 import { type Attempt, createServerConnections, type ServerConnections } from "../serverConnections.js";
 import { type BackendServer, formatServerRunId, type HeaderCodec } from "../types.js";
@@ -116,6 +117,7 @@
         id: "i-1",
         startedAt: 1,
         service: "s",
+        // a port beyond the range of ports gives an address that is none for the network
         address: `127.0.0.1:${port}`,
         failureDomain: "a",
         isDraining: false,
@@ -156,6 +158,21 @@
         expect(observed.received.endsWith("\r\n\r\nx\xff")).to.equal(true);
     });
 
+    // guards against an address that looks like one and is none for the network, at which the process ended (FAULT)
+    it("reports that nothing was sent when no connection can be made to the address", async () => {
+        const connections = createServerConnections({
+            headers: codec,
+            findConnectionLimit: () => 1,
+            mayReceive: () => true,
+            loop: onTime,
+            onLeaving: () => undefined,
+            idleTimeout: 1_000,
+        });
+        const { end } = await sendOnce(connections, 99_999, "7");
+        connections.close();
+        expect(end).to.match(/^notSent/);
+    });
+
     it("reports that nothing was sent when the connection is refused", async () => {
         const server = createServer();
         const port = await listen(server);
@@ -254,7 +271,7 @@
             onLeaving: () => undefined,
             idleTimeout: 1_000,
         });
-        void sendOnce(connections, port, "7", { onSent: attempt => first = attempt });
+        startDetached(sendOnce(connections, port, "7", { onSent: attempt => first = attempt }));
         await new Promise(resolve => setTimeout(resolve, 50));
         const { end } = await sendOnce(connections, port, "7");
         connections.close();
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -96,6 +96,7 @@
 }
 
 const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
+const noConnectionFault: AttemptFault = { kind: "notSent", detail: "no connection can be made to its address" };
 const connectTimeoutMilliseconds = 400;
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
@@ -130,11 +131,19 @@
     };
     const getPoolFor = ({ server, wasRefused }: AttemptRequest): Pool =>
         wasRefused ? createPool(server, { connections: 1, maxRequestsPerClient: 1 }) : getPool(server);
+    // a server to which no connection can be made is one that isn't reached: the request goes to another one
+    const tryPoolFor = (request: AttemptRequest): Pool | undefined =>
+        callGuarded("connection to a server", () => getPoolFor(request));
     return {
-        send: (request, handlers) =>
-            options.mayReceive(formatServerRunId(request.server))
-                ? sendAttempt(getPoolFor(request), options, { resetDetector, unsentAttempts }, request, handlers)
-                : withdrawAttempt(handlers),
+        send: (request, handlers) => {
+            if (!options.mayReceive(formatServerRunId(request.server))) {
+                return failUnsent(withdrawnFault, handlers);
+            }
+            const pool = tryPoolFor(request);
+            return pool
+                ? sendAttempt(pool, options, { resetDetector, unsentAttempts }, request, handlers)
+                : failUnsent(noConnectionFault, handlers);
+        },
         remove: run => {
             const pool = pools.get(run);
             pools.delete(run);
@@ -207,13 +216,13 @@
     };
 }
 
-// for a server that was selected before it became known that it takes no more requests
-function withdrawAttempt(handlers: AttemptHandlers): Attempt {
+// for a server that was selected before it became known that it takes no more requests, or that has no connection
+function failUnsent(fault: AttemptFault, handlers: AttemptHandlers): Attempt {
     let isAborted = false;
     startTask("withdraw attempt", async () => {
         await Promise.resolve();
         if (!isAborted) {
-            handlers.onFault(withdrawnFault);
+            handlers.onFault(fault);
         }
     });
     return { abort: () => isAborted = true, pause: () => undefined, resume: () => undefined };
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * from "./detachedTasks.js";
 export * from "./history.js";
 export * from "./historyCommands.js";
 export * from "./snapshot.js";
