--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -25,6 +25,7 @@
     wrapError,
     wrapValue,
 } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { decodeLeavingNotice } from "./headers.js";
 import { type HttpResponse, sendHttpRequest } from "./httpRequest.js";
 import { decodeLoadedAdapter, loadedModelsSchema } from "./serverEntry.js";
@@ -95,7 +96,7 @@
                 ? wrapValue({ ...report.value, ...notice })
                 : wrapError({ ...report.error, ...notice });
         },
-        close: () => void agent.destroy(),
+        close: () => startTask("close connections", () => agent.destroy()),
     };
 }
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -16,6 +16,7 @@
     wrapError,
     wrapValue,
 } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { type HttpRequest, type HttpResponse, sendHttpRequest } from "./httpRequest.js";
 import {
     decodeKeyedReadResponse,
@@ -124,7 +125,7 @@
         },
         shards: createShardGroup(sendRequest),
         streams: createExpiringLog(sendRequest, streamTopic),
-        close: () => void pool.destroy(),
+        close: () => startTask("close connections", () => pool.destroy()),
     };
 }
 
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -7,6 +7,7 @@
 import type { ShardHolders } from "../adapters/shardHolders.js";
 import type { PeerNetwork } from "../peers/index.js";
 import { type ClientAccountId, type Clock, hashForRendezvous, type InstanceId } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { QuotaHolder } from "./quotaHolder.js";
 import { type QuotaDecision, type QuotaMessage, quotaMessageSchema, type QuotaRequest } from "./quotaMessages.js";
 
@@ -78,7 +79,7 @@
         );
         if (!response.ok) {
             holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
         const parsed = quotaMessageSchema.safeParse(response.value);
@@ -92,7 +93,7 @@
             case "take":
             case "giveBack":
             case "present":
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return undefined;
         }
     };
@@ -124,7 +125,7 @@
             }
             const holder = holders.find(findShard(request.account));
             if (holder === undefined || holder === self || holders.isSilent(holder)) {
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return undefined;
             }
             return requestUnits(holder, request);
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -7,6 +7,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
+import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
 import type { LoopGate } from "./loopDelay.js";
 import {
     type BackendServer,
@@ -95,7 +96,9 @@
 }
 
 const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
+const noConnectionFault: AttemptFault = { kind: "notSent", detail: "no connection can be made to its address" };
 const connectTimeoutMilliseconds = 400;
+const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
 /**
  * Times that a request waits for the events that wait: before it is dispatched, and once it has a connection. It is then
@@ -133,20 +136,28 @@
     };
     const getPoolFor = ({ server, wasRefused }: AttemptRequest): Pool =>
         wasRefused ? createPool(server, { connections: 1, maxRequestsPerClient: 1 }) : getPool(server);
+    // a server to which no connection can be made is one that isn't reached: the request goes to another one
+    const tryPoolFor = (request: AttemptRequest): Pool | undefined =>
+        callGuarded("connection to a server", () => getPoolFor(request));
     return {
-        send: (request, handlers) =>
-            options.mayReceive(formatServerRunId(request.server))
-                ? sendAttempt(getPoolFor(request), options, { resetDetector, unsentAttempts }, request, handlers)
-                : withdrawAttempt(handlers),
+        send: (request, handlers) => {
+            if (!options.mayReceive(formatServerRunId(request.server))) {
+                return failUnsent(withdrawnFault, handlers);
+            }
+            const pool = tryPoolFor(request);
+            return pool
+                ? sendAttempt(pool, options, { resetDetector, unsentAttempts }, request, handlers)
+                : failUnsent(noConnectionFault, handlers);
+        },
         remove: run => {
             const pool = pools.get(run);
             pools.delete(run);
             unsentAttempts.withdraw(run);
             // undici closes the pool after its requests in progress have ended
-            void pool?.close();
+            startTask("close connections", () => pool?.close());
         },
         close: () => {
-            pools.forEach(pool => void pool.destroy());
+            pools.forEach(pool => startTask("close connections", () => pool.destroy()));
             pools.clear();
         },
     };
@@ -205,15 +216,20 @@
         withdraw: run => {
             const ofRun = [...waiting.get(run) ?? []];
             waiting.delete(run);
-            ofRun.forEach(withdraw => withdraw());
+            ofRun.forEach(withdraw => callGuarded("withdraw attempt", withdraw));
         },
     };
 }
 
-// for a server that was selected before it became known that it takes no more requests
-function withdrawAttempt(handlers: AttemptHandlers): Attempt {
+// for a server that was selected before it became known that it takes no more requests, or that has no connection
+function failUnsent(fault: AttemptFault, handlers: AttemptHandlers): Attempt {
     let isAborted = false;
-    queueMicrotask(() => isAborted || handlers.onFault(withdrawnFault));
+    startTask("withdraw attempt", async () => {
+        await Promise.resolve();
+        if (!isAborted) {
+            handlers.onFault(fault);
+        }
+    });
     return { abort: () => isAborted = true, pause: () => undefined, resume: () => undefined };
 }
 
@@ -230,8 +246,6 @@
     const run = formatServerRunId(request.server);
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
-    // whether a connected socket may be written to now, as all events that waited have been handled
-    let isChecked = false;
     // how often the events that waited have been handled for this request
     let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
@@ -249,13 +263,29 @@
         unsentAttempts.remove(run, withdraw);
         controller?.abort(new Error("attempt aborted"));
     };
+    // its server may have run the request; the connection is closed, as the rest of the answer can't be read
+    const failInside = (error: unknown): void => {
+        recordTaskFailure("answer of a server", error);
+        const detail = `failed here: ${String(error).slice(0, maximumDetailLength)}`;
+        finish(() => handlers.onFault({ kind: controller ? "broken" : "notSent", detail }));
+        controller?.abort(new Error("answer failed here"));
+    };
+    const wrapHandler =
+        <Values extends unknown[]>(handle: (...values: Values) => void) => (...values: Values): void => {
+            try {
+                handle(...values);
+            }
+            catch (error) {
+                failInside(error);
+            }
+        };
     const handler: Dispatcher.DispatchHandler = {
         // undici calls this on a connected socket, immediately before it writes the first byte
         onRequestStart: started => {
             if (!isOver && !options.mayReceive(run)) {
                 withdraw();
             }
-            isPostponed = !isOver && !isChecked && checks < maximumChecks && options.loop.isLate();
+            isPostponed = !isOver && checks < maximumChecks && options.loop.isLate();
             if (isOver || isPostponed) {
                 // undici keeps the connection when this throws; it closes it when the request is aborted
                 throw new Error("request not written");
@@ -263,7 +293,7 @@
             controller = started;
             unsentAttempts.remove(run, withdraw);
         },
-        onResponseStart: (started, status, headers) => {
+        onResponseStart: wrapHandler((started, status, headers) => {
             if (status < lowestFinalStatus) {
                 return;
             }
@@ -281,19 +311,20 @@
                 return;
             }
             handlers.onHead(head);
-        },
-        onResponseData: (dispatch, chunk) => {
+        }),
+        onResponseData: wrapHandler((dispatch, chunk) => {
             if (!isOver) {
                 handlers.onData(chunk);
             }
-        },
-        onResponseEnd: () =>
+        }),
+        onResponseEnd: wrapHandler(() =>
             finish(() =>
                 resetDetector.isResetting()
                     ? handlers.onFault({ kind: "broken", detail: "connection reset before the end of the response" })
                     : handlers.onEnd()
-            ),
-        onResponseError: (dispatch, error) => {
+            )
+        ),
+        onResponseError: wrapHandler((dispatch, error) => {
             if (isPostponed) {
                 isPostponed = false;
                 sendChecked();
@@ -301,7 +332,7 @@
             }
             const detail = (error as NodeJS.ErrnoException).code ?? error.message;
             finish(() => handlers.onFault({ kind: controller ? "broken" : "notSent", detail }));
-        },
+        }),
     };
     const send = (): void => {
         pool.dispatch(
@@ -317,14 +348,13 @@
     };
     const sendChecked = (): void => {
         checks++;
-        void options.loop.handleWaiting().then(() => {
-            if (isOver) {
-                return;
+        const checkAndSend = async (): Promise<void> => {
+            await options.loop.handleWaiting();
+            if (!isOver) {
+                send();
             }
-            isChecked = true;
-            send();
-            isChecked = false;
-        });
+        };
+        startTask("send after a check", checkAndSend, failInside);
     };
     unsentAttempts.add(run, withdraw);
     if (options.loop.isLate()) {
