--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -3,12 +3,15 @@
  *
  * @packageDocumentation
  */
+export * from "./boundedJson.js";
 export * from "./constants.js";
 export * from "./hash.js";
 export * from "./identifiers.js";
+export * from "./inputRanges.js";
 export * from "./json.js";
 export * from "./logger.js";
 export * from "./logSink.js";
+export * from "./networkAddress.js";
 export * from "./random.js";
 export * from "./result.js";
 export * from "./time.js";
