--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -5,7 +5,7 @@
  *
  * @packageDocumentation
  */
-import { createLogger, type Milliseconds, type Result, waitUnlessAborted, wrapValue } from "../shared/index.js";
+import { createLogger, type Milliseconds, type Result, waitUnlessAborted } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { TopicCache } from "./topicCache.js";
@@ -32,7 +32,10 @@
     readonly topic: KeyedTopic;
     /** Time that the store may delay a read while there are no new records. */
     readonly wait: Milliseconds;
-    /** Time that the follower waits after a read with new records, to collect those that follow. @default 0 */
+    /**
+     * Time that the follower waits after a read of the store with new records, to collect those that follow; another
+     * instance that was read has already waited. @default 0
+     */
     readonly pause?: Milliseconds;
     /** Copy of the topic from which other instances read; `undefined` for none. */
     readonly cache?: TopicCache | undefined;
@@ -77,14 +80,16 @@
             return;
         }
         if (result.ok) {
-            const hasNews = position.nextOffset !== result.value;
-            position.nextOffset = result.value;
+            const { endOffset, age } = result.value;
+            const isCollected = position.nextOffset === endOffset || age !== undefined;
+            position.nextOffset = endOffset;
             failures = 0;
-            if (hasNews && options.pause) {
+            if (!isCollected && options.pause) {
                 await options.sleep(options.pause, signal);
             }
             continue;
         }
+        options.cache?.markFailed();
         options.onFailure(result.error);
         // other failures leave the offset valid, so that the follower needs no new snapshot
         if (result.error.kind === "expired" || result.error.kind === "refused") {
@@ -98,7 +103,7 @@
 async function readOnce(
     options: KeyedFollowerOptions,
     nextOffset: number | undefined,
-): Promise<Result<number, StoreError>> {
+): Promise<Result<KeyedSnapshot, StoreError>> {
     const sentAt = (options.readClocks ?? readClocks)();
     const read = nextOffset === undefined
         ? await options.log.readNewest(options.topic)
@@ -111,7 +116,7 @@
     const confirmedAt = { monotonic: sentAt.monotonic - age, timeOfDay: sentAt.timeOfDay - age };
     options.cache?.markConfirmed(confirmedAt);
     options.onConfirmed(confirmedAt);
-    return wrapValue(read.value.endOffset);
+    return read;
 }
 
 function deliverRead(options: KeyedFollowerOptions, isSnapshot: boolean, read: KeyedSnapshot): void {
