fix(resumption): a stream isn't taken up by a list of servers that is no longer followed

Seen: during a release, streams that had begun at servers of the new version went on at a server of the old one, at an instance that was out of step.

Cause: the history of versions counted as complete for ever from its first update on, however long ago the list had been confirmed; and an instance that keeps streams itself counted its own answer as one that keeps them. So an instance that was cut off, alone or with another one, decided by its old list.

Change: a view carries the times over which the list was followed, by the larger of two clocks; more than 4 s between two confirmations is a gap. The views of all that answer must together reach from the earliest beginning of the stream to the moment at which the return was read. Where they don't, the list is read once more from the store, then by those that are asked.

--- a/src/resumption/__tests__/streamOrigins.test.ts
+++ b/src/resumption/__tests__/streamOrigins.test.ts
@@ -1,10 +1,12 @@
 import { expect } from "chai";
 import type { PeerNetwork } from "../../peers/index.js";
+import type { ClockReading } from "../../serving/freshness.js";
 import type { BackendServer, SoftwareVersion } from "../../serving/types.js";
 import { wrapError, wrapValue } from "../../shared/index.js";
 import type { ResumptionMessage } from "../messages.js";
 import { createStreamOrigins, type StreamOrigins } from "../streamOrigins.js";
 import type { OriginDecision } from "../types.js";
+import { createVersionHistory } from "../versionHistory.js";
 
 const shardCount = 12;
 const streamLifetime = 10_000;
@@ -16,6 +18,12 @@
     holders: (string | undefined)[];
     readonly origins: Map<string, StreamOrigins>;
     readonly ended: Set<string>;
+    /** What the store lists. */
+    servers: readonly BackendServer[];
+    /** Instances that reach each other only. */
+    readonly apart: Set<string>;
+    /** Instances that don't reach the store. */
+    readonly storeless: Set<string>;
     sent: number;
 }
 
@@ -34,15 +42,17 @@
 }
 
 function createNetwork(world: World, self: string): PeerNetwork {
-    const deliver = (to: string, message: ResumptionMessage): ResumptionMessage | undefined => {
+    const deliver = (to: string, message: ResumptionMessage): ReturnType<StreamOrigins["handleMessage"]> => {
         world.sent++;
-        return world.ended.has(to) || world.ended.has(self) ? undefined : world.origins.get(to)?.handleMessage(message);
+        const isReached = !world.ended.has(to) && !world.ended.has(self) &&
+            world.apart.has(to) === world.apart.has(self);
+        return isReached ? world.origins.get(to)?.handleMessage(message) : undefined;
     };
     return {
         self,
         send: (to, topic, message) => void deliver(to, message as ResumptionMessage),
         request: async (to, topic, message) => {
-            const response = deliver(to, message as ResumptionMessage);
+            const response = await deliver(to, message as ResumptionMessage);
             return response ? wrapValue(response as never) : wrapError({ kind: "timeout" });
         },
         handle: () => undefined,
@@ -70,22 +80,61 @@
         isFirstStart,
         archive: { add: () => undefined, find: () => Promise.resolve(undefined), load: () => Promise.resolve() },
         readStreamLifetime: () => streamLifetime,
+        readNow: () => readClocks(world),
+        checkServers: async () => {
+            if (!world.storeless.has(self)) {
+                origins.observeServers(world.servers);
+                origins.confirmServers(readClocks(world));
+            }
+        },
     });
     world.origins.set(self, origins);
     return origins;
 }
 
 function createWorld(instanceCount: number, servers: readonly BackendServer[], isFirstStart = true): World {
-    const world: World = { now: 100_000, holders: [], origins: new Map(), ended: new Set(), sent: 0 };
+    const world: World = {
+        now: 100_000,
+        holders: [],
+        origins: new Map(),
+        ended: new Set(),
+        servers,
+        apart: new Set(),
+        storeless: new Set(),
+        sent: 0,
+    };
     for (let index = 0; index < instanceCount; index++) {
         startInstance(world, `i-${index}`, isFirstStart);
     }
     world.holders = Array.from({ length: shardCount }, (unused, shard) => `i-${shard % instanceCount}`);
     updateAll(world);
-    world.origins.forEach(origins => origins.handleServers(servers));
+    updateLists(world);
     return world;
 }
 
+function readClocks({ now }: World): ClockReading {
+    return { monotonic: now, timeOfDay: now };
+}
+
+// all instances that reach the store read the list
+function updateLists(world: World): void {
+    for (const [id, origins] of world.origins) {
+        if (!world.storeless.has(id)) {
+            origins.handleServers(world.servers);
+            origins.confirmServers(readClocks(world));
+        }
+    }
+}
+
+// time passes, and the list is confirmed every second
+function advance(world: World, duration: number): void {
+    const until = world.now + duration;
+    while (world.now < until) {
+        world.now = Math.min(until, world.now + 1_000);
+        updateLists(world);
+    }
+}
+
 function updateAll(world: World): void {
     [...world.origins].filter(([id]) => !world.ended.has(id)).forEach(([, origins]) => origins.tick());
 }
@@ -160,9 +209,10 @@
     // guards against a guess: one version serves now, but another one has served not long ago
     it("is unknown while a version may have begun the stream that has ended since", async () => {
         const world = createWorld(8, createServers("v1", "v2"));
-        world.origins.forEach(origins => origins.handleServers(createServers("v2")));
+        world.servers = createServers("v2");
+        updateLists(world);
         expect((await find(world, "i-1", "unknown")).kind).to.equal("unknown");
-        world.now += streamLifetime + 1;
+        advance(world, streamLifetime + 1);
         expect(await find(world, "i-1", "unknown")).to.deep.equal(describeKnown("v2"));
     });
 
@@ -192,7 +242,7 @@
     it("is unknown while nobody has followed the servers for long enough", async () => {
         const world = createWorld(8, createServers("v1"), false);
         expect((await find(world, "i-2", "any")).kind).to.equal("unknown");
-        world.now += streamLifetime;
+        advance(world, streamLifetime);
         expect(await find(world, "i-2", "any")).to.deep.equal(describeKnown("v1"));
     });
 
@@ -240,3 +290,102 @@
         expect((await find(world, "i-1", "a19999")).kind).to.equal("unknown");
     });
 });
+
+describe("origin of a stream at an instance that is out of step", () => {
+    // guards against an instance that answers itself from a list that it no longer follows (ORDER)
+    it("is unknown where it reaches neither store nor instances, alone or with one that agrees", async () => {
+        for (const apart of [["i-0"], ["i-0", "i-1"]]) {
+            const world = createWorld(3, createServers("v1"));
+            apart.forEach(id => world.apart.add(id) && world.storeless.add(id));
+            world.now += 10;
+            world.servers = createServers("v1", "v2");
+            updateLists(world);
+            begin(world, "i-2", "a", "v2");
+            expect((await find(world, "i-0", "a")).kind).to.equal("unknown");
+        }
+    });
+
+    // guards against a list that was confirmed before the new version joined: a short time ago isn't now (ORDER)
+    it("is unknown where it alone reaches the store and hasn't read of the new version yet", async () => {
+        const world = createWorld(3, createServers("v1"));
+        world.apart.add("i-0");
+        world.now += 10;
+        world.servers = createServers("v1", "v2");
+        world.origins.get("i-2")!.handleServers(world.servers);
+        begin(world, "i-2", "a", "v2");
+        expect((await find(world, "i-0", "a")).kind).to.equal("unknown");
+    });
+
+    // guards against others that have as old a list: who is asked reads it again (ORDER)
+    it("is unknown where it reaches instances, and none of these has read of the new version yet", async () => {
+        const world = createWorld(4, createServers("v1"));
+        world.storeless.add("i-0");
+        world.apart.add("i-3");
+        world.now += 10;
+        world.servers = createServers("v1", "v2");
+        world.origins.get("i-3")!.handleServers(world.servers);
+        begin(world, "i-3", "a", "v2");
+        expect((await find(world, "i-0", "a")).kind).to.equal("unknown");
+    });
+
+    // guards against over-caution: one side that is reached is enough while one version has served all the time
+    it("is known while no other version has served, where it reaches the store or others that do", async () => {
+        const world = createWorld(3, createServers("v1"));
+        world.apart.add("i-0");
+        advance(world, 3_000);
+        expect(await find(world, "i-0", "any")).to.deep.equal(describeKnown("v1"));
+        world.apart.clear();
+        world.storeless.add("i-0");
+        advance(world, 20_000);
+        expect(await find(world, "i-0", "any")).to.deep.equal(describeKnown("v1"));
+    });
+
+    // guards against a version that has come and gone while nobody followed the list (ORDER)
+    it("is unknown after a time that nobody has followed, and known where another instance has", async () => {
+        const world = createWorld(3, createServers("v1"));
+        world.storeless.add("i-0");
+        advance(world, 6_000);
+        world.storeless.delete("i-0");
+        advance(world, 1_000);
+        expect(await find(world, "i-0", "any")).to.deep.equal(describeKnown("v1"));
+        world.apart.add("i-0");
+        expect((await find(world, "i-0", "any")).kind).to.equal("unknown");
+        advance(world, streamLifetime);
+        expect(await find(world, "i-0", "any")).to.deep.equal(describeKnown("v1"));
+    });
+});
+
+describe("times over which the list of servers was followed", () => {
+    // guards against time that a machine slept, which only one of its clocks counts (ORDER)
+    it("leave out what either clock counts as not followed", () => {
+        for (const [monotonic, timeOfDay] of [[5_000, 5_000], [100, 5_000], [5_000, 100]] as const) {
+            const history = createVersionHistory(true);
+            history.confirm({ monotonic: 1_000, timeOfDay: 1_000 }, 1_000);
+            const woken = { monotonic: 1_000 + monotonic, timeOfDay: 1_000 + timeOfDay };
+            history.confirm(woken, woken.monotonic);
+            const { followed } = history.view([], 0, woken);
+            expect(followed.length).to.equal(2);
+            // the time of day is known to a millisecond
+            expect(followed[0]!.to).to.be.within(woken.monotonic - 5_000, woken.monotonic - 4_999);
+            expect(followed[1]!.from).to.equal(woken.monotonic);
+        }
+    });
+
+    // guards against returns that are refused because the time of day has passed on to the next whole millisecond
+    it("reach up to a confirmation whose time of day is a fraction of a millisecond late", () => {
+        const history = createVersionHistory(true);
+        history.confirm({ monotonic: 1_000.9, timeOfDay: 1_000 }, 1_000.9);
+        const { followed } = history.view([], 0, { monotonic: 1_001, timeOfDay: 1_001 });
+        expect(followed.at(-1)!.to).to.equal(1_000.9);
+    });
+
+    // guards against a gap that is closed by a confirmation which is older than the one before
+    it("have no gap where the list is confirmed regularly, and end with the last confirmation", () => {
+        const history = createVersionHistory(true);
+        for (const at of [1_000, 4_000, 3_000, 7_500]) {
+            history.confirm({ monotonic: at, timeOfDay: at }, at + 50);
+        }
+        const now = { monotonic: 9_000, timeOfDay: 9_000 };
+        expect(history.view([], 0, now).followed).to.deep.equal([{ from: Number.NEGATIVE_INFINITY, to: 7_500 }]);
+    });
+});
--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -19,14 +19,23 @@
         isCopy: z.boolean().optional(),
     }),
     // without a key only the view is asked for
-    z.object({ kind: z.literal("askOrigin"), key: z.string().optional(), services: z.array(z.string()) }),
+    z.object({
+        kind: z.literal("askOrigin"),
+        key: z.string().optional(),
+        services: z.array(z.string()),
+        // whether the receiver reads the list of servers before it answers
+        isChecked: z.boolean().optional(),
+    }),
     z.object({
         kind: z.literal("origin"),
         // origin of the stream, where the sender keeps it
         origin: originSchema.optional(),
         // what may have begun streams of the services that were asked for
         origins: z.array(originSchema),
+        // for the build before, which doesn't read the times
         isComplete: z.boolean(),
+        // times over which the sender has followed the list of servers, as ages at the receipt of the question
+        followed: z.array(z.tuple([z.number(), z.number()])).optional(),
     }),
 ]);
 
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -7,16 +7,17 @@
  */
 import type { ShardHolders } from "../adapters/shardHolders.js";
 import type { PeerNetwork } from "../peers/index.js";
+import type { ClockReading } from "../serving/freshness.js";
 import type { BackendServer } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
 import { listKeepers } from "./keepers.js";
 import { type ResumptionMessage, resumptionMessageSchema } from "./messages.js";
-import { decideOrigin, type OriginAnswer } from "./originDecision.js";
+import { decideOrigin, isCovered, type OriginAnswer, type OriginVerdict } from "./originDecision.js";
 import type { StreamArchive } from "./streamArchive.js";
 import { computeStreamKey, type StreamKey } from "./streamKey.js";
 import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
-import type { OriginDecision, OriginView, StreamId, StreamOrigin } from "./types.js";
-import { createVersionHistory } from "./versionHistory.js";
+import type { OriginDecision, OriginView, StreamId, StreamOrigin, TimeSpan } from "./types.js";
+import { createVersionHistory, type VersionHistory } from "./versionHistory.js";
 
 /** Dependencies of the origins. */
 export interface StreamOriginsOptions {
@@ -29,6 +30,13 @@
     readonly isFirstStart: boolean;
     /** Streams from before the start of all instances. */
     readonly archive: StreamArchive;
+    /**
+     * Reads the list of servers once more, and passes it to `observeServers` and `confirmServers`; resolves when that is done
+     * or has taken too long.
+     */
+    readonly checkServers: () => Promise<void>;
+    /** Reads both clocks; the monotonic one is `clock`. @default those of the process */
+    readonly readNow?: () => ClockReading;
     /** Longest time from the beginning of a stream to the end of a client's last return. */
     readonly readStreamLifetime: () => Milliseconds;
 }
@@ -43,7 +51,13 @@
     readonly find: (stream: StreamId, services: readonly string[]) => Promise<OriginDecision>;
     /** Replaces the servers that are listed now. */
     readonly handleServers: (servers: readonly BackendServer[]) => void;
-    readonly handleMessage: (message: ResumptionMessage) => ResumptionMessage | undefined;
+    /** Adds servers that are listed now, of which `handleServers` may not have been told yet. */
+    readonly observeServers: (servers: readonly BackendServer[]) => void;
+    /** Records that all writes of the list of servers before a time have been passed on. */
+    readonly confirmServers: (at: ClockReading) => void;
+    readonly handleMessage: (
+        message: ResumptionMessage,
+    ) => ResumptionMessage | undefined | Promise<ResumptionMessage | undefined>;
     /** Does what is due; must be called regularly. */
     readonly tick: () => void;
 }
@@ -53,6 +67,12 @@
 /** Instances that are asked: one more, as the holders may have changed since. */
 const askedCount = 3;
 const askTimeoutMilliseconds = 200;
+/** The same where the other instance reads the list of servers before. */
+const checkedAskTimeoutMilliseconds = 450;
+/** Age of the list up to which an instance has followed it so far, for what others are told of its own streams. */
+const usualAgeMilliseconds = 4_000;
+/** Longest time over which another instance is told that the list was followed. */
+const toldAgeMilliseconds = 86_400_000;
 /** Streams of this instance whose clients may still return. */
 const maximumOwnStreams = 4_096;
 /** Streams that are kept for all instances. */
@@ -74,7 +94,11 @@
     const knownHolders = new Map<number, InstanceId>();
     const readSince = (): Milliseconds => clock.now() - options.readStreamLifetime();
     const readExpiry = (): Milliseconds => clock.now() + options.readStreamLifetime();
-    const readView = (services: readonly string[]): OriginView => history.view(services, readSince());
+    const readNow = options.readNow ?? ((): ClockReading => ({ monotonic: clock.now(), timeOfDay: Date.now() }));
+    const readView = (services: readonly string[], now = readNow()): OriginView =>
+        history.view(services, readSince(), now);
+    const isComplete = ({ followed }: OriginView): boolean =>
+        isCovered({ from: readSince(), to: clock.now() - usualAgeMilliseconds }, followed);
     const listHolders = (key: StreamKey, count: number): readonly InstanceId[] =>
         listKeepers(holders, options.shardCount, key, count);
     // this instance knows its own streams: the copies are with others
@@ -115,25 +139,86 @@
         }
         return { origin, ...readView(services) };
     };
+    const respondToQuestion = async (
+        { key, services, isChecked }: Extract<ResumptionMessage, { readonly kind: "askOrigin"; }>,
+    ): Promise<ResumptionMessage> => {
+        const receivedAt = readNow();
+        if (isChecked) {
+            await options.checkServers();
+        }
+        const { origin, origins } = createAnswer(key, services);
+        const view = readView(services, receivedAt);
+        return {
+            kind: "origin",
+            origin,
+            origins: [...origins],
+            isComplete: isComplete(view),
+            followed: view.followed.map(({ from, to }) => [
+                Math.min(toldAgeMilliseconds, receivedAt.monotonic - from),
+                receivedAt.monotonic - to,
+            ]),
+        };
+    };
     const requestOrigin = async (
         keeper: InstanceId,
         key: StreamKey | undefined,
         services: readonly string[],
+        isChecked: boolean,
     ): Promise<OriginAnswer | undefined> => {
         if (keeper === self) {
             return createAnswer(key, services);
         }
-        const message: ResumptionMessage = { kind: "askOrigin", key, services: [...services] };
-        const response = await network.request(keeper, "resumption", message, askTimeoutMilliseconds);
+        const message: ResumptionMessage = { kind: "askOrigin", key, services: [...services], isChecked };
+        const askedAt = clock.now();
+        const timeout = isChecked ? checkedAskTimeoutMilliseconds : askTimeoutMilliseconds;
+        const response = await network.request(keeper, "resumption", message, timeout);
         if (!response.ok) {
             holders.markSilent(keeper, response.error.kind === "unreachable" ? "unreachable" : "timeout");
             void holders.refresh();
             return undefined;
         }
         const parsed = resumptionMessageSchema.safeParse(response.value);
-        return parsed.success && parsed.data.kind === "origin" ? parsed.data : undefined;
+        if (!parsed.success || parsed.data.kind !== "origin") {
+            return undefined;
+        }
+        const { origin, origins, followed = [] } = parsed.data;
+        const answeredAt = clock.now();
+        // the question was received between these two times
+        return {
+            origin,
+            origins,
+            followed: followed.map(([fromAge, toAge]) => ({ from: answeredAt - fromAge, to: askedAt - toAge })),
+        };
+    };
+    const requestOrigins = (
+        key: StreamKey | undefined,
+        services: readonly string[],
+        isChecked: boolean,
+    ): Promise<readonly OriginAnswer[]> =>
+        collectAnswers(
+            listHolders(key ?? "", askedCount).map(keeper => requestOrigin(keeper, key, services, isChecked)),
+        );
+    // the list that others and this instance have may lack a server which joined before the client returned
+    const decideChecked = async (
+        key: StreamKey | undefined,
+        services: readonly string[],
+        possibleTime: TimeSpan,
+    ): Promise<OriginVerdict> => {
+        const answers = await requestOrigins(key, services, false);
+        const verdict = decideOrigin(readView(services), answers, possibleTime);
+        if (verdict.kind !== "unconfirmed") {
+            return verdict;
+        }
+        await options.checkServers();
+        const ownVerdict = decideOrigin(readView(services), answers, possibleTime);
+        if (ownVerdict.kind !== "unconfirmed") {
+            return ownVerdict;
+        }
+        const checked = await requestOrigins(key, services, true);
+        return decideOrigin(readView(services), [...answers, ...checked], possibleTime);
     };
     const find = async (stream: StreamId, services: readonly string[]): Promise<OriginDecision> => {
+        const possibleTime: TimeSpan = { from: readSince(), to: clock.now() };
         const key = computeStreamKey(stream);
         const ownOrigin = key === undefined ? undefined : own.find(key, clock.now());
         const archived = key === undefined || ownOrigin ? undefined : await archive.find(key);
@@ -141,9 +226,8 @@
         if (known) {
             return { kind: "known", origin: known };
         }
-        const asks = listHolders(key ?? "", askedCount).map(keeper => requestOrigin(keeper, key, services));
-        const answers = await collectAnswers(asks);
-        return decideOrigin(readView(services), answers);
+        const verdict = await decideChecked(key, services, possibleTime);
+        return verdict.kind === "unconfirmed" ? { kind: "unknown", reason: verdict.reason } : verdict;
     };
     const findMovedShards = (): readonly InstanceId[] => {
         const gained = new Set<InstanceId>();
@@ -158,6 +242,17 @@
     };
     const listServices = (servers: readonly BackendServer[]): ReadonlySet<string> =>
         new Set(servers.map(({ service }) => service));
+    const addServers = (servers: readonly BackendServer[], add: VersionHistory["update"]): void => {
+        const services = [...listServices(servers)];
+        const before = new Map(services.map(service => [service, readView([service]).origins.length]));
+        add(servers, clock.now());
+        const mixed = services.filter(service => before.get(service)! <= 1 && readView([service]).origins.length > 1);
+        if (mixed.length > 0) {
+            const streams = own.list(clock.now()).filter(({ origin }) => mixed.includes(origin.service));
+            log.info("several software versions", { services: mixed.join(), streams: streams.length });
+            publishStreams(streams);
+        }
+    };
     return {
         markBegun: (stream, origin, services) => {
             const key = computeStreamKey(stream);
@@ -166,8 +261,8 @@
             }
             own.put({ key, origin }, readExpiry());
             // others can't rule out an earlier version while this instance can't
-            const { origins, isComplete } = readView(services);
-            if (origins.length > 1 || !isComplete) {
+            const view = readView(services);
+            if (view.origins.length > 1 || !isComplete(view)) {
                 publishStreams([{ key, origin }]);
             }
         },
@@ -178,19 +273,9 @@
             }
         },
         find,
-        handleServers: servers => {
-            const services = [...listServices(servers)];
-            const before = new Map(services.map(service => [service, readView([service]).origins.length]));
-            history.update(servers, clock.now());
-            const mixed = services.filter(service =>
-                before.get(service)! <= 1 && readView([service]).origins.length > 1
-            );
-            if (mixed.length > 0) {
-                const streams = own.list(clock.now()).filter(({ origin }) => mixed.includes(origin.service));
-                log.info("several software versions", { services: mixed.join(), streams: streams.length });
-                publishStreams(streams);
-            }
-        },
+        handleServers: servers => addServers(servers, history.update),
+        observeServers: servers => addServers(servers, history.observe),
+        confirmServers: at => history.confirm(at, clock.now()),
         handleMessage: message => {
             switch (message.kind) {
                 case "began":
@@ -199,10 +284,8 @@
                         archive.add(message.streams);
                     }
                     return undefined;
-                case "askOrigin": {
-                    const { origin, origins, isComplete } = createAnswer(message.key, message.services);
-                    return { kind: "origin", origin, origins: [...origins], isComplete };
-                }
+                case "askOrigin":
+                    return respondToQuestion(message);
                 case "origin":
                     return undefined;
             }
--- a/src/resumption/types.ts
+++ b/src/resumption/types.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import type { SoftwareVersion } from "../serving/types.js";
-import type { ClientAccountId } from "../shared/index.js";
+import type { ClientAccountId, Milliseconds } from "../shared/index.js";
 
 /** Service and software version that began a stream; only servers of both may go on with it. */
 export interface StreamOrigin {
@@ -21,11 +21,20 @@
     readonly firstAttemptId: string | undefined;
 }
 
+/** A time without gaps, on the monotonic clock of this instance; empty when it ends before it begins. */
+export interface TimeSpan {
+    readonly from: Milliseconds;
+    readonly to: Milliseconds;
+}
+
 /** Origins that may have begun streams of which clients still want the rest, as one instance knows them. */
 export interface OriginView {
     readonly origins: readonly StreamOrigin[];
-    /** Whether the instance has followed the list of servers for as long as clients may return. */
-    readonly isComplete: boolean;
+    /**
+     * Times over which the instance has followed the list of servers, oldest first. The last one ends when the list was last
+     * confirmed: a server that joined later may have begun streams.
+     */
+    readonly followed: readonly TimeSpan[];
 }
 
 /** Whether the origin of a stream is known. */
--- a/src/resumption/versionHistory.ts
+++ b/src/resumption/versionHistory.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { type ClockReading, measureAge } from "../serving/freshness.js";
 import type { BackendServer, SoftwareVersion } from "../serving/types.js";
 import type { Milliseconds } from "../shared/index.js";
 import type { OriginView } from "./types.js";
@@ -11,12 +12,33 @@
 export interface VersionHistory {
     /** Replaces the servers that are listed now. */
     readonly update: (servers: readonly BackendServer[], now: Milliseconds) => void;
-    /** Returns what has served the services at any time since `since`. */
-    readonly view: (services: readonly string[], since: Milliseconds) => OriginView;
+    /** Adds servers that are listed now to those of the last update. */
+    readonly observe: (servers: readonly BackendServer[], now: Milliseconds) => void;
+    /**
+     * Records that all writes of the list before `at` have been passed to `update` or `observe`. Time since the confirmation
+     * before counts as followed unless there is too much of it.
+     */
+    readonly confirm: (at: ClockReading, now: Milliseconds) => void;
+    /** Returns what has served the services at any time since `since`, and over which times that was followed. */
+    readonly view: (services: readonly string[], since: Milliseconds, now: ClockReading) => OriginView;
     /** Forgets the versions that have not served since `since`. */
     readonly prune: (since: Milliseconds) => void;
 }
 
+interface FollowedTime {
+    readonly from: Milliseconds;
+    to: ClockReading;
+}
+
+/**
+ * Longest time between two confirmations that counts as followed: a read of the list that waits for news, relayed and from
+ * data of the greatest age that is used. Within it a server would have to come and go unseen.
+ */
+const maximumConfirmationGapMilliseconds = 4_000;
+const maximumFollowedTimes = 16;
+/** The time of day is read in whole milliseconds: so much of a difference is none. */
+const timeOfDayResolutionMilliseconds = 1;
+
 type Versions = Map<SoftwareVersion | undefined, Milliseconds>;
 
 /**
@@ -28,7 +50,8 @@
 export function createVersionHistory(isFromStart: boolean): VersionHistory {
     const listed = new Map<string, Set<SoftwareVersion | undefined>>();
     const lastSeen = new Map<string, Versions>();
-    let followedSince = isFromStart ? Number.NEGATIVE_INFINITY : undefined;
+    let followed: FollowedTime[] = [];
+    let isFirst = true;
     const markSeen = (service: string, version: SoftwareVersion | undefined, now: Milliseconds): void => {
         const versions: Versions = lastSeen.get(service) ?? new Map();
         versions.set(version, now);
@@ -36,7 +59,6 @@
     };
     return {
         update: (servers, now) => {
-            followedSince ??= now;
             // versions that are gone now have served until just before
             listed.forEach((versions, service) => versions.forEach(version => markSeen(service, version, now)));
             listed.clear();
@@ -47,15 +69,36 @@
                 markSeen(service, softwareVersion, now);
             }
         },
-        view: (services, since) => ({
+        observe: (servers, now) =>
+            servers.forEach(({ service, softwareVersion }) => markSeen(service, softwareVersion, now)),
+        confirm: (at, now) => {
+            const last = followed.at(-1);
+            if (last && at.monotonic <= last.to.monotonic) {
+                return;
+            }
+            if (last && measureAge(last.to, at) <= maximumConfirmationGapMilliseconds) {
+                last.to = at;
+                return;
+            }
+            // what came and went before the list was received isn't in it
+            followed.push({ from: isFirst && isFromStart ? Number.NEGATIVE_INFINITY : now, to: at });
+            followed = followed.slice(-maximumFollowedTimes);
+            isFirst = false;
+        },
+        view: (services, since, now) => ({
             origins: services.flatMap(service =>
                 [...lastSeen.get(service) ?? []]
                     .filter(([version, seenAt]) => seenAt >= since || listed.get(service)?.has(version))
                     .map(([version]) => ({ service, version }))
             ),
-            isComplete: followedSince !== undefined && followedSince <= since,
+            // the beginning is never taken for earlier, nor the end for later, than it was by either clock
+            followed: followed.map(({ from, to }) => ({
+                from,
+                to: now.monotonic - measureAge(to, reduceTimeOfDay(now)),
+            })),
         }),
         prune: since => {
+            followed = followed.filter((time, index) => time.to.monotonic >= since || index === followed.length - 1);
             for (const [service, versions] of lastSeen) {
                 for (const [version, seenAt] of versions) {
                     if (seenAt < since && !listed.get(service)?.has(version)) {
@@ -69,3 +112,7 @@
         },
     };
 }
+
+function reduceTimeOfDay({ monotonic, timeOfDay }: ClockReading): ClockReading {
+    return { monotonic, timeOfDay: timeOfDay - timeOfDayResolutionMilliseconds };
+}
--- a/src/serving/__tests__/followers.test.ts
+++ b/src/serving/__tests__/followers.test.ts
@@ -52,6 +52,7 @@
         guard: { replaceAll: () => undefined, applyRecord: () => undefined },
         onStoreFailure: () => undefined,
         onServers: () => undefined,
+        onServersConfirmed: () => undefined,
         onConfiguration: taken => observed.configs.push(taken.version),
         onAdapterVersion: (model, adapter, version, earliestPublishedAt) =>
             observed.versions.push([version, earliestPublishedAt]),
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -212,6 +212,8 @@
                 markComplete: () => undefined,
                 find: () => undecided === "origin" ? never : Promise.resolve({ kind: "unknown", reason: "test" }),
                 handleServers: () => undefined,
+                observeServers: () => undefined,
+                confirmServers: () => undefined,
                 handleMessage: () => undefined,
                 tick: () => undefined,
             },
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -2,6 +2,7 @@
  * A few whole instances on local ports, with a store in memory and servers that can end under a request or name a limit.
  */
 import { sendRequest, type TestAnswer, type TestRequest } from "./testClient.js";
+import { createInstanceLinks, createInstanceStore, type TestStoreCut } from "./testCuts.js";
 import { putTestConfiguration, startTestInstance, type TestInstance } from "./testInstance.js";
 import {
     createServerLinks,
@@ -16,6 +17,7 @@
 import { createMemoryStore, pause } from "./testStore.js";
 
 export type { TestAnswer, TestRequest } from "./testClient.js";
+export type { TestStoreCut } from "./testCuts.js";
 export type { TestCut } from "./testServers.js";
 
 /** Size of the fleet and behaviour of its servers. */
@@ -39,6 +41,10 @@
      * and `newRefused` lets them live on; new ones are refused in all of these.
      */
     readonly setCut: (instance: number, cut: TestCut) => Promise<void>;
+    /** Cuts an instance off from the store, or holds it up in following the servers. */
+    readonly setStoreCut: (instance: number, cut: TestStoreCut) => void;
+    /** Cuts some instances off from all others, which still reach each other, or ends that. */
+    readonly setPeersCut: (instances: readonly number[], isCut: boolean) => Promise<void>;
     /** Stops an instance for good; resolves when all its connections are closed. */
     readonly stopInstance: (instance: number) => Promise<void>;
     /** Gives each shard another holder. */
@@ -74,11 +80,16 @@
     const links = await Promise.all(
         Array.from({ length: options.instances }, () => createServerLinks(servers.map(({ readPort }) => readPort))),
     );
+    const formatName = (index: number): string => `front-${index}`;
+    const instanceLinks = await createInstanceLinks(options.instances, formatName, index => ports[index * 4 + 2]);
+    const stores = links.map((unused, index) =>
+        createInstanceStore(store, record => instanceLinks.translate(index, record))
+    );
     const startInstance = (index: number, isFirstStart: boolean): TestInstance => {
         const started = startTestInstance({
-            name: `front-${index}`,
+            name: formatName(index),
             ports: ports.slice(index * 4, index * 4 + 4),
-            store,
+            store: stores[index]!.store,
             isFirstStart,
             translateAddress: links[index]!.translate,
         });
@@ -110,6 +121,13 @@
             running = await startAll(false);
         },
         setCut: (instance, cut) => links[instance]!.setCut(cut),
+        setStoreCut: (instance, cut) => stores[instance]!.setCut(cut),
+        setPeersCut: async (instances, isCut) => {
+            const others = links.map((unused, index) => index).filter(index => !instances.includes(index));
+            await Promise.all(
+                instances.flatMap(first => others.map(second => instanceLinks.setCut(first, second, isCut))),
+            );
+        },
         stopInstance: index => {
             running[index]!.stop();
             return running[index]!.ended;
@@ -118,6 +136,7 @@
             stopping.abort();
             servers.forEach(server => server.close());
             links.forEach(link => link.close());
+            instanceLinks.close();
             await Promise.all(running.map(({ ended }) => ended));
         },
     };
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -8,7 +8,7 @@
 import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import type { ConfigurationState } from "./configurationState.js";
-import { readClocks } from "./freshness.js";
+import { type ClockReading, readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
 import { createKeyedFollower } from "./keyedFollower.js";
 import type { ServerList, ServerListChange } from "./serverList.js";
@@ -39,6 +39,8 @@
     readonly onStoreFailure: (topic: KeyedTopic) => void;
     /** Called after each update of the server list; the change may be empty. */
     readonly onServers: (change: ServerListChange) => void;
+    /** Called after `onServers` with a time before which all writes of the list have been passed to it. */
+    readonly onServersConfirmed: (at: ClockReading) => void;
     /** Called with each newer configuration. */
     readonly onConfiguration: (config: ServingConfig) => void;
     /**
@@ -153,7 +155,10 @@
                 options.onServers(server ? servers.put(server) : servers.remove(record.key, clock.now()));
             }
         },
-        onConfirmed: sentAt => servers.markStoreAnswer(sentAt.monotonic, clock.now()),
+        onConfirmed: sentAt => {
+            servers.markStoreAnswer(sentAt.monotonic, clock.now());
+            options.onServersConfirmed(sentAt);
+        },
         onFailure: error => {
             servers.markStoreFailure(clock.now());
             handleFailure(error);
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -42,6 +42,7 @@
 import { runRequest } from "./runRequest.js";
 import { createServerConnections } from "./serverConnections.js";
 import { createServerList, isSameEntry, type ServerListChange } from "./serverList.js";
+import { createServerListCheck } from "./serverListCheck.js";
 import { createServerRecords } from "./serverRecords.js";
 import { createMetricsServer, createServingMetrics, type UndecodedHeader } from "./servingMetrics.js";
 import type { QuotaBounds } from "./startAllowance.js";
@@ -335,8 +336,16 @@
         shardCount: options.shardCount,
         isFirstStart: options.isFirstStart,
         archive,
+        checkServers: () => serverCheck.run(),
         readStreamLifetime,
     });
+    const serverCheck = createServerListCheck({
+        clock,
+        store: dependencies.log,
+        codec: dependencies.records,
+        onServers: origins.observeServers,
+        onConfirmed: origins.confirmServers,
+    });
     let knownServers: readonly BackendServer[] = [];
     const requestParts: RequestParts = {
         configuration,
@@ -404,7 +413,7 @@
         caches,
     });
     const followers = createFollowers({
-        log: relayed.log,
+        log: serverCheck.trackReads(relayed.log),
         caches,
         codec: dependencies.records,
         clock,
@@ -413,6 +422,7 @@
         directory,
         guard,
         onServers: applyServerChange,
+        onServersConfirmed: origins.confirmServers,
         onStoreFailure: metrics.countStoreFailure,
         onConfiguration: config => {
             quotaHolder.update(config.accounts ?? [], clock.now());
