--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -190,14 +190,16 @@
             followed: followed.map(([fromAge, toAge]) => ({ from: answeredAt - fromAge, to: askedAt - toAge })),
         };
     };
+    // the last question goes to those too that didn't respond in time just before: without them the return is refused
     const requestOrigins = (
         key: StreamKey | undefined,
         services: readonly string[],
         isChecked: boolean,
-    ): Promise<readonly OriginAnswer[]> =>
-        collectAnswers(
-            listHolders(key ?? "", askedCount).map(keeper => requestOrigin(keeper, key, services, isChecked)),
-        );
+    ): Promise<readonly OriginAnswer[]> => {
+        const asked = isChecked ? { find: holders.find, isSilent: () => false } : holders;
+        const keepers = listKeepers(asked, options.shardCount, key ?? "", askedCount);
+        return collectAnswers(keepers.map(keeper => requestOrigin(keeper, key, services, isChecked)));
+    };
     // the list that others and this instance have may lack a server which joined before the client returned
     const decideChecked = async (
         key: StreamKey | undefined,
