--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -4,7 +4,10 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import { createListSchema, nameSchema } from "../shared/index.js";
+import { createListSchema, longestTimerMilliseconds, nameSchema } from "../shared/index.js";
+
+// negative for a time after the receipt of the question
+const signedAgeSchema = z.number().min(-longestTimerMilliseconds).max(longestTimerMilliseconds);
 
 /** Schema of a service and software version. */
 export const originSchema = z.object({ service: nameSchema, version: z.union([nameSchema, z.number()]).optional() })
@@ -20,14 +23,23 @@
         isCopy: z.boolean().optional(),
     }),
     // without a key only the view is asked for
-    z.object({ kind: z.literal("askOrigin"), key: nameSchema.optional(), services: createListSchema(nameSchema) }),
+    z.object({
+        kind: z.literal("askOrigin"),
+        key: nameSchema.optional(),
+        services: createListSchema(nameSchema),
+        // whether the receiver reads the list of servers before it answers
+        isChecked: z.boolean().optional(),
+    }),
     z.object({
         kind: z.literal("origin"),
         // origin of the stream, where the sender keeps it
         origin: originSchema.optional(),
         // what may have begun streams of the services that were asked for
         origins: createListSchema(originSchema),
+        // for the build before, which doesn't read the times
         isComplete: z.boolean(),
+        // times over which the sender has followed the list of servers, as ages at the receipt of the question
+        followed: createListSchema(z.tuple([signedAgeSchema, signedAgeSchema])).optional(),
     }),
 ]);
 
--- a/src/serving/__tests__/followers.test.ts
+++ b/src/serving/__tests__/followers.test.ts
@@ -54,6 +54,7 @@
         refused: createRefusedRecords(),
         onStoreFailure: () => undefined,
         onServers: () => undefined,
+        onServersConfirmed: () => undefined,
         onConfiguration: taken => observed.configs.push(taken.version),
         onAdapterVersion: (model, adapter, version, earliestPublishedAt) =>
             observed.versions.push([version, earliestPublishedAt]),
--- a/src/serving/__tests__/relayedReads.test.ts
+++ b/src/serving/__tests__/relayedReads.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { wrapValue } from "../../shared/index.js";
-import { createHistory, type History } from "../../testing/history.js";
+import { createHistory, type History, startDetached } from "../../testing/index.js";
 import type { ClockReading } from "../freshness.js";
 import { createKeyedFollower } from "../keyedFollower.js";
 import {
@@ -72,9 +72,11 @@
     until: number,
 ): Promise<{ readonly at: number; readonly response: RelayMessage | undefined; } | undefined> {
     let answer: { at: number; response: RelayMessage | undefined; } | undefined;
-    void fixture.relayed.handleMessage({ kind: "read", topic: "servers", offset: 1, wait }).then(response => {
+    const recordAnswer = async (): Promise<void> => {
+        const response = await fixture.relayed.handleMessage({ kind: "read", topic: "servers", offset: 1, wait });
         answer = { at: fixture.history.now(), response };
-    });
+    };
+    startDetached(recordAnswer());
     await fixture.history.runAsync(until);
     return answer;
 }
@@ -130,7 +132,7 @@
             const fixture = createFixture(clock => clock.sleep(100_000).then(() => undefined));
             await fixture.history.runAsync(2_000);
             fixture.markConfirmed(2_000 - age);
-            void fixture.relayed.log.readFrom("servers", 1, 1_600);
+            startDetached(fixture.relayed.log.readFrom("servers", 1, 1_600));
             await fixture.history.runAsync(10_000);
             const readAge = fixture.storeReads[0]! - (2_000 - age);
             expect(readAge, `age ${age}`).to.be.at.most(computeOwnAgeLimit("servers"));
@@ -191,7 +193,7 @@
                 onFailure: () => undefined,
             });
             const stopping = new AbortController();
-            void follower.run(stopping.signal);
+            startDetached(follower.run(stopping.signal));
             await fixture.history.runAsync(1_500);
             stopping.abort();
             expect(end > 50, `relayed: ${isRelayed}`).to.equal(isRelayed);
