--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -15,7 +15,8 @@
     type PlaceOutcome,
     type ServerRunId,
 } from "../serving/types.js";
-import type { Clock, FailureDomainId, InstanceId, Milliseconds, SeededRandom } from "../shared/index.js";
+import type { Clock, FailureDomainId, InstanceId, Milliseconds, Result, SeededRandom } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createEngineFinder } from "./engineFinder.js";
@@ -26,6 +27,7 @@
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
 import {
     type AdapterMessage,
+    adapterMessageSchema,
     formatAdapterKey,
     parseAdapterKey,
     type PlaceRequest,
@@ -209,7 +211,8 @@
                 { kind: "askHolders" },
                 holderTimeoutMilliseconds,
             );
-            return response.ok && response.value.kind === "holders" ? response.value.holders : undefined;
+            const answer = decodeAnswer(response);
+            return answer?.kind === "holders" ? answer.holders : undefined;
         },
         readStore: options.readHolders,
         onMoved: (shard, holder) => sendRelease(shard, holder),
@@ -260,7 +263,7 @@
         });
         managers.set(manager.run, manager);
         heldEngines.clear();
-        void manager.refresh();
+        startTask("report of an engine", manager.refresh);
     };
     const openManagers = (servers: readonly BackendServer[]): void =>
         servers
@@ -294,7 +297,8 @@
             return undefined;
         }
         holders.markResponsive(holder);
-        return isPlaceResponse(response.value) ? response.value : undefined;
+        const answer = decodeAnswer(response);
+        return answer && isPlaceResponse(answer) ? answer : undefined;
     };
     const end = (holder: InstanceId, id: string, outcome: PlaceOutcome): void => {
         if (holder === self) {
@@ -330,9 +334,10 @@
             if (!response.ok) {
                 holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
             }
-            const wait = response.ok && response.value.kind === "permit" ? response.value.wait : undefined;
+            const answer = decodeAnswer(response);
+            const wait = answer?.kind === "permit" ? answer.wait : undefined;
             if (wait === undefined) {
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
             }
             return wait;
         },
@@ -383,12 +388,8 @@
         for (const manager of managers.values()) {
             for (const key of manager.listOutdated(newest)) {
                 const version = newest.get(key);
-                void manager.ensure({
-                    ...parseAdapterKey(key),
-                    version,
-                    wasDenied: false,
-                    ...replacementLoadParameters,
-                });
+                const parameters = { ...parseAdapterKey(key), version, wasDenied: false, ...replacementLoadParameters };
+                startTask("replace an adapter", () => manager.ensure(parameters));
             }
         }
     };
@@ -400,7 +401,7 @@
         missingModelsCheckedAt = clock.now();
         for (const manager of managers.values()) {
             if (!manager.hasModel()) {
-                void manager.refresh();
+                startTask("report of an engine", manager.refresh);
             }
         }
     };
@@ -477,7 +478,7 @@
             const orderTimes = closed.map(manager => manager?.readLastOrderAt() ?? Number.NEGATIVE_INFINITY);
             releasedAt.set(shard, { generation, lastOrderAt: Math.max(Number.NEGATIVE_INFINITY, ...orderTimes) });
         },
-        handleMembershipChange: () => void holders.reload(),
+        handleMembershipChange: () => startTask("holders of shards", holders.reload),
         handleMessage,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
@@ -491,6 +492,11 @@
     };
 }
 
+// an unreadable answer, as of an instance of another version, is none
+function decodeAnswer(response: Result<unknown, unknown>): AdapterMessage | undefined {
+    return response.ok ? adapterMessageSchema.safeParse(response.value).data : undefined;
+}
+
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
     return ["placed", "waiting", "busy", "unavailable", "notHolder"].includes(message.kind);
 }
--- a/src/resumption/__tests__/streamOrigins.test.ts
+++ b/src/resumption/__tests__/streamOrigins.test.ts
@@ -50,7 +50,12 @@
     };
     return {
         self,
-        send: (to, topic, message) => void deliver(to, message as ResumptionMessage),
+        send: (to, topic, message) => {
+            // a failure ends the test
+            Promise.resolve(deliver(to, message as ResumptionMessage)).catch(error =>
+                process.emit("uncaughtException", error)
+            );
+        },
         request: async (to, topic, message) => {
             const response = await deliver(to, message as ResumptionMessage);
             return response ? wrapValue(response as never) : wrapError({ kind: "timeout" });
--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -4,25 +4,30 @@
  * @packageDocumentation
  */
 import * as z from "zod";
+import { createListSchema, nameSchema } from "../shared/index.js";
 
 /** Schema of a service and software version. */
-export const originSchema = z.object({ service: z.string(), version: z.union([z.string(), z.number()]).optional() })
+export const originSchema = z.object({ service: nameSchema, version: z.union([nameSchema, z.number()]).optional() })
     .transform(({ service, version }) => ({ service, version }));
 
+/** Longest time that an age in a message states, in both directions. */
+export const toldAgeMilliseconds = 86_400_000;
+const ageSchema = z.number().min(-toldAgeMilliseconds).max(toldAgeMilliseconds);
+
 /** Schema of the messages about streams that clients take up again. */
 export const resumptionMessageSchema = z.discriminatedUnion("kind", [
     // streams that have begun, for the receiver to keep
     z.object({
         kind: z.literal("began"),
-        streams: z.array(z.object({ key: z.string(), origin: originSchema })),
+        streams: createListSchema(z.object({ key: nameSchema, origin: originSchema })),
         // whether another instance has been told before, which has written them to the store
         isCopy: z.boolean().optional(),
     }),
     // without a key only the view is asked for
     z.object({
         kind: z.literal("askOrigin"),
-        key: z.string().optional(),
-        services: z.array(z.string()),
+        key: nameSchema.optional(),
+        services: createListSchema(nameSchema),
         // whether the receiver reads the list of servers before it answers
         isChecked: z.boolean().optional(),
     }),
@@ -31,11 +36,11 @@
         // origin of the stream, where the sender keeps it
         origin: originSchema.optional(),
         // what may have begun streams of the services that were asked for
-        origins: z.array(originSchema),
+        origins: createListSchema(originSchema),
         // for the build before, which doesn't read the times
         isComplete: z.boolean(),
         // times over which the sender has followed the list of servers, as ages at the receipt of the question
-        followed: z.array(z.tuple([z.number(), z.number()])).optional(),
+        followed: createListSchema(z.tuple([ageSchema, ageSchema])).optional(),
     }),
 ]);
 
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -10,8 +10,9 @@
 import type { ClockReading } from "../serving/freshness.js";
 import type { BackendServer } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { listKeepers } from "./keepers.js";
-import { type ResumptionMessage, resumptionMessageSchema } from "./messages.js";
+import { type ResumptionMessage, resumptionMessageSchema, toldAgeMilliseconds } from "./messages.js";
 import { decideOrigin, isCovered, type OriginAnswer, type OriginVerdict } from "./originDecision.js";
 import type { StreamArchive } from "./streamArchive.js";
 import { computeStreamKey, type StreamKey } from "./streamKey.js";
@@ -71,8 +72,6 @@
 const checkedAskTimeoutMilliseconds = 450;
 /** Age of the list up to which an instance has followed it so far, for what others are told of its own streams. */
 const usualAgeMilliseconds = 4_000;
-/** Longest time over which another instance is told that the list was followed. */
-const toldAgeMilliseconds = 86_400_000;
 /** Streams of this instance whose clients may still return. */
 const maximumOwnStreams = 4_096;
 /** Streams that are kept for all instances. */
@@ -155,7 +154,7 @@
             isComplete: isComplete(view),
             followed: view.followed.map(({ from, to }) => [
                 Math.min(toldAgeMilliseconds, receivedAt.monotonic - from),
-                receivedAt.monotonic - to,
+                Math.min(toldAgeMilliseconds, receivedAt.monotonic - to),
             ]),
         };
     };
@@ -174,7 +173,7 @@
         const response = await network.request(keeper, "resumption", message, timeout);
         if (!response.ok) {
             holders.markSilent(keeper, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
         const parsed = resumptionMessageSchema.safeParse(response.value);
@@ -323,7 +322,12 @@
                 resolve(answers);
             }
         };
-        asks.forEach(asked => void asked.then(handleAnswer));
+        const waitForAnswer = async (asked: Promise<OriginAnswer | undefined>): Promise<void> =>
+            handleAnswer(await asked);
+        // an ask that failed is one without an answer
+        asks.forEach(asked =>
+            startTask("ask for a stream's origin", () => waitForAnswer(asked), () => handleAnswer(undefined))
+        );
         if (open === 0) {
             resolve([]);
         }
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -3,6 +3,7 @@
  */
 import { sendRequest, type TestAnswer, type TestRequest } from "./testClient.js";
 import { createInstanceLinks, createInstanceStore, type TestStoreCut } from "./testCuts.js";
+import type { FaultPoint } from "./testFaults.js";
 import { putTestConfiguration, startTestInstance, type TestInstance } from "./testInstance.js";
 import {
     createServerLinks,
@@ -24,6 +25,8 @@
 export interface TestFleetOptions extends TestServerOptions {
     readonly instances: number;
     readonly servers: number;
+    /** Has what is given to the first instance fail at times. @default nothing fails */
+    readonly faults?: FaultPoint;
 }
 
 /** A running fleet. */
@@ -92,6 +95,7 @@
             store: stores[index]!.store,
             isFirstStart,
             translateAddress: links[index]!.translate,
+            ...options.faults && index === 0 ? { faults: options.faults } : {},
         });
         stopping.signal.addEventListener("abort", started.stop);
         return started;
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -1,10 +1,11 @@
 /**
  * Follows a keyed topic: reads the newest record of each key, then later records as they are written. Starts again
- * with the newest records when the store no longer has the next offset or refuses the read.
+ * with the newest records when the store no longer has the next offset or refuses the read. A record at which a handler
+ * throws is logged and passed over: it stays in the store, so that a follower which stopped there would never go on.
  *
  * @packageDocumentation
  */
-import { type Milliseconds, type Result, waitUnlessAborted, wrapValue } from "../shared/index.js";
+import { createLogger, type Milliseconds, type Result, waitUnlessAborted, wrapValue } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { TopicCache } from "./topicCache.js";
@@ -42,29 +43,42 @@
 
 const initialRetryMilliseconds = 50;
 const maximumRetryMilliseconds = 400;
+const maximumDetailLength = 200;
+const maximumKeyLength = 100;
+const log = createLogger("serving");
 
 /**
- * Creates a task that follows a topic until it is stopped.
+ * Creates a task that follows a topic until it is stopped. After a failure, as of a handler that throws, the next run goes
+ * on from the last offset whose records were all delivered.
  *
  * @param options - topic, timing and callbacks
  * @returns the task, which the caller runs
  */
 export function createKeyedFollower(options: KeyedFollowerOptions): Task {
-    return { name: `follow ${options.topic}`, run: signal => readTopic(options, signal) };
+    const position: FollowerPosition = { nextOffset: undefined };
+    return { name: `follow ${options.topic}`, run: signal => readTopic(options, position, signal) };
 }
 
-async function readTopic(options: KeyedFollowerOptions, signal: AbortSignal): Promise<void> {
-    let nextOffset: number | undefined;
+interface FollowerPosition {
+    /** Offset of the next read; `undefined` to begin with the newest records of all keys. */
+    nextOffset: number | undefined;
+}
+
+async function readTopic(
+    options: KeyedFollowerOptions,
+    position: FollowerPosition,
+    signal: AbortSignal,
+): Promise<void> {
     let failures = 0;
     while (!signal.aborted) {
         // a stopped instance doesn't wait for the store, whose answer may take long
-        const result = await waitUnlessAborted(readOnce(options, nextOffset), signal);
+        const result = await waitUnlessAborted(readOnce(options, position.nextOffset), signal);
         if (signal.aborted || !result) {
             return;
         }
         if (result.ok) {
-            const hasNews = nextOffset !== result.value;
-            nextOffset = result.value;
+            const hasNews = position.nextOffset !== result.value;
+            position.nextOffset = result.value;
             failures = 0;
             if (hasNews && options.pause) {
                 await options.sleep(options.pause, signal);
@@ -73,7 +87,9 @@
         }
         options.onFailure(result.error);
         // other failures leave the offset valid, so that the follower needs no new snapshot
-        nextOffset = result.error.kind === "expired" || result.error.kind === "refused" ? undefined : nextOffset;
+        if (result.error.kind === "expired" || result.error.kind === "refused") {
+            position.nextOffset = undefined;
+        }
         await options.sleep(Math.min(maximumRetryMilliseconds, initialRetryMilliseconds * 2 ** failures), signal);
         failures++;
     }
@@ -100,11 +116,42 @@
 
 function deliverRead(options: KeyedFollowerOptions, isSnapshot: boolean, read: KeyedSnapshot): void {
     if (isSnapshot) {
-        options.onSnapshot(read.records);
+        deliverSnapshot(options, read.records);
         options.cache?.replaceAll(read.records, read.endOffset);
     }
     else if (read.records.length > 0) {
-        options.onRecords(read.records);
+        read.records.forEach(record => tryRecord(options, record));
         options.cache?.apply(read.records, read.endOffset);
     }
 }
+
+// whole, as the handler learns from it which keys no longer exist; without the records that it can't take, if there are any
+function deliverSnapshot(options: KeyedFollowerOptions, records: readonly KeyedRecord[]): void {
+    try {
+        options.onSnapshot(records);
+    }
+    catch {
+        const usable = records.filter(record => tryRecord(options, record));
+        if (usable.length === records.length) {
+            log.error("newest records not taken as a whole", { topic: options.topic });
+            return;
+        }
+        deliverSnapshot(options, usable);
+    }
+}
+
+function tryRecord(options: KeyedFollowerOptions, record: KeyedRecord): boolean {
+    try {
+        options.onRecords([record]);
+        return true;
+    }
+    catch (error) {
+        log.error("record passed over", {
+            topic: options.topic,
+            key: record.key.slice(0, maximumKeyLength),
+            offset: record.offset,
+            error: String(error instanceof Error ? error.stack : error).slice(0, maximumDetailLength),
+        });
+        return false;
+    }
+}
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -7,8 +7,9 @@
 import type { ShardHolders } from "../adapters/shardHolders.js";
 import type { PeerNetwork } from "../peers/index.js";
 import { type ClientAccountId, type Clock, hashForRendezvous, type InstanceId } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { QuotaHolder } from "./quotaHolder.js";
-import type { QuotaDecision, QuotaMessage, QuotaRequest } from "./quotaMessages.js";
+import { type QuotaDecision, type QuotaMessage, quotaMessageSchema, type QuotaRequest } from "./quotaMessages.js";
 
 /** Dependencies of the client. */
 export interface QuotaClientOptions {
@@ -78,18 +79,21 @@
         );
         if (!response.ok) {
             holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            void holders.refresh();
+            startTask("holders of shards", holders.refresh);
             return undefined;
         }
-        switch (response.value.kind) {
+        const parsed = quotaMessageSchema.safeParse(response.value);
+        switch (parsed.data?.kind) {
             case "admitted":
             case "exceeded":
-                return response.value;
+                return parsed.data;
+            // unreadable, as of an instance of another version
+            case undefined:
             case "notHolder":
             case "take":
             case "giveBack":
             case "present":
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return undefined;
         }
     };
@@ -121,7 +125,7 @@
             }
             const holder = holders.find(findShard(request.account));
             if (holder === undefined || holder === self || holders.isSilent(holder)) {
-                void holders.refresh();
+                startTask("holders of shards", holders.refresh);
                 return undefined;
             }
             return requestUnits(holder, request);
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -7,6 +7,7 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { LoadStatus } from "../adapters/loadScheduler.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+import { listTaskFailures, startTask } from "../supervision/index.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
 
 /** Metrics of an instance. */
@@ -14,6 +15,8 @@
     /** Counts a request that has ended; `took` is the time since its arrival. */
     readonly countRequest: (report: RequestReport, took: Milliseconds) => void;
     readonly countStoreFailure: (topic: string) => void;
+    /** Counts a record of the store that can't be used. */
+    readonly countRefusedRecord: (topic: string) => void;
     /** Counts an answer that a server broke off, or a request that it left without one. */
     readonly countBrokenAnswer: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
@@ -103,6 +106,12 @@
         labelNames: ["topic"],
         registers,
     });
+    const refusedRecords = new Counter({
+        name: "oriolehatch_refused_records_total",
+        help: "Records of the platform's store that can't be used",
+        labelNames: ["topic"],
+        registers,
+    });
     const brokenAnswers = new Counter({
         name: "oriolehatch_broken_answers_total",
         help: "Requests that a server received and whose answer it broke off or never began",
@@ -151,6 +160,16 @@
             Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
         },
     });
+    new Counter({
+        name: "oriolehatch_task_failures_total",
+        help: "Exceptions in tasks of this process, by task",
+        labelNames: ["task"],
+        registers,
+        collect() {
+            this.reset();
+            listTaskFailures().forEach((count, task) => this.inc({ task }, count));
+        },
+    });
     new Gauge({
         name: "oriolehatch_undecoded_headers",
         help: "Responses with a header that nothing here decodes, since the start",
@@ -187,6 +206,7 @@
             }
         },
         countStoreFailure: topic => storeFailures.inc({ topic }),
+        countRefusedRecord: topic => refusedRecords.inc({ topic }),
         countBrokenAnswer: () => brokenAnswers.inc(),
         countResumedStream: by => resumedStreams.inc({ by }),
         countForwardedAttempt: () => forwardedAttempts.inc(),
@@ -213,7 +233,11 @@
             response.writeHead(notFoundStatus).end();
             return;
         }
-        void metrics.render().then(text => response.writeHead(200, { "Content-Type": "text/plain" }).end(text));
+        const respond = async (): Promise<void> => {
+            const text = await metrics.render();
+            response.writeHead(200, { "Content-Type": "text/plain" }).end(text);
+        };
+        startTask("metrics", respond, () => response.destroy());
     });
     return {
         listen: () =>
