--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -4,15 +4,16 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import { createListSchema, longestTimerMilliseconds, nameSchema } from "../shared/index.js";
-
-// negative for a time after the receipt of the question
-const signedAgeSchema = z.number().min(-longestTimerMilliseconds).max(longestTimerMilliseconds);
+import { createListSchema, nameSchema } from "../shared/index.js";
 
 /** Schema of a service and software version. */
 export const originSchema = z.object({ service: nameSchema, version: z.union([nameSchema, z.number()]).optional() })
     .transform(({ service, version }) => ({ service, version }));
 
+/** Longest time that an age in a message states, in both directions. */
+export const toldAgeMilliseconds = 86_400_000;
+const ageSchema = z.number().min(-toldAgeMilliseconds).max(toldAgeMilliseconds);
+
 /** Schema of the messages about streams that clients take up again. */
 export const resumptionMessageSchema = z.discriminatedUnion("kind", [
     // streams that have begun, for the receiver to keep
@@ -39,7 +40,7 @@
         // for the build before, which doesn't read the times
         isComplete: z.boolean(),
         // times over which the sender has followed the list of servers, as ages at the receipt of the question
-        followed: createListSchema(z.tuple([signedAgeSchema, signedAgeSchema])).optional(),
+        followed: createListSchema(z.tuple([ageSchema, ageSchema])).optional(),
     }),
 ]);
 
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -12,7 +12,7 @@
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import { listKeepers } from "./keepers.js";
-import { type ResumptionMessage, resumptionMessageSchema } from "./messages.js";
+import { type ResumptionMessage, resumptionMessageSchema, toldAgeMilliseconds } from "./messages.js";
 import { decideOrigin, isCovered, type OriginAnswer, type OriginVerdict } from "./originDecision.js";
 import type { StreamArchive } from "./streamArchive.js";
 import { computeStreamKey, type StreamKey } from "./streamKey.js";
@@ -72,8 +72,6 @@
 const checkedAskTimeoutMilliseconds = 450;
 /** Age of the list up to which an instance has followed it so far, for what others are told of its own streams. */
 const usualAgeMilliseconds = 4_000;
-/** Longest time over which another instance is told that the list was followed. */
-const toldAgeMilliseconds = 86_400_000;
 /** Streams of this instance whose clients may still return. */
 const maximumOwnStreams = 4_096;
 /** Streams that are kept for all instances. */
@@ -156,7 +154,7 @@
             isComplete: isComplete(view),
             followed: view.followed.map(({ from, to }) => [
                 Math.min(toldAgeMilliseconds, receivedAt.monotonic - from),
-                receivedAt.monotonic - to,
+                Math.min(toldAgeMilliseconds, receivedAt.monotonic - to),
             ]),
         };
     };
