refactor: the linter forbids promises that are left alone

Cause: `void promise` passed the linter, so that a task had no place for its failure. Change: no-floating-promises with ignoreVoid: false. The own form (config, membership, placement, requests, limits, streams, backends), stand-ins and clients of the platform start by startTask; a model request that fails inside ends as at its deadline, which tells whether it may have run and gives all back. Tests, benches and simulations use startDetached, which ends the run at a failure.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -32,7 +32,7 @@
                 { selector: "Literal[raw='null']", message: "Use undefined; for JSON use jsonNull of shared/json." },
             ],
             "@typescript-eslint/switch-exhaustiveness-check": "error",
-            "@typescript-eslint/no-floating-promises": "error",
+            "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }],
             "@typescript-eslint/no-misused-promises": ["error", { checksVoidReturn: false }],
             "@typescript-eslint/no-unused-expressions": "off",
             "@typescript-eslint/naming-convention": [
--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -2,6 +2,7 @@
 import type { PeerNetwork } from "../../peers/index.js";
 import { type BackendServer, formatServerRunId } from "../../serving/types.js";
 import { createSeededRandom, wrapError, wrapValue } from "../../shared/index.js";
+import { startDetached } from "../../testing/index.js";
 import { type AdapterCoordinator, createAdapterCoordinator } from "../adapterCoordinator.js";
 import type { AdapterMessage } from "../messages.js";
 import type { AcquireRequest } from "../placeClient.js";
@@ -183,7 +184,7 @@
         limited.release("answered");
         const run = formatServerRunId(limited.server);
         const other = servers.find(server => server !== limited.server)!;
-        void coordinator.handleMessage("other", { kind: "limit", run, requestsPerSecond: 0.001 });
+        startDetached(coordinator.handleMessage("other", { kind: "limit", run, requestsPerSecond: 0.001 }));
         for (let count = 0; count < 5; count++) {
             const acquired = await coordinator.acquire({
                 ...createRequest(() => servers),
@@ -193,7 +194,7 @@
             expect(acquired!.server).to.equal(other);
             acquired!.release("answered");
         }
-        void coordinator.handleMessage("other", { kind: "limit", run, requestsPerSecond: undefined });
+        startDetached(coordinator.handleMessage("other", { kind: "limit", run, requestsPerSecond: undefined }));
         const again = await coordinator.acquire({ ...createRequest(() => servers), until: 1e9, deadlineAt: 1e9 });
         expect(again!.server).to.equal(limited.server);
     });
@@ -208,10 +209,10 @@
         const readWaiting = (): number | undefined =>
             published.filter(message => message.kind === "loads").at(-1)?.waiting;
         for (let adapter = 0; adapter < 20; adapter++) {
-            void coordinator.acquire({
+            startDetached(coordinator.acquire({
                 ...createRequest(() => servers),
                 choice: { model: "base", adapter: `a${adapter}` },
-            });
+            }));
         }
         const waitTurns = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 5));
         await waitTurns();
--- a/src/adapters/__tests__/engineManager.test.ts
+++ b/src/adapters/__tests__/engineManager.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { wrapValue } from "../../shared/index.js";
+import { startDetached } from "../../testing/index.js";
 import { createEngineManager, type EngineManager } from "../engineManager.js";
 import { createLoadScheduler, type LoadScheduler } from "../loadScheduler.js";
 import type { EnsureRequest } from "../messages.js";
@@ -218,7 +219,7 @@
         const [first, second] = [new AbortController(), new AbortController()];
         const asked = [first, second].map(({ signal }) => manager.ensure({ ...createRequest("a1"), signal }));
         let hasEnded = false;
-        void Promise.any(asked).then(() => hasEnded = true);
+        startDetached(Promise.any(asked).then(() => hasEnded = true));
         first.abort();
         await new Promise(resolve => setImmediate(resolve));
         expect(hasEnded).to.equal(false);
--- a/src/adapters/__tests__/slotQueue.test.ts
+++ b/src/adapters/__tests__/slotQueue.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { startDetached } from "../../testing/index.js";
 import { createSlotQueue, type SlotQueue, type SlotWait } from "../slotQueue.js";
 
 function createQueue(): {
@@ -8,7 +9,7 @@
 } {
     const woken: string[] = [];
     const queue = createSlotQueue({ now: () => 0, sleep: () => new Promise(() => undefined) });
-    return { queue, woken, add: wait => void queue.wait(wait, staying).then(() => woken.push(wait.key)) };
+    return { queue, woken, add: wait => startDetached(queue.wait(wait, staying).then(() => woken.push(wait.key))) };
 }
 
 const staying = new AbortController().signal;
--- a/src/backends/backendConnection.ts
+++ b/src/backends/backendConnection.ts
@@ -6,6 +6,7 @@
 import type { IncomingHttpHeaders } from "node:http";
 import { DecoratorHandler, type Dispatcher, Pool } from "undici";
 import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { BackendError } from "./engineClient.js";
 
 /** Address and time limits of the connections to a backend server. */
@@ -110,7 +111,7 @@
     );
     return {
         send: (request, signal) => sendRequest(dispatcher, request, signal),
-        close: () => void pool.destroy(),
+        close: () => startTask("close connections", () => pool.destroy()),
     };
 }
 
--- a/src/bench/configFleet.ts
+++ b/src/bench/configFleet.ts
@@ -23,6 +23,7 @@
     createVirtualLog,
     createVirtualPeers,
     type History,
+    startDetached,
     type VirtualList,
     type VirtualLog,
     type VirtualMessage,
@@ -142,7 +143,7 @@
         const running: FleetInstance = { id, failureDomain, config, membership };
         instances.set(id, running);
         list.update(listing => ({ ...listing, instances: [...listing.instances, self] }));
-        void (config ?? membership)!.run(new AbortController().signal);
+        startDetached((config ?? membership)!.run(new AbortController().signal));
         return running;
     };
     list.update(listing => ({
--- a/src/bench/fleet/fleetNetwork.ts
+++ b/src/bench/fleet/fleetNetwork.ts
@@ -7,6 +7,7 @@
 import type { PeerHandler, PeerMessagesByTopic, PeerNetwork, PeerTopic } from "../../peers/index.js";
 import { type InstanceId, type Milliseconds, type Result, wrapError, wrapValue } from "../../shared/index.js";
 import type { History } from "../../testing/history.js";
+import { startDetached } from "../../testing/index.js";
 
 /** Frame between two instances. */
 export type FleetFrame =
@@ -76,7 +77,7 @@
                 break;
         }
     };
-    history.setHandler(self, (from, frame) => void receiveFrame(from, frame));
+    history.setHandler(self, (from, frame) => startDetached(receiveFrame(from, frame)));
     const request = async <Topic extends PeerTopic>(
         to: InstanceId,
         topic: Topic,
--- a/src/bench/fleet/fleetWorld.ts
+++ b/src/bench/fleet/fleetWorld.ts
@@ -26,6 +26,7 @@
     type SeededRandom,
 } from "../../shared/index.js";
 import { createHistory, type History } from "../../testing/history.js";
+import { startDetached } from "../../testing/index.js";
 import { createEngineModel, type EngineModel } from "./engineModel.js";
 import { createFleetNetwork, type FleetFrame, type FleetNetwork } from "./fleetNetwork.js";
 import { createStoreModel, type StoreModel } from "./storeModel.js";
@@ -293,7 +294,7 @@
     );
     startFollowers(world, directory, network, guard);
     store.append("instances", self.id, encodeInstanceEntry(self));
-    void shards.run(new AbortController().signal);
+    startDetached(shards.run(new AbortController().signal));
     const runTick = (): void => {
         quotas.tick();
         adapters.tick();
@@ -395,7 +396,7 @@
             onConfirmed: () => undefined,
             onFailure: () => undefined,
         });
-        void follower.run(new AbortController().signal);
+        startDetached(follower.run(new AbortController().signal));
     };
     startFollower("configuration", 1_600, 0);
     startFollower("servers", 1_600, 400);
@@ -434,7 +435,7 @@
     };
     for (const instance of instances) {
         const runNext = (): void => {
-            void runOne(instance);
+            startDetached(runOne(instance));
             world.history.schedule(-Math.log(1 - random.next()) * interval, runNext);
         };
         world.history.schedule(random.next() * interval, runNext);
--- a/src/bench/peers.ts
+++ b/src/bench/peers.ts
@@ -6,6 +6,7 @@
 import { setMaxListeners } from "node:events";
 import { createFrameCodec, createPeerTask, type PeerTask } from "../peers/index.js";
 import { createSystemClock } from "../shared/index.js";
+import { startDetached } from "../testing/index.js";
 import type { Bench, BenchLine, BenchRun } from "./harness.js";
 
 const smallConnectionCount = 20;
@@ -78,7 +79,7 @@
     const startPeer = async (self: string): Promise<PeerTask> => {
         const task = createPeerTask({ self, findAddress: name => addresses.get(name), clock: createSystemClock() });
         addresses.set(self, await task.listen());
-        void task.run(stop.signal);
+        startDetached(task.run(stop.signal));
         return task;
     };
     const center = await startPeer("center");
--- a/src/bench/relay/loadWorker.ts
+++ b/src/bench/relay/loadWorker.ts
@@ -6,6 +6,7 @@
 import { build, type Histogram } from "hdr-histogram-js";
 import { parentPort } from "node:worker_threads";
 import { Agent, request } from "undici";
+import { startDetached } from "../../testing/index.js";
 import type { EngineAddress, LoadResult, WayTimes, WorkerOrder, WorkerReport } from "./messages.js";
 import { readThreadTime } from "./threadTime.js";
 
@@ -54,12 +55,12 @@
     const body = { messages: [message], max_tokens: maximumOutputTokens, stream: true };
     setInterval(() => {
         const headers = { authorization: "Bearer relay-bench-key" };
-        void streamOnce(ways.relayed, relay, { ...body, model: "draft" }, headers);
+        startDetached(streamOnce(ways.relayed, relay, { ...body, model: "draft" }, headers));
     }, millisecondsPerSecond / relayedPerSecond);
     setInterval(() => {
         const engine = engines[turn++ % engines.length]!;
         const headers = { "x-request-id": `direct-${turn}`, "x-engine-incarnation": `${engine.id}-0` };
-        void streamOnce(ways.direct, engine.address, { ...body, model: "base" }, headers);
+        startDetached(streamOnce(ways.direct, engine.address, { ...body, model: "base" }, headers));
     }, millisecondsPerSecond / directPerSecond);
 }
 
--- a/src/bench/requests.ts
+++ b/src/bench/requests.ts
@@ -21,7 +21,7 @@
     takeRetryCredit,
 } from "../requests/retryPolicy.js";
 import { createSeededRandom, type SeededRandom, wrapError, wrapValue } from "../shared/index.js";
-import { createHistory, type History } from "../testing/index.js";
+import { createHistory, type History, startDetached } from "../testing/index.js";
 import type { Bench, BenchBound, BenchLine, BenchRun } from "./harness.js";
 
 const servers = Array.from({ length: 13 }, (unused, index) => `e${index}`);
@@ -178,7 +178,7 @@
     const run = { delays: [] as number[], orders, refused: 0 };
     for (let order = 0; order < orders; order++) {
         history.schedule(order * orderIntervalMilliseconds, () => {
-            void requestOrder(history, history.random.choose(live), `order-${order}`, run);
+            startDetached(requestOrder(history, history.random.choose(live), `order-${order}`, run));
         });
     }
     await history.runAsync((orders + 10) * orderIntervalMilliseconds);
@@ -211,8 +211,10 @@
             waiting.get(id)?.(body);
             return;
         }
-        void Promise.resolve(handleBody?.(from, body!)).then(answer =>
-            history.send(self, from, { id, isAnswer: true, body: answer })
+        startDetached(
+            Promise.resolve(handleBody?.(from, body!)).then(answer =>
+                history.send(self, from, { id, isAnswer: true, body: answer })
+            ),
         );
     });
     return {
--- a/src/config/__tests__/bootstrap.test.ts
+++ b/src/config/__tests__/bootstrap.test.ts
@@ -6,6 +6,7 @@
     createVirtualLog,
     createVirtualPeers,
     type History,
+    startDetached,
     type VirtualLog,
     type VirtualMessage,
 } from "../../testing/index.js";
@@ -43,7 +44,7 @@
     return {
         history,
         log,
-        append: payload => void operator.append("configuration", payload),
+        append: payload => startDetached(operator.append("configuration", payload)),
         start: (node, peers) => {
             const task = createConfigTask({
                 instance: node,
@@ -53,7 +54,7 @@
                 listPeers: () => peers,
                 readWallClock: history.now,
             });
-            void task.run(new AbortController().signal);
+            startDetached(task.run(new AbortController().signal));
             return task;
         },
     };
--- a/src/config/__tests__/configHistory.test.ts
+++ b/src/config/__tests__/configHistory.test.ts
@@ -11,6 +11,7 @@
     type HistoryCommand,
     type HistoryModel,
     noLogFaults,
+    startDetached,
     type SystemUnderTest,
     type VirtualMessage,
 } from "../../testing/index.js";
@@ -78,7 +79,7 @@
             waitFor: 2_000,
         });
         tasks.set(instanceName, { node, task });
-        void task.run(new AbortController().signal);
+        startDetached(task.run(new AbortController().signal));
     };
     check = () => {
         for (const { node, task } of tasks.values()) {
@@ -111,7 +112,7 @@
             await clock.sleep(thinkTime);
             outcomes.push({ changeId, outcome: await publisher.publish(change) });
         };
-        scheduleAction(0, () => void run());
+        scheduleAction(0, () => startDetached(run()));
     };
     const expireOld = (): void => {
         const records = log.listRecords("configuration");
--- a/src/config/configTask.ts
+++ b/src/config/configTask.ts
@@ -8,7 +8,7 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
 import { createStreamFollower, type FollowerSettings, type FollowerStatus } from "../streams/index.js";
-import type { Task } from "../supervision/index.js";
+import { startTask, type Task } from "../supervision/index.js";
 import { readResolvedSettings, type SettingsState } from "./acceptRule.js";
 import { configurationModel, type DecidedChange } from "./model.js";
 import type { ResolvedSettings, SettingsView } from "./resolvedSettings.js";
@@ -67,9 +67,10 @@
 
     const updateSettings = (state: SettingsState): void => {
         const previous = currentSettings;
-        currentSettings = readResolvedSettings(state);
-        if (!previous || isChanged(previous, currentSettings)) {
-            void events.emit("settings", currentSettings);
+        const next = readResolvedSettings(state);
+        currentSettings = next;
+        if (!previous || isChanged(previous, next)) {
+            startTask("listeners of settings", () => events.emit("settings", next));
         }
     };
     const follower = createStreamFollower({
@@ -81,7 +82,7 @@
             const answer = await options.peers.request(peer, "config", message, timeout);
             return answer.ok ? answer.value : undefined;
         },
-        handleEvent: change => void events.emit("decided", change),
+        handleEvent: change => startTask("listeners of decided changes", () => events.emit("decided", change)),
         handleState: updateSettings,
         handleConfirmation: () => undefined,
     });
--- a/src/forwarding/__tests__/forwardedAttempt.test.ts
+++ b/src/forwarding/__tests__/forwardedAttempt.test.ts
@@ -3,6 +3,7 @@
 import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../../serving/serverConnections.js";
 import type { BackendServer, ServerResponseHead } from "../../serving/types.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
+import { startDetached } from "../../testing/index.js";
 import { sendThroughInstance } from "../forwardClient.js";
 import { createForwardService, type ForwardService } from "../forwardService.js";
 import { type ForwardingMessage, forwardingMessageSchema } from "../messages.js";
@@ -109,7 +110,7 @@
                 rig.lostMessages--;
                 return;
             }
-            void handle(message as ForwardingMessage);
+            startDetached(handle(message as ForwardingMessage));
         },
         request: async (to, topic, message) => {
             if (rig.lostMessages > 0) {
--- a/src/limits/__tests__/limitsTask.test.ts
+++ b/src/limits/__tests__/limitsTask.test.ts
@@ -3,7 +3,7 @@
 import type { EpochView } from "../../membership/index.js";
 import type { PeerNetwork } from "../../peers/index.js";
 import { createSeededRandom, type Milliseconds } from "../../shared/index.js";
-import { createHistory } from "../../testing/index.js";
+import { createHistory, startDetached } from "../../testing/index.js";
 import { createLimitsTask, type LimitsTask, type LimitsTaskOptions, type ReservationRequest } from "../index.js";
 
 const settings: ResolvedSettings = {
@@ -54,7 +54,7 @@
         random: createSeededRandom(1),
         ...options,
     });
-    void task.run(new AbortController().signal);
+    startDetached(task.run(new AbortController().signal));
     return {
         task,
         run: history.runAsync,
@@ -139,8 +139,8 @@
         const first = await task.loadBudget.acquire(1, signal);
         const second = await task.loadBudget.acquire(1, signal);
         const order: string[] = [];
-        void task.loadBudget.acquire(1, signal).then(() => order.push("overnight"));
-        void task.loadBudget.acquire(0, signal).then(() => order.push("interactive"));
+        startDetached(task.loadBudget.acquire(1, signal).then(() => order.push("overnight")));
+        startDetached(task.loadBudget.acquire(0, signal).then(() => order.push("interactive")));
         await run(5_300);
         expect(order).to.deep.equal([]);
         first?.release();
--- a/src/limits/loadBudget.ts
+++ b/src/limits/loadBudget.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import type { Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { ExchangeNumber, ResourceId } from "./messages.js";
 import { loadRateResource, loadsInFlightResource } from "./resources.js";
 import type { LoadBudget, LoadPermit } from "./types.js";
@@ -58,7 +59,11 @@
             // a unit of the load rate that gets no in-flight slot in time is discarded; otherwise such units would
             // accumulate and start many loads at once when slots become free
             const slotTimeout = new AbortController();
-            void options.sleep(options.permitStartTimeout, slotTimeout.signal).then(() => slotTimeout.abort());
+            const waitForSlot = async (): Promise<void> => {
+                await options.sleep(options.permitStartTimeout, slotTimeout.signal);
+                slotTimeout.abort();
+            };
+            startTask("time limit of a load slot", waitForSlot, () => slotTimeout.abort());
             const slotGrant = await drawUntilGranted(
                 loadsInFlightResource,
                 priority,
--- a/src/membership/__tests__/ownership.test.ts
+++ b/src/membership/__tests__/ownership.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { startDetached } from "../../testing/index.js";
 import {
     advanceEpochEffect,
     createEpochEffectState,
@@ -296,7 +297,7 @@
         await runFor(world, 30_000);
         const host = listHolders(world)[0]!;
         const leaving = world.instances.get(host)!;
-        void leaving.task.leave();
+        startDetached(leaving.task.leave());
         await runFor(world, 2_500);
         expect(listHolders(world)).to.not.include(undefined).and.not.include(host);
         for (const { task } of world.instances.values()) {
--- a/src/membership/__tests__/ownershipWorld.ts
+++ b/src/membership/__tests__/ownershipWorld.ts
@@ -9,6 +9,7 @@
     createVirtualPeers,
     type History,
     noLogFaults,
+    startDetached,
     type SystemUnderTest,
     type VirtualList,
     type VirtualLog,
@@ -101,7 +102,7 @@
         });
         instances.set(host, { node, host, task, share: 0 });
         updateList(node, entries => [...entries, self]);
-        void task.run(new AbortController().signal);
+        startDetached(task.run(new AbortController().signal));
     };
     const stopInstance = (host: string): void => {
         const running = instances.get(host);
@@ -200,12 +201,14 @@
         leave: (host, downFor) =>
             scheduleAction(0, () => {
                 const running = instances.get(host);
-                void running?.task.leave().then(() => {
-                    if (instances.get(host) === running) {
-                        stopInstance(host);
-                        history.schedule(downFor, () => startInstance(host));
-                    }
-                });
+                startDetached(
+                    running?.task.leave().then(() => {
+                        if (instances.get(host) === running) {
+                            stopInstance(host);
+                            history.schedule(downFor, () => startInstance(host));
+                        }
+                    }),
+                );
             }),
         suspect: host =>
             scheduleAction(0, () => {
@@ -214,7 +217,9 @@
                     const { instance, joinedAt } = member;
                     const basedOn = log.listRecords(model.stream).length - 1;
                     const change = { kind: "remove", basedOn, members: [{ instance, joinedAt }] } as const;
-                    void log.createClient("suspecting").append(model.stream, codec.encode({ kind: "change", change }));
+                    startDetached(
+                        log.createClient("suspecting").append(model.stream, codec.encode({ kind: "change", change })),
+                    );
                 }
             }),
         finish: async settle => {
--- a/src/membership/membershipTask.ts
+++ b/src/membership/membershipTask.ts
@@ -9,7 +9,7 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { BackendServerId, Clock, InstanceId, LogOffset, Milliseconds, SeededRandom } from "../shared/index.js";
 import { callWithTimeout } from "../streams/index.js";
-import type { Task } from "../supervision/index.js";
+import { startTask, type Task } from "../supervision/index.js";
 import { createWatchRing, decideRemovals, type WatchRing } from "./failureDetection.js";
 import { terminatedAfterUnlistedMilliseconds } from "./lease.js";
 import { advanceMembershipState, createMembershipState, type MembershipStateEvent } from "./membershipState.js";
@@ -93,7 +93,7 @@
         const previous = state.snapshot;
         state = advanceMembershipState(state, event, clock.now());
         if (state.snapshot !== previous) {
-            void events.emit("membership", state.snapshot);
+            startTask("listeners of the membership", () => events.emit("membership", state.snapshot));
         }
     };
     const listRegionPeers = (): readonly InstanceId[] =>
--- a/src/membership/ownershipTask.ts
+++ b/src/membership/ownershipTask.ts
@@ -17,6 +17,7 @@
     type FollowerStatus,
     type StreamMessage,
 } from "../streams/index.js";
+import { startTask } from "../supervision/index.js";
 import { type ClaimDecision, createDesiredOwners, decideClaims } from "./claims.js";
 import { advanceEpochEffect, createEpochEffectState, type EpochEffectEvent, readEffectiveAt } from "./epochEffect.js";
 import { hasMajority, isEligibleToConfirm, type LeaseState, renewLease, type WitnessConfirmation } from "./lease.js";
@@ -163,7 +164,8 @@
         appliedEpochs = [];
         for (const agreed of epochsToEmit) {
             if (agreed.number < (readState()?.epoch.number ?? absentVersion)) {
-                void events.emit("epoch", createMemberEpoch(agreed, readEffectiveAt(epochEffect, agreed.guard)));
+                const epoch = createMemberEpoch(agreed, readEffectiveAt(epochEffect, agreed.guard));
+                startTask("listeners of the epoch", () => events.emit("epoch", epoch));
             }
         }
     };
@@ -171,7 +173,7 @@
         const current = readEpoch();
         if (current !== emittedEpoch) {
             emittedEpoch = current;
-            void events.emit("epoch", current);
+            startTask("listeners of the epoch", () => events.emit("epoch", current));
         }
     };
     const applyEpochEffect = (event: EpochEffectEvent): void => {
@@ -211,7 +213,7 @@
                 relinquishedShards.delete(shard);
                 shardsToRelease.delete(shard);
             }
-            void events.emit("owner", { shard, owner });
+            startTask("listeners of owners", () => events.emit("owner", { shard, owner }));
         }
     };
     const follower = createStreamFollower({
--- a/src/peers/__tests__/peers.test.ts
+++ b/src/peers/__tests__/peers.test.ts
@@ -2,6 +2,7 @@
 import fc from "fast-check";
 import { WebSocket } from "ws";
 import { createSystemClock } from "../../shared/index.js";
+import { startDetached } from "../../testing/index.js";
 import { peerProtocolVersion } from "../constants.js";
 import { createFrameCodec, createPeerTask, type PeerFrame, type PeerTask } from "../index.js";
 
@@ -16,7 +17,7 @@
     const startPeer = async (self: string): Promise<PeerTask> => {
         const task = createPeerTask({ self, findAddress: name => addresses.get(name), clock: createSystemClock() });
         addresses.set(self, await task.listen());
-        void task.run(stop.signal);
+        startDetached(task.run(stop.signal));
         return task;
     };
 
--- a/src/placement/__tests__/placementTask.test.ts
+++ b/src/placement/__tests__/placementTask.test.ts
@@ -4,7 +4,7 @@
 import type { ResolvedSettings } from "../../config/index.js";
 import { type Result, wrapValue } from "../../shared/index.js";
 import { createWeightStoreModel } from "../../standins/index.js";
-import { createHistory } from "../../testing/index.js";
+import { createHistory, startDetached } from "../../testing/index.js";
 import { createPlacementTask, type Pin, type PlacementError, type PlacementRequest } from "../index.js";
 
 const createListedEngine = (id: string): ListedEngine => ({
@@ -103,7 +103,9 @@
     const running = task.run(stop.signal);
     const results: { at: number; result: Result<Pin, PlacementError>; }[] = [];
     const acquire = (request: PlacementRequest, signal = stop.signal): void => {
-        void task.placement.acquire(request, signal).then(result => results.push({ at: history.now(), result }));
+        startDetached(
+            task.placement.acquire(request, signal).then(result => results.push({ at: history.now(), result })),
+        );
     };
     const end = async (): Promise<void> => {
         stop.abort();
--- a/src/placement/placementTask.ts
+++ b/src/placement/placementTask.ts
@@ -20,7 +20,7 @@
     wrapError,
     wrapValue,
 } from "../shared/index.js";
-import { createMailbox, type Task } from "../supervision/index.js";
+import { createMailbox, startTask, type Task } from "../supervision/index.js";
 import { createLoadPermits } from "./loadPermits.js";
 import type { AdapterVersionKey, PlacementMessage } from "./messages.js";
 import { type CoreEffect, createPlacementCore, type PlacementStatus } from "./placementCore.js";
@@ -168,7 +168,7 @@
         for (const { engine } of core.listOwned()) {
             const connected = connectEngine(engine);
             if (!connected.isPolling && now - connected.polledAt >= times.reportInterval) {
-                void pollEngine(engine, connected);
+                startTask("report of an engine", () => pollEngine(engine, connected));
             }
         }
     };
@@ -195,13 +195,14 @@
                 return;
             case "load":
                 permits.useForLoad(effect.engine.id, effect.name);
-                void sendOrder(effect);
+                startTask("order to an engine", () => sendOrder(effect));
                 return;
             case "unload":
-                void sendOrder(effect);
+                startTask("order to an engine", () => sendOrder(effect));
                 return;
             case "acquirePermit":
-                void permits.acquire(effect.engine, effect.key, effect.priority).then(startBy => {
+                startTask("permit of a load", async () => {
+                    const startBy = await permits.acquire(effect.engine, effect.key, effect.priority);
                     if (startBy !== undefined) {
                         mailbox.put({ kind: "permit", engine: effect.engine, key: effect.key, startBy });
                     }
--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -16,6 +16,7 @@
 } from "../adapters/types.js";
 import type { BackendServer } from "../serving/types.js";
 import { type Result, wrapError, wrapValue } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { decodeLeavingNotice } from "./headers.js";
 import { type HttpResponse, sendHttpRequest } from "./httpRequest.js";
 import { loadedModelsSchema } from "./serverEntry.js";
@@ -83,7 +84,7 @@
                 ? wrapValue({ ...report.value, ...notice })
                 : wrapError({ ...report.error, ...notice });
         },
-        close: () => void agent.destroy(),
+        close: () => startTask("close connections", () => agent.destroy()),
     };
 }
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -8,6 +8,7 @@
 import type { ShardGroup, ShardMembership, ShardOwner } from "../adapters/types.js";
 import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
 import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { type HttpRequest, type HttpResponse, sendHttpRequest } from "./httpRequest.js";
 import { decodeKeyedReadResponse, decodeReadResponse, encodeKeyedRecord, encodeRecord } from "./logRecords.js";
 
@@ -101,7 +102,7 @@
         },
         shards: createShardGroup(sendRequest),
         streams: createExpiringLog(sendRequest, streamTopic),
-        close: () => void pool.destroy(),
+        close: () => startTask("close connections", () => pool.destroy()),
     };
 }
 
--- a/src/requests/__tests__/atMostOnceSimulation.ts
+++ b/src/requests/__tests__/atMostOnceSimulation.ts
@@ -3,7 +3,13 @@
 import type { EpochView, MemberEpoch } from "../../membership/index.js";
 import type { PeerError, PeerHandler, PeerNetwork } from "../../peers/index.js";
 import { type Clock, type Result, wrapError, wrapValue } from "../../shared/index.js";
-import { createHistory, createVirtualClock, type History, type SystemUnderTest } from "../../testing/index.js";
+import {
+    createHistory,
+    createVirtualClock,
+    type History,
+    startDetached,
+    type SystemUnderTest,
+} from "../../testing/index.js";
 import { type AtMostOnceMessage, createRequestsTask, type RequestsTask, type ServiceCallResult } from "../index.js";
 import {
     buildSettings,
@@ -121,7 +127,7 @@
                 }
             }
         };
-        void readLog();
+        startDetached(readLog());
         return {
             read: () => epochs[position]!.epoch,
             readValidUntil: () => validUntil,
@@ -141,8 +147,10 @@
                 waiting.get(message.id)?.(message.body);
                 return;
             }
-            void Promise.resolve(handleBody?.(from, message.body)).then(body =>
-                history.send(id, from, { kind: "answer", id: message.id, body })
+            startDetached(
+                Promise.resolve(handleBody?.(from, message.body)).then(body =>
+                    history.send(id, from, { kind: "answer", id: message.id, body })
+                ),
             );
         });
         return {
@@ -214,7 +222,7 @@
             onReport: () => undefined,
             recordLifetime: options.recordLifetime,
         });
-        void task.run(stop.signal);
+        startDetached(task.run(stop.signal));
         const instance = { id, task, stop };
         running.set(id, instance);
         slots.set(slot, id);
@@ -238,18 +246,20 @@
         const base = { requestId: call.requestId, keyHash, arrivedAt: history.now() };
         const { signal } = new AbortController();
         const body = Buffer.from(key);
-        void instance.task.service.runServiceCall({
-            ...base,
-            idempotencyKey: key,
-            kind: "service",
-            route: "orders",
-            method: "POST",
-            path: "/confirm",
-            headers: {},
-            body,
-        }, signal).then(result => {
-            call.outcome = result.outcome;
-        });
+        startDetached(
+            instance.task.service.runServiceCall({
+                ...base,
+                idempotencyKey: key,
+                kind: "service",
+                route: "orders",
+                method: "POST",
+                path: "/confirm",
+                headers: {},
+                body,
+            }, signal).then(result => {
+                call.outcome = result.outcome;
+            }),
+        );
     };
     const findInstance = (slot: string): string => slots.get(slot) ?? slot;
     const replaceInstance = async (slot: string): Promise<void> => {
@@ -289,7 +299,7 @@
             }),
         order: (key, slot) => schedule(() => sendOrder(`order-${key}`, options.slots[slot % options.slots.length]!)),
         stopLog: duration => schedule(() => logDownUntil = Math.max(logDownUntil, history.now() + duration)),
-        replace: slot => schedule(() => void replaceInstance(options.slots[slot % options.slots.length]!)),
+        replace: slot => schedule(() => startDetached(replaceInstance(options.slots[slot % options.slots.length]!))),
         calls,
         isRunning: instance => running.has(instance),
         runsOfKey,
--- a/src/requests/__tests__/faultyBackends.test.ts
+++ b/src/requests/__tests__/faultyBackends.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import type { BackendBehavior } from "../../standins/faultyBackend.js";
-import { expectSnapshot } from "../../testing/index.js";
+import { expectSnapshot, startDetached } from "../../testing/index.js";
 import { type InstanceFixture, type Moment, startInstanceFixture } from "./instanceFixture.js";
 
 const shortDeadlineMilliseconds = 250;
@@ -136,7 +136,7 @@
                 adapters: new Map([["springs", { id: "springs", baseModel: "base", version: "v2" }]]),
             }),
         "caller disconnected": fixture => fixture.leave.abort(),
-        "instance drains": fixture => void fixture.task.service.drain(),
+        "instance drains": fixture => startDetached(fixture.task.service.drain()),
     };
     const moments: readonly Moment[] = ["admitted", "queued", "pinned", "dispatched", "streaming"];
     for (const [name, applyDisruption] of Object.entries(disruptions)) {
--- a/src/requests/__tests__/instanceFixture.ts
+++ b/src/requests/__tests__/instanceFixture.ts
@@ -2,6 +2,7 @@
 import { createEngineHttpClient, createServiceHttpClient } from "../../backends/index.js";
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
 import { type FaultyBackend, startFaultyBackend } from "../../standins/faultyBackend.js";
+import { startDetached } from "../../testing/index.js";
 import { createRequestsTask, type ModelCallEvent, type RequestsTask, type ServiceCallResult } from "../index.js";
 import {
     buildSettings,
@@ -69,7 +70,7 @@
             actions.delete("pinned");
         },
     );
-    [first, second].forEach(backend => backend.onRequest(() => void runActionAt("dispatched")));
+    [first, second].forEach(backend => backend.onRequest(() => startDetached(runActionAt("dispatched"))));
     const timeouts = { idleTimeout: options?.idleTimeout ?? 5_000, headTimeout: options?.idleTimeout ?? 5_000 };
     const closers: (() => void)[] = [];
     const trackClient = <Client extends { readonly close: () => void; }>(client: Client): Client => {
--- a/src/requests/atMostOnceProtocol.ts
+++ b/src/requests/atMostOnceProtocol.ts
@@ -7,6 +7,7 @@
 import type { EpochView, MembershipView } from "../membership/index.js";
 import type { PeerNetwork } from "../peers/index.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds, type SeededRandom } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import {
     type AtMostOnceMessage,
     type ClaimResult,
@@ -208,12 +209,17 @@
         return new Promise(resolve => {
             const tally = createGrantTally(group.length);
             for (const member of group) {
-                void sendRequest(member, message).then(answer => {
+                const addAnswer = (answer: Awaited<ReturnType<typeof sendRequest>>): void => {
                     const round = tally.add(answer);
                     if (round) {
                         resolve(round);
                     }
-                });
+                };
+                startTask(
+                    "claim of a request",
+                    async () => addAnswer(await sendRequest(member, message)),
+                    () => addAnswer(undefined),
+                );
             }
         });
     };
@@ -228,7 +234,7 @@
     const settleClaim = (key: string, claim: ExecutionClaim, result: ClaimResult): void => {
         const settled = { ...claim, result };
         storeLocalClaim(key, settled);
-        void sendSettlement(key, settled);
+        startTask("settlement of a claim", () => sendSettlement(key, settled));
     };
     const sendSettlement = async (key: string, claim: ExecutionClaim): Promise<void> => {
         pendingSettlements++;
@@ -297,7 +303,7 @@
         // a coordinator may know a result that has not reached the replicas, so it is sent to them from here too
         const ended = updated.filter((claim, index) => claim.result && !claims[index]!.result);
         for (const claim of ended) {
-            void sendSettlement(key, claim);
+            startTask("settlement of a claim", () => sendSettlement(key, claim));
         }
         // a result that only departed coordinators knew can't be learned any more
         const gone = coordinators.filter(coordinator => !isKnownInstance(coordinator));
@@ -378,7 +384,7 @@
     replica.acceptEpoch(epochs.read(), clock.now());
     epochs.subscribe(epoch => {
         replica.acceptEpoch(epoch, clock.now());
-        void runPeriodicWork();
+        startTask("upkeep of claims", runPeriodicWork);
     });
     return {
         claim: claimKey,
--- a/src/requests/modelRunner.ts
+++ b/src/requests/modelRunner.ts
@@ -8,6 +8,7 @@
 import type { TokenReservation } from "../limits/index.js";
 import type { Pin, PinOutcome } from "../placement/index.js";
 import type { Milliseconds, Result } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import { checkAuthorization } from "./authorize.js";
 import { createEventStream, type EventStream } from "./eventStream.js";
 import {
@@ -93,13 +94,15 @@
         state = next;
         effects.forEach(runEffect);
     };
+    // a request that failed inside ends as at its deadline, which tells whether it may have run and gives all back
+    const failInside = (): void => handleEvent({ kind: "deadlinePassed" });
     const runEffect = (effect: LifecycleEffect): void => {
         switch (effect.kind) {
             case "reserve":
-                void reserveTokens(workController.signal);
+                startTask("reservation of tokens", () => reserveTokens(workController.signal), failInside);
                 return;
             case "acquire":
-                void acquirePin(workController.signal);
+                startTask("place of a request", () => acquirePin(workController.signal), failInside);
                 return;
             case "send":
                 sendRequest(effect.attempt, effect.resumeAfterTokens);
@@ -112,7 +115,11 @@
                 context.takeRetryCredit(route.id, effect.cost);
                 return;
             case "sleep":
-                void waitBackoff(effect.attempt, effect.duration, workController.signal);
+                startTask(
+                    "pause before a retry",
+                    () => waitBackoff(effect.attempt, effect.duration, workController.signal),
+                    failInside,
+                );
                 return;
             case "abortWork":
                 workController.abort();
@@ -206,6 +213,7 @@
         if (attempt === 1) {
             context.addFirstAttempt(route.id, route.retryBudget);
         }
+        const { engine } = pin;
         const events = context.getEngineClient(pin.address).generate({
             requestId: call.requestId,
             // the pin's adapter identifies the load that the pin protects, not only the adapter's version
@@ -218,7 +226,7 @@
             ...(call.temperature === undefined ? {} : { temperature: call.temperature }),
             ...(call.stop === undefined ? {} : { stop: call.stop }),
         }, workController.signal);
-        void readResponse(attempt, pin.engine, events);
+        startTask("answer of an engine", () => readResponse(attempt, engine, events), failInside);
     };
     const readResponse = async (
         attempt: number,
@@ -310,9 +318,11 @@
     };
     const begin = (): void => {
         firstEffects.forEach(runEffect);
-        void clock.sleep(Math.max(0, deadline - clock.now()), lifetimeController.signal).then(() => {
+        const waitForDeadline = async (): Promise<void> => {
+            await clock.sleep(Math.max(0, deadline - clock.now()), lifetimeController.signal);
             handleEvent({ kind: "deadlinePassed" });
-        });
+        };
+        startTask("deadline of a request", waitForDeadline, failInside);
     };
     return { begin, handleEvent, checkSettings };
 }
--- a/src/requests/serviceRunner.ts
+++ b/src/requests/serviceRunner.ts
@@ -8,6 +8,7 @@
 import type { ResolvedServiceRoute, ResolvedSettings } from "../config/index.js";
 import type { TokenReservation } from "../limits/index.js";
 import type { BackendServerId, Result } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { AtMostOnceProtocol, WonClaim } from "./atMostOnceProtocol.js";
 import { checkAuthorization, createNotRunOutcome } from "./authorize.js";
 import type { RequestOutcome } from "./outcome.js";
@@ -154,14 +155,15 @@
         const progress = { mayHaveRun: false };
         const bounds = { callerSignal: signal, workSignal: workController.signal, claim, progress };
         const finalResult = runAttempts(call, route, account, bounds);
-        void finalResult.then(result => claim?.settle(createReplayResult(result)));
+        startTask("settlement of a claim", async () => claim?.settle(createReplayResult(await finalResult)));
         const timerController = new AbortController();
         const late = context.clock.sleep(Math.max(0, deadline - context.clock.now()), timerController.signal).then(
             () => {
                 if (!timerController.signal.aborted) {
-                    void context.clock.sleep(lateResponseLimitMilliseconds, timerController.signal).then(() =>
-                        workController.abort()
-                    );
+                    startTask("time limit of a late answer", async () => {
+                        await context.clock.sleep(lateResponseLimitMilliseconds, timerController.signal);
+                        workController.abort();
+                    }, () => workController.abort());
                 }
                 // `checkDispatch` refuses attempts after the deadline, so a call that was not sent by now never runs
                 return progress.mayHaveRun
@@ -169,7 +171,8 @@
                     : createRefusedResult("deadlinePassed");
             },
         );
-        void finalResult.then(() => timerController.abort());
+        const stopTimer = (): void => timerController.abort();
+        finalResult.then(stopTimer, stopTimer);
         return Promise.race([finalResult, late]);
     };
     const runIdempotent = async (
@@ -189,7 +192,10 @@
             }
         });
         const remaining = Math.max(0, call.arrivedAt + route.deadline - context.clock.now());
-        void context.clock.sleep(remaining, timerController.signal).then(() => workController.abort());
+        startTask("deadline of a request", async () => {
+            await context.clock.sleep(remaining, timerController.signal);
+            workController.abort();
+        }, () => workController.abort());
         const workSignal = AbortSignal.any([signal, workController.signal]);
         const result = await runAttempts(call, route, account, {
             callerSignal: workSignal,
--- a/src/serving/__tests__/relayedLog.test.ts
+++ b/src/serving/__tests__/relayedLog.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { createSeededRandom, type Result, type SeededRandom, wrapError, wrapValue } from "../../shared/index.js";
+import { startDetached } from "../../testing/index.js";
 import { type ClockReading, measureAge } from "../freshness.js";
 import { createKeyedFollower } from "../keyedFollower.js";
 import { createRelayedLog, type RelayedLog } from "../relayedLog.js";
@@ -196,7 +197,7 @@
             },
             onFailure: () => undefined,
         });
-        void follower.run(new AbortController().signal);
+        startDetached(follower.run(new AbortController().signal));
         return instance;
     };
     for (let index = 0; index < size; index++) {
--- a/src/shared/time.ts
+++ b/src/shared/time.ts
@@ -40,8 +40,9 @@
 ): Promise<Result | undefined> {
     return new Promise((resolve, reject) => {
         const abort = (): void => resolve(undefined);
+        const stopListening = (): void => signal.removeEventListener("abort", abort);
         // a failure after the abort has nobody left to be told
-        void result.then(resolve, reject).finally(() => signal.removeEventListener("abort", abort));
+        result.then(resolve, reject).then(stopListening, stopListening);
         signal.addEventListener("abort", abort, { once: true });
         if (signal.aborted) {
             abort();
--- a/src/standins/standinServer.ts
+++ b/src/standins/standinServer.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo } from "node:net";
+import { startTask } from "../supervision/index.js";
 
 /** A recorded request. */
 export interface ReceivedRequest {
@@ -51,7 +52,11 @@
 export function createStandinServer(handle: StandinHandler): StandinServer {
     const received: ReceivedRequest[] = [];
     const server = createServer((request, response) => {
-        void handleIncoming(request, response, received, handle).catch(() => response.destroy());
+        startTask(
+            "request to a stand-in",
+            () => handleIncoming(request, response, received, handle),
+            () => response.destroy(),
+        );
     });
     return {
         start: address => startListening(server, address ?? loopbackAnyPort),
--- a/src/streams/recordRelay.ts
+++ b/src/streams/recordRelay.ts
@@ -6,6 +6,7 @@
 import Emittery from "emittery";
 import type { LogRecord } from "../backends/index.js";
 import type { Clock, LogOffset, Milliseconds } from "../shared/index.js";
+import { startTask } from "../supervision/index.js";
 import type { RecordsPage } from "./messages.js";
 
 /** Response to a peer that requests records. */
@@ -63,7 +64,7 @@
             cachedRecords = [...(isContiguous ? cachedRecords : []), ...newRecords].slice(-maximumCachedRecords);
             head = newHead;
             if (newRecords.length > 0) {
-                void events.emit("arrival");
+                startTask("arrival of records", () => events.emit("arrival"));
             }
         },
         recordConfirmation: requestSentAt => {
--- a/src/supervision/mailbox.ts
+++ b/src/supervision/mailbox.ts
@@ -4,6 +4,7 @@
  * @packageDocumentation
  */
 import Emittery from "emittery";
+import { startTask } from "./backgroundTasks.js";
 
 /** Message queue of a task: messages are handled one at a time, in the order in which they were added. */
 export interface Mailbox<Message> {
@@ -33,7 +34,7 @@
     const put = (message: Message): void => {
         waiting.push(message);
         if (waiting.length === 1) {
-            void events.emit("arrival");
+            startTask("arrival in a mailbox", () => events.emit("arrival"));
         }
     };
     const listen = async (
--- a/src/testing/__tests__/history.test.ts
+++ b/src/testing/__tests__/history.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createHistory, expectSnapshot } from "../index.js";
+import { createHistory, expectSnapshot, startDetached } from "../index.js";
 
 describe("history", () => {
     it("repeats for the same seed", function() {
@@ -37,7 +37,7 @@
         history.setHandler("b", (from, message) => seen.push(message));
         history.cut(["a"], ["b"], 20);
         history.send("a", "b", "lost");
-        void history.clock.sleep(30).then(() => history.send("a", "b", "arrives"));
+        startDetached(history.clock.sleep(30).then(() => history.send("a", "b", "arrives")));
         await history.runAsync(100);
         expect(seen).to.deep.equal(["arrives"]);
     });
--- a/src/testing/virtualPlatform.ts
+++ b/src/testing/virtualPlatform.ts
@@ -8,6 +8,7 @@
 import type { InstanceList, Listing, LogError, LogPage, LogRecord, LogService, LogStream } from "../backends/index.js";
 import type { PeerError, PeerHandler, PeerMessagesByTopic, PeerNetwork, PeerTopic } from "../peers/index.js";
 import { type Clock, type LogOffset, type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import { startDetached } from "./detachedTasks.js";
 import { createVirtualClock, type History } from "./history.js";
 
 /** Faults of the virtual log. */
@@ -251,10 +252,10 @@
     history.setHandler(node, (from, message) => {
         switch (message.kind) {
             case "send":
-                void handlers.get(message.topic)?.(from, message.body);
+                startDetached(handlers.get(message.topic)?.(from, message.body));
                 return;
             case "request":
-                void handleRequest(from, message);
+                startDetached(handleRequest(from, message));
                 return;
             case "answer":
                 waiting.get(message.id)?.(message.body);
