--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -100,6 +100,11 @@
 const connectTimeoutMilliseconds = 400;
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
+/**
+ * Times that a request waits for the events that wait: before it is dispatched, and once it has a connection. It is then
+ * written, as a loop counts as late for longer than some requests may take.
+ */
+const maximumChecks = 2;
 
 /**
  * Creates the connection pools. A connection is opened when a request needs it.
@@ -243,6 +248,8 @@
     let isOver = false;
     // whether a connected socket may be written to now, as all events that waited have been handled
     let isChecked = false;
+    // how often the events that waited have been handled for this request
+    let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
     const finish = (notify: () => void): void => {
@@ -280,7 +287,7 @@
             if (!isOver && !options.mayReceive(run)) {
                 withdraw();
             }
-            isPostponed = !isOver && !isChecked && options.loop.isLate();
+            isPostponed = !isOver && !isChecked && checks < maximumChecks && options.loop.isLate();
             if (isOver || isPostponed) {
                 // undici keeps the connection when this throws; it closes it when the request is aborted
                 throw new Error("request not written");
@@ -342,6 +349,7 @@
         );
     };
     const sendChecked = (): void => {
+        checks++;
         const checkAndSend = async (): Promise<void> => {
             await options.loop.handleWaiting();
             if (!isOver) {
