fix(deploy): a wrong answer of a server no longer stops an instance for 5 s

Callers saw: after a server had sent "HTTP/1.1 099 -" or a 101 in place of its answer, the instance that got it answered nothing for 4 to 6 s, neither requests nor the question whether it is ready. Once in the life of a process for each place that finds such an answer.

Cause: undici checks what it is sent with the runtime's assert. For the message of an assertion that fails, Node.js reads the source file and parses it from the line on in which the assertion stands; the bundle is a few lines of a megabyte. Nothing ran the bundle against wrong bytes.

Change: in the bundle undici's assert is a function of our own, whose error has the same name and code and doesn't read the source.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -1,6 +1,7 @@
 // Bundles the daemon for the users' platform into one file: a process that starts reads and compiles half as much code as
 // from separate files, and all instances may have to start at once.
 import { build } from "esbuild";
+import { resolve } from "node:path";
 
 const outfile = process.argv[2] ?? "target/platform/main.js";
 
@@ -10,6 +11,19 @@
     "const require = createBundleRequire(import.meta.url);",
 ].join("\n");
 
+const assertionFile = resolve("deploy/assertion.cjs");
+// undici checks with assertions what it is sent; for the message of one that fails, the runtime's own reads and parses the
+// source, which takes seconds in a bundle
+const ownAssertion = {
+    name: "own assertion",
+    setup({ onResolve }) {
+        onResolve(
+            { filter: /^(node:)?assert$/ },
+            ({ importer }) => /[\\/]node_modules[\\/]undici[\\/]/.test(importer) ? { path: assertionFile } : undefined,
+        );
+    },
+};
+
 await build({
     entryPoints: ["src/platform/main.ts"],
     outfile,
@@ -21,6 +35,7 @@
     // names stay, for stack traces
     minifyWhitespace: true,
     minifySyntax: true,
+    plugins: [ownAssertion],
     banner: { js: requireBanner },
     logLevel: "warning",
 });
--- a/src/platform/__tests__/bundle.test.ts
+++ b/src/platform/__tests__/bundle.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
@@ -25,6 +25,11 @@
         expect(help).to.contain("ORIOLEHATCH_NODE_FILE");
     });
 
+    // guards against a failed check of the HTTP client for whose message the runtime parses the bundle, which takes seconds
+    it("calls no assertion of the runtime", () => {
+        expect(readFileSync(file, "utf8")).not.to.match(/["'](node:)?assert(\/strict)?["']/);
+    });
+
     // the bundle holds only some parts of the HTTP client; without one of them no call is sent
     it("calls the platform's store", async () => {
         const paths: string[] = [];
