fix(deploy): an answer with very many headers no longer stops an instance for 0.5 s

Callers saw: while a server sent a head of 200,000 short headers, nothing else was answered for 0.5 s or longer, at each such answer.

Cause: undici ends a connection whose head is too long, but goes on reading what it has at hand, and makes an error with its stack for each further header of it (CPU profile: UndiciError).

Change: in the bundle the first of these errors serves for all of a chunk. Two kinds are added to the test of wrong bytes: 20,000 headers, and 200,000 without values.

--- a/deploy/httpClient.js
+++ b/deploy/httpClient.js
@@ -1,5 +1,6 @@
 // The parts of undici that the daemon uses. Its index also loads fetch, WebSocket, caches and mocks, which a process that
 // starts would read and compile for nothing.
+import "./httpErrors.js";
 import api from "../node_modules/undici/lib/api/index.js";
 import buildConnector from "../node_modules/undici/lib/core/connect.js";
 import Agent from "../node_modules/undici/lib/dispatcher/agent.js";
--- a/src/platform/__tests__/delivered/wrongBytes.ts
+++ b/src/platform/__tests__/delivered/wrongBytes.ts
@@ -70,6 +70,8 @@
     "NUL byte in a header": { head: `HTTP/1.1 200 OK\r\nX-Name: a\0b${endOfHead}` },
     "header without a colon": { head: `HTTP/1.1 200 OK\r\nname${endOfHead}` },
     "header without a name": { head: `HTTP/1.1 200 OK\r\n: value${endOfHead}` },
+    "many headers": { head: `HTTP/1.1 200 OK\r\n${"X-Name: value\r\n".repeat(floodCount * 10)}\r\n` },
+    "many headers without values": { head: `HTTP/1.1 200 OK\r\n${"a:\r\n".repeat(floodCount * 100)}\r\n` },
     "a long header": { head: `HTTP/1.1 200 OK\r\nX-Name: ${"x".repeat(1_048_576)}${endOfHead}` },
     "many short headers": { head: `HTTP/1.1 200 OK\r\n${"a:\r\n".repeat(floodCount)}\r\n`, closes: true },
     "lines without a carriage return": { head: "HTTP/1.1 200 OK\nContent-Length: 2\n\nok" },
