fix(deploy): an error that ends a process prints no line of 300,000 characters

Operators saw: before the stack of an error that ends the process, the runtime prints the source line, which in the bundle had up to 313,344 characters.

Cause: the bundle is written into few lines.

Change: lines of about 500 characters (some literals are longer; 3,373 at most). A test bounds the longest line.

--- a/deploy/bundle.js
+++ b/deploy/bundle.js
@@ -35,6 +35,8 @@
     // names stay, for stack traces
     minifyWhitespace: true,
     minifySyntax: true,
+    // the runtime prints the source line before the stack of an error that ends the process
+    lineLimit: 500,
     plugins: [ownAssertion],
     banner: { js: requireBanner },
     logLevel: "warning",
--- a/src/platform/__tests__/bundle.test.ts
+++ b/src/platform/__tests__/bundle.test.ts
@@ -8,6 +8,8 @@
 import { join } from "node:path";
 
 const startLimitMilliseconds = 20_000;
+/** Some literals of packages can't be split. */
+const longestLineLength = 4_000;
 
 describe("daemon bundle", () => {
     let folder: string;
@@ -30,6 +32,12 @@
         expect(readFileSync(file, "utf8")).not.to.match(/["'](node:)?assert(\/strict)?["']/);
     });
 
+    // guards against an error that ends the process and before whose stack the runtime prints a line of 300,000 characters
+    it("has short lines", () => {
+        const lengths = readFileSync(file, "utf8").split("\n").map(line => line.length);
+        expect(Math.max(...lengths)).to.be.below(longestLineLength);
+    });
+
     // the bundle holds only some parts of the HTTP client; without one of them no call is sent
     it("calls the platform's store", async () => {
         const paths: string[] = [];
