test(platform): the test of the bundle has an address of its own

Seen: 'calls the platform's store' failed once after 20 s; the daemon had ended with EADDRINUSE on 127.0.0.1:39464, which another process held.

Cause: the port of the metrics is fixed, and the test used the address that all share.

Change: the daemon gets a loopback address of the run's own; checks are the same. With a listener at 127.0.0.1:39464 the test passes.

--- a/src/platform/__tests__/bundle.test.ts
+++ b/src/platform/__tests__/bundle.test.ts
@@ -49,12 +49,14 @@
         await once(store, "listening");
         const { port } = store.address() as AddressInfo;
         const settings = join(folder, "settings.json");
-        const listenAddresses = { front: "127.0.0.1:0", ready: "127.0.0.1:0" };
+        // runs beside each other must not share an address, as the port of the metrics is fixed
+        const host = `127.${process.pid % 200 + 1}.${Math.floor(process.pid / 200) % 250}.254`;
+        const listenAddresses = { front: `${host}:0`, ready: `${host}:0` };
         writeFileSync(
             settings,
             JSON.stringify({
                 node_name: "front-1",
-                ip_address: "127.0.0.1",
+                ip_address: host,
                 zone: "a",
                 listen_addresses: listenAddresses,
                 internal_ports: [0, 0],
