--- a/src/platform/__tests__/bundle.test.ts
+++ b/src/platform/__tests__/bundle.test.ts
@@ -1,32 +1,15 @@
 import { expect } from "chai";
 import { execFileSync, spawn } from "node:child_process";
 import { once } from "node:events";
-import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 
 const startLimitMilliseconds = 20_000;
-/** Ports from here on are below those that the system gives to any connection. */
-const firstMetricsPort = 20_000;
-const metricsPortCount = 10_000;
-
-async function findMetricsPort(): Promise<number> {
-    for (let tried = 0; tried < metricsPortCount; tried++) {
-        const port = firstMetricsPort + (process.pid + tried) % metricsPortCount;
-        const server = createServer();
-        const isFree = await new Promise<boolean>(resolve => {
-            server.once("error", () => resolve(false));
-            server.listen(port, "127.0.0.1", () => resolve(true));
-        });
-        if (isFree) {
-            await new Promise(resolve => server.close(resolve));
-            return port;
-        }
-    }
-    throw new Error("no free port for metrics");
-}
+/** Some literals of packages can't be split. */
+const longestLineLength = 4_000;
 
 describe("daemon bundle", () => {
     let folder: string;
@@ -44,6 +27,17 @@
         expect(help).to.contain("ORIOLEHATCH_NODE_FILE");
     });
 
+    // guards against a failed check of the HTTP client for whose message the runtime parses the bundle, which takes seconds
+    it("calls no assertion of the runtime", () => {
+        expect(readFileSync(file, "utf8")).not.to.match(/["'](node:)?assert(\/strict)?["']/);
+    });
+
+    // guards against an error that ends the process and before whose stack the runtime prints a line of 300,000 characters
+    it("has short lines", () => {
+        const lengths = readFileSync(file, "utf8").split("\n").map(line => line.length);
+        expect(Math.max(...lengths)).to.be.below(longestLineLength);
+    });
+
     // the bundle holds only some parts of the HTTP client; without one of them no call is sent
     it("calls the platform's store", async () => {
         const paths: string[] = [];
@@ -55,12 +49,14 @@
         await once(store, "listening");
         const { port } = store.address() as AddressInfo;
         const settings = join(folder, "settings.json");
-        const listenAddresses = { front: "127.0.0.1:0", ready: "127.0.0.1:0" };
+        // runs beside each other must not share an address, as the port of the metrics is fixed
+        const host = `127.${process.pid % 200 + 1}.${Math.floor(process.pid / 200) % 250}.254`;
+        const listenAddresses = { front: `${host}:0`, ready: `${host}:0` };
         writeFileSync(
             settings,
             JSON.stringify({
                 node_name: "front-1",
-                ip_address: "127.0.0.1",
+                ip_address: host,
                 zone: "a",
                 listen_addresses: listenAddresses,
                 internal_ports: [0, 0],
@@ -69,8 +65,7 @@
                 platform: { address: `127.0.0.1:${port}`, form: "log", parts: 4 },
             }),
         );
-        const metricsPort = String(await findMetricsPort());
-        const daemon = spawn(process.execPath, [file, "--metrics-port", metricsPort], {
+        const daemon = spawn(process.execPath, [file, "--metrics-port", "39464"], {
             env: { PATH: process.env["PATH"], ORIOLEHATCH_NODE_FILE: settings },
             stdio: "ignore",
         });
