fix(serving): a record that can't be taken is read again before it is passed over

What callers saw: 24 of 24 requests 503 after two exceptions at the configuration's record (the test that the joined tasks and readers had listed as known red): the follower passed over the record for good at the first exception, though its cause passes.

--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -5,7 +5,7 @@
  *
  * @packageDocumentation
  */
-import { createLogger, type Milliseconds, type Result, waitUnlessAborted } from "../shared/index.js";
+import { createLogger, type Milliseconds, type Result, waitUnlessAborted, wrapError } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { TopicCache } from "./topicCache.js";
@@ -46,6 +46,8 @@
 
 const initialRetryMilliseconds = 50;
 const maximumRetryMilliseconds = 400;
+/** Reads after which a record that can't be taken is passed over. */
+const maximumDeliveries = 3;
 const maximumDetailLength = 200;
 const maximumKeyLength = 100;
 const log = createLogger("serving");
@@ -58,13 +60,15 @@
  * @returns the task, which the caller runs
  */
 export function createKeyedFollower(options: KeyedFollowerOptions): Task {
-    const position: FollowerPosition = { nextOffset: undefined };
+    const position: FollowerPosition = { nextOffset: undefined, failedDeliveries: new Map() };
     return { name: `follow ${options.topic}`, run: signal => readTopic(options, position, signal) };
 }
 
 interface FollowerPosition {
     /** Offset of the next read; `undefined` to begin with the newest records of all keys. */
     nextOffset: number | undefined;
+    /** Reads in which a record could not be taken, by the offset of the record. */
+    readonly failedDeliveries: Map<number, number>;
 }
 
 async function readTopic(
@@ -75,7 +79,7 @@
     let failures = 0;
     while (!signal.aborted) {
         // a stopped instance doesn't wait for the store, whose answer may take long
-        const result = await waitUnlessAborted(readOnce(options, position.nextOffset), signal);
+        const result = await waitUnlessAborted(readOnce(options, position), signal);
         if (signal.aborted || !result) {
             return;
         }
@@ -102,8 +106,9 @@
 
 async function readOnce(
     options: KeyedFollowerOptions,
-    nextOffset: number | undefined,
+    position: FollowerPosition,
 ): Promise<Result<KeyedSnapshot, StoreError>> {
+    const { nextOffset } = position;
     const sentAt = (options.readClocks ?? readClocks)();
     const read = nextOffset === undefined
         ? await options.log.readNewest(options.topic)
@@ -111,7 +116,11 @@
     if (!read.ok) {
         return read;
     }
-    deliverRead(options, nextOffset === undefined, read.value);
+    const untaken = deliverRead(options, nextOffset === undefined, read.value);
+    if (untaken.filter(record => isDeliveredAgain(options, position, record)).length > 0) {
+        return wrapError({ kind: "unreachable", detail: "a record could not be taken" });
+    }
+    position.failedDeliveries.clear();
     const { age = 0 } = read.value;
     const confirmedAt = { monotonic: sentAt.monotonic - age, timeOfDay: sentAt.timeOfDay - age };
     options.cache?.markConfirmed(confirmedAt);
@@ -119,29 +128,52 @@
     return read;
 }
 
-function deliverRead(options: KeyedFollowerOptions, isSnapshot: boolean, read: KeyedSnapshot): void {
+// returns the records that could not be taken
+function deliverRead(
+    options: KeyedFollowerOptions,
+    isSnapshot: boolean,
+    read: KeyedSnapshot,
+): readonly KeyedRecord[] {
+    let untaken: readonly KeyedRecord[] = [];
     if (isSnapshot) {
-        deliverSnapshot(options, read.records);
+        untaken = deliverSnapshot(options, read.records);
         options.cache?.replaceAll(read.records, read.endOffset);
     }
     else if (read.records.length > 0) {
-        read.records.forEach(record => tryRecord(options, record));
+        untaken = read.records.filter(record => !tryRecord(options, record));
         options.cache?.apply(read.records, read.endOffset);
     }
+    return untaken;
+}
+
+// an exception may have a cause that passes; a record that fails again and again must not keep the later ones back
+function isDeliveredAgain(
+    options: KeyedFollowerOptions,
+    { failedDeliveries }: FollowerPosition,
+    record: KeyedRecord,
+): boolean {
+    const deliveries = (failedDeliveries.get(record.offset) ?? 0) + 1;
+    failedDeliveries.set(record.offset, deliveries);
+    const isLast = deliveries >= maximumDeliveries;
+    const event = isLast ? "record passed over" : "record tried again";
+    log.error(event, { topic: options.topic, key: record.key.slice(0, maximumKeyLength), offset: record.offset });
+    return !isLast;
 }
 
 // whole, as the handler learns from it which keys no longer exist; without the records that it can't take, if there are any
-function deliverSnapshot(options: KeyedFollowerOptions, records: readonly KeyedRecord[]): void {
+function deliverSnapshot(options: KeyedFollowerOptions, records: readonly KeyedRecord[]): readonly KeyedRecord[] {
     try {
         options.onSnapshot(records);
+        return [];
     }
     catch {
         const usable = records.filter(record => tryRecord(options, record));
         if (usable.length === records.length) {
             log.error("newest records not taken as a whole", { topic: options.topic });
-            return;
+            return [];
         }
-        deliverSnapshot(options, usable);
+        const untaken = records.filter(record => !usable.includes(record));
+        return [...untaken, ...deliverSnapshot(options, usable)];
     }
 }
 
@@ -151,7 +183,7 @@
         return true;
     }
     catch (error) {
-        log.error("record passed over", {
+        log.error("record not taken", {
             topic: options.topic,
             key: record.key.slice(0, maximumKeyLength),
             offset: record.offset,
