fix(shared): a sleep beyond the longest timer no longer ends at once

Callers saw: nothing yet; a duration of 2^31 ms or more that gets past the ranges would end its wait at once. Cause: Node replaces such a duration of a timer by 1 ms. Change: the system clock sleeps at most as long as the longest timer.

--- a/src/shared/time.ts
+++ b/src/shared/time.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { longestTimerMilliseconds } from "./inputRanges.js";
 
 /** A duration or a reading of a monotonic clock, in milliseconds. */
 export type Milliseconds = number;
@@ -11,7 +12,7 @@
 export interface Clock {
     /** Reads the monotonic clock. */
     readonly now: () => Milliseconds;
-    /** Resolves after the given duration, or as soon as the signal is aborted. */
+    /** Resolves after the given duration, at the latest after the longest timer, or as soon as the signal is aborted. */
     readonly sleep: (duration: Milliseconds, signal?: AbortSignal) => Promise<void>;
 }
 
@@ -60,7 +61,8 @@
             signal?.removeEventListener("abort", finish);
             resolve();
         };
-        const timer = setTimeout(finish, Math.max(0, duration));
+        // a longer timer would fire at once
+        const timer = setTimeout(finish, Math.min(Math.max(0, duration), longestTimerMilliseconds));
         signal?.addEventListener("abort", finish, { once: true });
     });
 }
