fix(platform): a Connection header no longer strips headers that the platform needs

Cause: all headers that Connection names were removed, also the attempt id; the answer then counted as one to another request. Evidence: two tests of the codec, for requests and answers: all needed headers were missing. Change: the platform's own headers, Host and Content-Type are passed on whatever Connection names (RFC 9110, 7.6.1, takes only fields out that are meant for one connection).

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -237,3 +237,27 @@
         expect(isNotRun(504)).to.equal(false);
     });
 });
+
+describe("headers that a Connection header names", () => {
+    // guards against an attempt without its id, whose answer counts as one to another request
+    it("are passed on where the platform needs them", () => {
+        const needed = ["Host", "X-Oriolehatch-Attempt-Id", "X-Oriolehatch-Model", "Last-Event-Id", "Resumes"];
+        const raw = [...needed, "X-Private"].flatMap(name => [name, "1"]);
+        const request = platformHeaderCodec.decodeRequest("GET", "/", [
+            ...raw,
+            "Connection",
+            `close, X-Private, ${needed.join(", ")}`,
+        ]);
+        expect(request.passedHeaders).to.deep.equal(needed.flatMap(name => [name, "1"]));
+    });
+
+    it("are passed on to the client where it needs them", () => {
+        const needed = ["X-Oriolehatch-Attempt-Id", "X-Oriolehatch-Response-Signature", "Content-Type", "Retry-After"];
+        const { passedHeaders } = platformHeaderCodec.decodeResponseHead(200, [
+            ...[...needed, "X-Private"].flatMap(name => [name, "1"]),
+            "Connection",
+            `X-Private, ${needed.join()}`,
+        ]);
+        expect(passedHeaders).to.deep.equal(needed.flatMap(name => [name, "1"]));
+    });
+});
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -97,6 +97,11 @@
     "wait-ms",
 ]);
 
+/** Beginning of the names of the platform's own headers. */
+const platformPrefix = "x-oriolehatch-";
+/** Headers of HTTP and of the platform without its prefix that a `Connection` header can't take from a message. */
+const neededHeaders: ReadonlySet<string> = new Set([...Object.values(names), "host", "content-type"]);
+
 /** Headers that are removed from a server's response, because they are not meant for the client. */
 const internalResponseHeaders: ReadonlySet<string> = new Set([
     names.load,
@@ -226,13 +231,20 @@
     const kept: string[] = [];
     for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
         const name = rawHeaders[index]!.toLowerCase();
-        if (!hopByHopHeaders.has(name) && !excludedNames.has(name) && !connectionOptions.has(name)) {
+        if (
+            !hopByHopHeaders.has(name) && !excludedNames.has(name) && !(connectionOptions.has(name) && !isNeeded(name))
+        ) {
             kept.push(rawHeaders[index]!, rawHeaders[index + 1]!);
         }
     }
     return kept;
 }
 
+// without them the other end would answer as to another request
+function isNeeded(name: string): boolean {
+    return name.startsWith(platformPrefix) || neededHeaders.has(name);
+}
+
 function replaceHeader(headers: readonly string[], name: string, value: string): string[] {
     const replaced: string[] = [];
     for (let index = 0; index + 1 < headers.length; index += 2) {
