fix(serving): a request with two Host headers is answered 400 and takes no connection

Callers saw: after 64 requests with two Host headers, all requests got 504 until a restart; no key was needed for it. Cause: the request was routed by its last Host and passed on with both. undici refuses such a request when it is handed over, and its pool never uses the connection again that the request was meant for. Change: a request with more than one Host, attempt id, deadline, key, model, Last-Event-Id or Resumes is refused with 400 before its route is looked up (RFC 9112, 3.2, for Host).

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -261,3 +261,19 @@
         expect(passedHeaders).to.deep.equal(needed.flatMap(name => [name, "1"]));
     });
 });
+
+describe("headers that a request may have once", () => {
+    // guards against a request that is routed by one host and sent on with two
+    it("are named when the request has them twice, in any case of letters", () => {
+        const find = (...names: string[]): string | undefined =>
+            platformHeaderCodec.decodeRequest("GET", "/", names.flatMap(name => [name, "1"])).repeatedHeader;
+        expect(find("Host", "hOST")).to.equal("host");
+        expect(find("Host", "X-Oriolehatch-Attempt-Id", "A", "x-oriolehatch-attempt-id")).to.equal(
+            "x-oriolehatch-attempt-id",
+        );
+        expect(find("Host", "Accept", "Accept", "Cookie", "Cookie")).to.equal(undefined);
+        expect(platformHeaderCodec.decodeRequest("GET", "/", ["A", "Host", "Host", "A"]).repeatedHeader).to.equal(
+            undefined,
+        );
+    });
+});
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -97,6 +97,17 @@
     "wait-ms",
 ]);
 
+/** Headers of a client's request of which this program and a server could read different values if it had two. */
+const singleRequestHeaders: readonly string[] = [
+    "host",
+    names.attemptId,
+    names.deadline,
+    names.key,
+    names.model,
+    names.lastEventId,
+    names.resumes,
+];
+
 /** Beginning of the names of the platform's own headers. */
 const platformPrefix = "x-oriolehatch-";
 /** Headers of HTTP and of the platform without its prefix that a `Connection` header can't take from a message. */
@@ -148,6 +159,7 @@
 function decodeClientRequest(method: string, target: string, rawHeaders: readonly string[]): ClientRequest {
     const values = collectHeaderValues(rawHeaders);
     return {
+        repeatedHeader: findRepeatedHeader(rawHeaders),
         attemptId: values.get(names.attemptId),
         method,
         target,
@@ -222,6 +234,11 @@
     return values;
 }
 
+function findRepeatedHeader(rawHeaders: readonly string[]): string | undefined {
+    const present = rawHeaders.filter((part, index) => index % 2 === 0).map(name => name.toLowerCase());
+    return singleRequestHeaders.find(name => present.indexOf(name) !== present.lastIndexOf(name));
+}
+
 function filterHeaders(
     rawHeaders: readonly string[],
     connectionValue: string | undefined,
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -62,6 +62,10 @@
  * @returns route, service and account of the request, or status and reason of the refusal
  */
 export function decideAdmission(parts: AdmissionParts, request: ClientRequest): Admission {
+    // before the route, which may be that of either host
+    if (request.repeatedHeader !== undefined) {
+        return refuse(badRequestStatus, `more than one ${request.repeatedHeader}`);
+    }
     const active = parts.configuration.read();
     if (!active) {
         return refuse(serviceUnavailableStatus, "no configuration yet", notReadyRetrySeconds);
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -200,6 +200,8 @@
 
 /** A client's request, decoded from its request line and headers. */
 export interface ClientRequest {
+    /** Name of a header that the request has more than once but may have only once; such a request is refused. */
+    readonly repeatedHeader?: string | undefined;
     /** Identifier that the client chose; responses repeat it. */
     readonly attemptId: string | undefined;
     readonly method: string;
