fix(serving): a request that can't be written ends as its own fault and takes no connection

Callers saw: any request that undici refuses was tried at up to five servers, counted as unreached at each, and took a connection of each for good; once all were taken, every request ended at its deadline with 504. Cause: undici's `new Request` throws while the pool hands the request over; the pool then waits for a drain of that connection that never comes. The error counted as one of the server. Change: the head is checked before a connection is taken (method, target, pairs of headers, names, values, one Host, no headers of the connection). A request that fails ends as `unsendable`: no mark against the server, no further attempt, 400 to the client. If undici refuses more than that, or reports an error before the request had a connection, the pool is replaced. A request from another instance is checked in the same call; the answer to it is `withdrawn`, which older versions read too. New cases in runRequest.test.js (400 after one attempt, no mark) and forwardedAttempt.test.js pass.

--- a/src/forwarding/__tests__/forwardedAttempt.test.ts
+++ b/src/forwarding/__tests__/forwardedAttempt.test.ts
@@ -194,6 +194,16 @@
         expect(refusing.arrived.length).to.equal(0);
     });
 
+    // guards against a fault that instances of an older version can't read, and against one that blames the server
+    it("isn't the server's fault when its head can't be written", async () => {
+        const rig = createRig();
+        const { seen } = send(rig);
+        await settle();
+        rig.arrived[0]!.onFault({ kind: "unsendable", detail: "two hosts" });
+        await settle();
+        expect(seen.fault).to.deep.equal({ kind: "withdrawn", detail: "two hosts" });
+    });
+
     // guards against servers that are blamed, or requests quarantined, for a link between instances
     it("isn't the server's fault when the link breaks in the middle of the answer", async () => {
         const rig = createRig();
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { Attempt, ServerConnections } from "../serving/serverConnections.js";
+import type { Attempt, AttemptFault, ServerConnections } from "../serving/serverConnections.js";
 import type { BackendServer, ServerRunId } from "../serving/types.js";
 import type { Clock, Milliseconds } from "../shared/index.js";
 import type { AttemptEvent, ForwardingMessage, StartMessage } from "./messages.js";
@@ -123,7 +123,7 @@
                     onFault: fault =>
                         add(entry, {
                             kind: "fault",
-                            fault: { kind: fault.kind === "rerouted" ? "notSent" : fault.kind, detail: fault.detail },
+                            fault: { kind: describeFaultKind(fault), detail: fault.detail },
                         }),
                 },
             );
@@ -142,3 +142,18 @@
         },
     };
 }
+
+// the sender checks its requests itself; one of an older version doesn't know `unsendable`
+function describeFaultKind({ kind }: AttemptFault): Exclude<AttemptFault["kind"], "rerouted" | "unsendable"> {
+    switch (kind) {
+        case "rerouted":
+            return "notSent";
+        case "unsendable":
+            return "withdrawn";
+        case "notSent":
+        case "withdrawn":
+        case "broken":
+        case "crossed":
+            return kind;
+    }
+}
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { PeerNetwork } from "../peers/index.js";
+import { findRequestFault } from "../serving/requestCheck.js";
 import type {
     Attempt,
     AttemptFault,
@@ -226,7 +227,9 @@
     return {
         send: (request, handlers) => {
             const isSmall = (request.body?.length ?? 0) <= maximumBodyBytes;
-            const helper = isCutOff && isSmall ? pickHelper() : undefined;
+            // what can't be sent is a fault of the request, not of a helper that would refuse it
+            const isSendable = findRequestFault(request) === undefined;
+            const helper = isCutOff && isSmall && isSendable ? pickHelper() : undefined;
             return helper === undefined ? sendDirectly(request, handlers) : sendThrough(helper, request, handlers);
         },
         remove: run => {
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -56,7 +56,7 @@
 const faultSchema = z.object({
     kind: z.enum(["notSent", "withdrawn", "broken", "crossed"]),
     detail: textSchema,
-}) satisfies z.ZodType<Exclude<AttemptFault, { readonly kind: "rerouted"; }>>;
+}) satisfies z.ZodType<Exclude<AttemptFault, { readonly kind: "rerouted" | "unsendable"; }>>;
 const eventSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("head"), head: headSchema }),
     z.object({ kind: z.literal("data"), chunk: bytes }),
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -36,6 +36,8 @@
     readonly body: string;
     readonly end: "end" | "destroyed" | "open";
     readonly aborted: number;
+    /** Failures that were marked against servers. */
+    readonly failures: number;
     /** Times that the account's quota was asked for units. */
     readonly quotaUses: number;
     /** Units that were given back. */
@@ -134,6 +136,8 @@
     }
     const sent: AttemptRequest[] = [];
     let aborted = 0;
+    const records = createServerRecords();
+    let failures = 0;
     const written: string[] = [];
     let status: number | undefined;
     let end: CaseResult["end"] = "open";
@@ -179,7 +183,13 @@
             },
             failureDomain: "a",
             servers,
-            records: createServerRecords(),
+            records: {
+                ...records,
+                markFailure: (...failure) => {
+                    failures++;
+                    records.markFailure(...failure);
+                },
+            },
             connections: {
                 send: (attempt, handlers) => {
                     const runScript = requestCase.attempts[sent.length];
@@ -227,7 +237,7 @@
         setTimeout(() => leaving.abort(), requestCase.disconnectAfter);
     }
     const report = await running;
-    return { report, sent, status, body: written.join(""), end, aborted, quotaUses, returnedUnits };
+    return { report, sent, status, body: written.join(""), end, aborted, failures, quotaUses, returnedUnits };
 }
 
 const sendComplete = (body: string): AttemptScript => handlers => {
@@ -251,6 +261,18 @@
         expect(outcome.sent[0]!.body!.toString()).to.equal("body");
     });
 
+    // guards against a request that can't be sent and is tried at one server after the other, which all get a mark
+    it("is answered 400 after one attempt when its head can't be written", async () => {
+        const refuse: AttemptScript = handlers => handlers.onFault({ kind: "unsendable", detail: "two hosts" });
+        const outcome = await runCase({ attempts: [refuse] });
+        expect([outcome.status, outcome.sent.length, outcome.failures]).to.deep.equal([400, 1, 0]);
+        expect(outcome.report).to.deep.include({ outcome: "refused", reason: "two hosts", servers: [] });
+        const unreached = await runCase({
+            attempts: [handlers => handlers.onFault({ kind: "notSent", detail: "" }), sendComplete("x")],
+        });
+        expect([unreached.status, unreached.failures]).to.deep.equal([200, 1]);
+    });
+
     it("is refused with an unknown key, and with any key while the configuration is too old", async () => {
         const unknown = await runCase({ key: "other", attempts: [] });
         expect([unknown.status, unknown.sent.length]).to.deep.equal([401, 0]);
--- a/src/serving/outcomePolicy.ts
+++ b/src/serving/outcomePolicy.ts
@@ -55,7 +55,16 @@
  * @returns `false` when no byte was sent, so that the attempt doesn't count
  */
 export function hasSentBytes(fault: AttemptFault): boolean {
-    return fault.kind !== "notSent" && fault.kind !== "withdrawn" && fault.kind !== "rerouted";
+    switch (fault.kind) {
+        case "notSent":
+        case "unsendable":
+        case "withdrawn":
+        case "rerouted":
+            return false;
+        case "broken":
+        case "crossed":
+            return true;
+    }
 }
 
 /**
@@ -92,6 +101,9 @@
 }
 
 function decideAfterFault(fault: AttemptFault, progress: RequestProgress): NextStep {
+    if (fault.kind === "unsendable") {
+        return { kind: "fail", isNotRun: true };
+    }
     if (!hasSentBytes(fault)) {
         return { kind: "repeat", isBudgetExempt: true, mayHaveRun: progress.mayHaveRun };
     }
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -16,12 +16,13 @@
 
 /**
  * How an attempt ended: `complete` when the whole response was delivered, `repeat` when the request may be sent again,
- * `failed` when it may not, `timeout` at the deadline of the request, and `clientLeft` when the client disconnected.
+ * `failed` when it may not, `unsendable` when no server can be sent it, `timeout` at the deadline of the request, and `clientLeft` when the client disconnected.
  */
 export type AttemptOutcome =
     | { readonly kind: "complete"; }
     | { readonly kind: "repeat"; }
     | { readonly kind: "failed"; readonly reason: string; }
+    | { readonly kind: "unsendable"; readonly reason: string; }
     | { readonly kind: "timeout"; }
     | { readonly kind: "clientLeft"; };
 
@@ -224,6 +225,10 @@
             if (!hasSentBytes(fault)) {
                 state.triedServers.delete(run);
             }
+            if (fault.kind === "unsendable") {
+                finish({ kind: "unsendable", reason: fault.detail });
+                return;
+            }
             applyStep(decideNextStep({ kind: "fault", fault }, describeProgress()), `${fault.kind} ${fault.detail}`);
         };
         const handleEnd = (): void => {
@@ -271,6 +276,7 @@
 
 function isServerFault(fault: AttemptFault): boolean {
     switch (fault.kind) {
+        case "unsendable":
         case "withdrawn":
         case "rerouted":
             return false;
@@ -286,6 +292,7 @@
     switch (fault.kind) {
         case "notSent":
             return "unreachable";
+        case "unsendable":
         case "withdrawn":
         case "rerouted":
             return "unknown";
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -16,6 +16,7 @@
 
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
+const badRequestStatus = 400;
 const serviceUnavailableStatus = 503;
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
@@ -183,6 +184,8 @@
                 return finishWithoutResponse(parts, state, "timeout");
             case "failed":
                 return finishWithoutResponse(parts, state, end.reason);
+            case "unsendable":
+                return refuseUnsendable(parts, state, end.reason);
             case "repeat":
                 break;
         }
@@ -293,6 +296,15 @@
     return finishWithoutResponse(parts, state, reason, remaining);
 }
 
+function refuseUnsendable(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
+    if (state.mayHaveRun || state.headSentAt !== undefined) {
+        return finishWithoutResponse(parts, state, reason);
+    }
+    state.lastFault = reason;
+    sendStatus(parts, state, badRequestStatus, undefined);
+    return "refused";
+}
+
 function finishWithoutResponse(
     parts: RequestParts,
     state: RequestState,
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -8,6 +8,7 @@
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import type { LoopGate } from "./loopDelay.js";
+import { findRequestFault } from "./requestCheck.js";
 import {
     type BackendServer,
     formatServerRunId,
@@ -22,6 +23,8 @@
     | { readonly kind: "notSent"; readonly detail: string; }
     /** No byte of the request was sent, because the server takes no more requests. */
     | { readonly kind: "withdrawn"; readonly detail: string; }
+    /** No byte of the request was sent, and none can be sent to any server: its head can't be written. */
+    | { readonly kind: "unsendable"; readonly detail: string; }
     /** No byte of the request was sent, because this instance reaches no server at present, while others do. */
     | { readonly kind: "rerouted"; readonly detail: string; }
     /**
@@ -97,6 +100,8 @@
 const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
 const connectTimeoutMilliseconds = 400;
 const lowestFinalStatus = 200;
+/** Codes of the errors with which undici refuses a request that it can't write. */
+const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /**
  * Times that a request waits for the events that wait: before it is dispatched, and once it has a connection. It is then
  * written, as a loop counts as late for longer than some requests may take.
@@ -133,11 +138,22 @@
     };
     const getPoolFor = ({ server, wasRefused }: AttemptRequest): Pool =>
         wasRefused ? createPool(server, { connections: 1, maxRequestsPerClient: 1 }) : getPool(server);
+    const replacePool = (run: ServerRunId, pool: Pool): void => {
+        if (pools.get(run) === pool) {
+            pools.delete(run);
+        }
+        void pool.close();
+    };
     return {
-        send: (request, handlers) =>
-            options.mayReceive(formatServerRunId(request.server))
-                ? sendAttempt(getPoolFor(request), options, { resetDetector, unsentAttempts }, request, handlers)
-                : withdrawAttempt(handlers),
+        send: (request, handlers) => {
+            const fault = findRequestFault(request);
+            if (fault !== undefined) {
+                return refuseAttempt(handlers, { kind: "unsendable", detail: fault });
+            }
+            return options.mayReceive(formatServerRunId(request.server))
+                ? sendAttempt(options, { getPoolFor, replacePool, resetDetector, unsentAttempts }, request, handlers)
+                : refuseAttempt(handlers, withdrawnFault);
+        },
         remove: run => {
             const pool = pools.get(run);
             pools.delete(run);
@@ -210,17 +226,19 @@
     };
 }
 
-// for a server that was selected before it became known that it takes no more requests
-function withdrawAttempt(handlers: AttemptHandlers): Attempt {
+// for a request that can't be sent, or a server that was selected before it became known that it takes no more requests
+function refuseAttempt(handlers: AttemptHandlers, fault: AttemptFault): Attempt {
     let isAborted = false;
-    queueMicrotask(() => isAborted || handlers.onFault(withdrawnFault));
+    queueMicrotask(() => isAborted || handlers.onFault(fault));
     return { abort: () => isAborted = true, pause: () => undefined, resume: () => undefined };
 }
 
 function sendAttempt(
-    pool: Pool,
     options: ServerConnectionsOptions,
-    { resetDetector, unsentAttempts }: {
+    { getPoolFor, replacePool, resetDetector, unsentAttempts }: {
+        readonly getPoolFor: (request: AttemptRequest) => Pool;
+        /** Has later requests use another pool than this one. */
+        readonly replacePool: (run: ServerRunId, pool: Pool) => void;
         readonly resetDetector: ResetDetector;
         readonly unsentAttempts: UnsentAttempts;
     },
@@ -228,6 +246,11 @@
     handlers: AttemptHandlers,
 ): Attempt {
     const run = formatServerRunId(request.server);
+    const pool = getPoolFor(request);
+    // whether undici is being handed the request
+    let isDispatching = false;
+    // whether undici has had a connection for the request
+    let hasConnection = false;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
     // whether a connected socket may be written to now, as all events that waited have been handled
@@ -252,6 +275,7 @@
     const handler: Dispatcher.DispatchHandler = {
         // undici calls this on a connected socket, immediately before it writes the first byte
         onRequestStart: started => {
+            hasConnection = true;
             if (!isOver && !options.mayReceive(run)) {
                 withdraw();
             }
@@ -299,11 +323,18 @@
                 sendChecked();
                 return;
             }
-            const detail = (error as NodeJS.ErrnoException).code ?? error.message;
-            finish(() => handlers.onFault({ kind: controller ? "broken" : "notSent", detail }));
+            const isRefused = !hasConnection && isRefusal(error);
+            if (isRefused || (isDispatching && !hasConnection)) {
+                // the pool doesn't use the connection again that it chose for the request
+                replacePool(run, pool);
+            }
+            const detail = isRefused ? error.message : (error as NodeJS.ErrnoException).code ?? error.message;
+            const kind = isRefused ? "unsendable" : controller ? "broken" : "notSent";
+            finish(() => handlers.onFault({ kind, detail }));
         },
     };
     const send = (): void => {
+        isDispatching = true;
         pool.dispatch(
             {
                 path: request.target,
@@ -314,6 +345,7 @@
             },
             handler,
         );
+        isDispatching = false;
     };
     const sendChecked = (): void => {
         checks++;
@@ -336,6 +368,10 @@
     return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
 }
 
+function isRefusal(error: Error): boolean {
+    return refusalCodes.has((error as NodeJS.ErrnoException).code ?? "");
+}
+
 // a refusal is believed only when it names this request: it may be a second copy of an answer to an earlier one
 function isOwnResponse(head: ServerResponseHead, request: AttemptRequest): boolean {
     return head.attemptId === request.attemptId || (head.attemptId === undefined && !head.isNotRun);
