fix(adapters): a release of a shard by an instance that has sent no order is taken again

Cause: the range given to ages refused the largest safe integer, which says in this message that no order was sent, from builds before this one too; the new holder then waited for the whole lease. Change: the field's own range. fleet.test.ts and messageRanges.test.ts: 21 passed.

--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -9,7 +9,6 @@
 import type { PlaceOutcome, ServerRunId, SoftwareVersion } from "../serving/types.js";
 import {
     addressSchema,
-    ageSchema,
     amountSchema,
     createListSchema,
     type Milliseconds,
@@ -186,7 +185,8 @@
         kind: z.literal("released"),
         shard: shardNumberSchema,
         generation: ordinalSchema,
-        sinceLastOrder: ageSchema,
+        // the largest safe integer where it has sent none
+        sinceLastOrder: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
     }),
 ]);
 
