fix(serving): a drain doesn't cut off an answer that is complete here and not yet sent

What callers saw: 2.5 s after the SIGTERM of an instance a client that reads slowly lost the rest of an answer which its server had ended, so that no server was at work on it (LOST).

Cause: the close of the HTTP server also destroys the connections that it takes for idle, among them those whose answer was ended and whose bytes still wait to be sent. A drain only wants to stop listening.

--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -92,6 +92,26 @@
         expect(await answer).to.match(/first\r\n0\r\n\r\n$/);
     });
 
+    // guards against a drain that cuts off an answer which is complete here and which its client reads slowly (LOST)
+    it("sends the rest of a complete answer to a client that reads slowly while it drains", async () => {
+        const size = 8_000_000;
+        const { server, port, drain } = await openServer(({ answer }) => {
+            answer.writeHead(200, [], size);
+            answer.write(Buffer.alloc(size, "x"));
+            answer.end();
+        });
+        const socket = connect(port, "127.0.0.1");
+        socket.write("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        await new Promise(resolve => socket.once("readable", resolve));
+        drain();
+        server.drain();
+        expect(server.countOpen()).to.equal(1);
+        await new Promise(resolve => setTimeout(resolve, 50));
+        const answer = await collectResponse(socket);
+        expect(answer.length - answer.indexOf("\r\n\r\n") - 4).to.equal(size);
+        expect(server.countOpen()).to.equal(0);
+    });
+
     it("closes the connection without the last chunk when a response is destroyed", async () => {
         const { server, port } = await openServer(({ answer }) => {
             answer.writeHead(200, [], undefined);
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, Server as ListeningServer } from "node:net";
 import restana from "restana";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
@@ -129,11 +129,15 @@
         countOpen: connections.countRequests,
         countPartial: connections.countPartial,
         drain: () => {
-            server.close();
+            // that of the HTTP server would also close connections whose answer is complete and not yet sent
+            ListeningServer.prototype.close.call(server);
             connections.closeUnused();
         },
         refuseUnread: () => connections.listUnread().forEach(unread => refuseUnread(options, unread)),
-        close: () => server.closeAllConnections(),
+        close: () => {
+            server.closeAllConnections();
+            server.close();
+        },
     };
 }
 
