fix(serving): a draining connection is closed after the last request that was read on it, not after the next answer

What callers saw: a request that was read and passed on ends without an answer, as the connection was closed at the end of the answer before it (LOST).

Cause: during a drain each answer closes its connection, by Connection: close or at its end, without a look at requests that have come on it since. One that comes after the connection was ended isn't passed on any more.

Evidence: clientServer.test.ts, two requests on one connection: one answer before, both after.

--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -112,6 +112,32 @@
         expect(server.countOpen()).to.equal(0);
     });
 
+    // guards against a connection that is closed after its answer though one more request on it was passed on (LOST)
+    it("answers each request that it has read on a connection before it closes it while it drains", async () => {
+        const waiting: (() => void)[] = [];
+        const { server, port, received, drain } = await openServer(({ answer, target }) => {
+            waiting.push(() => {
+                answer.writeHead(200, [], target.length);
+                answer.write(Buffer.from(target));
+                answer.end();
+            });
+        });
+        const socket = connect(port, "127.0.0.1");
+        const answer = collectResponse(socket);
+        socket.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        while (received.length < 2) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        drain();
+        server.drain();
+        waiting[0]!();
+        await new Promise(resolve => setTimeout(resolve, 50));
+        waiting[1]!();
+        const text = await answer;
+        expect(text.match(/HTTP\/1.1 200 OK/g)).to.have.length(2);
+        expect(text).to.match(/\/1HTTP[^]*Connection: close[^]*\/2$/);
+    });
+
     it("closes the connection without the last chunk when a response is destroyed", async () => {
         const { server, port } = await openServer(({ answer }) => {
             answer.writeHead(200, [], undefined);
--- a/src/serving/clientConnections.ts
+++ b/src/serving/clientConnections.ts
@@ -19,6 +19,8 @@
     readonly addRequest: (request: IncomingMessage, response: ServerResponse) => void;
     /** Returns the number of requests that have no complete response yet. */
     readonly countRequests: () => number;
+    /** Returns the number of requests on one connection that have no complete response yet. */
+    readonly countRequestsOn: (socket: Socket) => number;
     /** Returns the number of connections on which a part of the head of a request has come. */
     readonly countPartial: () => number;
     /** Closes the connections on which nothing has come since the last request. */
@@ -62,6 +64,7 @@
             });
         },
         countRequests: () => open.size,
+        countRequestsOn: socket => connections.get(socket)?.requests ?? 0,
         countPartial: () => [...connections].filter(([socket, state]) => hasPart(socket, state)).length,
         closeUnused: () =>
             [...connections]
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -105,10 +105,20 @@
         server.emit("request", request, response);
     });
     const receive = (request: IncomingMessage, response: ServerResponse): void => {
+        const { socket } = request;
+        // it has crossed the end of its connection, on which it can't be answered
+        if (socket.writableEnded) {
+            return;
+        }
         connections.addRequest(request, response);
         // a response whose head was sent before the drain has no `Connection: close` header
-        response.once("finish", () => options.isDraining() && request.socket.destroySoon());
-        callGuarded("read request", () => receiveRequest(options, request, response), () => failResponse(response));
+        const isLast = (): boolean => options.isDraining() && connections.countRequestsOn(socket) <= 1;
+        response.once("finish", () => isLast() && socket.destroySoon());
+        callGuarded(
+            "read request",
+            () => receiveRequest(options, request, response, isLast),
+            () => failResponse(response),
+        );
     };
     const service = restana({ server, defaultRoute: receive as never });
     server.on("connection", connections.addSocket);
@@ -149,7 +159,12 @@
     }
 }
 
-function receiveRequest(options: ClientServerOptions, request: IncomingMessage, response: ServerResponse): void {
+function receiveRequest(
+    options: ClientServerOptions,
+    request: IncomingMessage,
+    response: ServerResponse,
+    isLast: () => boolean,
+): void {
     const limits = options.findLimits();
     if (limits && measureHeaderBytes(request.rawHeaders) > limits.headerBytes) {
         refuseEarly(response, headerTooLargeStatus);
@@ -176,7 +191,7 @@
             target: request.url ?? "/",
             rawHeaders: request.rawHeaders,
             body: size === 0 ? undefined : Buffer.concat(chunks),
-            answer: createClientResponse(response, options.isDraining),
+            answer: createClientResponse(response, isLast),
             signal: leaving,
         };
         startTask("request", () => handleReceived(options, received), () => failResponse(response));
@@ -235,7 +250,7 @@
     return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
 }
 
-function createClientResponse(response: ServerResponse, isDraining: () => boolean): ClientResponse {
+function createClientResponse(response: ServerResponse, isLast: () => boolean): ClientResponse {
     return {
         writeHead: (status, headers, contentLength) => {
             if (response.destroyed || response.headersSent) {
@@ -245,7 +260,7 @@
             if (contentLength !== undefined) {
                 all.push("Content-Length", String(contentLength));
             }
-            if (isDraining()) {
+            if (isLast()) {
                 all.push("Connection", "close");
             }
             response.writeHead(status, all);
