test(serving): ports that are opened again have an address of their own

Cause: the port was closed during the cut, and an outgoing connection had taken it, as those begin at 127.0.0.1, too. Links and instances of the tests listen on a loopback address of the test process now, at which no connection begins (seen by a connection to such an address).

--- a/src/serving/__tests__/leavingClientsWorker.ts
+++ b/src/serving/__tests__/leavingClientsWorker.ts
@@ -5,6 +5,7 @@
 import { createServer } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import { parentPort, workerData } from "node:worker_threads";
+import { testHost } from "./testHost.js";
 
 /** Settings of the thread. */
 export interface LeavingClientsOptions {
@@ -50,7 +51,7 @@
 function sendAndLeave(index: number): void {
     const id = `r${index}`;
     const [shortest, longest] = options.leaveAfter;
-    const socket = connect(options.clientPort, "127.0.0.1");
+    const socket = connect(options.clientPort, testHost);
     socket.on("error", () => undefined);
     socket.write(`POST /lookup/x HTTP/1.1\r\nhost: a\r\nid: ${id}\r\nkey: acme-key\r\ncontent-length: 4\r\n\r\nbody`);
     setTimeout(() => {
--- a/src/serving/__tests__/testClient.ts
+++ b/src/serving/__tests__/testClient.ts
@@ -2,6 +2,7 @@
  * Client of the tests over whole instances.
  */
 import { request as sendHttpRequest } from "node:http";
+import { testHost } from "./testHost.js";
 
 /** Requests that a client of the fleet sends. */
 export interface TestRequest {
@@ -61,7 +62,7 @@
             resolve({ ...answer, events: readEvents(text), took: performance.now() - sentAt });
         const sent = sendHttpRequest(
             {
-                host: "127.0.0.1",
+                host: testHost,
                 port,
                 method: "POST",
                 path,
--- a/src/serving/__tests__/testCuts.ts
+++ b/src/serving/__tests__/testCuts.ts
@@ -3,6 +3,7 @@
  */
 import { wrapError, wrapValue } from "../../shared/index.js";
 import type { KeyedRecord } from "../types.js";
+import { testHost } from "./testHost.js";
 import { createServerLinks, type ServerLinks } from "./testServers.js";
 import { type MemoryStore, pause } from "./testStore.js";
 
@@ -106,7 +107,8 @@
     readPort: (instance: number) => number | undefined,
 ): Promise<InstanceLinks> {
     const instances = Array.from({ length: count }, (unused, instance) => instance);
-    const createLink = (instance: number): Promise<ServerLinks> => createServerLinks([() => readPort(instance)]);
+    const createLink = (instance: number): Promise<ServerLinks> =>
+        createServerLinks([() => readPort(instance)], testHost);
     const links = await Promise.all(instances.map(() => Promise.all(instances.map(createLink))));
     const cutPairs = new Set<string>();
     const translateAddress = (reader: number, named: number): string => links[reader]![named]!.translate("server:0");
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -7,6 +7,7 @@
 import type { BackendServer, RecordCodec } from "../types.js";
 import { testCodec, testConfig } from "./testCodec.js";
 import { createFaultPoint, type FaultPoint } from "./testFaults.js";
+import { testHost } from "./testHost.js";
 import type { MemoryStore } from "./testStore.js";
 
 /** Settings of an instance. */
@@ -50,7 +51,7 @@
     const [clientPort, readyPort, peerPort, metricsPort] = ports;
     const instance = createServingInstance({
         instanceName: name,
-        host: "127.0.0.1",
+        host: testHost,
         failureDomain: "a",
         cores: 1,
         clientPort: clientPort!,
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -5,6 +5,7 @@
 import { type AddressInfo, connect, createServer as createNetServer, type Socket } from "node:net";
 import type { BackendServer } from "../types.js";
 import { firstTestAccount, testService } from "./testCodec.js";
+import { testHost } from "./testHost.js";
 import type { MemoryStore } from "./testStore.js";
 
 /** An arrival at a server. */
@@ -215,21 +216,25 @@
  * Creates the links of one instance.
  *
  * @param readPorts - present ports of the servers
+ * @param host - address of the servers
  * @returns the links
  */
-export async function createServerLinks(readPorts: readonly (() => number | undefined)[]): Promise<ServerLinks> {
-    const links = await Promise.all(readPorts.map(createServerLink));
+export async function createServerLinks(
+    readPorts: readonly (() => number | undefined)[],
+    host = "127.0.0.1",
+): Promise<ServerLinks> {
+    const links = await Promise.all(readPorts.map(readPort => createServerLink(readPort, host)));
     return {
         translate: address => {
             const index = links.findIndex((unused, server) => formatServerAddress(server) === address);
-            return `127.0.0.1:${links[index]!.port}`;
+            return `${testHost}:${links[index]!.port}`;
         },
         setCut: async cut => void await Promise.all(links.map(link => link.setCut(cut))),
         close: () => links.forEach(link => link.close()),
     };
 }
 
-async function createServerLink(readPort: () => number | undefined) {
+async function createServerLink(readPort: () => number | undefined, host: string) {
     const sockets = new Set<Socket>();
     const relay = createNetServer(near => {
         const serverPort = readPort();
@@ -237,7 +242,7 @@
             near.resetAndDestroy();
             return;
         }
-        const far = connect({ host: "127.0.0.1", port: serverPort });
+        const far = connect({ host, port: serverPort });
         for (const [socket, other] of [[near, far], [far, near]] as const) {
             sockets.add(socket);
             // a reset is passed on as one
@@ -249,7 +254,7 @@
             socket.pipe(other);
         }
     });
-    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, "127.0.0.1", resolve));
+    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, testHost, resolve));
     await listen(0);
     const { port } = relay.address() as AddressInfo;
     return {
@@ -286,7 +291,7 @@
     const ports = await Promise.all(
         probes.map(probe =>
             new Promise<number>(resolve =>
-                probe.listen(0, "127.0.0.1", () => resolve((probe.address() as AddressInfo).port))
+                probe.listen(0, testHost, () => resolve((probe.address() as AddressInfo).port))
             )
         ),
     );
