fix(serving): failures of one silence count once, so that a server is used again soon after it

What callers saw: `no server` (503) after a wait, seconds after servers that had fallen silent for a second had gone on.

Cause: the time for which a server is avoided doubled with each failure, and requests that wait for a connection to a silent server fail together: ten of them within 0.2 s had it avoided for 4 s, whether it was silent for 0.4 s or for good.

Change: it doubles only when the server fails again after it was used again. Failures while it is avoided belong to requests that were sent before; the time begins anew with the last of them.

--- a/src/serving/serverRecords.ts
+++ b/src/serving/serverRecords.ts
@@ -19,6 +19,8 @@
     failureRatio: number;
     failureRatioAt: Milliseconds;
     consecutiveFailures: number;
+    /** Times in a row that the server was avoided and failed again afterwards. */
+    avoidances: number;
     /** Time until which the server is used only when no other one is suitable. */
     avoidedUntil: Milliseconds;
 }
@@ -32,7 +34,8 @@
     readonly markSuccess: (run: ServerRunId, now: Milliseconds) => void;
     /**
      * Counts a failed request; the server is avoided for a time after several failures in a row, or after one severe
-     * failure. A request of which no byte could be sent is a severe failure.
+     * failure. A request of which no byte could be sent is a severe failure. Failures while it is avoided belong to
+     * requests that were sent before, and don't count as a further time.
      */
     readonly markFailure: (run: ServerRunId, isSevere: boolean, now: Milliseconds) => void;
 }
@@ -41,7 +44,7 @@
 const failureHalfLifeMilliseconds = 3_000;
 /** Weight of the newest request in the failure ratio. */
 const failureWeight = 0.2;
-/** Time for which a server is avoided at first; it doubles with each further failure up to the maximum. */
+/** Time for which a server is avoided at first; it doubles each time that it fails again afterwards, up to the maximum. */
 const initialAvoidanceMilliseconds = 500;
 const maximumAvoidanceMilliseconds = 4_000;
 /** Failures in a row after which a server is avoided; a single severe failure is enough. */
@@ -65,6 +68,7 @@
                 failureRatio: 0,
                 failureRatioAt: 0,
                 consecutiveFailures: 0,
+                avoidances: 0,
                 avoidedUntil: 0,
             };
             records.set(run, record);
@@ -79,6 +83,7 @@
             record.failureRatio = computeFailureRatio(record, now) * (1 - failureWeight);
             record.failureRatioAt = now;
             record.consecutiveFailures = 0;
+            record.avoidances = 0;
             record.avoidedUntil = 0;
         },
         markFailure: (run, isSevere, now) => {
@@ -87,14 +92,17 @@
             record.failureRatioAt = now;
             record.consecutiveFailures++;
             if (isSevere || record.consecutiveFailures >= failuresBeforeAvoidance) {
-                const doublings = Math.max(0, record.consecutiveFailures - (isSevere ? 1 : failuresBeforeAvoidance));
-                const avoidance = Math.min(maximumAvoidanceMilliseconds, initialAvoidanceMilliseconds * 2 ** doublings);
-                record.avoidedUntil = now + avoidance;
+                record.avoidances += record.avoidedUntil <= now ? 1 : 0;
+                record.avoidedUntil = now + computeAvoidance(record.avoidances);
             }
         },
     };
 }
 
+function computeAvoidance(avoidances: number): Milliseconds {
+    return Math.min(maximumAvoidanceMilliseconds, initialAvoidanceMilliseconds * 2 ** (avoidances - 1));
+}
+
 /**
  * Computes the failure ratio of a server, which decays exponentially while no requests are sent to it.
  *
