fix(adapters): an adapter is loaded on an avoided engine where all engines are avoided

What callers saw: `no server` (503) after a wait of 3,010 ms, although the servers had gone on a second earlier. That this is the cause in the record is likely, not shown: it has no line of the loads.

Cause: an avoided engine was never one for a load, though "avoided" means "used when there is no other". After a silence of all engines their holders found none for an adapter that was resident nowhere, until the first avoidance was over or a request for something resident had succeeded there.

Change: where all engines are avoided they are candidates, and the holder answers `busy` with a load above that of any full engine, so that requests go to other holders first.

Evidence: engineSelection.test.ts, all 13 engines avoided: `none` before, `load` now; with one of them back, that one.

--- a/src/adapters/__tests__/engineSelection.test.ts
+++ b/src/adapters/__tests__/engineSelection.test.ts
@@ -2,7 +2,7 @@
 import { createServerRecords, type ServerRecords } from "../../serving/serverRecords.js";
 import { type BackendServer, formatServerRunId } from "../../serving/types.js";
 import { createSeededRandom } from "../../shared/index.js";
-import { type EngineSelection, selectEngine, sumEngineLoad } from "../engineSelection.js";
+import { computeLowestLoad, type EngineSelection, selectEngine, sumEngineLoad } from "../engineSelection.js";
 import { createResidencyIndex, type ResidencyIndex } from "../residencyIndex.js";
 
 const engineCount = 13;
@@ -110,6 +110,17 @@
         expect(picked.kind === "load" && picked.server.id).not.to.equal("i-4");
     });
 
+    // guards against requests that wait in vain for engines that were all silent a moment ago and have gone on
+    it("loads the adapter on an avoided engine when all are avoided, and on another one while there is one", () => {
+        const fleet = createFleet();
+        servers.forEach(server => fleet.records.markFailure(formatServerRunId(server), true, 0));
+        expect(fleet.select("a1").kind).to.equal("load");
+        expect(computeLowestLoad(servers, fleet.records, 0)).to.be.above(1);
+        fleet.records.markSuccess("i-4/1", 0);
+        expect(expectServer(fleet.select("a1")).id).to.equal("i-4");
+        expect(computeLowestLoad(servers, fleet.records, 0)).to.equal(0);
+    });
+
     it("selects no engine whose version is too old", () => {
         const fleet = createFleet();
         loadAdapter(fleet, servers[4]!, "a1", 1);
--- a/src/adapters/engineSelection.ts
+++ b/src/adapters/engineSelection.ts
@@ -49,6 +49,8 @@
 const preferredLoadFactor = 1.25;
 /** Load up to which a preferred engine is chosen whatever the mean load is; 1 is a full engine. */
 const minimumPreferredLoad = 0.1;
+/** Load that an avoided engine is counted with in addition; 1 is a full engine. */
+const avoidedLoad = 10;
 
 /**
  * Selects the engine for one request.
@@ -69,7 +71,7 @@
     const resident = selectResident(input, key);
     const preferredLoadLimit = Math.max(minimumPreferredLoad, input.meanLoad * preferredLoadFactor);
     const replicaLoadLimit = Math.min(1, Math.max(minimumReplicaLoad, input.meanLoad * replicaLoadFactor));
-    const isHealthy = resident && input.records.getRecord(formatServerRunId(resident)).avoidedUntil <= input.now;
+    const isHealthy = resident && !isAvoided(input, resident);
     if (isHealthy && computeEngineLoad(input, resident) < replicaLoadLimit) {
         return describeResident(input, resident, key);
     }
@@ -86,11 +88,11 @@
 }
 
 function describeUnsuitable(input: EngineSelectionInput, candidate: BackendServer | undefined): EngineSelection {
-    const hasEngine = input.servers.some(server => isCandidate(input, server));
+    const engines = input.servers.filter(server => isLoadable(input, server));
     if (!input.isLoadIgnored) {
-        return { kind: hasEngine || candidate ? "busy" : "none" };
+        return { kind: engines.length > 0 || candidate ? "busy" : "none" };
     }
-    return { kind: hasEngine ? "full" : "none" };
+    return { kind: engines.some(server => !isAvoided(input, server)) ? "full" : "none" };
 }
 
 function describeResident(input: EngineSelectionInput, server: BackendServer, key: AdapterKey): EngineSelection {
@@ -109,10 +111,22 @@
     return chooseServer({ ...input, servers });
 }
 
-function isCandidate(input: EngineSelectionInput, server: BackendServer): boolean {
+function isLoadable(input: EngineSelectionInput, server: BackendServer): boolean {
     const run = formatServerRunId(server);
     return !input.excluded.has(run) && input.isOrderAllowed(server) &&
-        input.residency.hasModel(run, input.choice.model) && input.records.getRecord(run).avoidedUntil <= input.now;
+        input.residency.hasModel(run, input.choice.model);
+}
+
+function isAvoided({ records, now }: Pick<EngineSelectionInput, "records" | "now">, server: BackendServer): boolean {
+    return records.getRecord(formatServerRunId(server)).avoidedUntil > now;
+}
+
+// engines that were all silent a moment ago may be back, and without a load the request would wait in vain
+function listLoadCandidates(input: EngineSelectionInput): readonly BackendServer[] {
+    const loadable = input.servers.filter(server => isLoadable(input, server));
+    const healthy = loadable.filter(server => !isAvoided(input, server));
+    const engines = healthy.length === 0 && input.isLoadIgnored ? loadable : healthy;
+    return engines.filter(server => !input.isUnavailableForLoad(formatServerRunId(server)));
 }
 
 function selectLoadTarget(
@@ -120,9 +134,7 @@
     key: AdapterKey,
     preferredLoadLimit: number,
 ): BackendServer | undefined {
-    const candidates = input.servers.filter(server =>
-        isCandidate(input, server) && !input.isUnavailableForLoad(formatServerRunId(server))
-    );
+    const candidates = listLoadCandidates(input);
     // engines that have the adapter are used only if there are no others: they can't replace an outdated version before
     // the last request that uses it has ended
     const holding = input.residency.listEngines(key);
@@ -154,7 +166,7 @@
     records: ServerRecords,
     now: Milliseconds,
 ): { readonly requests: number; readonly slots: number; } {
-    const healthy = servers.filter(server => records.getRecord(formatServerRunId(server)).avoidedUntil <= now);
+    const healthy = servers.filter(server => !isAvoided({ records, now }, server));
     const counted = healthy.length > 0 ? healthy : servers;
     return {
         requests: counted.reduce((sum, server) => sum + records.getRecord(formatServerRunId(server)).inFlight, 0),
@@ -163,7 +175,8 @@
 }
 
 /**
- * Computes the load of the emptiest engine.
+ * Computes the load of the emptiest engine. An avoided one counts as fuller than any other, so that a request goes to it
+ * only when no holder has another one.
  *
  * @param servers - the engines
  * @param records - their requests
@@ -175,7 +188,10 @@
     records: ServerRecords,
     now: Milliseconds,
 ): number {
-    return Math.min(...servers.map(server => computeLoad(server, records.getRecord(formatServerRunId(server)), now)));
+    return Math.min(...servers.map(server => {
+        const load = computeLoad(server, records.getRecord(formatServerRunId(server)), now);
+        return isAvoided({ records, now }, server) ? load + avoidedLoad : load;
+    }));
 }
 
 function findLeastLoaded(input: EngineSelectionInput, servers: readonly BackendServer[]): BackendServer | undefined {
