fix(serving): a connection stays open for as long as its client may use it when the idle time-out changes

What callers saw: a connection that was idle when the idle time-out was raised is closed at the old, shorter one, while its client may use it by the new one; a request that meets the close is lost and has to be sent again on a new connection.

Cause: the HTTP server sets a connection's timer at the end of its last response. A change of the setting reached only later responses; and a stream that had begun before a lower setting, whose head tells the longer time, ended by the lower one.

Change: a raised time-out is applied to connections that are idle, counted from their last response. A lowered one holds from the next response whose head tells it.

--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
 import { createConnectionTable, type OpenRequest } from "./clientConnections.js";
+import { createIdleTimeouts } from "./idleTimeouts.js";
 import type { LoopGate } from "./loopDelay.js";
 import type { ClientResponse } from "./requestState.js";
 import type { ClientLimits } from "./types.js";
@@ -100,6 +101,7 @@
         requestTimeout: 0,
         connectionsCheckingInterval: 1_000,
     });
+    const idleTimeouts = createIdleTimeouts(server, () => performance.now());
     server.on("checkContinue", (request: IncomingMessage, response: ServerResponse) => {
         response.writeContinue();
         server.emit("request", request, response);
@@ -124,7 +126,7 @@
             }),
         update: limits => {
             server.headersTimeout = limits.headerTimeout;
-            server.keepAliveTimeout = limits.idleTimeout + idleMarginMilliseconds;
+            idleTimeouts.update(limits.idleTimeout + idleMarginMilliseconds);
         },
         countOpen: connections.countRequests,
         countPartial: connections.countPartial,
