fix(serving): a connection to a server that accepts nothing is given up after 0.4 s, not after a second

What callers saw: while all servers of a service are silent, a request that needs a new connection waits for a second at each server, so that it reaches its deadline (504) or is refused (503) at the second one, though the others have gone on.

Cause: the connector was told 400 ms, and undici counts such times with a timer that ticks each half second: 12 of 12 connections to a listener whose queue was full were given up after 998 to 1,006 ms.

Change: a timer of the program. After a pause of the process it waits for one turn of the loop, as undici's does: the connection may have been made meanwhile.

With the timer alone a pause of 0.8 s counts as a server that isn't reached; with the turn of the loop it doesn't.

--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
@@ -208,24 +209,41 @@
 // arrives together with the last bytes as an ordinary end. The listeners run before those of undici and mark the reset
 // until the end has been handled; a socket that was reset no longer has a remote address
 function createResetDetector(): ResetDetector {
-    const connectSocket = buildConnector({ timeout: connectTimeoutMilliseconds });
+    // the timers of undici are up to a second late
+    const connectSocket = buildConnector({ timeout: 0 });
     let isResetting = false;
     const markReset = (): void => {
         isResetting = true;
         queueMicrotask(() => isResetting = false);
     };
     return {
-        connect: (connectOptions, callback) =>
-            connectSocket(connectOptions, (...result) => {
+        connect: (connectOptions, callback) => {
+            // the types don't tell that the connector returns its socket
+            const opened: unknown = connectSocket(connectOptions, (...result) => {
                 const socket = result[1];
                 socket?.prependListener("error", markReset);
                 socket?.prependListener("end", () => socket.remoteAddress ?? markReset());
                 callback(...result);
-            }),
+            });
+            limitConnecting(opened as Socket);
+        },
         isResetting: () => isResetting,
     };
 }
 
+function createConnectError(): NodeJS.ErrnoException {
+    return Object.assign(new Error("no connection in time"), { code: "UND_ERR_CONNECT_TIMEOUT" });
+}
+
+// after a pause of this process the timer is due before it is known that the connection was made
+function limitConnecting(socket: Socket): void {
+    const endConnecting = (): void => void (socket.connecting && socket.destroy(createConnectError()));
+    const timer = setTimeout(() => setImmediate(endConnecting), connectTimeoutMilliseconds);
+    const stopTimer = (): void => clearTimeout(timer);
+    socket.once("connect", stopTimer);
+    socket.once("close", stopTimer);
+}
+
 /** Attempts that wait for a connection, by the run of their server. */
 interface UnsentAttempts {
     readonly add: (run: ServerRunId, end: AttemptEnder) => void;
