test(platform): configurations that change while all servers are silent end no answer in progress

Three machines of the delivered program, 45 clients that keep their connections, streams of up to 12 s (resumable on engines, others) and plain requests, safe and unsafe. All servers (a process of their own, stopped by a signal, its queues full) are silent four times for 1 to 1.3 s, with or without their entries lapsing; within half a second of each a version changes idle time-outs, time-outs, routes (moved, split, removed, added) or quotas and a key, and a machine gets a SIGHUP. From outside: what was passed on, or waits for longer than loss_slack_ms, has its whole answer unless its time-out was over; no success is short; no 503 of what a server ran and may not repeat; an answer at the time-out.

--- a/src/platform/__tests__/delivered/wireConfiguration.ts
+++ b/src/platform/__tests__/delivered/wireConfiguration.ts
@@ -120,6 +120,84 @@
     return JSON.stringify({ ...plain, services: [...plain.services, { name: engineService, engine }] });
 }
 
+/** Services of the play of changes: two plain ones and engines. */
+export const changedServices = { app: "app", other: "other", engine: "llm" } as const;
+/** Client accounts of the play of changes, and their keys. */
+export const changedAccounts = { acme: "acme-key", bolt: "bolt-key" } as const;
+
+/** What the changes of a play change. */
+export interface ChangedValues {
+    readonly version: number;
+    readonly idleTimeout: number;
+    /** Time-out of all routes. */
+    readonly timeout: number;
+    /** Weights of the two plain services on the routes that are moved and split. */
+    readonly weights: readonly [app: number, other: number];
+    /** Whether the routes are there that come and go. */
+    readonly hasSpare: boolean;
+    /** Requests a second of each account. */
+    readonly rate: number;
+    /** Whether the second account has its key. */
+    readonly hasKey: boolean;
+}
+
+/** Routes of the play of changes; those named `spare` come and go, and all but the drafts are moved and split. */
+export const changedRoutes = {
+    stock: { path: "/stock/", kind: "safe" },
+    order: { path: "/order/", kind: "unsafe" },
+    draft: { path: "/draft/", kind: "stream" },
+    note: { path: "/note/", kind: "stream" },
+    spare: { path: "/spare/", kind: "safe" },
+    spareNote: { path: "/spare-note/", kind: "stream" },
+} as const;
+
+/**
+ * Encodes a version of the configuration of a play of changes.
+ *
+ * @param values - what the changes change
+ * @returns value of the record
+ */
+export function createChangedConfiguration(values: ChangedValues): string {
+    const { app, other, engine } = changedServices;
+    const split = values.weights.map((weight, index) => ({ service: [app, other][index], weight }));
+    const names = Object.keys(changedRoutes) as (keyof typeof changedRoutes)[];
+    const routes = names.filter(name => values.hasSpare || !name.startsWith("spare")).map(name => ({
+        name,
+        host: stopHost,
+        path_prefix: changedRoutes[name].path,
+        kind: changedRoutes[name].kind,
+        ...name === "draft" ? { service: engine } : { split },
+        can_resume: name === "draft",
+        timeout_ms: values.timeout,
+        target_latency_ms: 600,
+        target_gap_ms: 300,
+        max_attempts: 2,
+        priority: 2,
+    }));
+    const quota = { rate_per_s: values.rate, burst: values.rate, unit: "requests" };
+    const tenants = [
+        { name: "acme", api_keys: [changedAccounts.acme], ...quota },
+        { name: "bolt", api_keys: values.hasKey ? [changedAccounts.bolt] : [], ...quota },
+    ];
+    const models = [{ name: "base", size_mb: 70_000 }];
+    return JSON.stringify({
+        version: values.version,
+        tenants,
+        routes,
+        services: [
+            { name: app, health_path: "/health", connection_limit: 110 },
+            { name: other, health_path: "/health", connection_limit: 110 },
+            { name: engine, connection_limit: 240, engine: { slots: 32, size_mb: 75_000, adapter_slots: 18, models } },
+        ],
+        limits: {
+            header_bytes: 16_384,
+            body_bytes: 4_194_304,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: values.idleTimeout,
+        },
+    });
+}
+
 function encodeConfiguration(service: string, route: Readonly<Record<string, unknown>>): string {
     return JSON.stringify({
         version: 1,
--- a/src/platform/__tests__/delivered/wireServers.ts
+++ b/src/platform/__tests__/delivered/wireServers.ts
@@ -17,11 +17,15 @@
 
 /** Identity and behaviour of a server. */
 export interface WireServerOptions {
-    readonly store: WireStore;
+    readonly store: Pick<WireStore, "put">;
     readonly service: string;
     readonly id: string;
     /** Version of its software. @default "v1" */
     readonly version?: string;
+    /** Further fields of its entry. @default none */
+    readonly fields?: Readonly<Record<string, unknown>>;
+    /** Connections that may wait to be accepted. @default as many as the system allows */
+    readonly backlog?: number;
     /** Time until a request is answered, in milliseconds. @default 20 */
     readonly duration?: number;
     /** Called with each request; returns whether it has answered it. */
@@ -78,7 +82,10 @@
         request.once("end", () => respond(request, response, Buffer.concat(chunks)));
     });
     server.keepAliveTimeout = 30_000;
-    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    const { backlog } = options;
+    await new Promise<void>(resolve =>
+        server.listen({ port: 0, host, ...backlog !== undefined && { backlog } }, resolve)
+    );
     const address = `${host}:${(server.address() as AddressInfo).port}`;
     const entry = {
         service,
@@ -90,6 +97,7 @@
         cold_remaining_ms: 0,
         sequence: 0,
         born: Date.now(),
+        ...options.fields,
     };
     const writeEntry = (): void => store.put("keyed.servers", id, JSON.stringify(entry));
     writeEntry();
