feat(platform): bounds of a changed settings file hold in a running process

What callers saw: SIGHUP was ignored, and a file that changes without a signal too. A process went by the bounds of its start: with a shorter grace it was killed with answers in progress (LOST), with shorter bounds of revocation, versions, quotas and retries it broke rules that count by the new ones.

Change: the file is read at SIGHUP and once a second until a stop begins. Bounds are read where they are used, so that new values hold at once and end nothing in progress. What is fixed at the start (addresses, zone, store, cores, the window of the retry budget) is named once in the log. A file that can't be read or is invalid changes nothing, with one line for each content.

Evidence: settingsFollower.test.ts. Two machines of the delivered program whose grace is changed from 8 s to 3 s, one with and one without a signal, killed 3 s after SIGTERM: both requests in progress end without an answer before, with 502 now. The tests of adapterVersions and placeClient pass a function for the grace period where they passed a number; nothing else changes in them.

--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -54,7 +54,7 @@
         clock,
         shards,
         holders,
-        versions: createAdapterVersions(5_000),
+        versions: createAdapterVersions(() => 5_000),
         isLimited: () => false,
         isLeaving: run => leaving.has(run),
         reportLeaving: holder => told.push(holder),
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -134,7 +134,7 @@
     const residency = createResidencyIndex();
     const managers = new Map<ServerRunId, EngineManager>();
     const serverPermits = createServerPermits();
-    const versions = createAdapterVersions(options.versionGracePeriod);
+    const versions = createAdapterVersions(() => options.versionGracePeriod);
     const engineShards = createEngineShards(options.shardCount);
     const { findShard } = engineShards;
     const releasedAt = new Map<number, { readonly generation: number; readonly lastOrderAt: Milliseconds; }>();
--- a/src/adapters/adapterVersions.ts
+++ b/src/adapters/adapterVersions.ts
@@ -30,15 +30,16 @@
 /**
  * Creates a registry without any announced version.
  *
- * @param gracePeriod - time from a version's announcement during which requests may still start on older ones, in ms
+ * @param readGracePeriod - returns the time from a version's announcement during which requests may still start on older
+ * ones, in ms
  * @returns the registry, owned by the caller
  */
-export function createAdapterVersions(gracePeriod: Milliseconds): AdapterVersions {
+export function createAdapterVersions(readGracePeriod: () => Milliseconds): AdapterVersions {
     const newest = new Map<AdapterKey, number>();
     // oldest first; versions older than the newest enforced one are removed
     const announced = new Map<AdapterKey, AnnouncedVersion[]>();
     const isEnforced = (entry: AnnouncedVersion, now: Milliseconds): boolean =>
-        now - entry.announcedAt > gracePeriod * enforcementDelayFraction;
+        now - entry.announcedAt > readGracePeriod() * enforcementDelayFraction;
     return {
         record: (key, version, announcedAt) => {
             if (version <= (newest.get(key) ?? 0)) {
--- a/src/platform/__tests__/delivered/deliveredProgram.ts
+++ b/src/platform/__tests__/delivered/deliveredProgram.ts
@@ -27,6 +27,8 @@
     readonly peerPort: number;
     /** Starts the process; it must not be running. */
     readonly start: (isFirstStart: boolean) => void;
+    /** Replaces bounds in the settings file, which the process may be reading; `undefined` leaves a file that is none. */
+    readonly changeBounds: (changed: Readonly<Record<string, unknown>> | undefined) => void;
     /** Resolves once the instance says that it is ready; rejects when it doesn't within a limit. */
     readonly waitReady: () => Promise<void>;
     /** Number of times that the process has ended without being asked to. */
@@ -109,7 +111,7 @@
     let ending: ChildProcess | undefined;
     let output = "";
     let ends = 0;
-    const writeSettings = (isFirstStart: boolean): void => {
+    const writeSettings = (isFirstStart: boolean, changedBounds: Readonly<Record<string, unknown>> = {}): void => {
         const settings = {
             node_name: name,
             ip_address: host,
@@ -119,7 +121,7 @@
             bootstrap: isFirstStart,
             limits: { cpu_share: 0.675, cpu_speed_factor: 1 },
             heartbeat_ms: 1_200,
-            bounds,
+            bounds: { ...bounds, ...changedBounds },
             platform: { address: storeAddress, form: "log", parts: 12, min_ttl_ms: 1_000 },
         };
         writeFileSync(file, JSON.stringify(settings));
@@ -162,6 +164,7 @@
                 }
             });
         },
+        changeBounds: changed => changed ? writeSettings(false, changed) : writeFileSync(file, "{"),
         waitReady: async () => {
             const until = performance.now() + startLimitMilliseconds;
             while (!await checkReady()) {
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -6,16 +6,19 @@
  * @packageDocumentation
  */
 import { readFileSync, writeSync } from "node:fs";
+import { readFile } from "node:fs/promises";
 import { parseArgs } from "node:util";
 import { createServingInstance } from "../serving/servingInstance.js";
-import { createSystemClock, sendLogsToStandardOutput, setLogLevel } from "../shared/index.js";
-import { describeProcessEnd } from "../supervision/index.js";
+import { createLogger, createSystemClock, sendLogsToStandardOutput, setLogLevel } from "../shared/index.js";
+import { describeProcessEnd, startTask } from "../supervision/index.js";
 import { createEngineControlClient } from "./engineControlClient.js";
 import { createPlatformHeaderCodec, decodedResponseHeaders } from "./headers.js";
 import { createHeaderTrace, type ResponseSource } from "./headerTrace.js";
+import { createInstanceOptions } from "./instanceOptions.js";
 import { decodeOperatorRecord } from "./operatorRecords.js";
 import { decodeServerEntry } from "./serverEntry.js";
 import { decodeSettings, settingsFileVariable } from "./settings.js";
+import { createSettingsFollower } from "./settingsFollower.js";
 import { createPlatformStore } from "./store.js";
 
 const defaultMetricsPort = 9_464;
@@ -36,8 +39,8 @@
 const standardError = 2;
 /** Delay before the process exits, in which the last log lines are written in the background. */
 const logFlushMilliseconds = 60;
-/** Lifetime of this instance's membership in the shard group, unless the store requires a longer one. */
-const defaultMembershipTtlMilliseconds = 1_500;
+/** Interval at which the settings file is read again, as it may change without a signal. */
+const settingsIntervalMilliseconds = 1_000;
 
 process.exitCode = await runDaemon(process.argv.slice(2));
 
@@ -56,7 +59,8 @@
         process.stderr.write(`${settingsFileVariable} is not set; set it to the path of the settings file\n`);
         return usageErrorExitCode;
     }
-    const settings = decodeSettings(readFileSync(path, "utf8"));
+    const text = readFileSync(path, "utf8");
+    const settings = decodeSettings(text);
     if (!settings.ok) {
         process.stderr.write(`${path}: ${settings.error.detail}\n`);
         return usageErrorExitCode;
@@ -73,38 +77,19 @@
     const shutdown = new AbortController();
     // kept for good: without a listener a second signal ends the process with all its requests
     process.on("SIGTERM", () => shutdown.abort());
-    // without a listener SIGHUP ends the process
-    process.on("SIGHUP", () => undefined);
-    const serving = createServingInstance({
-        instanceName: file.instanceName,
-        host: file.host,
-        failureDomain: file.failureDomain,
-        cores: file.cores,
-        clientPort: parsePort(file.clientAddress),
-        readyPort: parsePort(file.readinessAddress),
-        peerPort: file.peerPort,
-        metricsPort,
-        shardCount: file.engineShardCount,
-        shardTtl: Math.max(defaultMembershipTtlMilliseconds, file.minimumMembershipTtl),
-        orderLease: file.bounds.orderLease,
-        areOrdersFenced: file.bounds.areOrdersFenced,
-        revocationBound: file.bounds.keyRevocationDelay,
-        versionBound: file.bounds.adapterVersionGracePeriod,
-        serverHeartbeat: file.serverHeartbeatInterval,
-        grace: file.bounds.gracePeriod,
-        isFirstStart: file.isFirstStart,
-        quota: {
-            window: file.bounds.quotaWindow,
-            excessRatio: file.bounds.quotaExcessRatio,
-            excessUnits: file.bounds.quotaExcessAllowance,
-        },
-        retry: {
-            window: file.bounds.retryWindow,
-            ratio: file.bounds.retryRatio,
-            slack: file.bounds.retryAllowance,
-        },
-        clock: createSystemClock(),
-    }, {
+    let { bounds } = file;
+    const follower = createSettingsFollower({
+        started: file,
+        text,
+        readText: () => readFile(path, "utf8"),
+        onBounds: changed => bounds = changed,
+        log: createLogger("settings"),
+    });
+    // a stop is bound by what held when it began
+    const checkSettings = (): void => void (shutdown.signal.aborted || startTask("settings", follower.check));
+    process.on("SIGHUP", checkSettings);
+    setInterval(checkSettings, settingsIntervalMilliseconds).unref();
+    const serving = createServingInstance(createInstanceOptions(file, () => bounds, metricsPort, createSystemClock()), {
         log: store,
         shards: store.shards,
         streams: store.streams,
@@ -161,7 +146,3 @@
         return error instanceof Error ? error.message : String(error);
     }
 }
-
-function parsePort(address: string): number {
-    return Number(address.slice(address.lastIndexOf(":") + 1));
-}
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -43,7 +43,7 @@
     readonly engineShardCount: number;
     /** Shortest lifetime that the store accepts for the membership in a group. */
     readonly minimumMembershipTtl: Milliseconds;
-    /** Not used by this program. */
+    /** Interval at which servers write their entries to the store. */
     readonly serverHeartbeatInterval: Milliseconds;
     /** Whether the whole system starts for the first time, rather than this process alone. */
     readonly isFirstStart: boolean;
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -115,7 +115,9 @@
     const answerTimes = createAnswerTimes();
     const shutdown = createShutdown({
         clock,
-        grace: options.grace,
+        get grace() {
+            return options.grace;
+        },
         exitReserve: exitReserveMilliseconds,
         noticeTime: readinessNoticeMilliseconds,
         answerTimes,
@@ -159,14 +161,20 @@
         isLeaving: servers.isLeaving,
         onLeaving: (run, learnedFrom) => handleLeaving(run, learnedFrom),
         findLimits: service => findService(service)?.engine,
-        versionGracePeriod: options.versionBound,
+        get versionGracePeriod() {
+            return options.versionBound;
+        },
     });
     const shards = createShardTask({
         group: dependencies.shards,
         member: self.id,
         ttl: options.shardTtl,
-        orderLease: options.orderLease,
-        isFenced: options.areOrdersFenced,
+        get orderLease() {
+            return options.orderLease;
+        },
+        get isFenced() {
+            return options.areOrdersFenced;
+        },
         clock,
         startedAt,
         findHolderChangedAt: adapters.holders.findChangedAt,
@@ -296,7 +304,9 @@
         limits,
         retryBudget,
         random,
-        maximumConfigAge: options.revocationBound * keyedRequestAgeRatio,
+        get maximumConfigAge() {
+            return options.revocationBound * keyedRequestAgeRatio;
+        },
         clock,
         failureDomain: options.failureDomain,
         servers,
--- a/src/serving/servingOptions.ts
+++ b/src/serving/servingOptions.ts
@@ -27,7 +27,7 @@
     readonly listUndecodedHeaders?: () => readonly UndecodedHeader[];
 }
 
-/** Settings of an instance. */
+/** Settings of an instance. Its bounds and its grace may change while it runs: each is read when it is needed. */
 export interface ServingOptions {
     /** Name that is kept over restarts. */
     readonly instanceName: string;
