--- a/src/platform/__tests__/delivered/stopPlay.ts
+++ b/src/platform/__tests__/delivered/stopPlay.ts
@@ -67,15 +67,17 @@
         ...engineIds.map(id => ({
             service: playServices.engines,
             id,
-            slots: 64,
-            models: [{ name: playModel, version: 1, adapters: adapters.map(name => `${name}@1`) }],
+            fields: {
+                slots: 64,
+                models: [{ name: playModel, version: 1, adapters: adapters.map(name => `${name}@1`) }],
+            },
             respond: behaviour.createResponder(id, adapters),
             isSilent: () => behaviour.isSilent(id),
         })),
         ...plainIds.map(id => ({
             service: playServices.plain,
             id,
-            slots: 64,
+            fields: { slots: 64 },
             respond: behaviour.createResponder(id, []),
             isSilent: () => behaviour.isSilent(id),
         })),
--- a/src/platform/__tests__/delivered/wireServers.ts
+++ b/src/platform/__tests__/delivered/wireServers.ts
@@ -17,17 +17,17 @@
 
 /** Identity and behaviour of a server. */
 export interface WireServerOptions {
-    readonly store: WireStore;
+    readonly store: Pick<WireStore, "put">;
     readonly service: string;
     readonly id: string;
     /** Version of its software. @default "v1" */
     readonly version?: string;
+    /** Further fields of its entry. @default none */
+    readonly fields?: Readonly<Record<string, unknown>>;
+    /** Connections that may wait to be accepted. @default as many as the system allows */
+    readonly backlog?: number;
     /** Time until a request is answered, in milliseconds. @default 20 */
     readonly duration?: number;
-    /** Requests that it runs at a time, as its entry says. @default 6 */
-    readonly slots?: number;
-    /** Models that its entry says it holds. @default none */
-    readonly models?: readonly unknown[];
     /** Whether it is held up and writes no entry. @default it isn't */
     readonly isSilent?: () => boolean;
     /** Called with each request; returns whether it has answered it. */
@@ -84,19 +84,22 @@
         request.once("end", () => respond(request, response, Buffer.concat(chunks)));
     });
     server.keepAliveTimeout = 30_000;
-    await new Promise<void>(resolve => server.listen(0, host, resolve));
+    const { backlog } = options;
+    await new Promise<void>(resolve =>
+        server.listen({ port: 0, host, ...backlog !== undefined && { backlog } }, resolve)
+    );
     const address = `${host}:${(server.address() as AddressInfo).port}`;
     const entry = {
         service,
         address,
         zone: "a",
         version: options.version ?? "v1",
-        slots: options.slots ?? 6,
+        slots: 6,
         state: "ready",
         cold_remaining_ms: 0,
         sequence: 0,
         born: Date.now(),
-        ...options.models && { models: options.models },
+        ...options.fields,
     };
     const writeEntry = (): void => {
         if (options.isSilent?.() !== true) {
