fix(serving): an answer that is held back for a slow reader doesn't end the process when its connection ends

What callers saw: with a slow reader on an answer that has `Connection: close` or no length, the end or reset of the server's connection ended the process (`uncaughtException`, `assert(!this.paused)` in undici's parser), and with it all answers in progress.

We pause an answer whenever its client's buffer is full.

Change: an answer is read on, past its pause, once its connection ends (what is left is at most what the socket has read); a reset gets a code of its own, so that undici doesn't look for the end of the answer in it. undici names the connection of a request on its diagnostics channel in the turn in which it writes it.

--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -4,7 +4,9 @@
  *
  * @packageDocumentation
  */
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import type { IncomingHttpHeaders } from "node:http";
+import type { Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
@@ -110,6 +112,10 @@
 const connectTimeoutMilliseconds = 400;
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
+/** Channel on which undici names the connection of a request, in the turn in which it begins to write it. */
+const sendChannel = "undici:client:sendHeaders";
+/** Code of the error of a connection that was reset, which undici doesn't take for the end of a response. */
+const resetCode = "RESET";
 /** Codes of the errors with which undici refuses a request that it can't write. */
 const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /**
@@ -127,7 +133,8 @@
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
     const pools = new Map<ServerRunId, ServerPool>();
     const unsentAttempts = createUnsentAttempts();
-    const resetDetector = createResetDetector();
+    const heldAnswers = createHeldAnswers();
+    const resetDetector = createResetDetector(heldAnswers.release);
     const createPool = (server: BackendServer, poolOptions: Pool.Options): Pool =>
         new Pool(`http://${server.address}`, {
             pipelining: 1,
@@ -174,7 +181,13 @@
             }
             const pool = tryPoolFor(request);
             return pool
-                ? sendAttempt(pool, options, { replacePool, resetDetector, unsentAttempts }, request, handlers)
+                ? sendAttempt(
+                    pool,
+                    options,
+                    { replacePool, resetDetector, heldAnswers, unsentAttempts },
+                    request,
+                    handlers,
+                )
                 : failUnsent(noConnectionFault, handlers);
         },
         remove: run => {
@@ -187,6 +200,7 @@
         close: () => {
             pools.forEach(({ pool }) => startTask("close connections", () => pool.destroy()));
             pools.clear();
+            heldAnswers.close();
         },
     };
 }
@@ -207,25 +221,61 @@
 // undici treats a response without a length as complete when its connection is reset, and libuv reports a reset that
 // arrives together with the last bytes as an ordinary end. The listeners run before those of undici and mark the reset
 // until the end has been handled; a socket that was reset no longer has a remote address
-function createResetDetector(): ResetDetector {
+function createResetDetector(onEnding: (socket: Socket) => void): ResetDetector {
     const connectSocket = buildConnector({ timeout: connectTimeoutMilliseconds });
     let isResetting = false;
     const markReset = (): void => {
         isResetting = true;
         queueMicrotask(() => isResetting = false);
     };
+    const handleError = (error: NodeJS.ErrnoException): void => {
+        markReset();
+        if (error.code === "ECONNRESET") {
+            error.code = resetCode;
+        }
+    };
     return {
         connect: (connectOptions, callback) =>
             connectSocket(connectOptions, (...result) => {
                 const socket = result[1];
-                socket?.prependListener("error", markReset);
-                socket?.prependListener("end", () => socket.remoteAddress ?? markReset());
+                socket?.prependListener("error", handleError);
+                socket?.prependListener("end", () => {
+                    onEnding(socket);
+                    socket.remoteAddress ?? markReset();
+                });
                 callback(...result);
             }),
         isResetting: () => isResetting,
     };
 }
 
+/** Answers that may be held back, by their connections. */
+interface HeldAnswers {
+    /** Adds the answer to the request that undici writes next; `release` has it read to its end. */
+    readonly add: (release: () => void) => void;
+    /** Has the answer on a connection read to its end. */
+    readonly release: (socket: Socket) => void;
+    readonly close: () => void;
+}
+
+// undici throws out of the event of a connection that ends while its answer is held back, which would end the process
+function createHeldAnswers(): HeldAnswers {
+    const bySocket = new WeakMap<Socket, () => void>();
+    let releaseNext: (() => void) | undefined;
+    const setConnection = (message: unknown): void => {
+        if (releaseNext) {
+            bySocket.set((message as { readonly socket: Socket; }).socket, releaseNext);
+            releaseNext = undefined;
+        }
+    };
+    subscribe(sendChannel, setConnection);
+    return {
+        add: release => releaseNext = release,
+        release: socket => bySocket.get(socket)?.(),
+        close: () => unsubscribe(sendChannel, setConnection),
+    };
+}
+
 /** Attempts that wait for a connection, by the run of their server. */
 interface UnsentAttempts {
     readonly add: (run: ServerRunId, end: AttemptEnder) => void;
@@ -274,10 +324,11 @@
 function sendAttempt(
     pool: Pool,
     options: ServerConnectionsOptions,
-    { replacePool, resetDetector, unsentAttempts }: {
+    { replacePool, resetDetector, heldAnswers, unsentAttempts }: {
         /** Has later requests use another pool than this one. */
         readonly replacePool: (run: ServerRunId, pool: Pool) => void;
         readonly resetDetector: ResetDetector;
+        readonly heldAnswers: HeldAnswers;
         readonly unsentAttempts: UnsentAttempts;
     },
     request: AttemptRequest,
@@ -290,6 +341,8 @@
     let hasConnection = false;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
+    // whether the answer may be held back, as its connection hasn't ended
+    let mayHold = true;
     // how often the events that waited have been handled for this request
     let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
@@ -307,6 +360,15 @@
         unsentAttempts.remove(run, endUnsent);
         controller?.abort(new Error("attempt aborted"));
     };
+    const release = (): void => {
+        mayHold = false;
+        controller?.resume();
+    };
+    const pause = (): void => {
+        if (mayHold) {
+            controller?.pause();
+        }
+    };
     // its server may have run the request; the connection is closed, as the rest of the answer can't be read
     const failInside = (error: unknown): void => {
         recordTaskFailure("answer of a server", error);
@@ -339,6 +401,7 @@
                 throw new Error("request not written");
             }
             controller = started;
+            heldAnswers.add(release);
             unsentAttempts.remove(run, endUnsent);
         },
         onResponseStart: wrapHandler((started, status, headers) => {
@@ -420,7 +483,7 @@
     else {
         send();
     }
-    return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
+    return { abort, pause, resume: () => controller?.resume() };
 }
 
 function isRefusal(error: Error): boolean {
