fix(serving): nothing follows the events of a stream whose route can't be resumed

What callers saw: after a configuration that takes `can_resume` from a route, a client that returned with its last event got the rest from a second run: pieces of two runs, joined where the page doesn't allow it. The same on any stream route without `can_resume`.

Cause: a return was bound to the service and version of its stream, and nobody asked whether its route may be resumed.

Change: such a return is refused at once with 503, as is one whose route has left the service of its stream. The route that a request had when it was taken counts until its end. The fixture of the test states `canResume`, which its cases are about.

--- a/src/serving/__tests__/resumedStreams.test.ts
+++ b/src/serving/__tests__/resumedStreams.test.ts
@@ -7,6 +7,7 @@
 const route = {
     name: "draft",
     kind: "stream",
+    canResume: true,
     targets: [{ service: "blue", weight: 1 }, { service: "green", weight: 9 }],
 } as unknown as ServingRoute;
 const admitted: Extract<Admission, { readonly kind: "admitted"; }> = {
@@ -16,9 +17,14 @@
     account: undefined,
 };
 
-function applyDecision(decision: OriginDecision, request: Partial<ClientRequest>): Promise<Admission> {
+function applyDecision(
+    decision: OriginDecision,
+    request: Partial<ClientRequest>,
+    changes: Partial<ServingRoute> = {},
+): Promise<Admission> {
     const origins = { find: () => Promise.resolve(decision) } as unknown as StreamOrigins;
-    return applyStreamOrigin(origins, admitted, request as ClientRequest, new AbortController().signal);
+    const admission = Object.keys(changes).length === 0 ? admitted : { ...admitted, route: { ...route, ...changes } };
+    return applyStreamOrigin(origins, admission, request as ClientRequest, new AbortController().signal);
 }
 
 describe("admission of a request for the rest of a stream", () => {
@@ -38,6 +44,14 @@
         expect(unknown).to.include({ status: 503, retryAfter: 0.5 });
     });
 
+    // guards against two runs that are joined after a configuration by which their route's streams can't be resumed (ORDER)
+    it("is refused where streams of the route can't be resumed, and is nothing special where it has none", async () => {
+        const refused = await applyDecision(describeKnown("green"), resumed, { canResume: false });
+        expect(refused).to.include({ kind: "refused", status: 503, reason: "streams of the route can't be resumed" });
+        const other = await applyDecision(describeKnown("green"), resumed, { kind: "idempotent", canResume: false });
+        expect(other.kind).to.equal("admitted");
+    });
+
     it("leaves other requests as they are", async () => {
         expect(await applyDecision({ kind: "unknown", reason: "test" }, {})).to.equal(admitted);
     });
--- a/src/serving/resumedStreams.ts
+++ b/src/serving/resumedStreams.ts
@@ -8,6 +8,8 @@
 import type { Admission } from "./admission.js";
 import type { BackendServer, ClientRequest, ServingRoute } from "./types.js";
 
+type AdmittedRequest = Extract<Admission, { readonly kind: "admitted"; }>;
+
 const serviceUnavailableStatus = 503;
 /** An instance that keeps the stream may answer again by then. */
 const unknownOriginRetrySeconds = 0.5;
@@ -26,7 +28,7 @@
  */
 export async function applyStreamOrigin(
     origins: StreamOrigins,
-    admitted: Extract<Admission, { readonly kind: "admitted"; }>,
+    admitted: AdmittedRequest,
     request: ClientRequest,
     signal: AbortSignal,
 ): Promise<Admission> {
@@ -34,6 +36,10 @@
     if (!request.resumed || route.kind !== "stream") {
         return admitted;
     }
+    // its client has events of another run, which nothing may follow
+    if (!route.canResume) {
+        return describeRefusal(admitted, "streams of the route can't be resumed");
+    }
     const stream: StreamId = { account: account?.name, firstAttemptId: request.resumed.firstAttemptId };
     const services = listServices(route);
     const decision = await waitUnlessAborted(origins.find(stream, services), signal);
@@ -51,10 +57,17 @@
     if (decision.kind === "known" && isRouted) {
         return { ...admitted, service: decision.origin.service, origin: decision.origin };
     }
+    return describeRefusal(
+        admitted,
+        decision.kind === "known" ? "route left the service of the stream" : "version of the stream unknown",
+    );
+}
+
+function describeRefusal({ route, account }: AdmittedRequest, reason: string): Admission {
     return {
         kind: "refused",
         status: serviceUnavailableStatus,
-        reason: decision.kind === "known" ? "route left the service of the stream" : "version of the stream unknown",
+        reason,
         retryAfter: unknownOriginRetrySeconds,
         route: route.name,
         account: account?.name,
