fix(serving): a cut answer that ends with its connection resets it

What callers saw: an answer that we cut off looked complete to a client that gets it without chunks and without a length (a request of HTTP/1.0): its end is the end of the connection.

Cause: a cut closed the connection in the same way as the end of such an answer.

Evidence: clientServer.test.ts on the code before: "end" in place of "ECONNRESET" (5 passing, 1 failing).

Change: an answer without chunks is cut by a reset. Answers with chunks, all of HTTP/1.1 without a length, are cut as before.

Result: 6 passing.

--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -106,6 +106,24 @@
         server.drain();
     });
 
+    // guards against an answer that is cut off and looks complete, as its client knows neither chunks nor a length (ORDER)
+    it("resets the connection when a response is destroyed that ends with its connection", async () => {
+        const { server, port } = await openServer(({ answer }) => {
+            answer.writeHead(200, [], undefined);
+            answer.write(Buffer.from("first"));
+            setTimeout(answer.destroy, 20);
+        });
+        const socket = connect(port, "127.0.0.1");
+        const ended = new Promise<string | undefined>(resolve => {
+            socket.once("error", (error: NodeJS.ErrnoException) => resolve(error.code));
+            socket.once("end", () => resolve("end"));
+        });
+        socket.resume();
+        socket.write("GET / HTTP/1.0\r\nHost: h\r\n\r\n");
+        expect(await ended).to.equal("ECONNRESET");
+        server.drain();
+    });
+
     it("aborts the signal when the client disconnects", async () => {
         const { server, port, received } = await openServer(() => undefined);
         const socket = connect(port, "127.0.0.1");
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -196,7 +196,7 @@
         return;
     }
     if (response.headersSent) {
-        response.destroy();
+        abortResponse(response);
         return;
     }
     refuseEarly(response, internalErrorStatus);
@@ -231,6 +231,14 @@
     return rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
 }
 
+// an answer without chunks may have no length, and its client takes the end of the connection for its end
+function abortResponse(response: ServerResponse): void {
+    if (response.headersSent && !response.chunkedEncoding) {
+        response.socket?.resetAndDestroy();
+    }
+    response.destroy();
+}
+
 function createClientResponse(response: ServerResponse, isDraining: () => boolean): ClientResponse {
     return {
         writeHead: (status, headers, contentLength) => {
@@ -249,7 +257,7 @@
         },
         write: chunk => response.destroyed || response.write(chunk),
         end: () => void response.end(),
-        destroy: () => void response.destroy(),
+        destroy: () => abortResponse(response),
         onDrain: resume => void response.once("drain", resume),
     };
 }
