fix(serving): a stream doesn't follow the first part of an answer that is none

What callers saw: on a route whose streams can be resumed, a server answers with something else than a stream, more than 64 KiB of it reach the client, and the connection breaks: the events of a second run followed in the same answer.

Cause: whether a request may go on after its head was sent was decided by the kind of its route, not by what its client has.

Evidence: runRequest.test.ts on the code before: 2 attempts, 70,015 bytes and "end" in place of 1, 70,000 and "destroyed" (22 passing, 1 failing).

Change: what was sent of an answer that is no stream isn't gone on with.

Result: 23 passing; decisions.test.ts 13 passing.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -394,6 +394,22 @@
         expect([single.sent.length, single.end]).to.deep.equal([1, "destroyed"]);
     });
 
+    // guards against a stream behind the first bytes of an answer that is none: pieces of two runs (ORDER)
+    it("is cut off when an answer breaks that is no stream, on a route whose streams can be resumed", async () => {
+        const failAfterPart: AttemptScript = handlers => {
+            handlers.onHead(createHead());
+            handlers.onData(Buffer.alloc(70_000, "x"));
+            handlers.onFault({ kind: "broken", detail: "ECONNRESET" });
+        };
+        const sendEvents: AttemptScript = handlers => {
+            handlers.onHead(createHead({ isEventStream: true }));
+            handlers.onData(Buffer.from("id: 1\ndata: a\n\n"));
+            handlers.onEnd();
+        };
+        const outcome = await runCase({ route: resumable, attempts: [failAfterPart, sendEvents] });
+        expect([outcome.sent.length, outcome.body.length, outcome.end]).to.deep.equal([1, 70_000, "destroyed"]);
+    });
+
     // guards against an error's text, a second answer's head or events twice in the middle of a client's stream
     it("goes on with a stream at another server when one writes anything but its next events", async () => {
         const head = createHead({ isEventStream: true });
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -140,9 +140,12 @@
             hasResponseStarted: state.headSentAt !== undefined,
             mayHaveRun: state.mayHaveRun,
         });
+        // no event of another server may follow what the client has of an answer that is no stream
+        const hasPlainPart = (): boolean =>
+            mode === "delivering" && splitter === undefined && state.headSentAt !== undefined;
         const applyStep = (step: NextStep, reason: string): void => {
             state.lastFault = reason;
-            if (step.kind === "repeat" && takeRetry(parts, state, step)) {
+            if (step.kind === "repeat" && !hasPlainPart() && takeRetry(parts, state, step)) {
                 finish({ kind: "repeat" });
                 return;
             }
