--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import type { IncomingHttpHeaders } from "node:http";
 import type { Socket } from "node:net";
 import { buildConnector, type Dispatcher, Pool } from "undici";
@@ -111,6 +112,10 @@
 const connectTimeoutMilliseconds = 400;
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
+/** Channel on which undici names the connection of a request, in the turn in which it begins to write it. */
+const sendChannel = "undici:client:sendHeaders";
+/** Code of the error of a connection that was reset, which undici doesn't take for the end of a response. */
+const resetCode = "RESET";
 /** Codes of the errors with which undici refuses a request that it can't write. */
 const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /**
@@ -128,7 +133,8 @@
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
     const pools = new Map<ServerRunId, ServerPool>();
     const unsentAttempts = createUnsentAttempts();
-    const resetDetector = createResetDetector();
+    const heldAnswers = createHeldAnswers();
+    const resetDetector = createResetDetector(heldAnswers.release);
     const createPool = (server: BackendServer, poolOptions: Pool.Options): Pool =>
         new Pool(`http://${server.address}`, {
             pipelining: 1,
@@ -175,7 +181,13 @@
             }
             const pool = tryPoolFor(request);
             return pool
-                ? sendAttempt(pool, options, { replacePool, resetDetector, unsentAttempts }, request, handlers)
+                ? sendAttempt(
+                    pool,
+                    options,
+                    { replacePool, resetDetector, heldAnswers, unsentAttempts },
+                    request,
+                    handlers,
+                )
                 : failUnsent(noConnectionFault, handlers);
         },
         remove: run => {
@@ -188,6 +200,7 @@
         close: () => {
             pools.forEach(({ pool }) => startTask("close connections", () => pool.destroy()));
             pools.clear();
+            heldAnswers.close();
         },
     };
 }
@@ -208,7 +221,7 @@
 // undici treats a response without a length as complete when its connection is reset, and libuv reports a reset that
 // arrives together with the last bytes as an ordinary end. The listeners run before those of undici and mark the reset
 // until the end has been handled; a socket that was reset no longer has a remote address
-function createResetDetector(): ResetDetector {
+function createResetDetector(onEnding: (socket: Socket) => void): ResetDetector {
     // the timers of undici are up to a second late
     const connectSocket = buildConnector({ timeout: 0 });
     let isResetting = false;
@@ -216,13 +229,22 @@
         isResetting = true;
         queueMicrotask(() => isResetting = false);
     };
+    const handleError = (error: NodeJS.ErrnoException): void => {
+        markReset();
+        if (error.code === "ECONNRESET") {
+            error.code = resetCode;
+        }
+    };
     return {
         connect: (connectOptions, callback) => {
             // the types don't tell that the connector returns its socket
             const opened: unknown = connectSocket(connectOptions, (...result) => {
                 const socket = result[1];
-                socket?.prependListener("error", markReset);
-                socket?.prependListener("end", () => socket.remoteAddress ?? markReset());
+                socket?.prependListener("error", handleError);
+                socket?.prependListener("end", () => {
+                    onEnding(socket);
+                    socket.remoteAddress ?? markReset();
+                });
                 callback(...result);
             });
             limitConnecting(opened as Socket);
@@ -244,6 +266,33 @@
     socket.once("close", stopTimer);
 }
 
+/** Answers that may be held back, by their connections. */
+interface HeldAnswers {
+    /** Adds the answer to the request that undici writes next; `release` has it read to its end. */
+    readonly add: (release: () => void) => void;
+    /** Has the answer on a connection read to its end. */
+    readonly release: (socket: Socket) => void;
+    readonly close: () => void;
+}
+
+// undici throws out of the event of a connection that ends while its answer is held back, which would end the process
+function createHeldAnswers(): HeldAnswers {
+    const bySocket = new WeakMap<Socket, () => void>();
+    let releaseNext: (() => void) | undefined;
+    const setConnection = (message: unknown): void => {
+        if (releaseNext) {
+            bySocket.set((message as { readonly socket: Socket; }).socket, releaseNext);
+            releaseNext = undefined;
+        }
+    };
+    subscribe(sendChannel, setConnection);
+    return {
+        add: release => releaseNext = release,
+        release: socket => bySocket.get(socket)?.(),
+        close: () => unsubscribe(sendChannel, setConnection),
+    };
+}
+
 /** Attempts that wait for a connection, by the run of their server. */
 interface UnsentAttempts {
     readonly add: (run: ServerRunId, end: AttemptEnder) => void;
@@ -292,10 +341,11 @@
 function sendAttempt(
     pool: Pool,
     options: ServerConnectionsOptions,
-    { replacePool, resetDetector, unsentAttempts }: {
+    { replacePool, resetDetector, heldAnswers, unsentAttempts }: {
         /** Has later requests use another pool than this one. */
         readonly replacePool: (run: ServerRunId, pool: Pool) => void;
         readonly resetDetector: ResetDetector;
+        readonly heldAnswers: HeldAnswers;
         readonly unsentAttempts: UnsentAttempts;
     },
     request: AttemptRequest,
@@ -308,6 +358,8 @@
     let hasConnection = false;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
+    // whether the answer may be held back, as its connection hasn't ended
+    let mayHold = true;
     // how often the events that waited have been handled for this request
     let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
@@ -325,6 +377,15 @@
         unsentAttempts.remove(run, endUnsent);
         controller?.abort(new Error("attempt aborted"));
     };
+    const release = (): void => {
+        mayHold = false;
+        controller?.resume();
+    };
+    const pause = (): void => {
+        if (mayHold) {
+            controller?.pause();
+        }
+    };
     // its server may have run the request; the connection is closed, as the rest of the answer can't be read
     const failInside = (error: unknown): void => {
         recordTaskFailure("answer of a server", error);
@@ -357,6 +418,7 @@
                 throw new Error("request not written");
             }
             controller = started;
+            heldAnswers.add(release);
             unsentAttempts.remove(run, endUnsent);
         },
         onResponseStart: wrapHandler((started, status, headers) => {
@@ -438,7 +500,7 @@
     else {
         send();
     }
-    return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
+    return { abort, pause, resume: () => controller?.resume() };
 }
 
 function isRefusal(error: Error): boolean {
