feat(serving): the end of an answer says by whose hand, how long after the SIGTERM and the age of the silence

Cause: a report had an outcome and the last fault. A stop that closes the client's and the server's connection at once was logged as `clientLeft`, as the client's connection was looked at first. The fault that ended an answer is also the last fault, so that it was written twice (`broken X: broken X`).

Change: the line of a request, and `answer broken off`, have `by` (server, client, stop, deadline, pool, instance, configuration, limit, noServer, inside), `sinceStop`, `silence` and `heldBack`; no line is new. Metrics: `oriolehatch_answer_ends_total{by,outcome}`, `oriolehatch_end_after_stop_seconds{by}`, `oriolehatch_end_silence_seconds{by}`. Who closed a client's connection is decided when it is closed: after the end of the grace it is this instance, and the outcome is then `cut`. `UND_ERR_DESTROYED` and `UND_ERR_CLOSED` are by `pool`. No decision on a request changes.

Measured: the new tests on the code before: 15 of 38 fail (`runRequest`, `servingMetrics`), among them `expected 'broken ECONNRESET: broken ECONNRESET' to equal 'broken ECONNRESET'`; now 38 of 38 pass, and with `shutdown`, `taskFailures`, `streamVersions` and `heldUpInstance` 70 of 70. No existing test was changed.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -527,4 +527,65 @@
         }
         expect(results).to.deep.equal([["failed", 502, "end", 1], ["cut", 200, "destroyed", 1]]);
     });
+
+    const startStream: AttemptScript = handlers => handlers.onHead(createHead({ isEventStream: true }));
+    const failStream = (detail: string, isBetweenInstances = false): AttemptScript => (handlers, attempt) => {
+        startStream(handlers, attempt);
+        handlers.onFault({ kind: "broken", detail, isBetweenInstances });
+    };
+    const ends: readonly (readonly [string, string, RequestCase])[] = [
+        ["server", "answered", { attempts: [sendComplete("x")] }],
+        ["server", "cut", { attempts: [failStream("UND_ERR_SOCKET")], route: unsafeRoute }],
+        ["pool", "cut", { attempts: [failStream("UND_ERR_DESTROYED")], route: unsafeRoute }],
+        ["instance", "cut", { attempts: [failStream("front-2 timeout", true)], route: unsafeRoute }],
+        ["inside", "cut", { attempts: [failStream("failed here: TypeError")], route: unsafeRoute }],
+        ["inside", "failed", { attempts: [handlers => handlers.onHead(undefined!)] }],
+        ["deadline", "failed", { attempts: [() => undefined], route: { timeout: 30 } }],
+        ["client", "clientLeft", { attempts: [startStream], disconnectAfter: 20, route: unsafeRoute }],
+        ["client", "clientLeft", { attempts: [], undecided: "quota", disconnectAfter: 20 }],
+        ["configuration", "refused", { attempts: [], key: "unknown" }],
+        ["limit", "refused", { attempts: [], isQuarantined: true }],
+        ["noServer", "refused", {
+            attempts: Array.from({ length: 5 }, () => handlers => handlers.onFault({ kind: "notSent", detail: "" })),
+        }],
+    ];
+
+    // guards against records in which an answer that this instance ended can't be told from one that its client or server
+    // ended (LOST)
+    for (const [by, outcome, requestCase] of ends) {
+        it(`that is ${outcome} by ${by} says so`, async () => {
+            const { report } = await runCase(requestCase);
+            expect(report).to.include({ by, outcome, sinceStop: undefined });
+        });
+    }
+
+    // guards against a stop that closes the client's and the server's connection at once, of which the record names one
+    it("that a stop ends names the stop, the time since its signal and the silence of the server", async () => {
+        for (const isStreamStarted of [true, false]) {
+            const shutdown = createTestShutdown(300);
+            const stop: AttemptScript = (handlers, attempt) => {
+                startStream(handlers, attempt);
+                shutdown.begin(0);
+                setTimeout(() => shutdown.end(), 10);
+            };
+            // a request that waits for its quota meanwhile
+            const requestCase: RequestCase = isStreamStarted
+                ? { attempts: [stop] }
+                : { attempts: [], undecided: "quota", disconnectAfter: 20 };
+            if (!isStreamStarted) {
+                shutdown.begin(0);
+                setTimeout(() => shutdown.end(), 10);
+            }
+            const { report } = await runCase({ ...requestCase, route: { timeout: 200 }, shutdown });
+            expect(report).to.include({ by: "stop", outcome: "cut" });
+            expect(report.sinceStop).to.be.at.least(9);
+            expect(report.silence ?? -1).to.be.at.least(isStreamStarted ? 9 : -1);
+        }
+    });
+
+    // guards against one fault that the record names twice, as if two attempts had ended by it
+    it("that is broken off once has its fault once as its reason", async () => {
+        const { report } = await runCase({ attempts: [failStream("ECONNRESET")], route: unsafeRoute });
+        expect(report.reason).to.equal("broken ECONNRESET");
+    });
 });
--- a/src/serving/__tests__/servingMetrics.test.ts
+++ b/src/serving/__tests__/servingMetrics.test.ts
@@ -1,6 +1,27 @@
 import { expect } from "chai";
+import type { RequestReport } from "../requestState.js";
 import { createServingMetrics } from "../servingMetrics.js";
 
+const report: RequestReport = {
+    outcome: "cut",
+    status: 200,
+    reason: "this instance stops",
+    service: "s",
+    route: "r",
+    account: undefined,
+    servers: [],
+    versions: [],
+    placeWait: 0,
+    headAfter: undefined,
+    longestPause: 0,
+    by: "stop",
+    sinceStop: 7_300,
+    silence: 900,
+    heldBack: undefined,
+    leftWhile: undefined,
+    endDelay: undefined,
+};
+
 describe("serving metrics", () => {
     it("show the adapter loads at the time of the scrape", async () => {
         let waiting = 1;
@@ -11,4 +32,20 @@
         expect(text).to.contain('oriolehatch_adapter_loads{state="waiting"} 5');
         expect(text).to.contain('oriolehatch_adapter_loads{state="capacity"} 8');
     });
+
+    // guards against a stop after which only the log of single requests says by whose hand answers ended
+    it("count ends of answers by hand, with the time since the stop and the silence of those that aren't whole", async () => {
+        const metrics = createServingMetrics(() => ({ running: 0, waiting: 0, capacity: 8 }));
+        metrics.countRequest(report, 8_000);
+        metrics.countRequest({ ...report, outcome: "answered", by: "server", sinceStop: undefined, silence: 0 }, 10);
+        const lines = (await metrics.render()).split("\n").filter(line => /^oriolehatch_(answer_ends|end_)/.test(line));
+        expect(lines.filter(line => !line.includes("_bucket"))).to.deep.equal([
+            'oriolehatch_answer_ends_total{by="stop",outcome="cut"} 1',
+            'oriolehatch_answer_ends_total{by="server",outcome="answered"} 1',
+            'oriolehatch_end_after_stop_seconds_sum{by="stop"} 7.3',
+            'oriolehatch_end_after_stop_seconds_count{by="stop"} 1',
+            'oriolehatch_end_silence_seconds_sum{by="stop"} 0.9',
+            'oriolehatch_end_silence_seconds_count{by="stop"} 1',
+        ]);
+    });
 });
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -9,6 +9,7 @@
 import { millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import { type AccountLimits, computeRequestCost } from "./accountLimits.js";
+import type { AnswerEnder } from "./answerEnds.js";
 import type { ConfigurationState } from "./configurationState.js";
 import { readClocks } from "./freshness.js";
 import type { RetryBudget } from "./retryBudget.js";
@@ -42,6 +43,8 @@
         readonly status: number;
         readonly reason: string;
         readonly retryAfter: number | undefined;
+        /** Whose decision it was. */
+        readonly by: AnswerEnder;
         readonly route: string | undefined;
         readonly account: string | undefined;
     };
@@ -65,29 +68,35 @@
 export function decideAdmission(parts: AdmissionParts, request: ClientRequest): Admission {
     // before the route, which may be that of either host
     if (request.repeatedHeader !== undefined) {
-        return refuse(badRequestStatus, `more than one ${request.repeatedHeader}`);
+        return refuse("client", badRequestStatus, `more than one ${request.repeatedHeader}`);
     }
     const active = parts.configuration.read();
     if (!active) {
-        return refuse(serviceUnavailableStatus, "no configuration yet", notReadyRetrySeconds);
+        return refuse("configuration", serviceUnavailableStatus, "no configuration yet", notReadyRetrySeconds);
     }
     const route = active.routes.find(request.host, request.target);
     if (!route) {
-        return refuse(notFoundStatus, "no route");
+        return refuse("configuration", notFoundStatus, "no route");
     }
     if (request.attemptId === undefined) {
-        return refuse(badRequestStatus, "no attempt id", undefined, route);
+        return refuse("client", badRequestStatus, "no attempt id", undefined, route);
     }
     const service = chooseService(route.targets, parts.random.next());
     if (route.isPublic || !active.config.accounts) {
         return { kind: "admitted", route, service, account: undefined };
     }
     if (parts.configuration.measureAge(readClocks()) > parts.maximumConfigAge) {
-        return refuse(serviceUnavailableStatus, "configuration too old for keys", notReadyRetrySeconds, route);
+        return refuse(
+            "configuration",
+            serviceUnavailableStatus,
+            "configuration too old for keys",
+            notReadyRetrySeconds,
+            route,
+        );
     }
     const account = request.key === undefined ? undefined : active.accountsByKey.get(request.key);
     if (!account) {
-        return refuse(unauthorizedStatus, "unknown key", undefined, route);
+        return refuse("configuration", unauthorizedStatus, "unknown key", undefined, route);
     }
     return { kind: "admitted", route, service, account };
 }
@@ -132,7 +141,7 @@
             const jitterFactor = 1 + retryJitterRatio * parts.random.next();
             const retryAfter = decision.wait / millisecondsPerSecond * jitterFactor;
             return {
-                ...refuse(tooManyRequestsStatus, "over the rate", retryAfter, route),
+                ...refuse("limit", tooManyRequestsStatus, "over the rate", retryAfter, route),
                 account: account.name,
             };
         }
@@ -157,10 +166,11 @@
 }
 
 function refuse(
+    by: AnswerEnder,
     status: number,
     reason: string,
     retryAfter?: number,
     route?: ServingRoute,
 ): Extract<Admission, { readonly kind: "refused"; }> {
-    return { kind: "refused", status, reason, retryAfter, route: route?.name, account: undefined };
+    return { kind: "refused", by, status, reason, retryAfter, route: route?.name, account: undefined };
 }
--- a/src/serving/requestStages.ts
+++ b/src/serving/requestStages.ts
@@ -4,6 +4,8 @@
  * @packageDocumentation
  */
 import type { Clock, Milliseconds } from "../shared/index.js";
+import type { AnswerEnder } from "./answerEnds.js";
+import type { Shutdown } from "./shutdown.js";
 
 /**
  * What a request waits for: its admission (origin of a resumed stream, quota), a server with room (quarantine trial, place,
@@ -23,6 +25,8 @@
 export interface RequestStages {
     /** Records what the request waits for from now on. */
     readonly mark: (stage: RequestStage) => void;
+    /** Names who closed the client's connection: at the end of a stop this instance closes all that are left. */
+    readonly findCloser: () => Extract<AnswerEnder, "client" | "stop">;
     /** Describes the end of the request, which is now. */
     readonly describe: () => LeavingReport;
 }
@@ -30,20 +34,27 @@
 /**
  * Creates the stages of a request that waits for its admission.
  *
- * @param clock - source of the times
+ * @param parts - source of the times, and the stop of the instance
  * @param signal - aborted when the client disconnects
  * @returns the stages
  */
-export function createRequestStages(clock: Clock, signal: AbortSignal): RequestStages {
+export function createRequestStages(
+    parts: { readonly clock: Clock; readonly shutdown: Pick<Shutdown, "ended">; },
+    signal: AbortSignal,
+): RequestStages {
+    const { clock, shutdown } = parts;
     let stage: RequestStage = "admission";
     let leftWhile: RequestStage | undefined;
     let leftAt = 0;
+    let closer: "client" | "stop" = "client";
     signal.addEventListener("abort", () => {
         leftWhile = stage;
         leftAt = clock.now();
+        closer = shutdown.ended.aborted ? "stop" : "client";
     }, { once: true });
     return {
         mark: next => stage = next,
+        findCloser: () => closer,
         describe: () => ({
             leftWhile,
             endDelay: leftWhile && Math.round(clock.now() - leftAt),
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -9,6 +9,7 @@
 import type { StreamOrigin, StreamOrigins } from "../resumption/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
+import type { AnswerEnd } from "./answerEnds.js";
 import type { AnswerTimes } from "./answerTimes.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
@@ -46,7 +47,7 @@
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
     readonly answerTimes: Pick<AnswerTimes, "record">;
-    readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended">;
+    readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended" | "measureSinceBegun">;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
@@ -54,11 +55,11 @@
 }
 
 /** Report on a request that has ended, for log and metrics; all fields are written to the log under their names. */
-export interface RequestReport extends LeavingReport {
+export interface RequestReport extends LeavingReport, AnswerEnd {
     /**
      * How the request ended: `answered` when a whole response was delivered, `refused` when no server has run the
      * request, `failed` when a server may have run it but the client got an error status instead of its response, `cut`
-     * when the connection was closed after part of the response, and `clientLeft` when the client disconnected.
+     * when this instance closed the connection before the whole response, and `clientLeft` when the client disconnected.
      */
     readonly outcome: "answered" | "refused" | "failed" | "cut" | "clientLeft";
     /** Status sent to the client; `undefined` when none was sent. */
@@ -136,6 +137,12 @@
     returnAt: Milliseconds;
     /** Description of the last failure for the log; empty when there was none. */
     lastFault: string;
+    /** Time of the last byte of the present server's answer, or at which the attempt was sent; `undefined` before the first. */
+    heardAt: Milliseconds | undefined;
+    /** Whether the answer isn't read from its server, as its client doesn't read. */
+    isHeldBack: boolean;
+    /** The end of the answer; `undefined` before. */
+    end: AnswerEnd | undefined;
 }
 
 /** The server of the next attempt. */
--- a/src/serving/resumedStreams.ts
+++ b/src/serving/resumedStreams.ts
@@ -53,6 +53,7 @@
     }
     return {
         kind: "refused",
+        by: decision.kind === "known" ? "configuration" : "noServer",
         status: serviceUnavailableStatus,
         reason: decision.kind === "known" ? "route left the service of the stream" : "version of the stream unknown",
         retryAfter: unknownOriginRetrySeconds,
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -7,6 +7,7 @@
 import type { GuardedRequest } from "../quarantine/index.js";
 import { createLogger, type Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
+import { type AnswerEnder, describeEndNow, describeFaultSource } from "./answerEnds.js";
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
@@ -22,7 +23,7 @@
 export type AttemptOutcome =
     | { readonly kind: "complete"; }
     | { readonly kind: "repeat"; }
-    | { readonly kind: "failed"; readonly reason: string; }
+    | { readonly kind: "failed"; readonly reason: string; readonly by: AnswerEnder; }
     | { readonly kind: "unsendable"; readonly reason: string; }
     | { readonly kind: "timeout"; }
     | { readonly kind: "clientLeft"; };
@@ -68,6 +69,8 @@
     state.triedServers.add(run);
     state.placeOutcome = "unknown";
     state.sentAt = parts.clock.now();
+    state.heardAt = state.sentAt;
+    state.isHeldBack = false;
     state.beganAt = undefined;
     state.isSound = false;
     state.hasDelivered = false;
@@ -132,7 +135,7 @@
         const abortAtStop = (): void => {
             abortAttempt();
             state.mayHaveRun = true;
-            finish({ kind: "failed", reason: "this instance stops" });
+            finish({ kind: "failed", reason: "this instance stops", by: "stop" });
         };
         const describeProgress = (): RequestProgress => ({
             route,
@@ -140,16 +143,17 @@
             hasResponseStarted: state.headSentAt !== undefined,
             mayHaveRun: state.mayHaveRun,
         });
-        const applyStep = (step: NextStep, reason: string): void => {
+        const applyStep = (step: NextStep, reason: string, by: AnswerEnder): void => {
             state.lastFault = reason;
             if (step.kind === "repeat" && takeRetry(parts, state, step)) {
                 finish({ kind: "repeat" });
                 return;
             }
             state.mayHaveRun ||= step.kind === "fail" && !step.isNotRun;
-            finish({ kind: "failed", reason });
+            finish({ kind: "failed", reason, by });
         };
         const handleHead = (head: ServerResponseHead): void => {
+            state.heardAt = parts.clock.now();
             recordResponseHead(parts, state, selected, head);
             const step = decideNextStep({ kind: "head", head }, describeProgress());
             const hasDeliverableResponse = !head.isNotRun && head.isSigned && state.headSentAt === undefined;
@@ -160,7 +164,7 @@
             }
             if (step.kind === "fail" || (step.kind === "repeat" && !hasDeliverableResponse)) {
                 state.mayHaveRun ||= !head.isNotRun;
-                finish({ kind: "failed", reason: `status ${head.status}` });
+                finish({ kind: "failed", reason: `status ${head.status}`, by: "server" });
                 return;
             }
             mode = "delivering";
@@ -192,11 +196,20 @@
                 held = undefined;
             }
         };
+        const pauseServer = (): void => {
+            attempt?.pause();
+            state.isHeldBack = true;
+            state.answer.onDrain(wrapHandler(() => {
+                state.isHeldBack = false;
+                attempt?.resume();
+            }));
+        };
         const handleData = (chunk: Buffer): void => {
             if (mode !== "delivering") {
                 return;
             }
-            if (parts.clock.now() - (state.beganAt ?? Number.POSITIVE_INFINITY) >= soundAnswerMilliseconds) {
+            state.heardAt = parts.clock.now();
+            if (state.heardAt - (state.beganAt ?? Number.POSITIVE_INFINITY) >= soundAnswerMilliseconds) {
                 markSound(parts, state);
             }
             if (held) {
@@ -214,8 +227,7 @@
                 recordDelivery(parts, state, server, resumedAfter);
             }
             if (bytes.length > 0 && !state.answer.write(bytes)) {
-                attempt?.pause();
-                state.answer.onDrain(wrapHandler(() => attempt?.resume()));
+                pauseServer();
             }
             const useless = events?.foreign ??
                 (splitter && splitter.countUselessBytes() > uselessBytesLimit
@@ -236,7 +248,7 @@
             }
             if (hasSentBytes(fault)) {
                 parts.onBroken();
-                writeBrokenLog(state, run, fault, parts.clock.now());
+                writeBrokenLog(parts, state, run, fault);
                 // bytes that are no answer say that the server is faulty, not that the request ended it
                 if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !isUseless) {
                     parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
@@ -257,7 +269,8 @@
                 finish({ kind: "unsendable", reason: fault.detail });
                 return;
             }
-            applyStep(decideNextStep({ kind: "fault", fault }, describeProgress()), `${fault.kind} ${fault.detail}`);
+            const step = decideNextStep({ kind: "fault", fault }, describeProgress());
+            applyStep(step, `${fault.kind} ${fault.detail}`, describeFaultSource(fault));
         };
         const handleEnd = (): void => {
             if (mode !== "delivering") {
@@ -385,7 +398,8 @@
 }
 
 // tells requests that may have ended their server from those that were only running on it
-function writeBrokenLog(state: RequestState, run: string, fault: AttemptFault, now: Milliseconds): void {
+function writeBrokenLog(parts: RequestParts, state: RequestState, run: string, fault: AttemptFault): void {
+    const now = parts.clock.now();
     log.warn("answer broken off", {
         id: state.request.attemptId,
         run,
@@ -398,6 +412,7 @@
         sinceSent: Math.round(now - state.sentAt),
         sinceBegun: state.beganAt === undefined ? undefined : Math.round(now - state.beganAt),
         lastEventId: state.lastEventId,
+        ...describeEndNow(parts, state, describeFaultSource(fault)),
     });
 }
 
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -3,11 +3,28 @@
  *
  * @packageDocumentation
  */
-import { computeRequestDigest, type QuarantineScope, type RequestDigest } from "../quarantine/index.js";
+import { computeRequestDigest, type RequestDigest } from "../quarantine/index.js";
 import { type Milliseconds, millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
-import { callGuarded, recordTaskFailure } from "../supervision/index.js";
+import { recordTaskFailure } from "../supervision/index.js";
 import { type Admission, applyQuota, decideAdmission, returnQuota } from "./admission.js";
+import { describeEndNow } from "./answerEnds.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
+import {
+    createReport,
+    describeLeavingOutcome,
+    drawStoppingRetryAfter,
+    finishAfterFailure,
+    finishForClient,
+    finishWithoutResponse,
+    quarantineReasons,
+    recordEnd,
+    refuseQuarantined,
+    refuseStopping,
+    refuseUnsendable,
+    retryAfterSeconds,
+    serviceUnavailableStatus,
+    stoppingReason,
+} from "./requestEnds.js";
 import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
 import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
@@ -21,29 +38,8 @@
     type ServingRoute,
 } from "./types.js";
 
-/** Reason of refusals by an instance that stops. */
-const stoppingReason = "this instance stops";
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
-const badRequestStatus = 400;
-const serviceUnavailableStatus = 503;
-const internalErrorStatus = 500;
-const badGatewayStatus = 502;
-const gatewayTimeoutStatus = 504;
-const maximumFaultLength = 200;
-/** Reasons of refusals by the kind of their quarantine's scope. */
-const quarantineReasons: Readonly<Record<QuarantineScope["kind"], string>> = {
-    part: "quarantined prompt",
-    request: "quarantined request",
-};
-/**
- * Retry delay sent to clients when no server has run their request: the minimum plus a random part of the jitter, so
- * that they don't all retry at the same time.
- */
-const retryAfterSeconds = { minimum: 0.2, jitter: 0.4 };
-/** The same for clients of an instance that stops, as others have room. */
-const stoppingRetryAfterSeconds = { minimum: 0.05, jitter: 0.1 };
-
 /**
  * Runs a request and responds to the client.
  *
@@ -62,7 +58,7 @@
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
-    const stages = createRequestStages(parts.clock, signal);
+    const stages = createRequestStages(parts, signal);
     const allowed = decideAdmission(parts, request);
     const digest = allowed.kind === "admitted"
         ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
@@ -84,8 +80,9 @@
             answer.writeHead(status, parts.headers.encodeRefusalHeaders(request.attemptId, retryAfter), 0);
             answer.end();
         }
+        const by = refusal?.by ?? stages.findCloser();
         return {
-            outcome: admission.kind,
+            outcome: refusal ? "refused" : describeLeavingOutcome(by),
             status: refusal?.status,
             reason: refusal?.reason ?? "",
             service: undefined,
@@ -96,6 +93,7 @@
             placeWait: 0,
             headAfter: undefined,
             longestPause: 0,
+            ...describeEndNow(parts, {}, by),
             ...stages.describe(),
         };
     }
@@ -106,14 +104,14 @@
             parts.answerTimes.record(admission.route.name, parts.clock.now() - startedAt);
         }
         // one that is refused for want of a server comes back, and would only add to the load
-        if (outcome === "clientLeft" && state.triedServers.size === 0) {
+        if ((outcome === "clientLeft" || outcome === "cut") && state.triedServers.size === 0) {
             returnQuota(parts, admission, request);
         }
-        return createReport(state, outcome);
+        return createReport(parts, state, outcome);
     }
     catch (error) {
         recordTaskFailure("attempts of a request", error);
-        return createReport(state, finishAfterFailure(parts, state, error));
+        return createReport(parts, state, finishAfterFailure(parts, state, error));
     }
 }
 
@@ -149,6 +147,9 @@
         placeOutcome: "unknown",
         lastFault: "",
         returnAt: startedAt,
+        heardAt: undefined,
+        isHeldBack: false,
+        end: undefined,
     };
 }
 
@@ -160,29 +161,6 @@
     return startedAt + Math.min(route.timeout, request.deadline ?? route.timeout);
 }
 
-// the units of a request that reached no server go back; no status may say of it that it never ran
-function finishAfterFailure(parts: RequestParts, state: RequestState, error: unknown): RequestReport["outcome"] {
-    state.lastFault = `failed inside: ${String(error).slice(0, maximumFaultLength)}`;
-    if (state.triedServers.size === 0) {
-        callGuarded("units of a failed request", () => returnQuota(parts, state.admission, state.request));
-    }
-    if (state.signal.aborted) {
-        return "clientLeft";
-    }
-    if (state.headSentAt !== undefined) {
-        state.answer.destroy();
-        return "cut";
-    }
-    const headers = callGuarded(
-        "headers of a failed request",
-        () => parts.headers.encodeRefusalHeaders(state.request.attemptId, undefined),
-    );
-    state.status = internalErrorStatus;
-    state.answer.writeHead(internalErrorStatus, headers ?? [], 0);
-    state.answer.end();
-    return "failed";
-}
-
 // before the quota, so that requests which reach no server use nothing of it
 function refuseIfQuarantined(
     parts: RequestParts,
@@ -199,6 +177,7 @@
     return decision.kind === "quarantined"
         ? {
             kind: "refused",
+            by: "limit",
             status: serviceUnavailableStatus,
             reason: quarantineReasons[decision.scope.kind],
             retryAfter: decision.remaining / millisecondsPerSecond + retryAfterSeconds.jitter * parts.random.next(),
@@ -223,6 +202,7 @@
         ? admission
         : {
             kind: "refused",
+            by: "stop",
             status: serviceUnavailableStatus,
             reason: stoppingReason,
             retryAfter: drawStoppingRetryAfter(parts),
@@ -248,10 +228,6 @@
     };
 }
 
-function drawStoppingRetryAfter({ random }: Pick<RequestParts, "random">): number {
-    return stoppingRetryAfterSeconds.minimum + stoppingRetryAfterSeconds.jitter * random.next();
-}
-
 async function runAttempts(parts: RequestParts, state: RequestState): Promise<RequestReport["outcome"]> {
     parts.retryBudget.countRequest(state.admission.service, state.startedAt);
     for (;;) {
@@ -262,7 +238,7 @@
         const selected = found.kind === "selected" ? found.selected : undefined;
         if (state.signal.aborted) {
             selected?.release?.("unknown");
-            return "clientLeft";
+            return finishForClient(parts, state);
         }
         if (!parts.shutdown.mayBegin(attempt)) {
             selected?.release?.("unknown");
@@ -274,7 +250,9 @@
         if (!selected || parts.clock.now() >= state.deadlineAt) {
             selected?.release?.("unknown");
             const untilReturn = (state.returnAt - parts.clock.now()) / millisecondsPerSecond;
-            return finishWithoutResponse(parts, state, selected ? "timeout" : "no server", untilReturn);
+            return selected
+                ? finishWithoutResponse(parts, state, "timeout", "deadline", untilReturn)
+                : finishWithoutResponse(parts, state, "no server", "noServer", untilReturn);
         }
         // the quarantine may have begun while the request waited for its server
         if (parts.guard.decide(describeGuarded(state), parts.clock.now()).kind === "quarantined" && !state.isTrial) {
@@ -285,13 +263,14 @@
         const end = await runAttempt(parts, state, selected);
         switch (end.kind) {
             case "complete":
+                recordEnd(parts, state, "server");
                 return "answered";
             case "clientLeft":
-                return "clientLeft";
+                return finishForClient(parts, state);
             case "timeout":
-                return finishWithoutResponse(parts, state, "timeout");
+                return finishWithoutResponse(parts, state, "timeout", "deadline");
             case "failed":
-                return finishWithoutResponse(parts, state, end.reason);
+                return finishWithoutResponse(parts, state, end.reason, end.by);
             case "unsendable":
                 return refuseUnsendable(parts, state, end.reason);
             case "repeat":
@@ -412,76 +391,3 @@
             return state.isTrial;
     }
 }
-
-function refuseQuarantined(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    const decision = parts.guard.decide(describeGuarded(state), parts.clock.now());
-    const remaining = decision.kind === "quarantined" ? decision.remaining / millisecondsPerSecond : 0;
-    const reason = quarantineReasons[decision.kind === "open" ? "request" : decision.scope.kind];
-    return finishWithoutResponse(parts, state, reason, remaining);
-}
-
-// its client sends it to another instance, where it uses its units
-function refuseStopping(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    if (state.triedServers.size === 0) {
-        returnQuota(parts, state.admission, state.request);
-    }
-    if (state.mayHaveRun || state.headSentAt !== undefined) {
-        return finishWithoutResponse(parts, state, stoppingReason);
-    }
-    state.lastFault = state.lastFault === "" ? stoppingReason : `${stoppingReason}: ${state.lastFault}`;
-    sendStatus(parts, state, serviceUnavailableStatus, drawStoppingRetryAfter(parts));
-    return "refused";
-}
-
-function refuseUnsendable(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
-    if (state.mayHaveRun || state.headSentAt !== undefined) {
-        return finishWithoutResponse(parts, state, reason);
-    }
-    state.lastFault = reason;
-    sendStatus(parts, state, badRequestStatus, undefined);
-    return "refused";
-}
-
-function finishWithoutResponse(
-    parts: RequestParts,
-    state: RequestState,
-    reason: string,
-    minimumRetryAfter = retryAfterSeconds.minimum,
-): RequestReport["outcome"] {
-    state.lastFault = state.lastFault === "" ? reason : `${reason}: ${state.lastFault}`;
-    if (state.headSentAt !== undefined) {
-        state.answer.destroy();
-        return "cut";
-    }
-    if (!state.mayHaveRun) {
-        const retryAfter = Math.max(minimumRetryAfter, retryAfterSeconds.minimum) +
-            retryAfterSeconds.jitter * parts.random.next();
-        sendStatus(parts, state, serviceUnavailableStatus, retryAfter);
-        return "refused";
-    }
-    sendStatus(parts, state, reason === "timeout" ? gatewayTimeoutStatus : badGatewayStatus, undefined);
-    return "failed";
-}
-
-function sendStatus(parts: RequestParts, state: RequestState, status: number, retryAfter: number | undefined): void {
-    state.status = status;
-    state.answer.writeHead(status, parts.headers.encodeRefusalHeaders(state.request.attemptId, retryAfter), 0);
-    state.answer.end();
-}
-
-function createReport(state: RequestState, outcome: RequestReport["outcome"]): RequestReport {
-    return {
-        outcome,
-        status: state.status,
-        reason: state.lastFault,
-        service: state.admission.service,
-        route: state.admission.route.name,
-        account: state.admission.account?.name,
-        servers: [...state.triedServers],
-        versions: [...state.deliveredVersions],
-        placeWait: Math.round(state.placeWait),
-        headAfter: state.headSentAt === undefined ? undefined : Math.round(state.headSentAt - state.startedAt),
-        longestPause: Math.round(state.longestPause),
-        ...state.stages.describe(),
-    };
-}
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -74,6 +74,26 @@
         labelNames: ["outcome", "status", "account"],
         registers,
     });
+    const answerEnds = new Counter({
+        name: "oriolehatch_answer_ends_total",
+        help: "Ends of answers by whose hand it was, and outcome",
+        labelNames: ["by", "outcome"],
+        registers,
+    });
+    const endAfterStopSeconds = new Histogram({
+        name: "oriolehatch_end_after_stop_seconds",
+        help: "Time from the signal to stop to the end of an answer, by whose hand it was",
+        labelNames: ["by"],
+        buckets: latencyBuckets,
+        registers,
+    });
+    const endSilenceSeconds = new Histogram({
+        name: "oriolehatch_end_silence_seconds",
+        help: "Time from the last byte of a server to the end of an answer that isn't whole, by whose hand it was",
+        labelNames: ["by"],
+        buckets: latencyBuckets,
+        registers,
+    });
     const refusals = new Counter({
         name: "oriolehatch_refusals_total",
         help: "Refused requests by reason",
@@ -189,10 +209,20 @@
         accounts.add(name);
         return name;
     };
+    const countEnd = ({ by, outcome, sinceStop, silence }: RequestReport): void => {
+        answerEnds.inc({ by, outcome });
+        if (sinceStop !== undefined) {
+            endAfterStopSeconds.observe({ by }, sinceStop / millisecondsPerSecond);
+        }
+        if (silence !== undefined && outcome !== "answered") {
+            endSilenceSeconds.observe({ by }, silence / millisecondsPerSecond);
+        }
+    };
     return {
         countRequest: (report, took) => {
             const account = limitAccountLabel(report.account);
             requests.inc({ outcome: report.outcome, status: String(report.status ?? ""), account });
+            countEnd(report);
             if (report.outcome === "refused") {
                 refusals.inc({ reason: report.reason.split(":")[0] });
             }
--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -46,6 +46,8 @@
     /** Begins the stop; a second signal changes nothing. `delay` is how long ago the signal may have come. */
     readonly begin: (delay: Milliseconds) => void;
     readonly hasBegun: () => boolean;
+    /** Time since the signal; `undefined` before the stop. */
+    readonly measureSinceBegun: () => Milliseconds | undefined;
     /** Time until all answers must have ended; infinite before the stop, and never negative. */
     readonly measureRemaining: () => Milliseconds;
     /** Whether the platform may still send new clients, as it can't have noticed the stop yet. */
@@ -111,6 +113,7 @@
             startTask("waits of a stopping instance", checkWaits);
         },
         hasBegun: () => begunAt !== undefined,
+        measureSinceBegun: () => begunAt && measureElapsed(),
         measureRemaining,
         isNoticeTime,
         mayBegin: isBeginAllowed,
