refactor(serving): one place ends an answer, and its state says who may

Cause, as a class: an answer has several owners that may end it (its client, the deadline, the stop, faults of servers, failures inside), each ended it by a closure of its own (`finish`, `abortForClient`, `abortAtDeadline`, `abortAtStop`, `failInside`, and then a second function in runRequest.ts that wrote a status or closed the connection), and none was asked whether it may.

Change: `answerState.ts` decides (state, event, now -> state and effects): phases waiting, sent, answering, handedOver, ended; who may end an answer in which, in the table of docs/design/answerEnds.md, which a test compares with the code. `clientAnswer.ts` is the only caller of the client's response. `requestEnds.ts` chooses the status; `answerOwners.ts` watches client, stop and deadline; `attemptFaults.ts` records faults. A whole answer is handed over first: the request is `answered` once all is on its way to the client (`ClientResponse.finished`, at once where the HTTP server doesn't tell), else `clientLeft`, or `cut` by `stop`; the place at the server is free before. A stop that ends without having begun counts as over (`measureRemaining`), as its end is what ends answers. The deadline is looked at again when its timer is early.

No existing test was changed.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -27,6 +27,8 @@
     readonly seed?: number;
     /** Stop of the instance. @default none */
     readonly shutdown?: Shutdown;
+    /** What becomes of what was written. @default it gets to the client at once */
+    readonly finished?: Promise<"sent" | "instance">;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
     /** What throws: the request for a permit, or the sending of its attempt. */
@@ -163,6 +165,7 @@
         end: () => end = "end",
         destroy: () => end = "destroyed",
         onDrain: () => undefined,
+        ...requestCase.finished ? { finished: requestCase.finished } : {},
     };
     const request: ClientRequest = {
         attemptId: "1",
@@ -583,6 +586,39 @@
         }
     });
 
+    // guards against an answer that is reported as answered while a client that reads slowly lacks its end (LOST)
+    it("that is handed over is answered once its client has it, and else names who closed the connection", async () => {
+        let isDelivered = false;
+        const deliverLate = (resolve: (finished: "sent") => void): void => {
+            setTimeout(() => {
+                isDelivered = true;
+                resolve("sent");
+            }, 20);
+        };
+        const attempts = [sendComplete("x")];
+        const read = await runCase({ attempts, finished: new Promise(deliverLate) });
+        expect(isDelivered).to.equal(true);
+        expect(read.report).to.include({ by: "server", outcome: "answered", leftWhile: undefined });
+        const left = await runCase({ attempts, finished: never, disconnectAfter: 20 });
+        expect(left.report).to.include({ by: "client", outcome: "clientLeft", leftWhile: "delivery", heldBack: true });
+        const shutdown = createTestShutdown(300);
+        setTimeout(() => shutdown.end(), 10);
+        const cut = await runCase({ attempts, finished: never, disconnectAfter: 20, shutdown });
+        expect(cut.report).to.include({ by: "stop", outcome: "cut", leftWhile: "delivery" });
+        const closed = await runCase({ attempts, finished: Promise.resolve("instance") });
+        expect(closed.report).to.include({ by: "stop", outcome: "cut", heldBack: true });
+        expect([read, left, cut, closed].map(({ end, aborted }) => [end, aborted])).to.deep.equal(
+            Array.from({ length: 4 }, () => ["end", 0]),
+        );
+    });
+
+    // guards against a whole answer that is cut off while its client reads it (LOST)
+    it("that is handed over isn't ended by its deadline", async () => {
+        const finished = new Promise<"sent">(resolve => setTimeout(() => resolve("sent"), 60));
+        const { report, end } = await runCase({ attempts: [sendComplete("x")], finished, route: { timeout: 30 } });
+        expect([report.outcome, end]).to.deep.equal(["answered", "end"]);
+    });
+
     // guards against one fault that the record names twice, as if two attempts had ended by it
     it("that is broken off once has its fault once as its reason", async () => {
         const { report } = await runCase({ attempts: [failStream("ECONNRESET")], route: unsafeRoute });
--- a/src/serving/requestEnds.ts
+++ b/src/serving/requestEnds.ts
@@ -1,15 +1,17 @@
 /**
- * Ends requests without the whole answer of a server, and describes requests that have ended.
+ * Ends requests without the whole answer of a server, with the status that says what is known of them, and describes requests
+ * that have ended.
  *
  * @packageDocumentation
  */
 import type { QuarantineScope } from "../quarantine/index.js";
-import { millisecondsPerSecond } from "../shared/index.js";
+import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { callGuarded } from "../supervision/index.js";
 import { returnQuota } from "./admission.js";
 import { type AnswerEnder, describeEndNow } from "./answerEnds.js";
-import type { RequestParts, RequestReport, RequestState } from "./requestState.js";
-import { describeGuarded } from "./runAttempt.js";
+import type { AnswerHead, AnswerState } from "./answerState.js";
+import { describeGuarded } from "./attemptFaults.js";
+import type { ConnectionCloser, RequestParts, RequestReport, RequestState } from "./requestState.js";
 
 /** Reason of refusals by an instance that stops. */
 export const stoppingReason = "this instance stops";
@@ -19,6 +21,8 @@
 const internalErrorStatus = 500;
 const badGatewayStatus = 502;
 const gatewayTimeoutStatus = 504;
+/** Statuses of requests that a server may have run. */
+const failedStatuses: ReadonlySet<number> = new Set([internalErrorStatus, badGatewayStatus, gatewayTimeoutStatus]);
 const maximumFaultLength = 200;
 /** Reasons of refusals by the kind of their quarantine's scope. */
 export const quarantineReasons: Readonly<Record<QuarantineScope["kind"], string>> = {
@@ -43,134 +47,154 @@
     return stoppingRetryAfterSeconds.minimum + stoppingRetryAfterSeconds.jitter * random.next();
 }
 
+/** Who ends a request without a whole answer, and why. */
+export interface RequestEnd {
+    readonly by: AnswerEnder;
+    /** Empty when nothing is to be said beside the last fault. */
+    readonly reason: string;
+    /** Time until the client may come back, at least, if no server has run the request. @default 200 */
+    readonly returnsIn?: Milliseconds;
+    /** Whether the client's connection is closed. @default false */
+    readonly isGone?: boolean;
+}
+
 /**
- * Refuses a request that got into quarantine while it waited.
+ * Ends a request without the whole answer of a server, if the state of its answer allows it: with a status, or by closing the
+ * connection after the head of an answer.
  *
  * @param parts - parts of the instance
  * @param state - state of the request, which is updated
- * @returns how the request ended
+ * @param end - who ends it, and why
+ * @returns whether it has ended by this
  */
-export function refuseQuarantined(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    const decision = parts.guard.decide(describeGuarded(state), parts.clock.now());
-    const remaining = decision.kind === "quarantined" ? decision.remaining / millisecondsPerSecond : 0;
-    const reason = quarantineReasons[decision.kind === "open" ? "request" : decision.scope.kind];
-    return finishWithoutResponse(parts, state, reason, "limit", remaining);
+export function endRequest(parts: RequestParts, state: RequestState, end: RequestEnd): boolean {
+    const { answer, deadlineAt } = state;
+    const { by, reason, isGone = false } = end;
+    // an attempt that is under way may run
+    const mayHaveRun = state.mayHaveRun || isUnderWay(answer.read());
+    const head = isGone || answer.hasBegun() ? undefined : describeHead(parts, state, { ...end, mayHaveRun });
+    const facts = describeEndNow(parts, state, by);
+    const stopsIn = parts.shutdown.measureRemaining();
+    if (answer.apply({ kind: "end", by, head, isGone, deadlineAt, stopsIn }) === "refused") {
+        return false;
+    }
+    state.end = facts;
+    state.mayHaveRun = mayHaveRun;
+    state.lastFault = joinReasons(reason, state.lastFault);
+    return true;
 }
 
 /**
- * Refuses a request that may not begin any more, as this instance stops. Its units go back, as its client uses them at another one.
+ * Describes the end of a request whose client's connection was closed.
  *
- * @param parts - parts of the instance
- * @param state - state of the request, which is updated
- * @returns how the request ended
+ * @param state - state of the request
+ * @param closer - who closed it; `undefined` when its signal tells
+ * @returns who ends it
  */
-export function refuseStopping(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    if (state.triedServers.size === 0) {
-        returnQuota(parts, state.admission, state.request);
-    }
-    if (state.mayHaveRun || state.headSentAt !== undefined) {
-        return finishWithoutResponse(parts, state, stoppingReason, "stop");
-    }
-    recordEnd(parts, state, "stop");
-    state.lastFault = joinReasons(stoppingReason, state.lastFault);
-    sendStatus(parts, state, serviceUnavailableStatus, drawStoppingRetryAfter(parts));
-    return "refused";
+export function describeLeaving({ stages }: Pick<RequestState, "stages">, closer?: ConnectionCloser): RequestEnd {
+    return { by: closer === "instance" ? "stop" : stages.findCloser(), reason: "", isGone: true };
 }
 
 /**
- * Refuses a request that no server can be sent.
+ * Ends a request that got into quarantine while it waited.
  *
  * @param parts - parts of the instance
  * @param state - state of the request, which is updated
- * @param reason - why its head can't be written
- * @returns how the request ended
  */
-export function refuseUnsendable(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
-    if (state.mayHaveRun || state.headSentAt !== undefined) {
-        return finishWithoutResponse(parts, state, reason, "client");
-    }
-    recordEnd(parts, state, "client");
-    state.lastFault = reason;
-    sendStatus(parts, state, badRequestStatus, undefined);
-    return "refused";
+export function refuseQuarantined(parts: RequestParts, state: RequestState): void {
+    const decision = parts.guard.decide(describeGuarded(state), parts.clock.now());
+    const returnsIn = decision.kind === "quarantined" ? decision.remaining : 0;
+    const reason = quarantineReasons[decision.kind === "open" ? "request" : decision.scope.kind];
+    endRequest(parts, state, { by: "limit", reason, returnsIn });
 }
 
 /**
- * Ends a request without the whole answer of a server: with a status, or by closing the connection after the head of an answer.
+ * Ends a request that may not begin any more, as this instance stops. Its units go back, as its client uses them at another one.
  *
  * @param parts - parts of the instance
  * @param state - state of the request, which is updated
- * @param reason - why there is no whole answer
- * @param by - whose hand it was
- * @param minimumRetryAfter - seconds until its client may come back, at least
- * @returns how the request ended
  */
-export function finishWithoutResponse(
-    parts: RequestParts,
-    state: RequestState,
-    reason: string,
-    by: AnswerEnder,
-    minimumRetryAfter = retryAfterSeconds.minimum,
-): RequestReport["outcome"] {
-    recordEnd(parts, state, by);
-    state.lastFault = joinReasons(reason, state.lastFault);
-    if (state.headSentAt !== undefined) {
-        state.answer.destroy();
-        return "cut";
-    }
-    if (!state.mayHaveRun) {
-        const retryAfter = Math.max(minimumRetryAfter, retryAfterSeconds.minimum) +
-            retryAfterSeconds.jitter * parts.random.next();
-        sendStatus(parts, state, serviceUnavailableStatus, retryAfter);
-        return "refused";
+export function refuseStopping(parts: RequestParts, state: RequestState): void {
+    if (state.triedServers.size === 0) {
+        returnQuota(parts, state.admission, state.request);
     }
-    sendStatus(parts, state, reason === "timeout" ? gatewayTimeoutStatus : badGatewayStatus, undefined);
-    return "failed";
+    endRequest(parts, state, { by: "stop", reason: stoppingReason });
 }
 
 /**
- * Ends a request whose client's connection was closed.
+ * Ends a request that failed inside. Its units go back if it reached no server; no status may say of it that it never ran.
  *
  * @param parts - parts of the instance
  * @param state - state of the request, which is updated
- * @returns how the request ended
+ * @param error - what was thrown
  */
-export function finishForClient(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    const by = state.stages.findCloser();
-    recordEnd(parts, state, by);
-    return describeLeavingOutcome(by);
+export function endAfterFailure(parts: RequestParts, state: RequestState, error: unknown): void {
+    if (state.triedServers.size === 0) {
+        callGuarded("units of a failed request", () => returnQuota(parts, state.admission, state.request));
+    }
+    const reason = `failed inside: ${String(error).slice(0, maximumFaultLength)}`;
+    endRequest(parts, state, state.signal.aborted ? { ...describeLeaving(state), reason } : { by: "inside", reason });
 }
 
-/**
- * Names the outcome of a request whose client's connection was closed. A stop that is over closes those that are left.
- *
- * @param by - who closed it
- * @returns the outcome
- */
-export function describeLeavingOutcome(by: AnswerEnder): "cut" | "clientLeft" {
-    return by === "stop" ? "cut" : "clientLeft";
+function isUnderWay({ phase }: AnswerState): boolean {
+    return phase === "sent" || phase === "answering";
 }
 
-/**
- * Records the end of an answer, which is now. Later ones change nothing.
- *
- * @param parts - parts of the instance
- * @param state - state of the request, which is updated
- * @param by - whose hand it was
- */
-export function recordEnd(parts: RequestParts, state: RequestState, by: AnswerEnder): void {
-    state.end ??= describeEndNow(parts, state, by);
+function describeHead(
+    parts: RequestParts,
+    { request }: RequestState,
+    end: RequestEnd & { readonly mayHaveRun: boolean; },
+): AnswerHead {
+    const { attemptId } = request;
+    if (end.by === "inside") {
+        const encode = (): readonly string[] => parts.headers.encodeRefusalHeaders(attemptId, undefined);
+        const headers = callGuarded("headers of a failed request", encode) ?? [];
+        return { status: internalErrorStatus, headers, contentLength: 0 };
+    }
+    const status = chooseStatus(end);
+    const retryAfter = status === serviceUnavailableStatus ? drawRetryAfter(parts, end) : undefined;
+    return { status, headers: parts.headers.encodeRefusalHeaders(attemptId, retryAfter), contentLength: 0 };
+}
+
+function chooseStatus({ by, mayHaveRun }: RequestEnd & { readonly mayHaveRun: boolean; }): number {
+    if (mayHaveRun) {
+        return by === "deadline" ? gatewayTimeoutStatus : badGatewayStatus;
+    }
+    return by === "client" ? badRequestStatus : serviceUnavailableStatus;
+}
+
+function drawRetryAfter(parts: RequestParts, { by, returnsIn = 0 }: RequestEnd): number {
+    if (by === "stop") {
+        return drawStoppingRetryAfter(parts);
+    }
+    const { minimum, jitter } = retryAfterSeconds;
+    return Math.max(returnsIn / millisecondsPerSecond, minimum) + jitter * parts.random.next();
 }
 
 // the fault that ends an answer is the last one as well, and is named once
 function joinReasons(reason: string, lastFault: string): string {
-    return lastFault === "" || lastFault === reason ? reason : `${reason}: ${lastFault}`;
+    return reason === "" || lastFault === "" || lastFault === reason ? reason || lastFault : `${reason}: ${lastFault}`;
 }
 
-function sendStatus(parts: RequestParts, state: RequestState, status: number, retryAfter: number | undefined): void {
-    state.status = status;
-    state.answer.writeHead(status, parts.headers.encodeRefusalHeaders(state.request.attemptId, retryAfter), 0);
-    state.answer.end();
+/**
+ * Names the outcome of a request by the end of its answer.
+ *
+ * @param state - state of the answer
+ * @returns the outcome
+ */
+export function describeOutcome({ ending, by, status }: AnswerState): RequestReport["outcome"] {
+    switch (ending) {
+        case "whole":
+            return "answered";
+        case "status":
+            return failedStatuses.has(status ?? 0) ? "failed" : "refused";
+        case "cut":
+            return "cut";
+        case "gone":
+            return by === "client" ? "clientLeft" : "cut";
+        case undefined:
+            throw new Error("the answer hasn't ended");
+    }
 }
 
 /**
@@ -178,17 +202,13 @@
  *
  * @param parts - parts of the instance
  * @param state - state of the request
- * @param outcome - how it ended
  * @returns report for log and metrics
  */
-export function createReport(
-    parts: RequestParts,
-    state: RequestState,
-    outcome: RequestReport["outcome"],
-): RequestReport {
+export function createReport(parts: RequestParts, state: RequestState): RequestReport {
+    const answer = state.answer.read();
     return {
-        outcome,
-        status: state.status,
+        outcome: describeOutcome(answer),
+        status: answer.status,
         reason: state.lastFault,
         service: state.admission.service,
         route: state.admission.route.name,
@@ -196,40 +216,9 @@
         servers: [...state.triedServers],
         versions: [...state.deliveredVersions],
         placeWait: Math.round(state.placeWait),
-        headAfter: state.headSentAt === undefined ? undefined : Math.round(state.headSentAt - state.startedAt),
+        headAfter: answer.begunAt === undefined ? undefined : Math.round(answer.begunAt - state.startedAt),
         longestPause: Math.round(state.longestPause),
-        ...state.end ?? describeEndNow(parts, state, "inside"),
+        ...state.end ?? describeEndNow(parts, state, answer.by ?? "inside"),
         ...state.stages.describe(),
     };
 }
-
-/**
- * Ends a request that failed inside. Its units go back if it reached no server; no status may say of it that it never ran.
- *
- * @param parts - parts of the instance
- * @param state - state of the request, which is updated
- * @param error - what was thrown
- * @returns how the request ended
- */
-export function finishAfterFailure(parts: RequestParts, state: RequestState, error: unknown): RequestReport["outcome"] {
-    state.lastFault = `failed inside: ${String(error).slice(0, maximumFaultLength)}`;
-    if (state.triedServers.size === 0) {
-        callGuarded("units of a failed request", () => returnQuota(parts, state.admission, state.request));
-    }
-    if (state.signal.aborted) {
-        return finishForClient(parts, state);
-    }
-    recordEnd(parts, state, "inside");
-    if (state.headSentAt !== undefined) {
-        state.answer.destroy();
-        return "cut";
-    }
-    const headers = callGuarded(
-        "headers of a failed request",
-        () => parts.headers.encodeRefusalHeaders(state.request.attemptId, undefined),
-    );
-    state.status = internalErrorStatus;
-    state.answer.writeHead(internalErrorStatus, headers ?? [], 0);
-    state.answer.end();
-    return "failed";
-}
--- a/src/serving/requestStages.ts
+++ b/src/serving/requestStages.ts
@@ -5,13 +5,14 @@
  */
 import type { Clock, Milliseconds } from "../shared/index.js";
 import type { AnswerEnder } from "./answerEnds.js";
+import type { ConnectionCloser } from "./requestState.js";
 import type { Shutdown } from "./shutdown.js";
 
 /**
  * What a request waits for: its admission (origin of a resumed stream, quota), a server with room (quarantine trial, place,
- * permit), or the response of a server.
+ * permit), the response of a server, or the client, which hasn't read all of it.
  */
-export type RequestStage = "admission" | "server" | "response";
+export type RequestStage = "admission" | "server" | "response" | "delivery";
 
 /** How a request ended whose client disconnected; the fields are `undefined` for others. */
 export interface LeavingReport {
@@ -25,7 +26,10 @@
 export interface RequestStages {
     /** Records what the request waits for from now on. */
     readonly mark: (stage: RequestStage) => void;
-    /** Names who closed the client's connection: at the end of a stop this instance closes all that are left. */
+    /**
+     * Names who closed the client's connection, by the reason of the signal if it has one. Else it was this instance from the
+     * end of its stop on, when it closes all that are left.
+     */
     readonly findCloser: () => Extract<AnswerEnder, "client" | "stop">;
     /** Describes the end of the request, which is now. */
     readonly describe: () => LeavingReport;
@@ -46,15 +50,20 @@
     let stage: RequestStage = "admission";
     let leftWhile: RequestStage | undefined;
     let leftAt = 0;
-    let closer: "client" | "stop" = "client";
+    const findCloser = (): "client" | "stop" => {
+        const isClosedHere = signal.reason === ("instance" satisfies ConnectionCloser);
+        const isKnown = isClosedHere || signal.reason === ("client" satisfies ConnectionCloser);
+        return isClosedHere || (!isKnown && shutdown.ended.aborted) ? "stop" : "client";
+    };
+    let closer: "client" | "stop" | undefined;
     signal.addEventListener("abort", () => {
         leftWhile = stage;
         leftAt = clock.now();
-        closer = shutdown.ended.aborted ? "stop" : "client";
+        closer = findCloser();
     }, { once: true });
     return {
         mark: next => stage = next,
-        findCloser: () => closer,
+        findCloser: () => closer ?? findCloser(),
         describe: () => ({
             leftWhile,
             endDelay: leftWhile && Math.round(clock.now() - leftAt),
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -11,6 +11,7 @@
 import type { Admission, AdmissionParts } from "./admission.js";
 import type { AnswerEnd } from "./answerEnds.js";
 import type { AnswerTimes } from "./answerTimes.js";
+import type { ClientAnswer } from "./clientAnswer.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
 import type { ServerList } from "./serverList.js";
@@ -21,6 +22,9 @@
 /** Who had a stream go on: the client by a new request, or this instance within one response. */
 export type StreamResumer = "client" | "instance";
 
+/** Who closed the connection of a client. */
+export type ConnectionCloser = "client" | "instance";
+
 /** The response to a client. */
 export interface ClientResponse {
     readonly writeHead: (status: number, headers: readonly string[], contentLength: number | undefined) => void;
@@ -31,6 +35,8 @@
     readonly destroy: () => void;
     /** Calls `resume` once when more may be written. */
     readonly onDrain: (resume: () => void) => void;
+    /** Resolves when all that was written is on its way to the client, or its connection is closed. @default `sent` at once */
+    readonly finished?: Promise<"sent" | ConnectionCloser>;
 }
 
 /** Parts of the instance that a request uses; all requests share them. */
@@ -47,7 +53,7 @@
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
     readonly answerTimes: Pick<AnswerTimes, "record">;
-    readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended" | "measureSinceBegun">;
+    readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended" | "measureSinceBegun" | "measureRemaining">;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
@@ -57,7 +63,7 @@
 /** Report on a request that has ended, for log and metrics; all fields are written to the log under their names. */
 export interface RequestReport extends LeavingReport, AnswerEnd {
     /**
-     * How the request ended: `answered` when a whole response was delivered, `refused` when no server has run the
+     * How the request ended: `answered` when a whole response was delivered to the client, `refused` when no server has run the
      * request, `failed` when a server may have run it but the client got an error status instead of its response, `cut`
      * when this instance closed the connection before the whole response, and `clientLeft` when the client disconnected.
      */
@@ -87,12 +93,12 @@
     readonly body: Buffer | undefined;
     /** Identity of the request, the same for its repeats. */
     readonly digest: RequestDigest;
-    readonly answer: ClientResponse;
+    readonly answer: ClientAnswer;
     readonly admission: Extract<Admission, { readonly kind: "admitted"; }>;
     readonly startedAt: Milliseconds;
     /** Time at which the response must have ended. */
     readonly deadlineAt: Milliseconds;
-    /** Aborted when the client disconnects. */
+    /** Aborted when the client's connection is closed; the reason may be a `ConnectionCloser`. */
     readonly signal: AbortSignal;
     readonly stages: RequestStages;
     /** Servers that may have received the request. */
@@ -105,10 +111,6 @@
     attemptCount: number;
     /** Whether a server may have run the request; it is then answered 502 or 504 instead of 503 if it fails. */
     mayHaveRun: boolean;
-    /** Time at which the head of a response was sent to the client; `undefined` before. */
-    headSentAt: Milliseconds | undefined;
-    /** Status sent to the client. */
-    status: number | undefined;
     /** Last event delivered to the client, or the one that it named itself. */
     lastEventId: number | undefined;
     /** What began the stream, from its first event on; only such servers may go on with it. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -4,29 +4,22 @@
  *
  * @packageDocumentation
  */
-import type { GuardedRequest } from "../quarantine/index.js";
-import { createLogger, type Milliseconds } from "../shared/index.js";
-import { callGuarded, startTask } from "../supervision/index.js";
-import { type AnswerEnder, describeEndNow, describeFaultSource } from "./answerEnds.js";
+import type { Milliseconds } from "../shared/index.js";
+import { callGuarded } from "../supervision/index.js";
+import { describeFaultSource } from "./answerEnds.js";
+import { watchOwners } from "./answerOwners.js";
+import { markSound, recordFault } from "./attemptFaults.js";
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
-import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
+import { decideNextStep, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
+import { endRequest, type RequestEnd } from "./requestEnds.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
 import { recordResponseHead } from "./responseRecords.js";
-import type { Attempt, AttemptFault } from "./serverConnections.js";
+import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "./serverConnections.js";
 import { describeStream, recordDelivery } from "./streamDelivery.js";
-import { formatServerRunId, type PlaceOutcome, type ServerResponseHead } from "./types.js";
+import { formatServerRunId, type ServerResponseHead } from "./types.js";
 
-/**
- * How an attempt ended: `complete` when the whole response was delivered, `repeat` when the request may be sent again,
- * `failed` when it may not, `unsendable` when no server can be sent it, `timeout` at the deadline of the request, and `clientLeft` when the client disconnected.
- */
-export type AttemptOutcome =
-    | { readonly kind: "complete"; }
-    | { readonly kind: "repeat"; }
-    | { readonly kind: "failed"; readonly reason: string; readonly by: AnswerEnder; }
-    | { readonly kind: "unsendable"; readonly reason: string; }
-    | { readonly kind: "timeout"; }
-    | { readonly kind: "clientLeft"; };
+/** How an attempt ended: `repeat` when the request may be sent again, and `over` when its answer is handed over or has ended. */
+export type AttemptOutcome = "repeat" | "over";
 
 /**
  * A response that isn't an event stream. It is delivered when complete, so that the request can be retried if it
@@ -47,7 +40,6 @@
 /** Lowest priority that servers know; lower ones are raised to it. */
 const lowestPriority = 9;
 const lowestRedirectStatus = 300;
-const log = createLogger("serving");
 
 /**
  * Sends a request to a server and delivers the response to the client.
@@ -86,35 +78,35 @@
 
 function deliverResponse(parts: RequestParts, state: RequestState, selected: SelectedServer): Promise<AttemptOutcome> {
     const { server } = selected;
-    const run = formatServerRunId(server);
+    const { answer, deadlineAt } = state;
     const { route } = state.admission;
+    const canGoOn = route.kind === "stream" && route.canResume;
+    if (answer.apply({ kind: "attempt", canGoOn, deadlineAt }) === "refused") {
+        if (endRequest(parts, state, { by: "deadline", reason: "timeout" })) {
+            return Promise.resolve("over");
+        }
+        throw new Error("an attempt isn't allowed in the present state of the answer");
+    }
+    const number = answer.read().attempt;
     return new Promise((resolve, reject) => {
-        let mode = "waiting" as "waiting" | "delivering" | "ignoring";
+        const over = new AbortController();
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
         let isUseless = false;
         let attempt: Attempt | undefined = undefined;
-        const cancelTimer = new AbortController();
-        const abortAttempt = (): void => callGuarded("abort attempt", () => attempt?.abort());
-        const stopListening = (): void => {
-            cancelTimer.abort();
-            state.signal.removeEventListener("abort", abortForClient);
-            parts.shutdown.ended.removeEventListener("abort", abortAtStop);
-            mode = "ignoring";
-        };
-        const finish = (end: AttemptOutcome): void => {
-            stopListening();
-            resolve(end);
+        const finish = (outcome: AttemptOutcome): void => {
+            over.abort();
+            resolve(outcome);
         };
-        // the server may have run the request, and its answer is no longer read
         const failInside = (error: unknown): void => {
-            state.mayHaveRun = true;
-            stopListening();
+            over.abort();
             reject(error);
-            abortAttempt();
         };
         const wrapHandler =
             <Values extends unknown[]>(handle: (...values: Values) => void) => (...values: Values): void => {
+                if (over.signal.aborted) {
+                    return;
+                }
                 try {
                     handle(...values);
                 }
@@ -122,58 +114,45 @@
                     failInside(error);
                 }
             };
-        const abortForClient = (): void => {
-            finish({ kind: "clientLeft" });
-            abortAttempt();
+        const endAnswer = (end: RequestEnd): void => {
+            if (endRequest(parts, state, end)) {
+                finish("over");
+            }
         };
-        const abortAtDeadline = (): void => {
-            abortAttempt();
-            state.mayHaveRun = true;
-            finish({ kind: "timeout" });
+        const failAttempt = (end: RequestEnd): void => {
+            answer.apply({ kind: "attemptOver", attempt: number });
+            endAnswer(end);
         };
-        // a client that has events goes on elsewhere with a connection that ends; another one gets an answer that promises nothing
-        const abortAtStop = (): void => {
-            abortAttempt();
-            state.mayHaveRun = true;
-            finish({ kind: "failed", reason: "this instance stops", by: "stop" });
+        const retryRequest = (reason: string): void => {
+            state.lastFault = reason;
+            answer.apply({ kind: "attemptOver", attempt: number });
+            finish("repeat");
         };
         const describeProgress = (): RequestProgress => ({
             route,
             triedServerCount: state.triedServers.size,
-            hasResponseStarted: state.headSentAt !== undefined,
+            hasResponseStarted: answer.hasBegun(),
             mayHaveRun: state.mayHaveRun,
         });
-        const applyStep = (step: NextStep, reason: string, by: AnswerEnder): void => {
-            state.lastFault = reason;
-            if (step.kind === "repeat" && takeRetry(parts, state, step)) {
-                finish({ kind: "repeat" });
-                return;
-            }
-            state.mayHaveRun ||= step.kind === "fail" && !step.isNotRun;
-            finish({ kind: "failed", reason, by });
-        };
         const handleHead = (head: ServerResponseHead): void => {
             state.heardAt = parts.clock.now();
             recordResponseHead(parts, state, selected, head);
             const step = decideNextStep({ kind: "head", head }, describeProgress());
-            const hasDeliverableResponse = !head.isNotRun && head.isSigned && state.headSentAt === undefined;
-            if (step.kind === "repeat" && isBeforeDeadline(parts, state) && takeRetry(parts, state, step)) {
-                state.lastFault = `status ${head.status}`;
-                finish({ kind: "repeat" });
+            const hasDeliverableResponse = !head.isNotRun && head.isSigned && !answer.hasBegun();
+            const reason = `status ${head.status}`;
+            if (step.kind === "repeat" && state.heardAt < deadlineAt && takeRetry(parts, state, step)) {
+                retryRequest(reason);
                 return;
             }
             if (step.kind === "fail" || (step.kind === "repeat" && !hasDeliverableResponse)) {
                 state.mayHaveRun ||= !head.isNotRun;
-                finish({ kind: "failed", reason: `status ${head.status}`, by: "server" });
+                failAttempt({ by: "server", reason });
                 return;
             }
-            mode = "delivering";
-            state.beganAt = head.status < lowestRedirectStatus ? parts.clock.now() : undefined;
+            answer.apply({ kind: "head", attempt: number });
+            state.beganAt = head.status < lowestRedirectStatus ? state.heardAt : undefined;
             splitter = head.isEventStream
-                ? createEventSplitter({
-                    after: state.lastEventId,
-                    isNumbered: route.kind === "stream" && route.canResume,
-                })
+                ? createEventSplitter({ after: state.lastEventId, isNumbered: canGoOn })
                 : undefined;
             if (head.isEventStream || (head.contentLength ?? 0) > responseBufferBytes) {
                 deliverHead(head, isRetryable(route) ? undefined : head.contentLength);
@@ -182,32 +161,27 @@
                 held = { head, chunks: [], size: 0 };
             }
         };
-        const deliverHead = (head: ServerResponseHead, contentLength: number | undefined): void => {
-            if (state.headSentAt === undefined) {
-                state.headSentAt = parts.clock.now();
-                state.status = head.status;
-                state.answer.writeHead(head.status, head.passedHeaders, contentLength);
-            }
+        const deliverHead = ({ status, passedHeaders }: ServerResponseHead, contentLength?: number): void => {
+            answer.apply({ kind: "begin", attempt: number, head: { status, headers: passedHeaders, contentLength } });
         };
+        const writeChunk = (chunk: Buffer): boolean =>
+            answer.apply({ kind: "write", attempt: number, chunk }) === "applied";
         const flushBuffer = (contentLength: number | undefined): void => {
             if (held) {
                 deliverHead(held.head, contentLength);
-                held.chunks.forEach(state.answer.write);
+                held.chunks.forEach(writeChunk);
                 held = undefined;
             }
         };
         const pauseServer = (): void => {
             attempt?.pause();
             state.isHeldBack = true;
-            state.answer.onDrain(wrapHandler(() => {
+            answer.onDrain(wrapHandler(() => {
                 state.isHeldBack = false;
                 attempt?.resume();
             }));
         };
         const handleData = (chunk: Buffer): void => {
-            if (mode !== "delivering") {
-                return;
-            }
             state.heardAt = parts.clock.now();
             if (state.heardAt - (state.beganAt ?? Number.POSITIVE_INFINITY) >= soundAnswerMilliseconds) {
                 markSound(parts, state);
@@ -221,12 +195,12 @@
                 return;
             }
             const resumedAfter = state.lastEventId;
-            const events = splitter && takeCompleteEvents(state, splitter, chunk, parts.clock.now());
+            const events = splitter && takeCompleteEvents(state, splitter, chunk, state.heardAt);
             const bytes = events?.bytes ?? chunk;
             if (events && bytes.length > 0) {
                 recordDelivery(parts, state, server, resumedAfter);
             }
-            if (bytes.length > 0 && !state.answer.write(bytes)) {
+            if (bytes.length > 0 && !writeChunk(bytes)) {
                 pauseServer();
             }
             const useless = events?.foreign ??
@@ -234,132 +208,72 @@
                     ? `${uselessBytesLimit} bytes without an event`
                     : undefined);
             if (useless !== undefined) {
-                abortAttempt();
+                callGuarded("abort attempt", () => attempt?.abort());
                 isUseless = true;
                 handleFault({ kind: "broken", detail: useless });
             }
         };
         const handleFault = (fault: AttemptFault): void => {
-            if (mode === "ignoring") {
-                return;
-            }
-            if (isServerFault(fault)) {
-                parts.records.markFailure(run, fault.kind === "notSent", parts.clock.now());
-            }
-            if (hasSentBytes(fault)) {
-                parts.onBroken();
-                writeBrokenLog(parts, state, run, fault);
-                // bytes that are no answer say that the server is faulty, not that the request ended it
-                if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !isUseless) {
-                    parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
-                }
-            }
-            if (fault.kind === "notSent") {
-                log.info("server not reached", { id: state.request.attemptId, run, detail: fault.detail });
-            }
-            state.placeOutcome = describePlaceOutcome(fault);
-            // the same server may be reached through another instance
-            if (fault.kind !== "rerouted") {
-                state.excludedServers.add(run);
-            }
-            if (!hasSentBytes(fault)) {
-                state.triedServers.delete(run);
-            }
+            recordFault(parts, state, server, fault, isUseless);
+            const by = describeFaultSource(fault);
             if (fault.kind === "unsendable") {
-                finish({ kind: "unsendable", reason: fault.detail });
+                failAttempt({ by, reason: fault.detail });
                 return;
             }
             const step = decideNextStep({ kind: "fault", fault }, describeProgress());
-            applyStep(step, `${fault.kind} ${fault.detail}`, describeFaultSource(fault));
-        };
-        const handleEnd = (): void => {
-            if (mode !== "delivering") {
+            const reason = `${fault.kind} ${fault.detail}`;
+            if (step.kind === "repeat" && takeRetry(parts, state, step)) {
+                retryRequest(reason);
                 return;
             }
-            const rest = splitter?.readIncomplete();
-            if (rest && rest.length > 0) {
+            state.mayHaveRun ||= step.kind === "fail" && !step.isNotRun;
+            failAttempt({ by, reason });
+        };
+        const handleEnd = (): void => {
+            flushBuffer(held?.head.contentLength ?? held?.size);
+            const incompleteBytes = splitter?.readIncomplete().length ?? 0;
+            if (answer.apply({ kind: "whole", attempt: number, incompleteBytes }) === "refused") {
                 handleFault({ kind: "broken", detail: "stream ended with an incomplete event" });
                 return;
             }
-            flushBuffer(held?.head.contentLength ?? held?.size);
-            state.answer.end();
             markSound(parts, state);
             parts.origins.markComplete(describeStream(state));
-            finish({ kind: "complete" });
+            finish("over");
         };
-        const sendAttempt = (): Attempt =>
-            parts.connections.send(
-                {
-                    server,
-                    attemptId: state.request.attemptId,
-                    method: state.request.method,
-                    target: state.request.target,
-                    headers: parts.headers.encodeForwardedHeaders(state.request, {
-                        server: server.id,
-                        account: state.admission.account?.name,
-                        deadline: state.deadlineAt - parts.clock.now(),
-                        priority: choosePriority(state),
-                        version: selected.requiredVersion,
-                        lastEventId: state.lastEventId,
-                    }),
-                    body: state.body,
-                    wasRefused: state.refusedBy.has(run),
-                    mayBegin: () => parts.shutdown.mayBegin({ route, deadlineAt: state.deadlineAt }),
-                },
-                {
-                    onHead: wrapHandler(handleHead),
-                    onData: wrapHandler(handleData),
-                    onEnd: wrapHandler(handleEnd),
-                    onFault: wrapHandler(handleFault),
-                },
-            );
-        state.signal.addEventListener("abort", abortForClient, { once: true });
-        parts.shutdown.ended.addEventListener("abort", abortAtStop, { once: true });
-        const waitForDeadline = async (): Promise<void> => {
-            await parts.clock.sleep(Math.max(0, state.deadlineAt - parts.clock.now()), cancelTimer.signal);
-            if (!cancelTimer.signal.aborted) {
-                abortAtDeadline();
-            }
+        const handlers: AttemptHandlers = {
+            onHead: wrapHandler(handleHead),
+            onData: wrapHandler(handleData),
+            onEnd: wrapHandler(handleEnd),
+            onFault: wrapHandler(handleFault),
         };
-        startTask("deadline of an attempt", waitForDeadline, failInside);
-        if (mode === "ignoring") {
-            return;
-        }
-        try {
-            attempt = sendAttempt();
-        }
-        catch (error) {
-            failInside(error);
-        }
+        answer.setAbort(() => attempt?.abort());
+        watchOwners(parts, state, over.signal, { onEnd: wrapHandler(endAnswer), onFailure: failInside });
+        wrapHandler(() => {
+            attempt = parts.connections.send(describeAttempt(parts, state, selected), handlers);
+        })();
     });
 }
 
-function isServerFault(fault: AttemptFault): boolean {
-    switch (fault.kind) {
-        case "unsendable":
-        case "withdrawn":
-        case "rerouted":
-            return false;
-        case "broken":
-            return fault.isBetweenInstances !== true;
-        case "notSent":
-        case "crossed":
-            return true;
-    }
-}
-
-function describePlaceOutcome(fault: AttemptFault): PlaceOutcome {
-    switch (fault.kind) {
-        case "notSent":
-            return "unreachable";
-        case "unsendable":
-        case "withdrawn":
-        case "rerouted":
-            return "unknown";
-        case "broken":
-        case "crossed":
-            return isServerFault(fault) ? "failed" : "unknown";
-    }
+function describeAttempt(parts: RequestParts, state: RequestState, selected: SelectedServer): AttemptRequest {
+    const { request, admission, deadlineAt, body, lastEventId, refusedBy } = state;
+    const { server, requiredVersion } = selected;
+    return {
+        server,
+        attemptId: request.attemptId,
+        method: request.method,
+        target: request.target,
+        headers: parts.headers.encodeForwardedHeaders(request, {
+            server: server.id,
+            account: admission.account?.name,
+            deadline: deadlineAt - parts.clock.now(),
+            priority: choosePriority(state),
+            version: requiredVersion,
+            lastEventId,
+        }),
+        body,
+        wasRefused: refusedBy.has(formatServerRunId(server)),
+        mayBegin: () => parts.shutdown.mayBegin({ route: admission.route, deadlineAt }),
+    };
 }
 
 function choosePriority(state: RequestState): number | undefined {
@@ -380,46 +294,6 @@
     return events;
 }
 
-/**
- * Describes a request to the guard.
- *
- * @param state - state of the request
- * @returns its prompt, account and digest
- */
-export function describeGuarded(state: RequestState): GuardedRequest {
-    return { prompt: state.request.prompt, account: state.admission.account?.name, digest: state.digest };
-}
-
-function markSound(parts: RequestParts, state: RequestState): void {
-    if (!state.isSound && state.beganAt !== undefined) {
-        state.isSound = true;
-        parts.guard.markAnswered(describeGuarded(state), state.beganAt);
-    }
-}
-
-// tells requests that may have ended their server from those that were only running on it
-function writeBrokenLog(parts: RequestParts, state: RequestState, run: string, fault: AttemptFault): void {
-    const now = parts.clock.now();
-    log.warn("answer broken off", {
-        id: state.request.attemptId,
-        run,
-        fault: fault.kind,
-        detail: fault.detail,
-        route: state.admission.route.name,
-        account: state.admission.account?.name,
-        digest: state.digest,
-        parts: state.request.prompt?.shared.join(),
-        sinceSent: Math.round(now - state.sentAt),
-        sinceBegun: state.beganAt === undefined ? undefined : Math.round(now - state.beganAt),
-        lastEventId: state.lastEventId,
-        ...describeEndNow(parts, state, describeFaultSource(fault)),
-    });
-}
-
-function isBeforeDeadline(parts: RequestParts, state: RequestState): boolean {
-    return parts.clock.now() < state.deadlineAt;
-}
-
 function takeRetry(
     parts: RequestParts,
     state: RequestState,
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -8,19 +8,20 @@
 import { recordTaskFailure } from "../supervision/index.js";
 import { type Admission, applyQuota, decideAdmission, returnQuota } from "./admission.js";
 import { describeEndNow } from "./answerEnds.js";
+import type { AnswerHead } from "./answerState.js";
+import { describeGuarded } from "./attemptFaults.js";
+import { createClientAnswer } from "./clientAnswer.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
 import {
     createReport,
-    describeLeavingOutcome,
+    describeLeaving,
+    describeOutcome,
     drawStoppingRetryAfter,
-    finishAfterFailure,
-    finishForClient,
-    finishWithoutResponse,
+    endAfterFailure,
+    endRequest,
     quarantineReasons,
-    recordEnd,
     refuseQuarantined,
     refuseStopping,
-    refuseUnsendable,
     retryAfterSeconds,
     serviceUnavailableStatus,
     stoppingReason,
@@ -28,7 +29,7 @@
 import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
 import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
-import { describeGuarded, runAttempt } from "./runAttempt.js";
+import { type AttemptOutcome, runAttempt } from "./runAttempt.js";
 import { chooseServer } from "./serverChoice.js";
 import {
     type BackendServer,
@@ -46,7 +47,7 @@
  * @param parts - parts of the instance
  * @param request - decoded headers of the request
  * @param body - complete body; `undefined` when it is empty
- * @param answer - response to the client, which is ended or destroyed unless the client disconnects
+ * @param response - response to the client, which is ended or destroyed unless the client disconnects
  * @param signal - aborted when the client disconnects
  * @returns report on the request for log and metrics
  */
@@ -54,7 +55,7 @@
     parts: RequestParts,
     request: ClientRequest,
     body: Buffer | undefined,
-    answer: ClientResponse,
+    response: ClientResponse,
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
@@ -73,16 +74,20 @@
         ? await applyStreamOrigin(parts.origins, decided, request, signal)
         : decided;
     const admission = located.kind === "admitted" ? await applyQuota(parts, located, request, signal) : located;
+    const answer = createClientAnswer(response, parts.clock);
     if (admission.kind !== "admitted") {
         const refusal = admission.kind === "refused" ? admission : undefined;
-        if (refusal) {
-            const { status, retryAfter } = refusal;
-            answer.writeHead(status, parts.headers.encodeRefusalHeaders(request.attemptId, retryAfter), 0);
-            answer.end();
-        }
         const by = refusal?.by ?? stages.findCloser();
+        answer.apply({
+            kind: "end",
+            by,
+            head: refusal && describeRefusal(parts, request, refusal),
+            isGone: !refusal,
+            deadlineAt: Number.POSITIVE_INFINITY,
+            stopsIn: parts.shutdown.measureRemaining(),
+        });
         return {
-            outcome: refusal ? "refused" : describeLeavingOutcome(by),
+            outcome: describeOutcome(answer.read()),
             status: refusal?.status,
             reason: refusal?.reason ?? "",
             service: undefined,
@@ -99,22 +104,51 @@
     }
     const state = createState(parts, { request, body, answer, signal, admission, digest, startedAt, stages });
     try {
-        const outcome = await runAttempts(parts, state);
-        if (outcome === "answered") {
-            parts.answerTimes.record(admission.route.name, parts.clock.now() - startedAt);
-        }
-        // one that is refused for want of a server comes back, and would only add to the load
-        if ((outcome === "clientLeft" || outcome === "cut") && state.triedServers.size === 0) {
-            returnQuota(parts, admission, request);
-        }
-        return createReport(parts, state, outcome);
+        await runAttempts(parts, state);
+        checkEnd(state);
     }
     catch (error) {
         recordTaskFailure("attempts of a request", error);
-        return createReport(parts, state, finishAfterFailure(parts, state, error));
+        endAfterFailure(parts, state, error);
+    }
+    await waitForDelivery(parts, state);
+    const report = createReport(parts, state);
+    if (report.outcome === "answered") {
+        parts.answerTimes.record(admission.route.name, parts.clock.now() - startedAt);
+    }
+    return report;
+}
+
+function checkEnd({ answer }: RequestState): void {
+    const { phase } = answer.read();
+    if (phase !== "handedOver" && phase !== "ended") {
+        throw new Error("the request was left without an answer");
     }
 }
 
+function describeRefusal(
+    parts: Pick<RequestParts, "headers">,
+    { attemptId }: ClientRequest,
+    { status, retryAfter }: Extract<Admission, { readonly kind: "refused"; }>,
+): AnswerHead {
+    return { status, headers: parts.headers.encodeRefusalHeaders(attemptId, retryAfter), contentLength: 0 };
+}
+
+// what is written may stay here for as long as the client doesn't read
+async function waitForDelivery(parts: RequestParts, state: RequestState): Promise<void> {
+    if (state.answer.read().phase !== "handedOver") {
+        return;
+    }
+    state.stages.mark("delivery");
+    const finished = await waitUnlessAborted(state.answer.finished, state.signal);
+    if (finished === "sent") {
+        state.answer.apply({ kind: "delivered" });
+        return;
+    }
+    state.isHeldBack = true;
+    endRequest(parts, state, describeLeaving(state, finished));
+}
+
 type StateBase = Pick<
     RequestState,
     "request" | "body" | "answer" | "signal" | "admission" | "digest" | "startedAt" | "stages"
@@ -131,8 +165,6 @@
         excludedServers: new Set(),
         attemptCount: 0,
         mayHaveRun: false,
-        headSentAt: undefined,
-        status: undefined,
         lastEventId: request.lastEventId,
         origin: admission.origin,
         deliveredVersions: new Set(),
@@ -228,54 +260,60 @@
     };
 }
 
-async function runAttempts(parts: RequestParts, state: RequestState): Promise<RequestReport["outcome"]> {
+// returns when the answer is handed over or has ended
+async function runAttempts(parts: RequestParts, state: RequestState): Promise<void> {
     parts.retryBudget.countRequest(state.admission.service, state.startedAt);
-    for (;;) {
+    let outcome: AttemptOutcome = "repeat";
+    while (outcome === "repeat") {
         state.stages.mark("server");
         const attempt = { route: state.admission.route, deadlineAt: state.deadlineAt };
         const wait = parts.shutdown.limitWait(attempt, state.signal);
         const found = await findServer(parts, state, wait.signal).finally(wait.finish);
         const selected = found.kind === "selected" ? found.selected : undefined;
-        if (state.signal.aborted) {
-            selected?.release?.("unknown");
-            return finishForClient(parts, state);
-        }
-        if (!parts.shutdown.mayBegin(attempt)) {
+        if (!selected || !isSendAllowed(parts, state)) {
             selected?.release?.("unknown");
-            return refuseStopping(parts, state);
-        }
-        if (found.kind === "quarantined") {
-            return refuseQuarantined(parts, state);
-        }
-        if (!selected || parts.clock.now() >= state.deadlineAt) {
-            selected?.release?.("unknown");
-            const untilReturn = (state.returnAt - parts.clock.now()) / millisecondsPerSecond;
-            return selected
-                ? finishWithoutResponse(parts, state, "timeout", "deadline", untilReturn)
-                : finishWithoutResponse(parts, state, "no server", "noServer", untilReturn);
-        }
-        // the quarantine may have begun while the request waited for its server
-        if (parts.guard.decide(describeGuarded(state), parts.clock.now()).kind === "quarantined" && !state.isTrial) {
-            selected.release?.("unknown");
-            return refuseQuarantined(parts, state);
+            endUnsent(parts, state, found);
+            return;
         }
         state.stages.mark("response");
-        const end = await runAttempt(parts, state, selected);
-        switch (end.kind) {
-            case "complete":
-                recordEnd(parts, state, "server");
-                return "answered";
-            case "clientLeft":
-                return finishForClient(parts, state);
-            case "timeout":
-                return finishWithoutResponse(parts, state, "timeout", "deadline");
-            case "failed":
-                return finishWithoutResponse(parts, state, end.reason, end.by);
-            case "unsendable":
-                return refuseUnsendable(parts, state, end.reason);
-            case "repeat":
-                break;
+        outcome = await runAttempt(parts, state, selected);
+    }
+}
+
+function isSendAllowed(parts: RequestParts, state: RequestState): boolean {
+    const { deadlineAt, admission: { route } } = state;
+    // the quarantine may have begun while the request waited for its server
+    const isQuarantined = (): boolean =>
+        parts.guard.decide(describeGuarded(state), parts.clock.now()).kind === "quarantined" && !state.isTrial;
+    return !state.signal.aborted && parts.shutdown.mayBegin({ route, deadlineAt }) && parts.clock.now() < deadlineAt &&
+        !isQuarantined();
+}
+
+// ends a request that is sent to no server, or to no further one
+function endUnsent(parts: RequestParts, state: RequestState, found: FoundServer): void {
+    const { deadlineAt, admission: { route } } = state;
+    const now = parts.clock.now();
+    if (state.signal.aborted) {
+        // one that is refused for want of a server comes back, and would only add to the load
+        if (state.triedServers.size === 0) {
+            returnQuota(parts, state.admission, state.request);
         }
+        endRequest(parts, state, describeLeaving(state));
+    }
+    else if (!parts.shutdown.mayBegin({ route, deadlineAt })) {
+        refuseStopping(parts, state);
+    }
+    else if (found.kind === "quarantined") {
+        refuseQuarantined(parts, state);
+    }
+    else if (!found.selected) {
+        endRequest(parts, state, { by: "noServer", reason: "no server", returnsIn: state.returnAt - now });
+    }
+    else if (now >= deadlineAt) {
+        endRequest(parts, state, { by: "deadline", reason: "timeout", returnsIn: state.returnAt - now });
+    }
+    else {
+        refuseQuarantined(parts, state);
     }
 }
 
@@ -305,7 +343,7 @@
     const shedding = parts.servers.listShedding(now);
     const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
     const servers = listServers();
-    if (origin && state.headSentAt !== undefined) {
+    if (origin && state.answer.hasBegun()) {
         restoreServers(state, servers, excluded, shedding);
     }
     if (origin && servers.every(server => excluded.has(formatServerRunId(server)))) {
@@ -320,7 +358,7 @@
         const waitLimits = computeEngineWaitLimits({
             startedAt: state.startedAt,
             deadlineAt: state.deadlineAt,
-            hasResponseStarted: state.headSentAt !== undefined,
+            hasResponseStarted: state.answer.hasBegun(),
             targetLatency: route.targetLatency,
         }, now);
         const selected = await parts.adapters.acquire({
--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -80,10 +80,12 @@
     let begunAt: ClockReading | undefined;
     const measureElapsed = (): Milliseconds => begunAt ? measureAge(begunAt, readNow()) : 0;
     const measureRemaining = (): Milliseconds => {
-        if (!begunAt) {
-            return Number.POSITIVE_INFINITY;
+        if (ending.signal.aborted) {
+            return 0;
         }
-        return ending.signal.aborted ? 0 : Math.max(0, options.grace - options.exitReserve - measureElapsed());
+        return begunAt
+            ? Math.max(0, options.grace - options.exitReserve - measureElapsed())
+            : Number.POSITIVE_INFINITY;
     };
     const isNoticeTime = (): boolean => measureElapsed() < options.noticeTime;
     // a request that has its deadline before the end is answered in any case. Of others only those are taken that may be
