--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -27,6 +27,8 @@
     readonly seed?: number;
     /** Stop of the instance. @default none */
     readonly shutdown?: Shutdown;
+    /** What becomes of what was written. @default it gets to the client at once */
+    readonly finished?: Promise<"sent" | "instance">;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
     /** What throws: the request for a permit, or the sending of its attempt. */
@@ -163,6 +165,7 @@
         end: () => end = "end",
         destroy: () => end = "destroyed",
         onDrain: () => undefined,
+        ...requestCase.finished ? { finished: requestCase.finished } : {},
     };
     const request: ClientRequest = {
         attemptId: "1",
@@ -543,4 +546,98 @@
         }
         expect(results).to.deep.equal([["failed", 502, "end", 1], ["cut", 200, "destroyed", 1]]);
     });
+
+    const startStream: AttemptScript = handlers => handlers.onHead(createHead({ isEventStream: true }));
+    const failStream = (detail: string, isBetweenInstances = false): AttemptScript => (handlers, attempt) => {
+        startStream(handlers, attempt);
+        handlers.onFault({ kind: "broken", detail, isBetweenInstances });
+    };
+    const ends: readonly (readonly [string, string, RequestCase])[] = [
+        ["server", "answered", { attempts: [sendComplete("x")] }],
+        ["server", "cut", { attempts: [failStream("UND_ERR_SOCKET")], route: unsafeRoute }],
+        ["pool", "cut", { attempts: [failStream("UND_ERR_DESTROYED")], route: unsafeRoute }],
+        ["instance", "cut", { attempts: [failStream("front-2 timeout", true)], route: unsafeRoute }],
+        ["inside", "cut", { attempts: [failStream("failed here: TypeError")], route: unsafeRoute }],
+        ["inside", "failed", { attempts: [handlers => handlers.onHead(undefined!)] }],
+        ["deadline", "failed", { attempts: [() => undefined], route: { timeout: 30 } }],
+        ["client", "clientLeft", { attempts: [startStream], disconnectAfter: 20, route: unsafeRoute }],
+        ["client", "clientLeft", { attempts: [], undecided: "quota", disconnectAfter: 20 }],
+        ["configuration", "refused", { attempts: [], key: "unknown" }],
+        ["limit", "refused", { attempts: [], isQuarantined: true }],
+        ["noServer", "refused", {
+            attempts: Array.from({ length: 5 }, () => handlers => handlers.onFault({ kind: "notSent", detail: "" })),
+        }],
+    ];
+
+    // guards against records in which an answer that this instance ended can't be told from one that its client or server
+    // ended (LOST)
+    for (const [by, outcome, requestCase] of ends) {
+        it(`that is ${outcome} by ${by} says so`, async () => {
+            const { report } = await runCase(requestCase);
+            expect(report).to.include({ by, outcome, sinceStop: undefined });
+        });
+    }
+
+    // guards against a stop that closes the client's and the server's connection at once, of which the record names one
+    it("that a stop ends names the stop, the time since its signal and the silence of the server", async () => {
+        for (const isStreamStarted of [true, false]) {
+            const shutdown = createTestShutdown(300);
+            const stop: AttemptScript = (handlers, attempt) => {
+                startStream(handlers, attempt);
+                shutdown.begin(0);
+                setTimeout(() => shutdown.end(), 10);
+            };
+            // a request that waits for its quota meanwhile
+            const requestCase: RequestCase = isStreamStarted
+                ? { attempts: [stop] }
+                : { attempts: [], undecided: "quota", disconnectAfter: 20 };
+            if (!isStreamStarted) {
+                shutdown.begin(0);
+                setTimeout(() => shutdown.end(), 10);
+            }
+            const { report } = await runCase({ ...requestCase, route: { timeout: 200 }, shutdown });
+            expect(report).to.include({ by: "stop", outcome: "cut" });
+            expect(report.sinceStop).to.be.at.least(9);
+            expect(report.silence ?? -1).to.be.at.least(isStreamStarted ? 9 : -1);
+        }
+    });
+
+    // guards against an answer that is reported as answered while a client that reads slowly lacks its end (LOST)
+    it("that is handed over is answered once its client has it, and else names who closed the connection", async () => {
+        let isDelivered = false;
+        const deliverLate = (resolve: (finished: "sent") => void): void => {
+            setTimeout(() => {
+                isDelivered = true;
+                resolve("sent");
+            }, 20);
+        };
+        const attempts = [sendComplete("x")];
+        const read = await runCase({ attempts, finished: new Promise(deliverLate) });
+        expect(isDelivered).to.equal(true);
+        expect(read.report).to.include({ by: "server", outcome: "answered", leftWhile: undefined });
+        const left = await runCase({ attempts, finished: never, disconnectAfter: 20 });
+        expect(left.report).to.include({ by: "client", outcome: "clientLeft", leftWhile: "delivery", heldBack: true });
+        const shutdown = createTestShutdown(300);
+        setTimeout(() => shutdown.end(), 10);
+        const cut = await runCase({ attempts, finished: never, disconnectAfter: 20, shutdown });
+        expect(cut.report).to.include({ by: "stop", outcome: "cut", leftWhile: "delivery" });
+        const closed = await runCase({ attempts, finished: Promise.resolve("instance") });
+        expect(closed.report).to.include({ by: "stop", outcome: "cut", heldBack: true });
+        expect([read, left, cut, closed].map(({ end, aborted }) => [end, aborted])).to.deep.equal(
+            Array.from({ length: 4 }, () => ["end", 0]),
+        );
+    });
+
+    // guards against a whole answer that is cut off while its client reads it (LOST)
+    it("that is handed over isn't ended by its deadline", async () => {
+        const finished = new Promise<"sent">(resolve => setTimeout(() => resolve("sent"), 60));
+        const { report, end } = await runCase({ attempts: [sendComplete("x")], finished, route: { timeout: 30 } });
+        expect([report.outcome, end]).to.deep.equal(["answered", "end"]);
+    });
+
+    // guards against one fault that the record names twice, as if two attempts had ended by it
+    it("that is broken off once has its fault once as its reason", async () => {
+        const { report } = await runCase({ attempts: [failStream("ECONNRESET")], route: unsafeRoute });
+        expect(report.reason).to.equal("broken ECONNRESET");
+    });
 });
--- a/src/serving/requestStages.ts
+++ b/src/serving/requestStages.ts
@@ -4,12 +4,15 @@
  * @packageDocumentation
  */
 import type { Clock, Milliseconds } from "../shared/index.js";
+import type { AnswerEnder } from "./answerEnds.js";
+import type { ConnectionCloser } from "./requestState.js";
+import type { Shutdown } from "./shutdown.js";
 
 /**
  * What a request waits for: its admission (origin of a resumed stream, quota), a server with room (quarantine trial, place,
- * permit), or the response of a server.
+ * permit), the response of a server, or the client, which hasn't read all of it.
  */
-export type RequestStage = "admission" | "server" | "response";
+export type RequestStage = "admission" | "server" | "response" | "delivery";
 
 /** How a request ended whose client disconnected; the fields are `undefined` for others. */
 export interface LeavingReport {
@@ -23,6 +26,11 @@
 export interface RequestStages {
     /** Records what the request waits for from now on. */
     readonly mark: (stage: RequestStage) => void;
+    /**
+     * Names who closed the client's connection, by the reason of the signal if it has one. Else it was this instance from the
+     * end of its stop on, when it closes all that are left.
+     */
+    readonly findCloser: () => Extract<AnswerEnder, "client" | "stop">;
     /** Describes the end of the request, which is now. */
     readonly describe: () => LeavingReport;
 }
@@ -30,20 +38,32 @@
 /**
  * Creates the stages of a request that waits for its admission.
  *
- * @param clock - source of the times
+ * @param parts - source of the times, and the stop of the instance
  * @param signal - aborted when the client disconnects
  * @returns the stages
  */
-export function createRequestStages(clock: Clock, signal: AbortSignal): RequestStages {
+export function createRequestStages(
+    parts: { readonly clock: Clock; readonly shutdown: Pick<Shutdown, "ended">; },
+    signal: AbortSignal,
+): RequestStages {
+    const { clock, shutdown } = parts;
     let stage: RequestStage = "admission";
     let leftWhile: RequestStage | undefined;
     let leftAt = 0;
+    const findCloser = (): "client" | "stop" => {
+        const isClosedHere = signal.reason === ("instance" satisfies ConnectionCloser);
+        const isKnown = isClosedHere || signal.reason === ("client" satisfies ConnectionCloser);
+        return isClosedHere || (!isKnown && shutdown.ended.aborted) ? "stop" : "client";
+    };
+    let closer: "client" | "stop" | undefined;
     signal.addEventListener("abort", () => {
         leftWhile = stage;
         leftAt = clock.now();
+        closer = findCloser();
     }, { once: true });
     return {
         mark: next => stage = next,
+        findCloser: () => closer ?? findCloser(),
         describe: () => ({
             leftWhile,
             endDelay: leftWhile && Math.round(clock.now() - leftAt),
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -9,7 +9,9 @@
 import type { StreamOrigin, StreamOrigins } from "../resumption/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
+import type { AnswerEnd } from "./answerEnds.js";
 import type { AnswerTimes } from "./answerTimes.js";
+import type { ClientAnswer } from "./clientAnswer.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
 import type { ServerList } from "./serverList.js";
@@ -20,6 +22,9 @@
 /** Who had a stream go on: the client by a new request, or this instance within one response. */
 export type StreamResumer = "client" | "instance";
 
+/** Who closed the connection of a client. */
+export type ConnectionCloser = "client" | "instance";
+
 /** The response to a client. */
 export interface ClientResponse {
     readonly writeHead: (status: number, headers: readonly string[], contentLength: number | undefined) => void;
@@ -30,6 +35,8 @@
     readonly destroy: () => void;
     /** Calls `resume` once when more may be written. */
     readonly onDrain: (resume: () => void) => void;
+    /** Resolves when all that was written is on its way to the client, or its connection is closed. @default `sent` at once */
+    readonly finished?: Promise<"sent" | ConnectionCloser>;
 }
 
 /** Parts of the instance that a request uses; all requests share them. */
@@ -46,7 +53,7 @@
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
     readonly answerTimes: Pick<AnswerTimes, "record">;
-    readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended">;
+    readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended" | "measureSinceBegun" | "measureRemaining">;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
     /** Counts a stream that goes on at another server, or after a client's return. */
@@ -54,11 +61,11 @@
 }
 
 /** Report on a request that has ended, for log and metrics; all fields are written to the log under their names. */
-export interface RequestReport extends LeavingReport {
+export interface RequestReport extends LeavingReport, AnswerEnd {
     /**
-     * How the request ended: `answered` when a whole response was delivered, `refused` when no server has run the
+     * How the request ended: `answered` when a whole response was delivered to the client, `refused` when no server has run the
      * request, `failed` when a server may have run it but the client got an error status instead of its response, `cut`
-     * when the connection was closed after part of the response, and `clientLeft` when the client disconnected.
+     * when this instance closed the connection before the whole response, and `clientLeft` when the client disconnected.
      */
     readonly outcome: "answered" | "refused" | "failed" | "cut" | "clientLeft";
     /** Status sent to the client; `undefined` when none was sent. */
@@ -86,12 +93,12 @@
     readonly body: Buffer | undefined;
     /** Identity of the request, the same for its repeats. */
     readonly digest: RequestDigest;
-    readonly answer: ClientResponse;
+    readonly answer: ClientAnswer;
     readonly admission: Extract<Admission, { readonly kind: "admitted"; }>;
     readonly startedAt: Milliseconds;
     /** Time at which the response must have ended. */
     readonly deadlineAt: Milliseconds;
-    /** Aborted when the client disconnects. */
+    /** Aborted when the client's connection is closed; the reason may be a `ConnectionCloser`. */
     readonly signal: AbortSignal;
     readonly stages: RequestStages;
     /** Servers that may have received the request. */
@@ -104,10 +111,6 @@
     attemptCount: number;
     /** Whether a server may have run the request; it is then answered 502 or 504 instead of 503 if it fails. */
     mayHaveRun: boolean;
-    /** Time at which the head of a response was sent to the client; `undefined` before. */
-    headSentAt: Milliseconds | undefined;
-    /** Status sent to the client. */
-    status: number | undefined;
     /** Last event delivered to the client, or the one that it named itself. */
     lastEventId: number | undefined;
     /** What began the stream, from its first event on; only such servers may go on with it. */
@@ -136,6 +139,12 @@
     returnAt: Milliseconds;
     /** Description of the last failure for the log; empty when there was none. */
     lastFault: string;
+    /** Time of the last byte of the present server's answer, or at which the attempt was sent; `undefined` before the first. */
+    heardAt: Milliseconds | undefined;
+    /** Whether the answer isn't read from its server, as its client doesn't read. */
+    isHeldBack: boolean;
+    /** The end of the answer; `undefined` before. */
+    end: AnswerEnd | undefined;
 }
 
 /** The server of the next attempt. */
--- a/src/serving/resumedStreams.ts
+++ b/src/serving/resumedStreams.ts
@@ -6,6 +6,7 @@
 import { isSameOrigin, type StreamId, type StreamOrigin, type StreamOrigins } from "../resumption/index.js";
 import { createLogger, type Milliseconds, waitUnlessAborted } from "../shared/index.js";
 import type { Admission } from "./admission.js";
+import type { AnswerEnder } from "./answerEnds.js";
 import type { BackendServer, ClientRequest, ServingRoute } from "./types.js";
 
 type AdmittedRequest = Extract<Admission, { readonly kind: "admitted"; }>;
@@ -38,7 +39,7 @@
     }
     // its client has events of another run, which nothing may follow
     if (!route.canResume) {
-        return describeRefusal(admitted, "streams of the route can't be resumed");
+        return describeRefusal(admitted, "configuration", "streams of the route can't be resumed");
     }
     const stream: StreamId = { account: account?.name, firstAttemptId: request.resumed.firstAttemptId };
     const services = listServices(route);
@@ -57,15 +58,15 @@
     if (decision.kind === "known" && isRouted) {
         return { ...admitted, service: decision.origin.service, origin: decision.origin };
     }
-    return describeRefusal(
-        admitted,
-        decision.kind === "known" ? "route left the service of the stream" : "version of the stream unknown",
-    );
+    return decision.kind === "known"
+        ? describeRefusal(admitted, "configuration", "route left the service of the stream")
+        : describeRefusal(admitted, "noServer", "version of the stream unknown");
 }
 
-function describeRefusal({ route, account }: AdmittedRequest, reason: string): Admission {
+function describeRefusal({ route, account }: AdmittedRequest, by: AnswerEnder, reason: string): Admission {
     return {
         kind: "refused",
+        by,
         status: serviceUnavailableStatus,
         reason,
         retryAfter: unknownOriginRetrySeconds,
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -3,15 +3,33 @@
  *
  * @packageDocumentation
  */
-import { computeRequestDigest, type QuarantineScope, type RequestDigest } from "../quarantine/index.js";
+import { computeRequestDigest, type RequestDigest } from "../quarantine/index.js";
 import { type Milliseconds, millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
-import { callGuarded, recordTaskFailure } from "../supervision/index.js";
+import { recordTaskFailure } from "../supervision/index.js";
 import { type Admission, applyQuota, decideAdmission, returnQuota } from "./admission.js";
+import { describeEndNow } from "./answerEnds.js";
+import type { AnswerHead } from "./answerState.js";
+import { describeGuarded } from "./attemptFaults.js";
+import { createClientAnswer } from "./clientAnswer.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
+import {
+    createReport,
+    describeLeaving,
+    describeOutcome,
+    drawStoppingRetryAfter,
+    endAfterFailure,
+    endRequest,
+    quarantineReasons,
+    refuseQuarantined,
+    refuseStopping,
+    retryAfterSeconds,
+    serviceUnavailableStatus,
+    stoppingReason,
+} from "./requestEnds.js";
 import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
 import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
-import { describeGuarded, runAttempt } from "./runAttempt.js";
+import { type AttemptOutcome, runAttempt } from "./runAttempt.js";
 import { chooseServer } from "./serverChoice.js";
 import {
     type BackendServer,
@@ -21,36 +39,15 @@
     type ServingRoute,
 } from "./types.js";
 
-/** Reason of refusals by an instance that stops. */
-const stoppingReason = "this instance stops";
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
-const badRequestStatus = 400;
-const serviceUnavailableStatus = 503;
-const internalErrorStatus = 500;
-const badGatewayStatus = 502;
-const gatewayTimeoutStatus = 504;
-const maximumFaultLength = 200;
-/** Reasons of refusals by the kind of their quarantine's scope. */
-const quarantineReasons: Readonly<Record<QuarantineScope["kind"], string>> = {
-    part: "quarantined prompt",
-    request: "quarantined request",
-};
-/**
- * Retry delay sent to clients when no server has run their request: the minimum plus a random part of the jitter, so
- * that they don't all retry at the same time.
- */
-const retryAfterSeconds = { minimum: 0.2, jitter: 0.4 };
-/** The same for clients of an instance that stops, as others have room. */
-const stoppingRetryAfterSeconds = { minimum: 0.05, jitter: 0.1 };
-
 /**
  * Runs a request and responds to the client.
  *
  * @param parts - parts of the instance
  * @param request - decoded headers of the request
  * @param body - complete body; `undefined` when it is empty
- * @param answer - response to the client, which is ended or destroyed unless the client disconnects
+ * @param response - response to the client, which is ended or destroyed unless the client disconnects
  * @param signal - aborted when the client disconnects
  * @returns report on the request for log and metrics
  */
@@ -58,11 +55,11 @@
     parts: RequestParts,
     request: ClientRequest,
     body: Buffer | undefined,
-    answer: ClientResponse,
+    response: ClientResponse,
     signal: AbortSignal,
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
-    const stages = createRequestStages(parts.clock, signal);
+    const stages = createRequestStages(parts, signal);
     const allowed = decideAdmission(parts, request);
     const digest = allowed.kind === "admitted"
         ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
@@ -77,15 +74,20 @@
         ? await applyStreamOrigin(parts.origins, decided, request, signal)
         : decided;
     const admission = located.kind === "admitted" ? await applyQuota(parts, located, request, signal) : located;
+    const answer = createClientAnswer(response, parts.clock);
     if (admission.kind !== "admitted") {
         const refusal = admission.kind === "refused" ? admission : undefined;
-        if (refusal) {
-            const { status, retryAfter } = refusal;
-            answer.writeHead(status, parts.headers.encodeRefusalHeaders(request.attemptId, retryAfter), 0);
-            answer.end();
-        }
+        const by = refusal?.by ?? stages.findCloser();
+        answer.apply({
+            kind: "end",
+            by,
+            head: refusal && describeRefusal(parts, request, refusal),
+            isGone: !refusal,
+            deadlineAt: Number.POSITIVE_INFINITY,
+            stopsIn: parts.shutdown.measureRemaining(),
+        });
         return {
-            outcome: admission.kind,
+            outcome: describeOutcome(answer.read()),
             status: refusal?.status,
             reason: refusal?.reason ?? "",
             service: undefined,
@@ -96,25 +98,55 @@
             placeWait: 0,
             headAfter: undefined,
             longestPause: 0,
+            ...describeEndNow(parts, {}, by),
             ...stages.describe(),
         };
     }
     const state = createState(parts, { request, body, answer, signal, admission, digest, startedAt, stages });
     try {
-        const outcome = await runAttempts(parts, state);
-        if (outcome === "answered") {
-            parts.answerTimes.record(admission.route.name, parts.clock.now() - startedAt);
-        }
-        // one that is refused for want of a server comes back, and would only add to the load
-        if (outcome === "clientLeft" && state.triedServers.size === 0) {
-            returnQuota(parts, admission, request);
-        }
-        return createReport(state, outcome);
+        await runAttempts(parts, state);
+        checkEnd(state);
     }
     catch (error) {
         recordTaskFailure("attempts of a request", error);
-        return createReport(state, finishAfterFailure(parts, state, error));
+        endAfterFailure(parts, state, error);
     }
+    await waitForDelivery(parts, state);
+    const report = createReport(parts, state);
+    if (report.outcome === "answered") {
+        parts.answerTimes.record(admission.route.name, parts.clock.now() - startedAt);
+    }
+    return report;
+}
+
+function checkEnd({ answer }: RequestState): void {
+    const { phase } = answer.read();
+    if (phase !== "handedOver" && phase !== "ended") {
+        throw new Error("the request was left without an answer");
+    }
+}
+
+function describeRefusal(
+    parts: Pick<RequestParts, "headers">,
+    { attemptId }: ClientRequest,
+    { status, retryAfter }: Extract<Admission, { readonly kind: "refused"; }>,
+): AnswerHead {
+    return { status, headers: parts.headers.encodeRefusalHeaders(attemptId, retryAfter), contentLength: 0 };
+}
+
+// what is written may stay here for as long as the client doesn't read
+async function waitForDelivery(parts: RequestParts, state: RequestState): Promise<void> {
+    if (state.answer.read().phase !== "handedOver") {
+        return;
+    }
+    state.stages.mark("delivery");
+    const finished = await waitUnlessAborted(state.answer.finished, state.signal);
+    if (finished === "sent") {
+        state.answer.apply({ kind: "delivered" });
+        return;
+    }
+    state.isHeldBack = true;
+    endRequest(parts, state, describeLeaving(state, finished));
 }
 
 type StateBase = Pick<
@@ -133,8 +165,6 @@
         excludedServers: new Set(),
         attemptCount: 0,
         mayHaveRun: false,
-        headSentAt: undefined,
-        status: undefined,
         lastEventId: request.lastEventId,
         origin: admission.origin,
         deliveredVersions: new Set(),
@@ -149,6 +179,9 @@
         placeOutcome: "unknown",
         lastFault: "",
         returnAt: startedAt,
+        heardAt: undefined,
+        isHeldBack: false,
+        end: undefined,
     };
 }
 
@@ -160,29 +193,6 @@
     return startedAt + Math.min(route.timeout, request.deadline ?? route.timeout);
 }
 
-// the units of a request that reached no server go back; no status may say of it that it never ran
-function finishAfterFailure(parts: RequestParts, state: RequestState, error: unknown): RequestReport["outcome"] {
-    state.lastFault = `failed inside: ${String(error).slice(0, maximumFaultLength)}`;
-    if (state.triedServers.size === 0) {
-        callGuarded("units of a failed request", () => returnQuota(parts, state.admission, state.request));
-    }
-    if (state.signal.aborted) {
-        return "clientLeft";
-    }
-    if (state.headSentAt !== undefined) {
-        state.answer.destroy();
-        return "cut";
-    }
-    const headers = callGuarded(
-        "headers of a failed request",
-        () => parts.headers.encodeRefusalHeaders(state.request.attemptId, undefined),
-    );
-    state.status = internalErrorStatus;
-    state.answer.writeHead(internalErrorStatus, headers ?? [], 0);
-    state.answer.end();
-    return "failed";
-}
-
 // before the quota, so that requests which reach no server use nothing of it
 function refuseIfQuarantined(
     parts: RequestParts,
@@ -199,6 +209,7 @@
     return decision.kind === "quarantined"
         ? {
             kind: "refused",
+            by: "limit",
             status: serviceUnavailableStatus,
             reason: quarantineReasons[decision.scope.kind],
             retryAfter: decision.remaining / millisecondsPerSecond + retryAfterSeconds.jitter * parts.random.next(),
@@ -223,6 +234,7 @@
         ? admission
         : {
             kind: "refused",
+            by: "stop",
             status: serviceUnavailableStatus,
             reason: stoppingReason,
             retryAfter: drawStoppingRetryAfter(parts),
@@ -248,55 +260,60 @@
     };
 }
 
-function drawStoppingRetryAfter({ random }: Pick<RequestParts, "random">): number {
-    return stoppingRetryAfterSeconds.minimum + stoppingRetryAfterSeconds.jitter * random.next();
-}
-
-async function runAttempts(parts: RequestParts, state: RequestState): Promise<RequestReport["outcome"]> {
+// returns when the answer is handed over or has ended
+async function runAttempts(parts: RequestParts, state: RequestState): Promise<void> {
     parts.retryBudget.countRequest(state.admission.service, state.startedAt);
-    for (;;) {
+    let outcome: AttemptOutcome = "repeat";
+    while (outcome === "repeat") {
         state.stages.mark("server");
         const attempt = { route: state.admission.route, deadlineAt: state.deadlineAt };
         const wait = parts.shutdown.limitWait(attempt, state.signal);
         const found = await findServer(parts, state, wait.signal).finally(wait.finish);
         const selected = found.kind === "selected" ? found.selected : undefined;
-        if (state.signal.aborted) {
-            selected?.release?.("unknown");
-            return "clientLeft";
-        }
-        if (!parts.shutdown.mayBegin(attempt)) {
+        if (!selected || !isSendAllowed(parts, state)) {
             selected?.release?.("unknown");
-            return refuseStopping(parts, state);
-        }
-        if (found.kind === "quarantined") {
-            return refuseQuarantined(parts, state);
-        }
-        if (!selected || parts.clock.now() >= state.deadlineAt) {
-            selected?.release?.("unknown");
-            const untilReturn = (state.returnAt - parts.clock.now()) / millisecondsPerSecond;
-            return finishWithoutResponse(parts, state, selected ? "timeout" : "no server", untilReturn);
-        }
-        // the quarantine may have begun while the request waited for its server
-        if (parts.guard.decide(describeGuarded(state), parts.clock.now()).kind === "quarantined" && !state.isTrial) {
-            selected.release?.("unknown");
-            return refuseQuarantined(parts, state);
+            endUnsent(parts, state, found);
+            return;
         }
         state.stages.mark("response");
-        const end = await runAttempt(parts, state, selected);
-        switch (end.kind) {
-            case "complete":
-                return "answered";
-            case "clientLeft":
-                return "clientLeft";
-            case "timeout":
-                return finishWithoutResponse(parts, state, "timeout");
-            case "failed":
-                return finishWithoutResponse(parts, state, end.reason);
-            case "unsendable":
-                return refuseUnsendable(parts, state, end.reason);
-            case "repeat":
-                break;
+        outcome = await runAttempt(parts, state, selected);
+    }
+}
+
+function isSendAllowed(parts: RequestParts, state: RequestState): boolean {
+    const { deadlineAt, admission: { route } } = state;
+    // the quarantine may have begun while the request waited for its server
+    const isQuarantined = (): boolean =>
+        parts.guard.decide(describeGuarded(state), parts.clock.now()).kind === "quarantined" && !state.isTrial;
+    return !state.signal.aborted && parts.shutdown.mayBegin({ route, deadlineAt }) && parts.clock.now() < deadlineAt &&
+        !isQuarantined();
+}
+
+// ends a request that is sent to no server, or to no further one
+function endUnsent(parts: RequestParts, state: RequestState, found: FoundServer): void {
+    const { deadlineAt, admission: { route } } = state;
+    const now = parts.clock.now();
+    if (state.signal.aborted) {
+        // one that is refused for want of a server comes back, and would only add to the load
+        if (state.triedServers.size === 0) {
+            returnQuota(parts, state.admission, state.request);
         }
+        endRequest(parts, state, describeLeaving(state));
+    }
+    else if (!parts.shutdown.mayBegin({ route, deadlineAt })) {
+        refuseStopping(parts, state);
+    }
+    else if (found.kind === "quarantined") {
+        refuseQuarantined(parts, state);
+    }
+    else if (!found.selected) {
+        endRequest(parts, state, { by: "noServer", reason: "no server", returnsIn: state.returnAt - now });
+    }
+    else if (now >= deadlineAt) {
+        endRequest(parts, state, { by: "deadline", reason: "timeout", returnsIn: state.returnAt - now });
+    }
+    else {
+        refuseQuarantined(parts, state);
     }
 }
 
@@ -326,7 +343,7 @@
     const shedding = parts.servers.listShedding(now);
     const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
     const servers = listServers();
-    if (origin && state.headSentAt !== undefined) {
+    if (origin && state.answer.hasBegun()) {
         restoreServers(state, servers, excluded, shedding);
     }
     if (origin && servers.every(server => excluded.has(formatServerRunId(server)))) {
@@ -341,7 +358,7 @@
         const waitLimits = computeEngineWaitLimits({
             startedAt: state.startedAt,
             deadlineAt: state.deadlineAt,
-            hasResponseStarted: state.headSentAt !== undefined,
+            hasResponseStarted: state.answer.hasBegun(),
             targetLatency: route.targetLatency,
         }, now);
         const selected = await parts.adapters.acquire({
@@ -412,76 +429,3 @@
             return state.isTrial;
     }
 }
-
-function refuseQuarantined(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    const decision = parts.guard.decide(describeGuarded(state), parts.clock.now());
-    const remaining = decision.kind === "quarantined" ? decision.remaining / millisecondsPerSecond : 0;
-    const reason = quarantineReasons[decision.kind === "open" ? "request" : decision.scope.kind];
-    return finishWithoutResponse(parts, state, reason, remaining);
-}
-
-// its client sends it to another instance, where it uses its units
-function refuseStopping(parts: RequestParts, state: RequestState): RequestReport["outcome"] {
-    if (state.triedServers.size === 0) {
-        returnQuota(parts, state.admission, state.request);
-    }
-    if (state.mayHaveRun || state.headSentAt !== undefined) {
-        return finishWithoutResponse(parts, state, stoppingReason);
-    }
-    state.lastFault = state.lastFault === "" ? stoppingReason : `${stoppingReason}: ${state.lastFault}`;
-    sendStatus(parts, state, serviceUnavailableStatus, drawStoppingRetryAfter(parts));
-    return "refused";
-}
-
-function refuseUnsendable(parts: RequestParts, state: RequestState, reason: string): RequestReport["outcome"] {
-    if (state.mayHaveRun || state.headSentAt !== undefined) {
-        return finishWithoutResponse(parts, state, reason);
-    }
-    state.lastFault = reason;
-    sendStatus(parts, state, badRequestStatus, undefined);
-    return "refused";
-}
-
-function finishWithoutResponse(
-    parts: RequestParts,
-    state: RequestState,
-    reason: string,
-    minimumRetryAfter = retryAfterSeconds.minimum,
-): RequestReport["outcome"] {
-    state.lastFault = state.lastFault === "" ? reason : `${reason}: ${state.lastFault}`;
-    if (state.headSentAt !== undefined) {
-        state.answer.destroy();
-        return "cut";
-    }
-    if (!state.mayHaveRun) {
-        const retryAfter = Math.max(minimumRetryAfter, retryAfterSeconds.minimum) +
-            retryAfterSeconds.jitter * parts.random.next();
-        sendStatus(parts, state, serviceUnavailableStatus, retryAfter);
-        return "refused";
-    }
-    sendStatus(parts, state, reason === "timeout" ? gatewayTimeoutStatus : badGatewayStatus, undefined);
-    return "failed";
-}
-
-function sendStatus(parts: RequestParts, state: RequestState, status: number, retryAfter: number | undefined): void {
-    state.status = status;
-    state.answer.writeHead(status, parts.headers.encodeRefusalHeaders(state.request.attemptId, retryAfter), 0);
-    state.answer.end();
-}
-
-function createReport(state: RequestState, outcome: RequestReport["outcome"]): RequestReport {
-    return {
-        outcome,
-        status: state.status,
-        reason: state.lastFault,
-        service: state.admission.service,
-        route: state.admission.route.name,
-        account: state.admission.account?.name,
-        servers: [...state.triedServers],
-        versions: [...state.deliveredVersions],
-        placeWait: Math.round(state.placeWait),
-        headAfter: state.headSentAt === undefined ? undefined : Math.round(state.headSentAt - state.startedAt),
-        longestPause: Math.round(state.longestPause),
-        ...state.stages.describe(),
-    };
-}
--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -46,6 +46,8 @@
     /** Begins the stop; a second signal changes nothing. `delay` is how long ago the signal may have come. */
     readonly begin: (delay: Milliseconds) => void;
     readonly hasBegun: () => boolean;
+    /** Time since the signal; `undefined` before the stop. */
+    readonly measureSinceBegun: () => Milliseconds | undefined;
     /** Time until all answers must have ended; infinite before the stop, and never negative. */
     readonly measureRemaining: () => Milliseconds;
     /** Whether the platform may still send new clients, as it can't have noticed the stop yet. */
@@ -78,10 +80,12 @@
     let begunAt: ClockReading | undefined;
     const measureElapsed = (): Milliseconds => begunAt ? measureAge(begunAt, readNow()) : 0;
     const measureRemaining = (): Milliseconds => {
-        if (!begunAt) {
-            return Number.POSITIVE_INFINITY;
+        if (ending.signal.aborted) {
+            return 0;
         }
-        return ending.signal.aborted ? 0 : Math.max(0, options.grace - options.exitReserve - measureElapsed());
+        return begunAt
+            ? Math.max(0, options.grace - options.exitReserve - measureElapsed())
+            : Number.POSITIVE_INFINITY;
     };
     const isNoticeTime = (): boolean => measureElapsed() < options.noticeTime;
     // a request that has its deadline before the end is answered in any case. Of others only those are taken that may be
@@ -111,6 +115,7 @@
             startTask("waits of a stopping instance", checkWaits);
         },
         hasBegun: () => begunAt !== undefined,
+        measureSinceBegun: () => begunAt && measureElapsed(),
         measureRemaining,
         isNoticeTime,
         mayBegin: isBeginAllowed,
