fix(adapters): an engine gets loads again after a silence in which orders to it had no response

What callers saw: `no server` (503) after a wait of 3,010 ms, long after the silence, for adapters that weren't resident; in the log `adapter not loaded`. That this is the cause in the record is likely, not shown: the record doesn't give the outcome.

Cause: each order without a response kept a slot and counted as one of the four loads that an engine executes at a time. Four adapters whose orders met a silence of a second filled them, and nothing but a new request for one of these four freed them: all other loads were `full`, before an order was sent.

Change: orders without a response carry the same expected sequence, which the engine raises with the first that it accepts. It executes one of them at most, so that they count as one, among the loads as in the slots and the memory.

The stand-in of an engine in the play of changes answers a repeated order of a load in progress without counting it.

--- a/src/adapters/__tests__/engineOrders.test.ts
+++ b/src/adapters/__tests__/engineOrders.test.ts
@@ -6,8 +6,17 @@
 
 const load: AdapterLoad = { key: "base/a1", model: "base", adapter: "a1", version: undefined, wasDenied: false };
 
-// orders to an engine that accepts all of them
-function createOrders(sent: EngineOrder[], isLeaving = false): EngineOrders {
+interface TestOrders {
+    readonly isLeaving?: boolean;
+    /** Whether the engine says nothing now. */
+    readonly isSilent?: () => boolean;
+}
+
+// orders to an engine that accepts all that it answers
+function createOrders(
+    sent: EngineOrder[],
+    { isLeaving = false, isSilent = () => false }: TestOrders = {},
+): EngineOrders {
     let mayReceive = true;
     return createEngineOrders({
         server: createTestServer("i-1"),
@@ -16,7 +25,7 @@
         control: {
             order: (server, order) => {
                 sent.push(order);
-                return Promise.resolve({ kind: "accepted", isLeaving });
+                return Promise.resolve(isSilent() ? { kind: "unknown" } : { kind: "accepted", isLeaving });
             },
             report: () => {
                 const models = [{ name: "base", version: 1, adapters: [] }];
@@ -50,13 +59,33 @@
     // guards against orders to an engine after its response has told that it leaves
     it("end with the response that tells that the engine leaves, also the polls of a load", async () => {
         const sent: EngineOrder[] = [];
-        const orders = createOrders(sent, true);
+        const orders = createOrders(sent, { isLeaving: true });
         expect(await orders.load(load)).to.equal("loading");
         expect(await orders.poll(load)).to.equal("unreachable");
         expect(await orders.load({ ...load, key: "base/a2", adapter: "a2" })).to.equal("unreachable");
         expect(sent).to.have.length(1);
     });
 
+    // guards against an engine that gets no load any more once a few orders to it were lost in a silence
+    it("go on after a silence in which more loads were ordered than an engine executes at a time", async () => {
+        const sent: EngineOrder[] = [];
+        let isSilent = false;
+        const orders = createOrders(sent, { isSilent: () => isSilent });
+        const loadAdapter = (adapter: string) => orders.load({ ...load, key: `base/${adapter}`, adapter });
+        expect(await loadAdapter("a1")).to.equal("loading");
+        isSilent = true;
+        for (const adapter of ["a2", "a3", "a4", "a5", "a6", "a7"]) {
+            expect(await loadAdapter(adapter)).to.equal("failed");
+        }
+        isSilent = false;
+        expect(new Set(sent.slice(1).map(order => order.expectedSequence)).size).to.equal(1);
+        expect(await loadAdapter("a8")).to.equal("loading");
+        expect([...orders.slotTable.slots].map(([key, { state }]) => `${key} ${state}`)).to.deep.equal([
+            "base/a1 loading",
+            "base/a8 loading",
+        ]);
+    });
+
     it("carry the version that must be resident after the load", async () => {
         const sent: EngineOrder[] = [];
         const orders = createOrders(sent);
--- a/src/adapters/slotTable.ts
+++ b/src/adapters/slotTable.ts
@@ -128,7 +128,8 @@
 }
 
 /**
- * Checks whether an engine has a free slot and enough memory for one more adapter.
+ * Checks whether an engine has a free slot and enough memory for one more adapter. The orders of uncertain slots and the
+ * one to come carry the same expected sequence, so that the engine executes one of them at most.
  *
  * @param slotTable - table of the engine
  * @param limits - slots and memory of the engines of its service
@@ -136,26 +137,29 @@
  * @returns whether the adapter fits
  */
 export function hasRoom(slotTable: SlotTable, limits: EngineLimits, model: string): boolean {
-    if (slotTable.slots.size >= limits.adapterSlots) {
+    const slots = [...slotTable.slots.values()];
+    const certain = slots.filter(slot => slot.state !== "uncertain");
+    if (certain.length >= limits.adapterSlots) {
         return false;
     }
     const sizes = new Map(limits.models.map(entry => [entry.name, entry]));
-    let megabytes = sizes.get(model)?.adapterMegabytes ?? 0;
+    const measureAdapter = (name: string): number => sizes.get(name)?.adapterMegabytes ?? 0;
+    const uncertain = slots.filter(slot => slot.state === "uncertain").map(slot => measureAdapter(slot.model));
+    let megabytes = Math.max(measureAdapter(model), ...uncertain);
     slotTable.models.forEach(name => megabytes += sizes.get(name)?.sizeMegabytes ?? 0);
-    slotTable.slots.forEach(slot => megabytes += sizes.get(slot.model)?.adapterMegabytes ?? 0);
+    certain.forEach(slot => megabytes += measureAdapter(slot.model));
     return megabytes <= limits.memoryMegabytes;
 }
 
 /**
- * Counts the loads that the engine is executing or may execute.
+ * Counts the loads that the engine is executing or may execute: of those that are uncertain it executes one at most.
  *
  * @param slotTable - table of the engine
- * @returns number of slots that are loading or uncertain
+ * @returns number of loads
  */
 export function countPending(slotTable: SlotTable): number {
-    let count = 0;
-    slotTable.slots.forEach(slot => count += slot.state === "loading" || slot.state === "uncertain" ? 1 : 0);
-    return count;
+    const states = [...slotTable.slots.values()].map(slot => slot.state);
+    return states.filter(state => state === "loading").length + (states.includes("uncertain") ? 1 : 0);
 }
 
 /**
--- a/src/platform/__tests__/delivered/serverProcess.ts
+++ b/src/platform/__tests__/delivered/serverProcess.ts
@@ -75,6 +75,9 @@
         if (adapters.has(adapter)) {
             return sendJson(run, 200, {});
         }
+        if (pending.has(adapter)) {
+            return sendJson(run, 202, {});
+        }
         pending.add(adapter);
         sequence++;
         setTimeout(() => {
