fix(serving): an event that comes in many chunks is read once

Cause: the splitter joined what it kept with each chunk, looked for the event's end from its beginning again, and made strings and lists of each event's lines. Change: what is kept lies in room that doubles, each line is read once, and comments without a string.

--- a/src/serving/__tests__/eventSplitter.test.ts
+++ b/src/serving/__tests__/eventSplitter.test.ts
@@ -109,3 +109,18 @@
         expect(splitter.push(Buffer.from("id: 1\ndata: c\n\ndata: d\n\n")).foreign).to.equal("an event without an id");
     });
 });
+
+describe("event that comes in many chunks", () => {
+    // guards against work that grows with the square of an event's length, which keeps the process from all else
+    it("is looked at once, and is whole", () => {
+        const splitter = createEventSplitter({ after: undefined, isNumbered: false });
+        const chunk = Buffer.from("a\n".repeat(8));
+        const count = 32_768;
+        for (let index = 0; index < count; index++) {
+            expect(splitter.push(chunk).bytes.length).to.equal(0);
+        }
+        const { bytes, foreign } = splitter.push(Buffer.from("\n"));
+        expect([bytes.length, foreign]).to.deep.equal([count * chunk.length + 1, undefined]);
+        expect(splitter.readIncomplete().length).to.equal(0);
+    }).timeout(20_000);
+});
--- a/src/serving/eventSplitter.ts
+++ b/src/serving/eventSplitter.ts
@@ -22,6 +22,8 @@
     readonly push: (chunk: Buffer) => SplitEvents;
     /** Returns the bytes of an event that is not complete yet; empty when there is none. */
     readonly readIncomplete: () => Buffer;
+    /** Returns the size of the memory for an event that is not complete yet, in bytes. */
+    readonly countHeldBytes: () => number;
     /** Returns the number of bytes since the last event with a numeric id, or since the last event while none has one. */
     readonly countUselessBytes: () => number;
 }
@@ -34,19 +36,21 @@
     readonly isNumbered: boolean;
 }
 
-interface ParsedEvent {
-    readonly id: number | undefined;
+/** What the lines of an event that isn't complete have shown so far. */
+interface OpenEvent {
+    id: number | undefined;
     /** Whether each line is a comment or a field of an event. */
-    readonly isEvent: boolean;
+    isEvent: boolean;
     /** Whether it holds comments only, as servers send them to keep a connection open. */
-    readonly isComment: boolean;
+    isComment: boolean;
 }
 
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+const colon = 0x3a;
 const idLinePattern = /^id: ?(\d+)$/;
-/** Comments and fields of events, also unknown ones, which servers add. */
-const eventLinePattern = /^(?::|[a-z][a-z0-9-]*(?::|$))/;
+/** Fields of events, also unknown ones, which servers add. */
+const eventLinePattern = /^[a-z][a-z0-9-]*(?::|$)/;
 /** Header fields of which each HTTP response has one: they begin a second response within a body without a length. */
 const responseHeaderPattern = /^(?:content-[a-z]+|transfer-encoding|connection|keep-alive|date):/;
 const noBytes = Buffer.alloc(0);
@@ -58,11 +62,15 @@
  * @returns the splitter, owned by the caller
  */
 export function createEventSplitter({ after, isNumbered }: EventSplitterOptions): EventSplitter {
-    let rest: Buffer = noBytes;
+    const kept = createKeptBytes();
     let uselessBytes = 0;
     let lastId = after;
     let hasIds = isNumbered || after !== undefined;
-    const describeForeign = ({ id, isEvent, isComment }: ParsedEvent): string | undefined => {
+    let open = createOpenEvent();
+    // positions within the kept bytes: up to where lines were looked for, and where the present one begins
+    let searched = 0;
+    let lineStart = 0;
+    const describeForeign = ({ id, isEvent, isComment }: OpenEvent): string | undefined => {
         if (!isEvent) {
             return "lines that are no event";
         }
@@ -73,50 +81,107 @@
     };
     return {
         push: chunk => {
-            const joined = rest.length === 0 ? chunk : Buffer.concat([rest, chunk]);
+            const joined = kept.add(chunk);
             let end = 0;
             let foreign: string | undefined;
             let numbered = 0;
-            for (let next = findEventEnd(joined, 0); next > 0 && !foreign; next = findEventEnd(joined, end)) {
-                const event = parseEvent(joined.toString("latin1", end, next));
-                foreign = describeForeign(event);
+            for (
+                let index = joined.indexOf(lineFeed, searched);
+                index >= 0;
+                index = joined.indexOf(lineFeed, index + 1)
+            ) {
+                const lineEnd = index > lineStart && joined[index - 1] === carriageReturn ? index - 1 : index;
+                const isLast = lineEnd === lineStart && lineStart > end;
+                if (lineEnd > lineStart) {
+                    readLine(open, joined, lineStart, lineEnd);
+                }
+                lineStart = index + 1;
+                if (!isLast) {
+                    continue;
+                }
+                foreign = describeForeign(open);
                 if (foreign) {
                     break;
                 }
-                if (event.id !== undefined) {
-                    lastId = event.id;
+                if (open.id !== undefined) {
+                    lastId = open.id;
                     hasIds = true;
                     numbered++;
                 }
-                end = next;
+                open = createOpenEvent();
+                end = lineStart;
             }
-            rest = joined.subarray(end);
             const isProgress = hasIds ? numbered > 0 : end > 0;
-            uselessBytes = isProgress ? rest.length : uselessBytes + chunk.length;
+            const restBytes = joined.length - end;
+            uselessBytes = isProgress ? restBytes : uselessBytes + chunk.length;
+            kept.keepFrom(end);
+            searched = restBytes;
+            lineStart -= end;
             return { bytes: joined.subarray(0, end), lastId: numbered > 0 ? lastId : undefined, foreign };
         },
-        readIncomplete: () => rest,
+        readIncomplete: kept.read,
+        countHeldBytes: kept.countHeldBytes,
         countUselessBytes: () => uselessBytes,
     };
 }
 
-// returns the position after the empty line that ends the event at `start`; 0 when it isn't complete
-function findEventEnd(bytes: Buffer, start: number): number {
-    for (let index = bytes.indexOf(lineFeed, start); index >= 0; index = bytes.indexOf(lineFeed, index + 1)) {
-        const before = bytes[index - 1] === carriageReturn ? index - 2 : index - 1;
-        if (before >= start && bytes[before] === lineFeed) {
-            return index + 1;
-        }
-    }
-    return 0;
+/** Bytes of an incomplete event, in one piece. */
+interface KeptBytes {
+    /** Adds a chunk and returns all bytes; those that are given up later stay as they are. */
+    readonly add: (chunk: Buffer) => Buffer;
+    /** Gives up the bytes before a position. */
+    readonly keepFrom: (start: number) => void;
+    readonly read: () => Buffer;
+    /** Returns the size of the memory that the bytes take. */
+    readonly countHeldBytes: () => number;
 }
 
-function parseEvent(text: string): ParsedEvent {
-    const lines = text.split("\n").map(line => line.endsWith("\r") ? line.slice(0, -1) : line).filter(line => line);
-    const ids = lines.flatMap(line => idLinePattern.exec(line)?.[1] ?? []);
+// the room doubles, so that an event that comes in many chunks isn't copied with each of them
+function createKeptBytes(): KeptBytes {
+    let room: Buffer = noBytes;
+    let all: Buffer = noBytes;
+    const reserveRoom = (size: number): void => {
+        if (size > room.length) {
+            room = Buffer.allocUnsafeSlow(size * 2);
+            all.copy(room);
+        }
+    };
     return {
-        id: ids.length > 0 ? Number(ids.at(-1)) : undefined,
-        isComment: lines.every(line => line.startsWith(":")),
-        isEvent: lines.every(line => eventLinePattern.test(line) && !responseHeaderPattern.test(line)),
+        add: chunk => {
+            if (all.length === 0) {
+                all = chunk;
+                return all;
+            }
+            const size = all.length + chunk.length;
+            reserveRoom(size);
+            chunk.copy(room, all.length);
+            all = room.subarray(0, size);
+            return all;
+        },
+        keepFrom: start => {
+            if (start === 0 && room.length > 0) {
+                return;
+            }
+            // what was given out is another's, and a part of a chunk would keep all of it
+            all = start < all.length ? Buffer.from(all.subarray(start)) : noBytes;
+            room = noBytes;
+        },
+        read: () => all,
+        countHeldBytes: () => Math.max(room.length, all.length),
     };
 }
+
+function createOpenEvent(): OpenEvent {
+    return { id: undefined, isEvent: true, isComment: true };
+}
+
+function readLine(event: OpenEvent, bytes: Buffer, start: number, end: number): void {
+    if (bytes[start] === colon) {
+        return;
+    }
+    const line = bytes.toString("latin1", start, end);
+    const id = idLinePattern.exec(line)?.[1];
+    event.id = id === undefined ? event.id : Number(id);
+    event.isComment = false;
+    event.isEvent &&= eventLinePattern.test(line) && !responseHeaderPattern.test(line);
+}
