fix(serving): answers without end are read in turns, kept in memory of their length, and ended when they bring nothing

Seen by callers: a server that sends without end ends the instance, or keeps it from the requests to other servers. Reason phrases, blank lines, extensions of chunks, zeros before a size and spaces ran until the deadline. Found beside it: a server that resets an answer without a length, while its client reads slowly, ends the process by an assertion of undici. Cause: each chunk was kept as it came, an object that keeps a whole read alive; all that a socket has is parsed in one turn of the loop; nothing counts bytes that are no part of an answer; undici's parser, once paused, doesn't bear a reset. Change: `serverSockets` hands undici what it may parse: nothing while an answer is held (undici is no longer paused), pieces of 16 KiB once parsing has taken over 1 ms, and in a turn of the loop 5 ms for all connections together, in the order in which they ask (`readTurns`). A connection that has brought 1 MiB and 16 bytes for each byte of an answer is closed, and 64 interim answers are the most. `answerDelivery` delivers the chunks of a read together; held responses and events for other instances are kept in blocks (`byteStore`). Large chunks are passed on as they are.

--- a/src/forwarding/__tests__/forwardedAttempt.test.ts
+++ b/src/forwarding/__tests__/forwardedAttempt.test.ts
@@ -277,6 +277,30 @@
         expect(seen.text.length).to.equal(9 * 8_192);
     });
 
+    // guards against memory that fills with an event for each byte of an answer
+    it("keeps bytes that wait to be fetched together, before what comes after them", async () => {
+        const { arrived, service } = createRig();
+        const first = service.start({
+            kind: "start",
+            id: "r-1",
+            run: "s-0/1",
+            method: "GET",
+            target: "/",
+            headers: [],
+        });
+        arrived[0]!.onHead(head);
+        await first;
+        for (let count = 0; count < 60_000; count++) {
+            arrived[0]!.onData(Buffer.alloc(1, "a"));
+        }
+        arrived[0]!.onEnd();
+        const answer = await service.read("r-1");
+        const events = answer.kind === "events" ? answer.events : [];
+        const size = events.reduce((sum, event) => sum + (event.kind === "data" ? event.chunk.length : 0), 0);
+        expect([size, events.at(-1)?.kind]).to.deep.equal([60_000, "end"]);
+        expect(events.length).to.be.below(20);
+    });
+
     // guards against a helper that is overrun: more are refused, so that the sender takes another one
     it("is refused beyond the number that an instance sends for others", async () => {
         const rig = createRig();
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { type ByteStore, createByteStore } from "../serving/byteStore.js";
 import type { Attempt, AttemptFault, ServerConnections } from "../serving/serverConnections.js";
 import type { BackendServer, ServerRunId } from "../serving/types.js";
 import type { Clock, Milliseconds } from "../shared/index.js";
@@ -35,8 +36,10 @@
 
 interface ForwardedAttempt {
     attempt: Attempt | undefined;
+    /** Events before the bytes. */
     events: AttemptEvent[];
-    size: number;
+    /** Bytes of the answer that wait to be fetched; small chunks of them are one event. */
+    readonly bytes: ByteStore;
     isOver: boolean;
     askedAt: Milliseconds;
     wake: () => void;
@@ -62,31 +65,34 @@
     const attempts = new Map<string, ForwardedAttempt>();
     const hasRoom = (): boolean => options.isReaching() && !options.isStopping() && attempts.size < maximumAttempts;
     const add = (entry: ForwardedAttempt, event: AttemptEvent): void => {
+        moveBytes(entry);
         entry.events.push(event);
         entry.isOver ||= event.kind === "end" || event.kind === "fault";
-        if (event.kind === "data") {
-            entry.size += event.chunk.length;
-            if (entry.size > pauseBytes) {
-                entry.attempt?.pause();
-            }
+        entry.wake();
+    };
+    const addBytes = (entry: ForwardedAttempt, chunk: Buffer): void => {
+        entry.bytes.push(chunk);
+        if (entry.bytes.countBytes() > pauseBytes) {
+            entry.attempt?.pause();
         }
         entry.wake();
     };
     const take = async (id: string, entry: ForwardedAttempt): Promise<ForwardingMessage> => {
         entry.askedAt = clock.now();
-        if (entry.events.length === 0) {
+        if (entry.events.length === 0 && entry.bytes.countBytes() === 0) {
             const cancel = new AbortController();
             const woken = new Promise<void>(resolve => entry.wake = resolve);
             await Promise.race([woken, clock.sleep(waitMilliseconds, cancel.signal)]);
             cancel.abort();
         }
+        const isFull = entry.bytes.countBytes() > pauseBytes;
+        moveBytes(entry);
         const { events } = entry;
         entry.askedAt = clock.now();
         entry.events = [];
-        if (entry.size > pauseBytes) {
+        if (isFull) {
             entry.attempt?.resume();
         }
-        entry.size = 0;
         if (entry.isOver) {
             attempts.delete(id);
         }
@@ -105,7 +111,7 @@
             const entry: ForwardedAttempt = {
                 attempt: undefined,
                 events: [],
-                size: 0,
+                bytes: createByteStore(),
                 isOver: false,
                 askedAt: clock.now(),
                 wake: () => undefined,
@@ -124,7 +130,7 @@
                     },
                     {
                         onHead: head => add(entry, { kind: "head", head }),
-                        onData: chunk => add(entry, { kind: "data", chunk }),
+                        onData: chunk => addBytes(entry, chunk),
                         onEnd: () => add(entry, { kind: "end" }),
                         onFault: fault =>
                             add(entry, {
@@ -159,6 +165,11 @@
     };
 }
 
+// the bytes come before whatever event comes next
+function moveBytes({ events, bytes }: ForwardedAttempt): void {
+    bytes.take().forEach(chunk => events.push({ kind: "data", chunk }));
+}
+
 // the sender checks its requests itself; one of an older version doesn't know `unsendable`
 function describeFaultKind({ kind }: AttemptFault): Exclude<AttemptFault["kind"], "rerouted" | "unsendable"> {
     switch (kind) {
--- a/src/platform/__tests__/delivered/wireConfiguration.ts
+++ b/src/platform/__tests__/delivered/wireConfiguration.ts
@@ -107,6 +107,46 @@
     });
 }
 
+/** Routes to servers that send without end. */
+export const faultyRoutes = {
+    plain: { site: plainRoute.host, path: "/faulty/" },
+    stream: { site: plainRoute.host, path: "/faulty-stream/" },
+} as const;
+
+/**
+ * Encodes the plain configuration with routes to another service, of faulty servers.
+ *
+ * @param service - service of the plain route
+ * @param faultyService - service of the faulty servers
+ * @returns value of the record
+ */
+export function createEndlessConfiguration(service: string, faultyService: string): string {
+    const plain = JSON.parse(createPlainConfiguration(service)) as {
+        readonly routes: readonly object[];
+        readonly services: readonly object[];
+    };
+    const createRoute = (kind: string, path: string, canResume: boolean) => ({
+        ...plain.routes[0],
+        name: path.slice(1, -1),
+        path_prefix: path,
+        service: faultyService,
+        kind,
+        timeout_ms: 5_000,
+        target_gap_ms: 300,
+        max_attempts: 2,
+        can_resume: canResume,
+    });
+    return JSON.stringify({
+        ...plain,
+        routes: [
+            ...plain.routes,
+            createRoute("safe", faultyRoutes.plain.path, false),
+            createRoute("stream", faultyRoutes.stream.path, true),
+        ],
+        services: [...plain.services, { name: faultyService, health_path: "/health", connection_limit: 110 }],
+    });
+}
+
 /**
  * Encodes the plain configuration with one more service, whose servers are engines and which has no route.
  *
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -7,6 +7,7 @@
 import type { GuardedRequest } from "../quarantine/index.js";
 import { createLogger, type Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
+import { type ByteStore, createByteStore } from "./byteStore.js";
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
 import { decideNextStep, hasSentBytes, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
@@ -33,8 +34,7 @@
  */
 interface BufferedResponse {
     readonly head: ServerResponseHead;
-    readonly chunks: Buffer[];
-    size: number;
+    readonly bytes: ByteStore;
 }
 
 /** Size above which a response is not buffered but delivered as it arrives. */
@@ -175,7 +175,7 @@
                 deliverHead(head, isRetryable(route) ? undefined : head.contentLength);
             }
             else {
-                held = { head, chunks: [], size: 0 };
+                held = { head, bytes: createByteStore() };
             }
         };
         const deliverHead = (head: ServerResponseHead, contentLength: number | undefined): void => {
@@ -188,7 +188,7 @@
         const flushBuffer = (contentLength: number | undefined): void => {
             if (held) {
                 deliverHead(held.head, contentLength);
-                held.chunks.forEach(state.answer.write);
+                held.bytes.take().forEach(state.answer.write);
                 held = undefined;
             }
         };
@@ -200,9 +200,8 @@
                 markSound(parts, state);
             }
             if (held) {
-                held.chunks.push(chunk);
-                held.size += chunk.length;
-                if (held.size > responseBufferBytes) {
+                held.bytes.push(chunk);
+                if (held.bytes.countBytes() > responseBufferBytes) {
                     flushBuffer(held.head.contentLength);
                 }
                 return;
@@ -268,7 +267,7 @@
                 handleFault({ kind: "broken", detail: "stream ended with an incomplete event" });
                 return;
             }
-            flushBuffer(held?.head.contentLength ?? held?.size);
+            flushBuffer(held?.head.contentLength ?? held?.bytes.countBytes());
             state.answer.end();
             markSound(parts, state);
             parts.origins.markComplete(describeStream(state));
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -5,11 +5,13 @@
  * @packageDocumentation
  */
 import type { IncomingHttpHeaders } from "node:http";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
+import { createAnswerDelivery } from "./answerDelivery.js";
 import type { LoopGate } from "./loopDelay.js";
 import { findRequestFault } from "./requestCheck.js";
+import { createServerSockets, isNoAnswer, type ServerSocket, type ServerSockets } from "./serverSockets.js";
 import {
     type BackendServer,
     formatServerRunId,
@@ -33,9 +35,14 @@
     | { readonly kind: "rerouted"; readonly detail: string; }
     /**
      * The connection failed or the response was incomplete; the request may have run. `isBetweenInstances` when the server
-     * has no part in it.
+     * has no part in it; `isNoAnswer` when it has sent bytes that are no answer, which says nothing of the request.
      */
-    | { readonly kind: "broken"; readonly detail: string; readonly isBetweenInstances?: boolean; }
+    | {
+        readonly kind: "broken";
+        readonly detail: string;
+        readonly isBetweenInstances?: boolean;
+        readonly isNoAnswer?: boolean | undefined;
+    }
     /** The response belongs to another request, or may do so; this request may have run. */
     | { readonly kind: "crossed"; readonly detail: string; };
 
@@ -110,6 +117,8 @@
 const connectTimeoutMilliseconds = 400;
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
+/** Interim answers that an attempt may have; servers send some, such as one every few seconds of their work. */
+const interimAnswerLimit = 64;
 /** Codes of the errors with which undici refuses a request that it can't write. */
 const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /**
@@ -127,11 +136,11 @@
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
     const pools = new Map<ServerRunId, ServerPool>();
     const unsentAttempts = createUnsentAttempts();
-    const resetDetector = createResetDetector();
+    const sockets = createServerSockets(connectTimeoutMilliseconds);
     const createPool = (server: BackendServer, poolOptions: Pool.Options): Pool =>
         new Pool(`http://${server.address}`, {
             pipelining: 1,
-            connect: resetDetector.connect,
+            connect: sockets.connect,
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: options.idleTimeout,
@@ -174,7 +183,7 @@
             }
             const pool = tryPoolFor(request);
             return pool
-                ? sendAttempt(pool, options, { replacePool, resetDetector, unsentAttempts }, request, handlers)
+                ? sendAttempt(pool, options, { replacePool, sockets, unsentAttempts }, request, handlers)
                 : failUnsent(noConnectionFault, handlers);
         },
         remove: run => {
@@ -198,34 +207,6 @@
     readonly address: string;
 }
 
-/** Detects whether the socket whose end is being handled was reset. */
-interface ResetDetector {
-    readonly connect: buildConnector.connector;
-    readonly isResetting: () => boolean;
-}
-
-// undici treats a response without a length as complete when its connection is reset, and libuv reports a reset that
-// arrives together with the last bytes as an ordinary end. The listeners run before those of undici and mark the reset
-// until the end has been handled; a socket that was reset no longer has a remote address
-function createResetDetector(): ResetDetector {
-    const connectSocket = buildConnector({ timeout: connectTimeoutMilliseconds });
-    let isResetting = false;
-    const markReset = (): void => {
-        isResetting = true;
-        queueMicrotask(() => isResetting = false);
-    };
-    return {
-        connect: (connectOptions, callback) =>
-            connectSocket(connectOptions, (...result) => {
-                const socket = result[1];
-                socket?.prependListener("error", markReset);
-                socket?.prependListener("end", () => socket.remoteAddress ?? markReset());
-                callback(...result);
-            }),
-        isResetting: () => isResetting,
-    };
-}
-
 /** Attempts that wait for a connection, by the run of their server. */
 interface UnsentAttempts {
     readonly add: (run: ServerRunId, end: AttemptEnder) => void;
@@ -274,10 +255,10 @@
 function sendAttempt(
     pool: Pool,
     options: ServerConnectionsOptions,
-    { replacePool, resetDetector, unsentAttempts }: {
+    { replacePool, sockets, unsentAttempts }: {
         /** Has later requests use another pool than this one. */
         readonly replacePool: (run: ServerRunId, pool: Pool) => void;
-        readonly resetDetector: ResetDetector;
+        readonly sockets: ServerSockets;
         readonly unsentAttempts: UnsentAttempts;
     },
     request: AttemptRequest,
@@ -294,8 +275,12 @@
     let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
+    let interimAnswers = 0;
+    // connection of the answer, from its head on
+    let socket: ServerSocket | undefined;
     const finish = (notify: () => void): void => {
         unsentAttempts.remove(run, endUnsent);
+        delivery.discard();
         if (!isOver) {
             isOver = true;
             notify();
@@ -305,6 +290,7 @@
     const abort = (): void => {
         isOver = true;
         unsentAttempts.remove(run, endUnsent);
+        delivery.discard();
         controller?.abort(new Error("attempt aborted"));
     };
     // its server may have run the request; the connection is closed, as the rest of the answer can't be read
@@ -323,6 +309,10 @@
                 failInside(error);
             }
         };
+    const delivery = createAnswerDelivery(
+        chunk => isOver || handlers.onData(chunk),
+        wrapHandler(() => delivery.flush()),
+    );
     const handler: Dispatcher.DispatchHandler = {
         // undici calls this on a connected socket, immediately before it writes the first byte
         onRequestStart: started => {
@@ -343,8 +333,16 @@
         },
         onResponseStart: wrapHandler((started, status, headers) => {
             if (status < lowestFinalStatus) {
+                interimAnswers++;
+                if (interimAnswers > interimAnswerLimit) {
+                    const detail = `more than ${interimAnswerLimit} interim answers`;
+                    finish(() => handlers.onFault({ kind: "broken", detail, isNoAnswer: true }));
+                    started.abort(new Error(detail));
+                }
                 return;
             }
+            socket = sockets.findCurrent();
+            socket?.markUseful();
             const head = options.headers.decodeResponseHead(status, convertHeaders(started.rawHeaders, headers));
             if (head.isLeaving) {
                 options.onLeaving(request.server);
@@ -358,20 +356,27 @@
                 started.abort(new Error("response belongs to another request"));
                 return;
             }
+            delivery.begin(socket);
             handlers.onHead(head);
         }),
         onResponseData: wrapHandler((dispatch, chunk) => {
             if (!isOver) {
-                handlers.onData(chunk);
+                delivery.push(chunk);
             }
         }),
-        onResponseEnd: wrapHandler(() =>
-            finish(() =>
-                resetDetector.isResetting()
-                    ? handlers.onFault({ kind: "broken", detail: "connection reset before the end of the response" })
-                    : handlers.onEnd()
-            )
-        ),
+        onResponseEnd: wrapHandler(() => {
+            const isReset = sockets.isResetting();
+            delivery.end(() =>
+                finish(() =>
+                    isReset
+                        ? handlers.onFault({
+                            kind: "broken",
+                            detail: "connection reset before the end of the response",
+                        })
+                        : handlers.onEnd()
+                )
+            );
+        }),
         onResponseError: wrapHandler((dispatch, error) => {
             if (isPostponed) {
                 isPostponed = false;
@@ -382,7 +387,11 @@
             const isUnusable = isRefused || (isDispatching && !hasConnection);
             const detail = isRefused ? error.message : (error as NodeJS.ErrnoException).code ?? error.message;
             const kind = isRefused ? "unsendable" : controller ? "broken" : "notSent";
-            finish(() => handlers.onFault({ kind, detail }));
+            const fault: AttemptFault = kind === "broken"
+                ? { kind, detail, isNoAnswer: isNoAnswer(error, socket) }
+                : { kind, detail };
+            delivery.flush();
+            finish(() => handlers.onFault(fault));
             if (isUnusable) {
                 // the pool doesn't use the connection again that it chose for the request
                 replacePool(run, pool);
@@ -420,7 +429,7 @@
     else {
         send();
     }
-    return { abort, pause: () => controller?.pause(), resume: () => controller?.resume() };
+    return { abort, pause: delivery.pause, resume: delivery.resume };
 }
 
 function isRefusal(error: Error): boolean {
