fix(serving): bytes that are no answer accuse the server, not the request

Seen by callers: when all servers of a service send a head that is too long, or bytes that are not HTTP, equal requests are refused after some ("quarantined request", 503), as if they had ended their servers. Cause: only a stream without events was told apart from the end of a server; what undici reports as a head too long, as a parser's error or as a bad response counted as an end. The same faults counted as "server not reached", so that an instance asked the others to send for it. Change: a broken attempt says whether the server has sent bytes that are no answer (`isNoAnswer`), also one that another instance has sent. Such bytes show that the server is reached. An older instance leaves the new field out, and its answers count as before.

--- a/src/forwarding/__tests__/forwardedAttempt.test.ts
+++ b/src/forwarding/__tests__/forwardedAttempt.test.ts
@@ -208,6 +208,22 @@
         expect(seen.fault).to.deep.equal({ kind: "withdrawn", detail: "two hosts" });
     });
 
+    // guards against requests that are quarantined for wrong bytes of a server that another instance has read
+    it("is told that a server has sent bytes that are no answer, and nothing of it where it hasn't", async () => {
+        const faults: readonly AttemptFault[] = [
+            { kind: "broken", detail: "x", isNoAnswer: true },
+            { kind: "broken", detail: "x" },
+        ];
+        for (const fault of faults) {
+            const rig = createRig();
+            const { seen } = send(rig);
+            await settle();
+            rig.arrived[0]!.onFault(fault);
+            await settle();
+            expect(seen.fault).to.deep.equal(fault);
+        }
+    });
+
     // guards against servers that are blamed, or requests quarantined, for a link between instances
     it("isn't the server's fault when the link breaks in the middle of the answer", async () => {
         const rig = createRig();
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -135,7 +135,11 @@
                         onFault: fault =>
                             add(entry, {
                                 kind: "fault",
-                                fault: { kind: describeFaultKind(fault), detail: fault.detail },
+                                fault: {
+                                    kind: describeFaultKind(fault),
+                                    detail: fault.detail,
+                                    ...fault.kind === "broken" && fault.isNoAnswer && { isNoAnswer: true },
+                                },
                             }),
                     },
                 );
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -170,7 +170,7 @@
         let isOver = false;
         let hasHead = false;
         const handleFault = (fault: AttemptFault): void => {
-            if (fault.kind === "notSent" || (fault.kind === "broken" && !hasHead)) {
+            if (fault.kind === "notSent" || (fault.kind === "broken" && !hasHead && !fault.isNoAnswer)) {
                 reach.markUnreached(run, clock.now());
             }
             if (fault.kind !== "notSent") {
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -56,6 +56,8 @@
 const faultSchema = z.object({
     kind: z.enum(["notSent", "withdrawn", "broken", "crossed"]),
     detail: textSchema,
+    // whether the server has sent bytes that are no answer; an instance of an older version doesn't say
+    isNoAnswer: z.boolean().optional(),
 }) satisfies z.ZodType<Exclude<AttemptFault, { readonly kind: "rerouted" | "unsendable"; }>>;
 const eventSchema = z.discriminatedUnion("kind", [
     z.object({ kind: z.literal("head"), head: headSchema }),
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -7,6 +7,9 @@
 import { firstTestAccount, testService } from "./testCodec.js";
 import type { MemoryStore } from "./testStore.js";
 
+/** Length of the head of an answer that can't be read. */
+const unreadableBytes = 100_000;
+
 /** An arrival at a server. */
 export interface TestArrival {
     readonly at: number;
@@ -30,6 +33,8 @@
     readonly crashingPart?: string;
     /** A server that begins to run a request of the first account with this body ends. */
     readonly crashingBody?: string;
+    /** A server answers a request with this body with bytes that are no answer. */
+    readonly unreadableBody?: string;
     /** Time until a server that ended is back as a new run. */
     readonly restartDelay?: number;
     readonly answerDuration: number;
@@ -126,6 +131,10 @@
             response.end();
             return;
         }
+        if (body === options.unreadableBody) {
+            request.socket.write(`HTTP/1.1 200 OK\r\nname: ${"x".repeat(unreadableBytes)}\r\n\r\n`);
+            return;
+        }
         if (body === options.crashingBody && request.headers.account === firstTestAccount) {
             setTimeout(end, 20, run);
             return;
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -89,7 +89,6 @@
         let mode = "waiting" as "waiting" | "delivering" | "ignoring";
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
-        let isUseless = false;
         let attempt: Attempt | undefined = undefined;
         const cancelTimer = new AbortController();
         const abortAttempt = (): void => callGuarded("abort attempt", () => attempt?.abort());
@@ -222,8 +221,7 @@
                     : undefined);
             if (useless !== undefined) {
                 abortAttempt();
-                isUseless = true;
-                handleFault({ kind: "broken", detail: useless });
+                handleFault({ kind: "broken", detail: useless, isNoAnswer: true });
             }
         };
         const handleFault = (fault: AttemptFault): void => {
@@ -237,7 +235,7 @@
                 parts.onBroken();
                 writeBrokenLog(state, run, fault, parts.clock.now());
                 // bytes that are no answer say that the server is faulty, not that the request ended it
-                if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !isUseless) {
+                if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !fault.isNoAnswer) {
                     parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
                 }
             }
