--- a/src/serving/__tests__/heldAnswers.test.ts
+++ b/src/serving/__tests__/heldAnswers.test.ts
@@ -21,10 +21,9 @@
     "reset with its last bytes": socket => socket.resetAndDestroy(),
     reset: socket => setTimeout(() => socket.resetAndDestroy(), holdMilliseconds / 3),
 };
-// what follows the reset can't be read any more, also where it is only the end of the answer
+// an answer that has its whole length is whole, whatever becomes of its connection
 const isWhole = (form: keyof typeof forms, ending: string): boolean =>
-    ending.startsWith("ended") && (form === "with its whole length" || form === "without a length") ||
-    form === "with its whole length" && ending === "reset with its last bytes";
+    form === "with its whole length" || ending.startsWith("ended") && form === "without a length";
 
 // holds the answer back from its first bytes on, for longer than its connection lasts
 async function readHeld(form: string, end: Ending): Promise<{ readonly end: string; readonly length: number; }> {
--- a/src/serving/attemptFaults.ts
+++ b/src/serving/attemptFaults.ts
@@ -20,14 +20,12 @@
  * @param state - state of the request, which is updated
  * @param server - server of the attempt
  * @param fault - why there is none
- * @param isUseless - whether its bytes were no answer
  */
 export function recordFault(
     parts: RequestParts,
     state: RequestState,
     server: BackendServer,
     fault: AttemptFault,
-    isUseless: boolean,
 ): void {
     const run = formatServerRunId(server);
     if (isServerFault(fault)) {
@@ -37,7 +35,7 @@
         parts.onBroken();
         writeBrokenLog(parts, state, run, fault);
         // bytes that are no answer say that the server is faulty, not that the request ended it
-        if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !isUseless) {
+        if (!state.isSound && fault.kind === "broken" && isServerFault(fault) && !fault.isNoAnswer) {
             parts.guard.markBroken({ run, service: server.service }, describeGuarded(state), parts.clock.now());
         }
     }
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -9,6 +9,7 @@
 import { describeFaultSource } from "./answerEnds.js";
 import { watchOwners } from "./answerOwners.js";
 import { markSound, recordFault } from "./attemptFaults.js";
+import { type ByteStore, createByteStore } from "./byteStore.js";
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
 import { decideNextStep, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import { endRequest, type RequestEnd } from "./requestEnds.js";
@@ -27,8 +28,7 @@
  */
 interface BufferedResponse {
     readonly head: ServerResponseHead;
-    readonly chunks: Buffer[];
-    size: number;
+    readonly bytes: ByteStore;
 }
 
 /** Size above which a response is not buffered but delivered as it arrives. */
@@ -92,7 +92,6 @@
         const over = new AbortController();
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
-        let isUseless = false;
         let attempt: Attempt | undefined = undefined;
         const finish = (outcome: AttemptOutcome): void => {
             over.abort();
@@ -161,7 +160,7 @@
                 deliverHead(head, isRetryable(route) ? undefined : head.contentLength);
             }
             else {
-                held = { head, chunks: [], size: 0 };
+                held = { head, bytes: createByteStore() };
             }
         };
         const deliverHead = ({ status, passedHeaders }: ServerResponseHead, contentLength?: number): void => {
@@ -172,7 +171,7 @@
         const flushBuffer = (contentLength: number | undefined): void => {
             if (held) {
                 deliverHead(held.head, contentLength);
-                held.chunks.forEach(writeChunk);
+                held.bytes.take().forEach(writeChunk);
                 held = undefined;
             }
         };
@@ -190,9 +189,8 @@
                 markSound(parts, state);
             }
             if (held) {
-                held.chunks.push(chunk);
-                held.size += chunk.length;
-                if (held.size > responseBufferBytes) {
+                held.bytes.push(chunk);
+                if (held.bytes.countBytes() > responseBufferBytes) {
                     flushBuffer(held.head.contentLength);
                 }
                 return;
@@ -212,12 +210,11 @@
                     : undefined);
             if (useless !== undefined) {
                 callGuarded("abort attempt", () => attempt?.abort());
-                isUseless = true;
-                handleFault({ kind: "broken", detail: useless });
+                handleFault({ kind: "broken", detail: useless, isNoAnswer: true });
             }
         };
         const handleFault = (fault: AttemptFault): void => {
-            recordFault(parts, state, server, fault, isUseless);
+            recordFault(parts, state, server, fault);
             const by = describeFaultSource(fault);
             if (fault.kind === "unsendable") {
                 failAttempt({ by, reason: fault.detail });
@@ -233,7 +230,7 @@
             failAttempt({ by, reason });
         };
         const handleEnd = (): void => {
-            flushBuffer(held?.head.contentLength ?? held?.size);
+            flushBuffer(held?.head.contentLength ?? held?.bytes.countBytes());
             const incompleteBytes = splitter?.readIncomplete().length ?? 0;
             if (answer.apply({ kind: "whole", attempt: number, incompleteBytes }) === "refused") {
                 handleFault({ kind: "broken", detail: "stream ended with an incomplete event" });
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -4,14 +4,14 @@
  *
  * @packageDocumentation
  */
-import { subscribe, unsubscribe } from "node:diagnostics_channel";
 import type { IncomingHttpHeaders } from "node:http";
-import type { Socket } from "node:net";
-import { buildConnector, type Dispatcher, Pool } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
+import { createAnswerDelivery } from "./answerDelivery.js";
 import type { LoopGate } from "./loopDelay.js";
 import { findRequestFault } from "./requestCheck.js";
+import { createServerSockets, isNoAnswer, type ServerSocket, type ServerSockets } from "./serverSockets.js";
 import {
     type BackendServer,
     formatServerRunId,
@@ -35,9 +35,14 @@
     | { readonly kind: "rerouted"; readonly detail: string; }
     /**
      * The connection failed or the response was incomplete; the request may have run. `isBetweenInstances` when the server
-     * has no part in it.
+     * has no part in it; `isNoAnswer` when it has sent bytes that are no answer, which says nothing of the request.
      */
-    | { readonly kind: "broken"; readonly detail: string; readonly isBetweenInstances?: boolean; }
+    | {
+        readonly kind: "broken";
+        readonly detail: string;
+        readonly isBetweenInstances?: boolean;
+        readonly isNoAnswer?: boolean | undefined;
+    }
     /** The response belongs to another request, or may do so; this request may have run. */
     | { readonly kind: "crossed"; readonly detail: string; };
 
@@ -112,10 +117,8 @@
 const connectTimeoutMilliseconds = 400;
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
-/** Channel on which undici names the connection of a request, in the turn in which it begins to write it. */
-const sendChannel = "undici:client:sendHeaders";
-/** Code of the error of a connection that was reset, which undici doesn't take for the end of a response. */
-const resetCode = "RESET";
+/** Interim answers that an attempt may have; servers send some, such as one every few seconds of their work. */
+const interimAnswerLimit = 64;
 /** Codes of the errors with which undici refuses a request that it can't write. */
 const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /**
@@ -133,12 +136,11 @@
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
     const pools = new Map<ServerRunId, ServerPool>();
     const unsentAttempts = createUnsentAttempts();
-    const heldAnswers = createHeldAnswers();
-    const resetDetector = createResetDetector(heldAnswers.release);
+    const sockets = createServerSockets(connectTimeoutMilliseconds);
     const createPool = (server: BackendServer, poolOptions: Pool.Options): Pool =>
         new Pool(`http://${server.address}`, {
             pipelining: 1,
-            connect: resetDetector.connect,
+            connect: sockets.connect,
             headersTimeout: 0,
             bodyTimeout: 0,
             keepAliveTimeout: options.idleTimeout,
@@ -181,13 +183,7 @@
             }
             const pool = tryPoolFor(request);
             return pool
-                ? sendAttempt(
-                    pool,
-                    options,
-                    { replacePool, resetDetector, heldAnswers, unsentAttempts },
-                    request,
-                    handlers,
-                )
+                ? sendAttempt(pool, options, { replacePool, sockets, unsentAttempts }, request, handlers)
                 : failUnsent(noConnectionFault, handlers);
         },
         remove: run => {
@@ -200,7 +196,6 @@
         close: () => {
             pools.forEach(({ pool }) => startTask("close connections", () => pool.destroy()));
             pools.clear();
-            heldAnswers.close();
         },
     };
 }
@@ -212,87 +207,6 @@
     readonly address: string;
 }
 
-/** Detects whether the socket whose end is being handled was reset. */
-interface ResetDetector {
-    readonly connect: buildConnector.connector;
-    readonly isResetting: () => boolean;
-}
-
-// undici treats a response without a length as complete when its connection is reset, and libuv reports a reset that
-// arrives together with the last bytes as an ordinary end. The listeners run before those of undici and mark the reset
-// until the end has been handled; a socket that was reset no longer has a remote address
-function createResetDetector(onEnding: (socket: Socket) => void): ResetDetector {
-    // the timers of undici are up to a second late
-    const connectSocket = buildConnector({ timeout: 0 });
-    let isResetting = false;
-    const markReset = (): void => {
-        isResetting = true;
-        queueMicrotask(() => isResetting = false);
-    };
-    const handleError = (error: NodeJS.ErrnoException): void => {
-        markReset();
-        if (error.code === "ECONNRESET") {
-            error.code = resetCode;
-        }
-    };
-    return {
-        connect: (connectOptions, callback) => {
-            // the types don't tell that the connector returns its socket
-            const opened: unknown = connectSocket(connectOptions, (...result) => {
-                const socket = result[1];
-                socket?.prependListener("error", handleError);
-                socket?.prependListener("end", () => {
-                    onEnding(socket);
-                    socket.remoteAddress ?? markReset();
-                });
-                callback(...result);
-            });
-            limitConnecting(opened as Socket);
-        },
-        isResetting: () => isResetting,
-    };
-}
-
-function createConnectError(): NodeJS.ErrnoException {
-    return Object.assign(new Error("no connection in time"), { code: "UND_ERR_CONNECT_TIMEOUT" });
-}
-
-// after a pause of this process the timer is due before it is known that the connection was made
-function limitConnecting(socket: Socket): void {
-    const endConnecting = (): void => void (socket.connecting && socket.destroy(createConnectError()));
-    const timer = setTimeout(() => setImmediate(endConnecting), connectTimeoutMilliseconds);
-    const stopTimer = (): void => clearTimeout(timer);
-    socket.once("connect", stopTimer);
-    socket.once("close", stopTimer);
-}
-
-/** Answers that may be held back, by their connections. */
-interface HeldAnswers {
-    /** Adds the answer to the request that undici writes next; `release` has it read to its end. */
-    readonly add: (release: () => void) => void;
-    /** Has the answer on a connection read to its end. */
-    readonly release: (socket: Socket) => void;
-    readonly close: () => void;
-}
-
-// undici throws out of the event of a connection that ends while its answer is held back, which would end the process
-function createHeldAnswers(): HeldAnswers {
-    const bySocket = new WeakMap<Socket, () => void>();
-    let releaseNext: (() => void) | undefined;
-    const setConnection = (message: unknown): void => {
-        if (releaseNext) {
-            bySocket.set((message as { readonly socket: Socket; }).socket, releaseNext);
-            releaseNext = undefined;
-        }
-    };
-    subscribe(sendChannel, setConnection);
-    return {
-        add: release => releaseNext = release,
-        release: socket => bySocket.get(socket)?.(),
-        close: () => unsubscribe(sendChannel, setConnection),
-    };
-}
-
 /** Attempts that wait for a connection, by the run of their server. */
 interface UnsentAttempts {
     readonly add: (run: ServerRunId, end: AttemptEnder) => void;
@@ -341,11 +255,10 @@
 function sendAttempt(
     pool: Pool,
     options: ServerConnectionsOptions,
-    { replacePool, resetDetector, heldAnswers, unsentAttempts }: {
+    { replacePool, sockets, unsentAttempts }: {
         /** Has later requests use another pool than this one. */
         readonly replacePool: (run: ServerRunId, pool: Pool) => void;
-        readonly resetDetector: ResetDetector;
-        readonly heldAnswers: HeldAnswers;
+        readonly sockets: ServerSockets;
         readonly unsentAttempts: UnsentAttempts;
     },
     request: AttemptRequest,
@@ -358,14 +271,16 @@
     let hasConnection = false;
     let controller: Dispatcher.DispatchController | undefined;
     let isOver = false;
-    // whether the answer may be held back, as its connection hasn't ended
-    let mayHold = true;
     // how often the events that waited have been handled for this request
     let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
+    let interimAnswers = 0;
+    // connection of the answer, from its head on
+    let socket: ServerSocket | undefined;
     const finish = (notify: () => void): void => {
         unsentAttempts.remove(run, endUnsent);
+        delivery.discard();
         if (!isOver) {
             isOver = true;
             notify();
@@ -375,17 +290,9 @@
     const abort = (): void => {
         isOver = true;
         unsentAttempts.remove(run, endUnsent);
+        delivery.discard();
         controller?.abort(new Error("attempt aborted"));
     };
-    const release = (): void => {
-        mayHold = false;
-        controller?.resume();
-    };
-    const pause = (): void => {
-        if (mayHold) {
-            controller?.pause();
-        }
-    };
     // its server may have run the request; the connection is closed, as the rest of the answer can't be read
     const failInside = (error: unknown): void => {
         recordTaskFailure("answer of a server", error);
@@ -402,6 +309,10 @@
                 failInside(error);
             }
         };
+    const delivery = createAnswerDelivery(
+        chunk => isOver || handlers.onData(chunk),
+        wrapHandler(() => delivery.flush()),
+    );
     const handler: Dispatcher.DispatchHandler = {
         // undici calls this on a connected socket, immediately before it writes the first byte
         onRequestStart: started => {
@@ -418,13 +329,20 @@
                 throw new Error("request not written");
             }
             controller = started;
-            heldAnswers.add(release);
             unsentAttempts.remove(run, endUnsent);
         },
         onResponseStart: wrapHandler((started, status, headers) => {
             if (status < lowestFinalStatus) {
+                interimAnswers++;
+                if (interimAnswers > interimAnswerLimit) {
+                    const detail = `more than ${interimAnswerLimit} interim answers`;
+                    finish(() => handlers.onFault({ kind: "broken", detail, isNoAnswer: true }));
+                    started.abort(new Error(detail));
+                }
                 return;
             }
+            socket = sockets.findCurrent();
+            socket?.markUseful();
             const head = options.headers.decodeResponseHead(status, convertHeaders(started.rawHeaders, headers));
             if (head.isLeaving) {
                 options.onLeaving(request.server);
@@ -438,20 +356,27 @@
                 started.abort(new Error("response belongs to another request"));
                 return;
             }
+            delivery.begin(socket);
             handlers.onHead(head);
         }),
         onResponseData: wrapHandler((dispatch, chunk) => {
             if (!isOver) {
-                handlers.onData(chunk);
+                delivery.push(chunk);
             }
         }),
-        onResponseEnd: wrapHandler(() =>
-            finish(() =>
-                resetDetector.isResetting()
-                    ? handlers.onFault({ kind: "broken", detail: "connection reset before the end of the response" })
-                    : handlers.onEnd()
-            )
-        ),
+        onResponseEnd: wrapHandler(() => {
+            const isReset = sockets.isResetting();
+            delivery.end(() =>
+                finish(() =>
+                    isReset
+                        ? handlers.onFault({
+                            kind: "broken",
+                            detail: "connection reset before the end of the response",
+                        })
+                        : handlers.onEnd()
+                )
+            );
+        }),
         onResponseError: wrapHandler((dispatch, error) => {
             if (isPostponed) {
                 isPostponed = false;
@@ -462,7 +387,11 @@
             const isUnusable = isRefused || (isDispatching && !hasConnection);
             const detail = isRefused ? error.message : (error as NodeJS.ErrnoException).code ?? error.message;
             const kind = isRefused ? "unsendable" : controller ? "broken" : "notSent";
-            finish(() => handlers.onFault({ kind, detail }));
+            const fault: AttemptFault = kind === "broken"
+                ? { kind, detail, isNoAnswer: isNoAnswer(error, socket) }
+                : { kind, detail };
+            delivery.flush();
+            finish(() => handlers.onFault(fault));
             if (isUnusable) {
                 // the pool doesn't use the connection again that it chose for the request
                 replacePool(run, pool);
@@ -500,7 +429,7 @@
     else {
         send();
     }
-    return { abort, pause, resume: () => controller?.resume() };
+    return { abort, pause: delivery.pause, resume: delivery.resume };
 }
 
 function isRefusal(error: Error): boolean {
