--- a/src/platform/__tests__/delivered/endlessByteTraffic.ts
+++ b/src/platform/__tests__/delivered/endlessByteTraffic.ts
@@ -26,7 +26,8 @@
 const service = "order-app";
 const faultyService = "faulty-app";
 const soundServers = ["i-1", "i-2", "i-3"];
-const faultyServers = ["f-1", "f-2"];
+/** Enough for the connections of all requests at a time. */
+const faultyServers = ["f-1", "f-2", "f-3", "f-4"];
 const memoryIntervalMilliseconds = 50;
 const heartbeatMilliseconds = 1_200;
 const bytesPerKibibyte = 1_024;
@@ -35,7 +36,7 @@
  * Runs one kind after the other against one machine.
  *
  * @param kinds - names of the bytes
- * @param clients - requests to faulty servers at a time
+ * @param clients - requests to faulty servers at a time, where the kind names no other number
  * @param duration - time for each kind, in milliseconds
  * @returns what was seen of each kind; no more after the process has ended
  */
@@ -83,8 +84,15 @@
     { kind, clients, duration }: Pick<EndlessRequests, "kind" | "clients" | "duration">,
 ): Promise<EndlessPart> {
     const { host, clientPort: port } = machine;
-    const { site, path } = faultyRoutes[endlessBytes[kind]!.route];
-    const request: EndlessRequests = { kind, host, port, site, path, clients, duration };
+    const { route, clients: ownClients = clients, leastDuration = 0 } = endlessBytes[kind]!;
+    const request: EndlessRequests = {
+        kind,
+        host,
+        port,
+        ...faultyRoutes[route],
+        clients: ownClients,
+        duration: Math.max(duration, leastDuration),
+    };
     let largestMemory = 0;
     let hasEnded = false;
     const watch = setInterval(
--- a/src/platform/__tests__/delivered/endlessBytes.ts
+++ b/src/platform/__tests__/delivered/endlessBytes.ts
@@ -12,6 +12,12 @@
     readonly unit: string;
     /** Whether each unit comes in a packet of its own, where it can. @default not */
     readonly isSlow?: boolean;
+    /** Bytes after which nothing more comes. @default without end */
+    readonly limit?: number;
+    /** Least time for which the clients send, in milliseconds. @default none */
+    readonly leastDuration?: number;
+    /** Requests at a time. @default as many as of the other kinds */
+    readonly clients?: number;
     /** Whether `N` in the unit stands for its number. @default not */
     readonly isCounted?: boolean;
 }
@@ -51,6 +57,14 @@
     },
     "one event": { route: "stream", start: `${events}data: `, unit: "x" },
     "one event in packets": { route: "stream", start: `${events}data: `, unit: "x", isSlow: true },
+    "many events that stay open": {
+        route: "stream",
+        start: `${events}data: `,
+        unit: largePiece,
+        limit: 15 * largePiece.length,
+        clients: 256,
+        leastDuration: 2_000,
+    },
     "lines of one event": { route: "stream", start: events, unit: "a\n" },
     "lines of one event in packets": { route: "stream", start: events, unit: "a\n", isSlow: true },
 };
--- a/src/platform/__tests__/delivered/endlessBytesWorker.ts
+++ b/src/platform/__tests__/delivered/endlessBytesWorker.ts
@@ -38,14 +38,16 @@
         .replaceAll("ID", readHeader("x-oriolehatch-attempt-id"))
         .replaceAll("SERVER", readHeader("x-oriolehatch-expect-instance"));
     let count = 0;
+    let sentBytes = 0;
     const block = Buffer.from(kind.unit.repeat(Math.max(1, Math.floor(blockBytes / kind.unit.length))), "latin1");
     const createCounted = (): Buffer =>
         Buffer.from(Array.from({ length: 1_000 }, () => kind.unit.replace("N", String(++count))).join(""));
     const send = (): void => {
-        if (socket.destroyed) {
+        if (socket.destroyed || sentBytes >= (kind.limit ?? Number.POSITIVE_INFINITY)) {
             return;
         }
         const bytes = kind.isSlow ? kind.unit : kind.isCounted ? createCounted() : block;
+        sentBytes += bytes.length;
         if (socket.write(bytes)) {
             setImmediate(send);
             return;
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -2,6 +2,7 @@
 import type { PlaceClient } from "../../adapters/placeClient.js";
 import type { QuarantineDecision } from "../../quarantine/index.js";
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
+import { createAnswerMemory } from "../answerMemory.js";
 import { createAnswerTimes } from "../answerTimes.js";
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
@@ -253,6 +254,7 @@
             },
             onBroken: () => undefined,
             onResumed: () => undefined,
+            answerMemory: createAnswerMemory(),
             answerTimes: createAnswerTimes(),
             shutdown: requestCase.shutdown ?? createTestShutdown(),
         },
--- a/src/serving/readTurns.ts
+++ b/src/serving/readTurns.ts
@@ -25,8 +25,11 @@
 
 /** Bytes of one connection after which its next read waits for another turn. */
 const turnBytes = 262_144;
-/** Time after which all further reads wait for another turn; a tenth of the time that one event may take. */
-const turnMilliseconds: Milliseconds = 5;
+/**
+ * Time after which all further reads wait for another turn. The runtime accepts one connection in a turn, so that a client
+ * waits for as many turns as others have come before it.
+ */
+const turnMilliseconds: Milliseconds = 1;
 
 /**
  * Creates the turns without connections.
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -9,6 +9,7 @@
 import type { StreamOrigin, StreamOrigins } from "../resumption/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
+import type { AnswerMemory } from "./answerMemory.js";
 import type { AnswerTimes } from "./answerTimes.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
@@ -45,6 +46,7 @@
     readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
+    readonly answerMemory: Pick<AnswerMemory, "open">;
     readonly answerTimes: Pick<AnswerTimes, "record">;
     readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended">;
     /** Counts an answer that a server broke off. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -89,11 +89,13 @@
         let mode = "waiting" as "waiting" | "delivering" | "ignoring";
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
+        const memory = parts.answerMemory.open(() => releaseMemory());
         let attempt: Attempt | undefined = undefined;
         const cancelTimer = new AbortController();
         const abortAttempt = (): void => callGuarded("abort attempt", () => attempt?.abort());
         const stopListening = (): void => {
             cancelTimer.abort();
+            memory.close();
             state.signal.removeEventListener("abort", abortForClient);
             parts.shutdown.ended.removeEventListener("abort", abortAtStop);
             mode = "ignoring";
@@ -189,8 +191,17 @@
                 deliverHead(held.head, contentLength);
                 held.bytes.take().forEach(state.answer.write);
                 held = undefined;
+                memory.set(0);
             }
         };
+        const failUseless = (detail: string): void => {
+            abortAttempt();
+            handleFault({ kind: "broken", detail, isNoAnswer: true });
+        };
+        // a response is then delivered as it arrives
+        const releaseMemory = wrapHandler(() =>
+            held ? flushBuffer(held.head.contentLength) : failUseless("the largest event while memory is short")
+        );
         const handleData = (chunk: Buffer): void => {
             if (mode !== "delivering") {
                 return;
@@ -200,7 +211,8 @@
             }
             if (held) {
                 held.bytes.push(chunk);
-                if (held.bytes.countBytes() > responseBufferBytes) {
+                memory.set(held.bytes.countBytes());
+                if (held && held.bytes.countBytes() > responseBufferBytes) {
                     flushBuffer(held.head.contentLength);
                 }
                 return;
@@ -220,9 +232,10 @@
                     ? `${uselessBytesLimit} bytes without an event`
                     : undefined);
             if (useless !== undefined) {
-                abortAttempt();
-                handleFault({ kind: "broken", detail: useless, isNoAnswer: true });
+                failUseless(useless);
+                return;
             }
+            memory.set(splitter?.countHeldBytes() ?? 0);
         };
         const handleFault = (fault: AttemptFault): void => {
             if (mode === "ignoring") {
--- a/src/serving/serverSockets.ts
+++ b/src/serving/serverSockets.ts
@@ -40,7 +40,7 @@
 /** Size of the pieces in which bytes are parsed whose parsing takes long; a socket that is held keeps so many and one read. */
 const pieceBytes = 16_384;
 /** Time for the parsing of a read from which on the next one is parsed in pieces. */
-const slowMilliseconds: Milliseconds = 1;
+const slowMilliseconds: Milliseconds = 0.5;
 const uselessBytesCode = "USELESS_BYTES";
 /** Messages of the errors with which undici refuses an answer that no request could have. */
 const refusedAnswerPattern = /^bad (?:response|upgrade)$/;
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -20,6 +20,7 @@
 } from "../shared/index.js";
 import { createSupervisor, runTask, startTask } from "../supervision/index.js";
 import { createAccountLimits } from "./accountLimits.js";
+import { createAnswerMemory } from "./answerMemory.js";
 import { createAnswerTimes } from "./answerTimes.js";
 import { createClientServer, type ReceivedRequest } from "./clientServer.js";
 import { createConfigurationState } from "./configurationState.js";
@@ -307,6 +308,7 @@
         permits: adapters.permits,
         guard,
         origins,
+        answerMemory: createAnswerMemory(),
         answerTimes,
         shutdown,
         onBroken: metrics.countBrokenAnswer,
