--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -10,6 +10,7 @@
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
 import type { AnswerEnd } from "./answerEnds.js";
+import type { AnswerMemory } from "./answerMemory.js";
 import type { AnswerTimes } from "./answerTimes.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
@@ -52,6 +53,7 @@
     readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
+    readonly answerMemory: Pick<AnswerMemory, "open">;
     readonly answerTimes: Pick<AnswerTimes, "record">;
     readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended" | "measureSinceBegun" | "measureRemaining">;
     /** Counts an answer that a server broke off. */
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -92,12 +92,15 @@
         const over = new AbortController();
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
+        const memory = parts.answerMemory.open(() => releaseMemory());
         let attempt: Attempt | undefined = undefined;
         const finish = (outcome: AttemptOutcome): void => {
+            memory.close();
             over.abort();
             resolve(outcome);
         };
         const failInside = (error: unknown): void => {
+            memory.close();
             over.abort();
             reject(error);
         };
@@ -173,6 +176,7 @@
                 deliverHead(held.head, contentLength);
                 held.bytes.take().forEach(writeChunk);
                 held = undefined;
+                memory.set(0);
             }
         };
         const pauseServer = (): void => {
@@ -183,6 +187,14 @@
                 attempt?.resume();
             }));
         };
+        const failUseless = (detail: string): void => {
+            callGuarded("abort attempt", () => attempt?.abort());
+            handleFault({ kind: "broken", detail, isNoAnswer: true });
+        };
+        // a response is then delivered as it arrives
+        const releaseMemory = wrapHandler(() =>
+            held ? flushBuffer(held.head.contentLength) : failUseless("the largest event while memory is short")
+        );
         const handleData = (chunk: Buffer): void => {
             state.heardAt = parts.clock.now();
             if (state.heardAt - (state.beganAt ?? Number.POSITIVE_INFINITY) >= soundAnswerMilliseconds) {
@@ -190,7 +202,8 @@
             }
             if (held) {
                 held.bytes.push(chunk);
-                if (held.bytes.countBytes() > responseBufferBytes) {
+                memory.set(held.bytes.countBytes());
+                if (held && held.bytes.countBytes() > responseBufferBytes) {
                     flushBuffer(held.head.contentLength);
                 }
                 return;
@@ -209,9 +222,10 @@
                     ? `${uselessBytesLimit} bytes without an event`
                     : undefined);
             if (useless !== undefined) {
-                callGuarded("abort attempt", () => attempt?.abort());
-                handleFault({ kind: "broken", detail: useless, isNoAnswer: true });
+                failUseless(useless);
+                return;
             }
+            memory.set(splitter?.countHeldBytes() ?? 0);
         };
         const handleFault = (fault: AttemptFault): void => {
             recordFault(parts, state, server, fault);
