feat(serving): the server for clients tells when an answer is on its way to its client, and who closed its connection

What operators saw: an answer counted as answered while a client that reads slowly lacked its end, and an end by our own stop as one by the client. The HTTP server reports waiting bytes as written when their connection is closed, so that is told apart here.

Evidence: clientServer.test.ts, an answer that is read, one whose client leaves and one that is cut by the close of the server.

--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -170,6 +170,33 @@
         server.drain();
     });
 
+    // guards against an answer that counts as delivered, or whose client is said to have left, though a stop has cut it off
+    it("tells when an answer is on its way, and whether the client or the instance has closed its connection", async () => {
+        const finishes: Promise<string>[] = [];
+        const { server, port, received } = await openServer(({ answer, target }) => {
+            answer.writeHead(200, [], undefined);
+            answer.write(Buffer.alloc(target === "/short" ? 10 : 8_000_000));
+            finishes.push(answer.finished!);
+            answer.end();
+        });
+        const clients = [];
+        for (const target of ["/short", "/left", "/cut"]) {
+            const client = connect(port, "127.0.0.1");
+            client.on("error", () => undefined);
+            client.write(`GET ${target} HTTP/1.1\r\nHost: h\r\n\r\n`);
+            clients.push(client);
+            await new Promise(resolve => client.once("readable", resolve));
+        }
+        expect(await finishes[0]).to.equal("sent");
+        clients[1]!.destroy();
+        expect(await finishes[1]).to.equal("client");
+        expect(received[1]!.signal.reason).to.equal("client");
+        server.drain();
+        server.close();
+        expect(await finishes[2]).to.equal("instance");
+        expect(received[2]!.signal.reason).to.equal("instance");
+    });
+
     it("aborts the signal when the client disconnects", async () => {
         const { server, port, received } = await openServer(() => undefined);
         const socket = connect(port, "127.0.0.1");
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -11,7 +11,7 @@
 import { createConnectionTable, type OpenRequest } from "./clientConnections.js";
 import { createIdleTimeouts } from "./idleTimeouts.js";
 import type { LoopGate } from "./loopDelay.js";
-import type { ClientResponse } from "./requestState.js";
+import type { ClientResponse, ConnectionCloser } from "./requestState.js";
 import type { ClientLimits } from "./types.js";
 
 /** A client's request with its complete body. */
@@ -94,6 +94,8 @@
  */
 export function createClientServer(options: ClientServerOptions): ClientServer {
     const connections = createConnectionTable();
+    let isClosing = false;
+    const findCloser = (): ConnectionCloser => isClosing ? "instance" : "client";
     const server: Server = createServer({
         maxHeaderSize: maximumHeaderBytes,
         headersTimeout: initialHeaderTimeoutMilliseconds,
@@ -118,7 +120,7 @@
         response.once("finish", () => isLast() && socket.destroySoon());
         callGuarded(
             "read request",
-            () => receiveRequest(options, request, response, isLast),
+            () => receiveRequest(options, request, response, { isLast, findCloser }),
             () => failResponse(response),
         );
     };
@@ -147,6 +149,7 @@
         },
         refuseUnread: () => connections.listUnread().forEach(unread => refuseUnread(options, unread)),
         close: () => {
+            isClosing = true;
             server.closeAllConnections();
             server.close();
         },
@@ -161,18 +164,26 @@
     }
 }
 
+/** What a request asks of its connection. */
+interface ClientConnection {
+    /** Whether it is to be closed after the answer to this request. */
+    readonly isLast: () => boolean;
+    /** Who has closed it; asked once it is closed. */
+    readonly findCloser: () => ConnectionCloser;
+}
+
 function receiveRequest(
     options: ClientServerOptions,
     request: IncomingMessage,
     response: ServerResponse,
-    isLast: () => boolean,
+    connection: ClientConnection,
 ): void {
     const limits = options.findLimits();
     if (limits && measureHeaderBytes(request.rawHeaders) > limits.headerBytes) {
         refuseEarly(response, headerTooLargeStatus);
         return;
     }
-    const leaving = trackLeaving(request, response);
+    const leaving = trackLeaving(request, response, connection.findCloser);
     const chunks: Buffer[] = [];
     let size = 0;
     request.on("data", (chunk: Buffer) => {
@@ -193,7 +204,7 @@
             target: request.url ?? "/",
             rawHeaders: request.rawHeaders,
             body: size === 0 ? undefined : Buffer.concat(chunks),
-            answer: createClientResponse(response, isLast),
+            answer: createClientResponse(response, connection),
             signal: leaving,
         };
         startTask("request", () => handleReceived(options, received), () => failResponse(response));
@@ -224,13 +235,23 @@
 }
 
 // the end of the connection is heard of before the response is closed, which takes one turn of the event loop more
-function trackLeaving(request: IncomingMessage, response: ServerResponse): AbortSignal {
+function trackLeaving(
+    request: IncomingMessage,
+    response: ServerResponse,
+    findCloser: ClientConnection["findCloser"],
+): AbortSignal {
     const { socket } = request;
     const leaving = new AbortController();
-    const abort = (): void => leaving.abort();
+    const abort = (): void => leaving.abort(findCloser());
     const events = ["end", "error", "close"] as const;
     events.forEach(event => socket.once(event, abort));
-    response.once("finish", () => events.forEach(event => socket.removeListener(event, abort)));
+    response.once("finish", () => {
+        events.forEach(event => socket.removeListener(event, abort));
+        // bytes that wait when a connection is closed count as written, too
+        if (socket.destroyed) {
+            abort();
+        }
+    });
     response.once("close", () => {
         events.forEach(event => socket.removeListener(event, abort));
         if (!response.writableFinished) {
@@ -260,8 +281,13 @@
     response.destroy();
 }
 
-function createClientResponse(response: ServerResponse, isLast: () => boolean): ClientResponse {
+function createClientResponse(response: ServerResponse, { isLast, findCloser }: ClientConnection): ClientResponse {
     return {
+        finished: new Promise(resolve => {
+            const { socket } = response;
+            response.once("finish", () => resolve(socket?.destroyed ? findCloser() : "sent"));
+            response.once("close", () => resolve(findCloser()));
+        }),
         writeHead: (status, headers, contentLength) => {
             if (response.destroyed || response.headersSent) {
                 return;
