test(serving): the stop in tests of requests comes after the attempt has had its effect, not after 10 or 20 ms

The order of stop and attempt is what they are about, so the script of the attempt begins the stop now; what they expect is unchanged.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -538,9 +538,12 @@
         ];
         for (const runScript of scripts) {
             const shutdown = createTestShutdown(300);
-            setTimeout(() => shutdown.end(), 20);
+            const sendAndStop: AttemptScript = (...parameters) => {
+                runScript(...parameters);
+                setImmediate(shutdown.end);
+            };
             const { report, status, end, aborted } = await runCase({
-                attempts: [runScript],
+                attempts: [sendAndStop],
                 route: unsafeRoute,
                 shutdown,
             });
@@ -620,8 +623,16 @@
         const left = await runCase({ attempts, finished: never, disconnectAfter: 20 });
         expect(left.report).to.include({ by: "client", outcome: "clientLeft", leftWhile: "delivery", heldBack: true });
         const shutdown = createTestShutdown(300);
-        setTimeout(() => shutdown.end(), 10);
-        const cut = await runCase({ attempts, finished: never, disconnectAfter: 20, shutdown });
+        const sendAndStop: AttemptScript = (...parameters) => {
+            attempts[0]!(...parameters);
+            setImmediate(shutdown.end);
+        };
+        const cut = await runCase({
+            attempts: [sendAndStop],
+            finished: never,
+            disconnectAfter: 20,
+            shutdown,
+        });
         expect(cut.report).to.include({ by: "stop", outcome: "cut", leftWhile: "delivery" });
         const closed = await runCase({ attempts, finished: Promise.resolve("instance") });
         expect(closed.report).to.include({ by: "stop", outcome: "cut", heldBack: true });
