fix(platform): no more of an answer of an engine or the store is read than it may have

Seen by callers: none so far. Change: undici's `maxResponseSize` is 256 KiB for engines and 2 MiB for the store (a read returns 1,024 KiB at most, of which Base64 makes four thirds); a body is collected in blocks; connections are read in turns and closed like those to other servers; a call may have 64 interim answers. The time limit of a call is named `timeout` in the log, not 23.

--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -14,6 +14,7 @@
     OrderOutcome,
     ReportError,
 } from "../adapters/types.js";
+import { createServerSockets } from "../serving/serverSockets.js";
 import type { BackendServer } from "../serving/types.js";
 import {
     createListSchema,
@@ -58,10 +59,12 @@
 export function createEngineControlClient(
     onHeaders: (names: Iterable<string>) => void,
 ): EngineControl & { readonly close: () => void; } {
+    const sockets = createServerSockets(connectTimeoutMilliseconds);
     const agent = new Agent({
         connections: 2,
         pipelining: 1,
-        connectTimeout: connectTimeoutMilliseconds,
+        connect: sockets.connect,
+        maxResponseSize: maximumReportBytes,
         keepAliveTimeout: idleTimeoutMilliseconds,
     });
     return {
@@ -73,7 +76,7 @@
                 body: JSON.stringify(encodeOrder(order)),
                 timeout: requestTimeoutMilliseconds,
                 onHeaders,
-            });
+            }, sockets);
             if (!answer.ok) {
                 return answer.error.wasSent ? { kind: "unknown" } : { kind: "unreachable" };
             }
@@ -87,7 +90,7 @@
                 headers: { "x-oriolehatch-expect-instance": server.id },
                 timeout: requestTimeoutMilliseconds,
                 onHeaders,
-            });
+            }, sockets);
             if (!answer.ok) {
                 return wrapError({ kind: "unanswered", detail: answer.error.detail });
             }
--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -5,7 +5,10 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher } from "undici";
+import { createByteStore } from "../serving/byteStore.js";
+import type { ServerSocket, ServerSockets } from "../serving/serverSockets.js";
 import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import { callGuarded } from "../supervision/index.js";
 
 /** A request to the server that the dispatcher connects to. */
 export interface HttpRequest {
@@ -39,48 +42,100 @@
     readonly detail: string;
 }
 
-/** Largest body that is read: a page of a topic and its overhead have a megabyte, the records of one read a few. */
-const maximumBodyBytes = 16 * 1_048_576;
+/** Largest body that is read: a page of a topic has a megabyte, of which Base64 makes four thirds. */
+export const maximumBodyBytes = 2 * 1_048_576;
+/** Interim answers that a call may have. */
+const interimAnswerLimit = 64;
+const lowestFinalStatus = 200;
 
 /**
  * Sends a request and reads the complete response.
  *
  * @param dispatcher - undici dispatcher with the connections to the server
  * @param httpRequest - the request
+ * @param sockets - sockets of the dispatcher, which are told what is of use
  * @returns the response with any status, or an error when there is none; the promise never rejects
  */
-export async function sendHttpRequest(
-    dispatcher: Dispatcher,
+export function sendHttpRequest(
+    dispatcher: Pick<Dispatcher, "dispatch">,
     httpRequest: HttpRequest,
+    sockets?: Pick<ServerSockets, "findCurrent">,
 ): Promise<Result<HttpResponse, HttpRequestError>> {
-    try {
-        const answer = await dispatcher.request({
-            method: httpRequest.method,
-            path: httpRequest.path,
-            headers: httpRequest.headers,
-            body: httpRequest.body,
-            signal: AbortSignal.timeout(httpRequest.timeout),
-        });
-        httpRequest.onHeaders?.(Object.keys(answer.headers));
-        return wrapValue({ status: answer.statusCode, headers: answer.headers, body: await readBody(answer.body) });
-    }
-    catch (error) {
-        const detail = (error as NodeJS.ErrnoException).code ?? String(error);
-        const wasSent = detail !== "ECONNREFUSED" && detail !== "UND_ERR_CONNECT_TIMEOUT";
-        return wrapError({ kind: "unanswered", wasSent, detail });
-    }
+    return new Promise(resolve => {
+        const body = createByteStore();
+        let controller: Dispatcher.DispatchController | undefined;
+        let head: Pick<HttpResponse, "status" | "headers"> | undefined;
+        let socket: ServerSocket | undefined;
+        let interimAnswers = 0;
+        let isOver = false;
+        const finish = (result: Result<HttpResponse, HttpRequestError>): void => {
+            isOver = true;
+            clearTimeout(timer);
+            resolve(result);
+        };
+        const fail = (error: unknown): void => {
+            if (!isOver) {
+                finish(wrapError(describeError(error)));
+                controller?.abort(error as Error);
+            }
+        };
+        const timer = setTimeout(() => fail(createError("timeout")), httpRequest.timeout);
+        timer.unref();
+        const handler: Dispatcher.DispatchHandler = {
+            onRequestStart: started => {
+                controller = started;
+                if (isOver) {
+                    started.abort(createError("timeout"));
+                }
+            },
+            onResponseStart: (started, status, headers) => {
+                if (status < lowestFinalStatus) {
+                    interimAnswers++;
+                    if (interimAnswers > interimAnswerLimit) {
+                        fail(createError(`more than ${interimAnswerLimit} interim answers`));
+                    }
+                    return;
+                }
+                head = { status, headers };
+                socket = sockets?.findCurrent();
+                socket?.markUseful();
+                callGuarded("headers of a response", () => httpRequest.onHeaders?.(Object.keys(headers)));
+            },
+            onResponseData: (started, chunk) => {
+                socket?.countUseful(chunk.length);
+                body.push(chunk);
+                if (body.countBytes() > maximumBodyBytes) {
+                    fail(createError(`body of more than ${maximumBodyBytes} bytes`));
+                }
+            },
+            onResponseEnd: () => {
+                socket?.markUseful();
+                if (!isOver && head) {
+                    finish(wrapValue({ ...head, body: Buffer.concat(body.take()) }));
+                }
+            },
+            onResponseError: (started, error) => fail(error),
+        };
+        try {
+            dispatcher.dispatch({
+                method: httpRequest.method,
+                path: httpRequest.path,
+                headers: httpRequest.headers,
+                body: httpRequest.body,
+            }, handler);
+        }
+        catch (error) {
+            fail(error);
+        }
+    });
 }
 
-// a body without end is given up; leaving the loop closes its connection
-async function readBody(body: AsyncIterable<Buffer>): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    for await (const chunk of body) {
-        size += chunk.length;
-        if (size > maximumBodyBytes) {
-            throw new Error(`body of more than ${maximumBodyBytes} bytes`);
-        }
-        chunks.push(chunk);
-    }
-    return Buffer.concat(chunks);
+function createError(message: string): Error {
+    return Object.assign(new Error(message), { code: message });
+}
+
+function describeError(error: unknown): HttpRequestError {
+    const detail = (error as NodeJS.ErrnoException).code ?? String(error);
+    const wasSent = detail !== "ECONNREFUSED" && detail !== "UND_ERR_CONNECT_TIMEOUT";
+    return { kind: "unanswered", wasSent, detail };
 }
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -6,6 +6,7 @@
 import { Pool } from "undici";
 import * as z from "zod";
 import type { ShardGroup, ShardMembership, ShardOwner } from "../adapters/types.js";
+import { createServerSockets } from "../serving/serverSockets.js";
 import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
 import {
     createListSchema,
@@ -20,7 +21,7 @@
     wrapValue,
 } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
-import { type HttpRequest, type HttpResponse, sendHttpRequest } from "./httpRequest.js";
+import { type HttpRequest, type HttpResponse, maximumBodyBytes, sendHttpRequest } from "./httpRequest.js";
 import {
     decodeKeyedReadResponse,
     decodeReadResponse,
@@ -53,8 +54,6 @@
 const longPollMarginMilliseconds = 600;
 const connectTimeoutMilliseconds = 700;
 const maximumConnections = 8;
-/** Largest page of a topic that is read; the store sends a megabyte, of which Base64 makes four thirds. */
-const maximumPageBytes = 2 * 1_048_576;
 /** Largest answer about a group that is read, whose rows have some dozens of bytes each. */
 const maximumGroupAnswerBytes = 262_144;
 /** The store has deleted the records at the requested offset. */
@@ -93,16 +92,18 @@
     address: string,
     onHeaders: (names: Iterable<string>) => void,
 ): PlatformStore {
+    const sockets = createServerSockets(connectTimeoutMilliseconds);
     const pool = new Pool(`http://${address}`, {
         connections: maximumConnections,
         pipelining: 1,
-        connectTimeout: connectTimeoutMilliseconds,
+        connect: sockets.connect,
+        maxResponseSize: maximumBodyBytes,
         // each request has its own timeout
         headersTimeout: 0,
         bodyTimeout: 0,
     });
     const sendRequest = (httpRequest: HttpRequest): Promise<Result<Buffer, StoreError>> =>
-        sendStoreRequest(pool, { ...httpRequest, onHeaders });
+        readResponse(sendHttpRequest(pool, { ...httpRequest, onHeaders }, sockets));
     return {
         readNewest: topic => readLatestRecords(sendRequest, topicNames[topic]),
         readFrom: async (topic, offset, wait) => {
@@ -138,8 +139,8 @@
 
 type StoreRequestSender = (httpRequest: HttpRequest) => Promise<Result<Buffer, StoreError>>;
 
-async function sendStoreRequest(pool: Pool, httpRequest: HttpRequest): Promise<Result<Buffer, StoreError>> {
-    const answer = await sendHttpRequest(pool, httpRequest);
+async function readResponse(answered: ReturnType<typeof sendHttpRequest>): Promise<Result<Buffer, StoreError>> {
+    const answer = await answered;
     if (!answer.ok) {
         return wrapError({ kind: "unreachable", detail: answer.error.detail });
     }
@@ -245,7 +246,7 @@
 }
 
 function decodeLatestRecordsPage(body: Buffer): Result<LatestRecordsPage, StoreError> {
-    const parsed = decodeJson(latestRecordsPageSchema, body, maximumPageBytes);
+    const parsed = decodeJson(latestRecordsPageSchema, body, maximumBodyBytes);
     if (!parsed.ok) {
         return parsed;
     }
