--- a/src/serving/serverSockets.ts
+++ b/src/serving/serverSockets.ts
@@ -37,10 +37,8 @@
 const uselessBytesLimit = 1_048_576;
 /** Bytes that each byte of an answer may cost in addition: a chunk of one byte has six. */
 const bytesPerUsefulByte = 16;
-/** Size of the pieces in which bytes are parsed whose parsing takes long; a socket that is held keeps so many and one read. */
+/** Size of the pieces in which bytes are parsed that take long; a socket that is held keeps so many and one read. */
 const pieceBytes = 16_384;
-/** Time for the parsing of a read from which on the next one is parsed in pieces. */
-const slowMilliseconds: Milliseconds = 0.5;
 const uselessBytesCode = "USELESS_BYTES";
 /** Messages of the errors with which undici refuses an answer that no request could have. */
 const refusedAnswerPattern = /^bad (?:response|upgrade)$/;
@@ -150,7 +148,7 @@
             pendingBytes = undefined;
             connection.onRead?.();
             setCurrent(undefined);
-            isSlow = reader.end(bytes) > slowMilliseconds;
+            isSlow = reader.end(bytes);
         }
     };
     const markEnd = (): void => {
