--- a/src/platform/__tests__/configurationBesideSilence.test.ts
+++ b/src/platform/__tests__/configurationBesideSilence.test.ts
@@ -174,7 +174,9 @@
         await pause(play.beganAt + at - performance.now());
         const kind = (order + index) % changes.length;
         publishChange(play, random.between(0, 1) === 0 ? [kind] : [kind, (kind + 1) % changes.length]);
-        play.machines[random.between(0, play.machines.length - 1)]!.sendSignal("SIGHUP");
+        const machine = play.machines[random.between(0, play.machines.length - 1)]!;
+        machine.changeBounds(random.between(0, 2) === 0 ? undefined : { grace_s: random.between(5, 9) });
+        machine.sendSignal("SIGHUP");
     }
 }
 
