fix(serving): a lower time-out doesn't forget which version began the streams in progress

What callers saw: ORDER, pieces of two runs joined. A client whose stream had begun at version v1 and was cut off by a stop came back at another instance, and went on at v2.

Cause: how long a stream may last, and so how long versions that served are remembered, followed from the time-outs of the newest configuration. One that lowers the time-out of streams (or removes their route) shortened it at once, for streams too that had begun by the time-out before: the version that was gone was forgotten, and v2 counted as the only one that can have begun the stream.

--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -1,6 +1,7 @@
 /**
  * A few whole instances on local ports, with a store in memory and servers that can end under a request or name a limit.
  */
+import type { ServingConfig } from "../types.js";
 import { sendRequest, type TestAnswer, type TestRequest } from "./testClient.js";
 import { createInstanceLinks, createInstanceStore, type TestStoreCut } from "./testCuts.js";
 import type { FaultPoint } from "./testFaults.js";
@@ -48,6 +49,8 @@
     readonly setStoreCut: (instance: number, cut: TestStoreCut) => void;
     /** Cuts some instances off from all others, which still reach each other, or ends that. */
     readonly setPeersCut: (instances: readonly number[], isCut: boolean) => Promise<void>;
+    /** Publishes a configuration with some fields changed, which has a higher version. */
+    readonly changeConfiguration: (change: Partial<ServingConfig>) => void;
     /** Stops an instance for good; resolves when all its connections are closed. */
     readonly stopInstance: (instance: number) => Promise<void>;
     /** Gives each shard another holder. */
@@ -117,6 +120,7 @@
         closes,
         crashes,
         servers,
+        changeConfiguration: change => putTestConfiguration(store, change),
         moveShards: store.moveShards,
         setStoreAway: store.setAway,
         restartInstances: async () => {
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -4,7 +4,7 @@
 import type { EngineControl } from "../../adapters/types.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createServingInstance } from "../servingInstance.js";
-import type { BackendServer, RecordCodec } from "../types.js";
+import type { BackendServer, RecordCodec, ServingConfig } from "../types.js";
 import { testCodec, testConfig } from "./testCodec.js";
 import { createFaultPoint, type FaultPoint } from "./testFaults.js";
 import type { MemoryStore } from "./testStore.js";
@@ -34,9 +34,10 @@
  * Writes the configuration of the tests to the store.
  *
  * @param store - the store
+ * @param change - fields that differ, with a higher version
  */
-export function putTestConfiguration(store: MemoryStore): void {
-    store.put("configuration", "config", Buffer.from("{}"));
+export function putTestConfiguration(store: MemoryStore, change: Partial<ServingConfig> = {}): void {
+    store.put("configuration", "config", Buffer.from(JSON.stringify(change)));
 }
 
 /**
@@ -79,7 +80,10 @@
         }),
         headers: faults.wrap("headers", testCodec),
         records: faults.wrap<RecordCodec>("records", {
-            decodeOperatorRecord: () => wrapValue({ kind: "configuration", config: testConfig }),
+            decodeOperatorRecord: (key, value) => {
+                const change = JSON.parse(Buffer.from(value).toString()) as Partial<ServingConfig>;
+                return wrapValue({ kind: "configuration", config: { ...testConfig, ...change } });
+            },
             decodeServerEntry: (id, value) => {
                 const entry = JSON.parse(Buffer.from(value).toString()) as BackendServer;
                 return wrapValue({ ...entry, address: translateAddress(entry.address) });
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -11,13 +11,7 @@
 import { createPeerTask } from "../peers/peerTask.js";
 import { createRequestGuard } from "../quarantine/index.js";
 import { createStreamArchive, createStreamOrigins } from "../resumption/index.js";
-import {
-    createLogger,
-    createSeededRandom,
-    type Milliseconds,
-    millisecondsPerSecond,
-    waitForEvents,
-} from "../shared/index.js";
+import { createLogger, createSeededRandom, millisecondsPerSecond, waitForEvents } from "../shared/index.js";
 import { createSupervisor, runTask, startTask } from "../supervision/index.js";
 import { createAccountLimits } from "./accountLimits.js";
 import { createAnswerTimes } from "./answerTimes.js";
@@ -48,6 +42,7 @@
 import { createMetricsServer, createServingMetrics } from "./servingMetrics.js";
 import type { ServingDependencies, ServingInstance, ServingOptions } from "./servingOptions.js";
 import { createShutdown } from "./shutdown.js";
+import { createStreamLifetime } from "./streamLifetime.js";
 import { createTopicCache } from "./topicCache.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "./types.js";
 
@@ -278,7 +273,7 @@
         isHeld: shard => shards.find(shard) !== undefined,
         append: dependencies.log.append,
     });
-    const readStreamLifetime = (): Milliseconds => computeStreamLifetime(configuration.read()?.config.routes ?? []);
+    const streamLifetime = createStreamLifetime();
     const archive = createStreamArchive(clock, dependencies.streams);
     const origins = createStreamOrigins({
         self: self.id,
@@ -289,7 +284,7 @@
         isFirstStart: options.isFirstStart,
         archive,
         checkServers: () => serverCheck.run(),
-        readStreamLifetime,
+        readStreamLifetime: () => streamLifetime.read(clock.now()),
     });
     const serverCheck = createServerListCheck({
         clock,
@@ -384,6 +379,7 @@
         onServersConfirmed: origins.confirmServers,
         onStoreFailure: metrics.countStoreFailure,
         onConfiguration: config => {
+            streamLifetime.update(computeStreamLifetime(config.routes), clock.now());
             quotaHolder.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
             // servers are recognized as engines by their service, which may be new in this configuration
