fix(serving): what comes after a request on its connection doesn't end its answer

What callers saw: a connection with an answer in progress is closed in the middle of it (LOST), when a part of a next head came during the answer and its rest didn't come within the time for a head, or when what came is no request.

Cause: the HTTP server counts the time for a head also while it answers the request before, and every such fault closed the connection at once.

Change: the answer is ended first. The time for the next head then begins anew, and a request whose head is complete by then is handled; after bytes that are no request the connection is closed.

Evidence: faultyConnections.test.ts, three cases that fail before.

--- /dev/null
+++ b/src/serving/__tests__/faultyConnections.test.ts
@@ -0,0 +1,105 @@
+import { expect } from "chai";
+import { createServer, type Server, type ServerResponse } from "node:http";
+import { type AddressInfo, connect, type Socket } from "node:net";
+import { closeFaultyConnections } from "../faultyConnections.js";
+
+const headTimeoutMilliseconds = 100;
+const checkIntervalMilliseconds = 30;
+/** An answer in progress lasts longer than a head may take to come, checks included. */
+const answerMilliseconds = 400;
+const requestText = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+interface Opened {
+    readonly server: Server;
+    readonly client: Socket;
+    readonly answers: ServerResponse[];
+    readonly readText: () => string;
+    readonly closed: Promise<void>;
+}
+
+// the test ends the answers
+async function open(): Promise<Opened> {
+    const answers: ServerResponse[] = [];
+    const server = createServer({
+        headersTimeout: headTimeoutMilliseconds,
+        requestTimeout: 0,
+        connectionsCheckingInterval: checkIntervalMilliseconds,
+    }, (request, response) => {
+        response.write("a");
+        answers.push(response);
+    });
+    closeFaultyConnections(server);
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const client = connect((server.address() as AddressInfo).port, "127.0.0.1");
+    let text = "";
+    client.on("data", (chunk: Buffer) => text += chunk.toString());
+    client.on("error", () => undefined);
+    const closed = new Promise<void>(resolve => client.once("close", () => resolve()));
+    return { server, client, answers, closed, readText: () => text };
+}
+
+function pause(duration: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, duration));
+}
+
+function close({ client, server }: Opened): void {
+    client.destroy();
+    server.close();
+}
+
+describe("connections of clients with something after a request that can't be read", () => {
+    // guards against the time-out of a next head that ends the answer in progress on its connection (LOST)
+    it("end the answer in progress first when a next head doesn't come in time", async () => {
+        const opened = await open();
+        opened.client.write(`${requestText}GET / HT`);
+        await pause(answerMilliseconds);
+        opened.answers[0]!.end("b");
+        await opened.closed;
+        expect(opened.readText()).to.match(/1\r\na\r\n1\r\nb\r\n0\r\n\r\n$/);
+        close(opened);
+    });
+
+    it("take the next request when the rest of its head comes after the answer", async () => {
+        const opened = await open();
+        opened.client.write(`${requestText}GET / HT`);
+        await pause(answerMilliseconds);
+        opened.answers[0]!.end("b");
+        opened.client.write("TP/1.1\r\nHost: h\r\n\r\n");
+        await pause(answerMilliseconds);
+        opened.answers[1]!.end("c");
+        await pause(checkIntervalMilliseconds);
+        expect(opened.readText()).to.match(/1\r\na\r\n1\r\nc\r\n0\r\n\r\n$/);
+        close(opened);
+    });
+
+    // guards against bytes after a request that end its answer (LOST)
+    it("end the answer in progress first when what comes is no request", async () => {
+        const opened = await open();
+        opened.client.write(requestText);
+        await pause(checkIntervalMilliseconds);
+        opened.client.write("\x00no request\r\n\r\n");
+        await pause(answerMilliseconds);
+        opened.answers[0]!.end("b");
+        await opened.closed;
+        expect(opened.readText()).to.match(/1\r\na\r\n1\r\nb\r\n0\r\n\r\n$/);
+        close(opened);
+    });
+
+    it("are closed at once when no answer is in progress", async () => {
+        for (const text of ["GET / HT", "\x00no request\r\n\r\n"]) {
+            const opened = await open();
+            opened.client.write(text);
+            await opened.closed;
+            expect(opened.answers).to.deep.equal([]);
+            close(opened);
+        }
+        const opened = await open();
+        opened.client.write(requestText);
+        await pause(checkIntervalMilliseconds);
+        opened.answers[0]!.end("b");
+        await pause(checkIntervalMilliseconds);
+        opened.client.write("\x00no request\r\n\r\n");
+        await opened.closed;
+        close(opened);
+    });
+});
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -9,6 +9,7 @@
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
 import { createConnectionTable, type OpenRequest } from "./clientConnections.js";
+import { closeFaultyConnections } from "./faultyConnections.js";
 import { createIdleTimeouts } from "./idleTimeouts.js";
 import type { LoopGate } from "./loopDelay.js";
 import type { ClientResponse } from "./requestState.js";
@@ -114,7 +115,7 @@
     };
     const service = restana({ server, defaultRoute: receive as never });
     server.on("connection", connections.addSocket);
-    server.on("clientError", (error, socket) => socket.destroy());
+    closeFaultyConnections(server);
     return {
         listen: () =>
             new Promise((resolve, reject) => {
