fix(resumption): a stream goes on only at a service that may have begun it, also after its route was moved

It needs a configuration that moves a route to another service, a return of the client within the life of its stream, and that none of the three instances that are asked keeps the stream, as beside a planned stop of the instance that began it.

Cause: of a stream of which nobody knew, it was concluded that it began at the one version that the services of its route have had. The route's services were those of the newest configuration; that another one had led elsewhere was forgotten. While one version serves, no other instance is told of a stream, so that its origin ended with its instance.

Class: a conclusion from what isn't known was bounded in time for servers and not for routes.

Change: each instance keeps which services its routes have led a path to, for as long as streams live and 10 s more (the configuration of another instance may be so old). They count as possible origins, here and at the instances that are asked, which get the path; the time over which the routes are known bounds what was followed. Where a route is moved or split, each instance tells its own streams, so that those which may go on do.

Fixtures: the requests of resumedStreams.test.ts have a host and a path, the origins of runRequest.test.ts the new function.

--- a/src/resumption/messages.ts
+++ b/src/resumption/messages.ts
@@ -4,7 +4,7 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import { createListSchema, nameSchema } from "../shared/index.js";
+import { createListSchema, nameSchema, textSchema } from "../shared/index.js";
 
 /** Schema of a service and software version. */
 export const originSchema = z.object({ service: nameSchema, version: z.union([nameSchema, z.number()]).optional() })
@@ -28,6 +28,8 @@
         kind: z.literal("askOrigin"),
         key: nameSchema.optional(),
         services: createListSchema(nameSchema),
+        // what selects the route of the stream, which may have led to other services
+        path: z.object({ host: textSchema, target: textSchema }).optional(),
         // whether the receiver reads the list of servers before it answers
         isChecked: z.boolean().optional(),
     }),
@@ -41,6 +43,8 @@
         isComplete: z.boolean(),
         // times over which the sender has followed the list of servers, as ages at the receipt of the question
         followed: createListSchema(z.tuple([ageSchema, ageSchema])).optional(),
+        // whether the services to which the path has led are among the origins; the build before doesn't know the path
+        isOfPath: z.boolean().optional(),
     }),
 ]);
 
--- a/src/resumption/streamOrigins.ts
+++ b/src/resumption/streamOrigins.ts
@@ -8,16 +8,17 @@
 import type { ShardHolders } from "../adapters/shardHolders.js";
 import type { PeerNetwork } from "../peers/index.js";
 import type { ClockReading } from "../serving/freshness.js";
-import type { BackendServer } from "../serving/types.js";
+import type { BackendServer, ServingConfig } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import { listKeepers } from "./keepers.js";
 import { type ResumptionMessage, resumptionMessageSchema, toldAgeMilliseconds } from "./messages.js";
 import { decideOrigin, isCovered, type OriginAnswer, type OriginVerdict } from "./originDecision.js";
+import { createRouteHistory } from "./routeHistory.js";
 import type { StreamArchive } from "./streamArchive.js";
 import { computeStreamKey, type StreamKey } from "./streamKey.js";
 import { createStreamRecords, type StreamRecord } from "./streamRecords.js";
-import type { OriginDecision, OriginView, StreamId, StreamOrigin, TimeSpan } from "./types.js";
+import type { OriginDecision, OriginView, StreamId, StreamOrigin, StreamPath, TimeSpan } from "./types.js";
 import { createVersionHistory, type VersionHistory } from "./versionHistory.js";
 
 /** Dependencies of the origins. */
@@ -45,11 +46,18 @@
 /** Origins of streams, as far as they are known here or at others. */
 export interface StreamOrigins {
     /** Records what began a stream; call it before its first event is written to the client. */
-    readonly markBegun: (stream: StreamId, origin: StreamOrigin, services: readonly string[]) => void;
+    readonly markBegun: (
+        stream: StreamId,
+        origin: StreamOrigin,
+        services: readonly string[],
+        path?: StreamPath,
+    ) => void;
     /** Records that a client has received the whole stream. */
     readonly markComplete: (stream: StreamId) => void;
-    /** Finds what began a stream; `services` are those of its route. */
-    readonly find: (stream: StreamId, services: readonly string[]) => Promise<OriginDecision>;
+    /** Finds what began a stream; `services` are those of its route, to which those before of its path are added. */
+    readonly find: (stream: StreamId, services: readonly string[], path?: StreamPath) => Promise<OriginDecision>;
+    /** Replaces the routes. */
+    readonly handleRoutes: (config: Pick<ServingConfig, "routes">) => void;
     /** Replaces the servers that are listed now. */
     readonly handleServers: (servers: readonly BackendServer[]) => void;
     /** Adds servers that are listed now, of which `handleServers` may not have been told yet. */
@@ -63,6 +71,13 @@
     readonly tick: () => void;
 }
 
+/** Where a stream may have begun. */
+interface StreamPlace {
+    /** Services of its route. */
+    readonly services: readonly string[];
+    readonly path: StreamPath | undefined;
+}
+
 /** Instances that are told of a stream. */
 const copyCount = 2;
 /** Instances that are asked: one more, as the holders may have changed since. */
@@ -88,14 +103,19 @@
 export function createStreamOrigins(options: StreamOriginsOptions): StreamOrigins {
     const { archive, clock, holders, network, self } = options;
     const history = createVersionHistory(options.isFirstStart);
+    const routes = createRouteHistory(options.isFirstStart);
     const own = createStreamRecords(maximumOwnStreams);
     const kept = createStreamRecords(maximumKeptStreams);
     const knownHolders = new Map<number, InstanceId>();
     const readSince = (): Milliseconds => clock.now() - options.readStreamLifetime();
     const readExpiry = (): Milliseconds => clock.now() + options.readStreamLifetime();
     const readNow = options.readNow ?? ((): ClockReading => ({ monotonic: clock.now(), timeOfDay: Date.now() }));
-    const readView = (services: readonly string[], now = readNow()): OriginView =>
-        history.view(services, readSince(), now);
+    const readView = ({ services, path }: StreamPlace, now = readNow()): OriginView => {
+        const former = path ? routes.list(path, readSince()) : [];
+        const { origins, followed } = history.view([...new Set([...services, ...former])], readSince(), now);
+        const start = path ? routes.readStart() : Number.NEGATIVE_INFINITY;
+        return { origins, followed: followed.flatMap(span => trimSpan(span, start)) };
+    };
     const isComplete = ({ followed }: OriginView): boolean =>
         isCovered({ from: readSince(), to: clock.now() - usualAgeMilliseconds }, followed);
     const listHolders = (key: StreamKey, count: number): readonly InstanceId[] =>
@@ -130,28 +150,29 @@
         sendRecords(records, listCopies);
         archive.add(records.filter(({ key }) => listCopies(key).length === 0));
     };
-    const createAnswer = (key: StreamKey | undefined, services: readonly string[]): OriginAnswer => {
+    const createAnswer = (key: StreamKey | undefined, place: StreamPlace): OriginAnswer => {
         const now = clock.now();
         const origin = key === undefined ? undefined : kept.find(key, now) ?? own.find(key, now);
         if (key !== undefined && origin) {
             kept.put({ key, origin }, readExpiry());
         }
-        return { origin, ...readView(services) };
+        return { origin, ...readView(place) };
     };
     const respondToQuestion = async (
-        { key, services, isChecked }: Extract<ResumptionMessage, { readonly kind: "askOrigin"; }>,
+        { key, services, path, isChecked }: Extract<ResumptionMessage, { readonly kind: "askOrigin"; }>,
     ): Promise<ResumptionMessage> => {
         const receivedAt = readNow();
         if (isChecked) {
             await options.checkServers();
         }
-        const { origin, origins } = createAnswer(key, services);
-        const view = readView(services, receivedAt);
+        const { origin, origins } = createAnswer(key, { services, path });
+        const view = readView({ services, path }, receivedAt);
         return {
             kind: "origin",
             origin,
             origins: [...origins],
             isComplete: isComplete(view),
+            isOfPath: path !== undefined,
             followed: view.followed.map(({ from, to }) => [
                 Math.min(toldAgeMilliseconds, receivedAt.monotonic - from),
                 Math.min(toldAgeMilliseconds, receivedAt.monotonic - to),
@@ -161,13 +182,14 @@
     const requestOrigin = async (
         keeper: InstanceId,
         key: StreamKey | undefined,
-        services: readonly string[],
+        place: StreamPlace,
         isChecked: boolean,
     ): Promise<OriginAnswer | undefined> => {
         if (keeper === self) {
-            return createAnswer(key, services);
+            return createAnswer(key, place);
         }
-        const message: ResumptionMessage = { kind: "askOrigin", key, services: [...services], isChecked };
+        const { services, path } = place;
+        const message: ResumptionMessage = { kind: "askOrigin", key, services: [...services], path, isChecked };
         const askedAt = clock.now();
         const timeout = isChecked ? checkedAskTimeoutMilliseconds : askTimeoutMilliseconds;
         const response = await network.request(keeper, "resumption", message, timeout);
@@ -180,7 +202,8 @@
         if (!parsed.success || parsed.data.kind !== "origin") {
             return undefined;
         }
-        const { origin, origins, followed = [] } = parsed.data;
+        const { origin, origins, isOfPath } = parsed.data;
+        const followed = path && !isOfPath ? [] : parsed.data.followed ?? [];
         const answeredAt = clock.now();
         // the question was received between these two times
         return {
@@ -192,33 +215,33 @@
     // the last question goes to those too that didn't respond in time just before: without them the return is refused
     const requestOrigins = (
         key: StreamKey | undefined,
-        services: readonly string[],
+        place: StreamPlace,
         isChecked: boolean,
     ): Promise<readonly OriginAnswer[]> => {
         const asked = isChecked ? { find: holders.find, isSilent: () => false } : holders;
         const keepers = listKeepers(asked, options.shardCount, key ?? "", askedCount);
-        return collectAnswers(keepers.map(keeper => requestOrigin(keeper, key, services, isChecked)));
+        return collectAnswers(keepers.map(keeper => requestOrigin(keeper, key, place, isChecked)));
     };
     // the list that others and this instance have may lack a server which joined before the client returned
     const decideChecked = async (
         key: StreamKey | undefined,
-        services: readonly string[],
+        place: StreamPlace,
         possibleTime: TimeSpan,
     ): Promise<OriginVerdict> => {
-        const answers = await requestOrigins(key, services, false);
-        const verdict = decideOrigin(readView(services), answers, possibleTime);
+        const answers = await requestOrigins(key, place, false);
+        const verdict = decideOrigin(readView(place), answers, possibleTime);
         if (verdict.kind !== "unconfirmed") {
             return verdict;
         }
         await options.checkServers();
-        const ownVerdict = decideOrigin(readView(services), answers, possibleTime);
+        const ownVerdict = decideOrigin(readView(place), answers, possibleTime);
         if (ownVerdict.kind !== "unconfirmed") {
             return ownVerdict;
         }
-        const checked = await requestOrigins(key, services, true);
-        return decideOrigin(readView(services), [...answers, ...checked], possibleTime);
+        const checked = await requestOrigins(key, place, true);
+        return decideOrigin(readView(place), [...answers, ...checked], possibleTime);
     };
-    const find = async (stream: StreamId, services: readonly string[]): Promise<OriginDecision> => {
+    const find: StreamOrigins["find"] = async (stream, services, path) => {
         const possibleTime: TimeSpan = { from: readSince(), to: clock.now() };
         const key = computeStreamKey(stream);
         const ownOrigin = key === undefined ? undefined : own.find(key, clock.now());
@@ -227,7 +250,7 @@
         if (known) {
             return { kind: "known", origin: known };
         }
-        const verdict = await decideChecked(key, services, possibleTime);
+        const verdict = await decideChecked(key, { services, path }, possibleTime);
         return verdict.kind === "unconfirmed" ? { kind: "unknown", reason: verdict.reason } : verdict;
     };
     const findMovedShards = (): readonly InstanceId[] => {
@@ -243,26 +266,30 @@
     };
     const listServices = (servers: readonly BackendServer[]): ReadonlySet<string> =>
         new Set(servers.map(({ service }) => service));
+    const countOrigins = (service: string): number => readView({ services: [service], path: undefined }).origins.length;
+    const publishOwn = (services: readonly string[]): number => {
+        const streams = own.list(clock.now()).filter(({ origin }) => services.includes(origin.service));
+        publishStreams(streams);
+        return streams.length;
+    };
     const addServers = (servers: readonly BackendServer[], add: VersionHistory["update"]): void => {
         const services = [...listServices(servers)];
-        const before = new Map(services.map(service => [service, readView([service]).origins.length]));
+        const before = new Map(services.map(service => [service, countOrigins(service)]));
         add(servers, clock.now());
-        const mixed = services.filter(service => before.get(service)! <= 1 && readView([service]).origins.length > 1);
+        const mixed = services.filter(service => before.get(service)! <= 1 && countOrigins(service) > 1);
         if (mixed.length > 0) {
-            const streams = own.list(clock.now()).filter(({ origin }) => mixed.includes(origin.service));
-            log.info("several software versions", { services: mixed.join(), streams: streams.length });
-            publishStreams(streams);
+            log.info("several software versions", { services: mixed.join(), streams: publishOwn(mixed) });
         }
     };
     return {
-        markBegun: (stream, origin, services) => {
+        markBegun: (stream, origin, services, path) => {
             const key = computeStreamKey(stream);
             if (key === undefined) {
                 return;
             }
             own.put({ key, origin }, readExpiry());
             // others can't rule out an earlier version while this instance can't
-            const view = readView(services);
+            const view = readView({ services, path });
             if (view.origins.length > 1 || !isComplete(view)) {
                 publishStreams([{ key, origin }]);
             }
@@ -274,6 +301,12 @@
             }
         },
         find,
+        handleRoutes: config => {
+            const moved = [...routes.update(config, clock.now())];
+            if (moved.length > 0) {
+                log.info("routes lead elsewhere", { services: moved.join(), streams: publishOwn(moved) });
+            }
+        },
         handleServers: servers => addServers(servers, history.update),
         observeServers: servers => addServers(servers, history.observe),
         confirmServers: at => history.confirm(at, clock.now()),
@@ -296,6 +329,7 @@
             own.expire(now);
             kept.expire(now);
             history.prune(readSince());
+            routes.prune(readSince());
             const gained = findMovedShards();
             if (gained.length > 0) {
                 sendRecords(
@@ -308,6 +342,11 @@
     };
 }
 
+// the part of a time from `start` on, if there is one
+function trimSpan({ from, to }: TimeSpan, start: Milliseconds): readonly TimeSpan[] {
+    return to > start ? [{ from: Math.max(from, start), to }] : [];
+}
+
 // the first answer that names the stream's origin is enough; else all are waited for
 function collectAnswers(asks: readonly Promise<OriginAnswer | undefined>[]): Promise<readonly OriginAnswer[]> {
     return new Promise(resolve => {
--- a/src/resumption/types.ts
+++ b/src/resumption/types.ts
@@ -21,6 +21,12 @@
     readonly firstAttemptId: string | undefined;
 }
 
+/** Host and path of the requests for a stream, which select its route. */
+export interface StreamPath {
+    readonly host: string;
+    readonly target: string;
+}
+
 /** A time without gaps, on the monotonic clock of this instance; empty when it ends before it begins. */
 export interface TimeSpan {
     readonly from: Milliseconds;
--- a/src/serving/__tests__/resumedStreams.test.ts
+++ b/src/serving/__tests__/resumedStreams.test.ts
@@ -24,7 +24,8 @@
 ): Promise<Admission> {
     const origins = { find: () => Promise.resolve(decision) } as unknown as StreamOrigins;
     const admission = Object.keys(changes).length === 0 ? admitted : { ...admitted, route: { ...route, ...changes } };
-    return applyStreamOrigin(origins, admission, request as ClientRequest, new AbortController().signal);
+    const whole = { host: "h", target: "/draft/1", ...request } as ClientRequest;
+    return applyStreamOrigin(origins, admission, whole, new AbortController().signal);
 }
 
 describe("admission of a request for the rest of a stream", () => {
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -245,6 +245,7 @@
                 markBegun: () => undefined,
                 markComplete: () => undefined,
                 find: () => undecided === "origin" ? never : Promise.resolve({ kind: "unknown", reason: "test" }),
+                handleRoutes: () => undefined,
                 handleServers: () => undefined,
                 observeServers: () => undefined,
                 confirmServers: () => undefined,
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -4,7 +4,7 @@
 import type { EngineControl } from "../../adapters/types.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createServingInstance } from "../servingInstance.js";
-import type { BackendServer, RecordCodec } from "../types.js";
+import type { BackendServer, HeaderCodec, RecordCodec, ServingConfig } from "../types.js";
 import { testCodec, testConfig } from "./testCodec.js";
 import { createFaultPoint, type FaultPoint } from "./testFaults.js";
 import type { MemoryStore } from "./testStore.js";
@@ -21,6 +21,14 @@
     readonly translateAddress: (address: string) => string;
     /** Has what is given to the instance fail at times. @default nothing fails */
     readonly faults?: FaultPoint;
+    /** @default "127.0.0.1" */
+    readonly host?: string;
+    /** Time from the signal to stop until the process ends, in milliseconds. @default 1000 */
+    readonly grace?: number;
+    /** Returns the configuration that the record in the store stands for. @default `testConfig` */
+    readonly readConfig?: () => ServingConfig;
+    /** @default `testCodec` */
+    readonly headers?: HeaderCodec;
 }
 
 /** A running instance. */
@@ -50,7 +58,7 @@
     const [clientPort, readyPort, peerPort, metricsPort] = ports;
     const instance = createServingInstance({
         instanceName: name,
-        host: "127.0.0.1",
+        host: options.host ?? "127.0.0.1",
         failureDomain: "a",
         cores: 1,
         clientPort: clientPort!,
@@ -64,7 +72,7 @@
         revocationBound: 5_000,
         versionBound: 5_000,
         serverHeartbeat: 1_200,
-        grace: 1_000,
+        grace: options.grace ?? 1_000,
         isFirstStart,
         quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
         retry: { window: 10_000, ratio: 0.2, slack: 50 },
@@ -77,9 +85,10 @@
             order: async () => ({ kind: "unreachable" }),
             report: async () => wrapError({ kind: "unanswered", detail: "no engine" }),
         }),
-        headers: faults.wrap("headers", testCodec),
+        headers: faults.wrap("headers", options.headers ?? testCodec),
         records: faults.wrap<RecordCodec>("records", {
-            decodeOperatorRecord: () => wrapValue({ kind: "configuration", config: testConfig }),
+            decodeOperatorRecord: () =>
+                wrapValue({ kind: "configuration", config: options.readConfig?.() ?? testConfig }),
             decodeServerEntry: (id, value) => {
                 const entry = JSON.parse(Buffer.from(value).toString()) as BackendServer;
                 return wrapValue({ ...entry, address: translateAddress(entry.address) });
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -215,21 +215,25 @@
  * Creates the links of one instance.
  *
  * @param readPorts - present ports of the servers
+ * @param host - address that the links listen on; one that no client's connection has, so that its ports stay free in a cut
  * @returns the links
  */
-export async function createServerLinks(readPorts: readonly (() => number | undefined)[]): Promise<ServerLinks> {
-    const links = await Promise.all(readPorts.map(createServerLink));
+export async function createServerLinks(
+    readPorts: readonly (() => number | undefined)[],
+    host = "127.0.0.1",
+): Promise<ServerLinks> {
+    const links = await Promise.all(readPorts.map(readPort => createServerLink(readPort, host)));
     return {
         translate: address => {
             const index = links.findIndex((unused, server) => formatServerAddress(server) === address);
-            return `127.0.0.1:${links[index]!.port}`;
+            return `${host}:${links[index]!.port}`;
         },
         setCut: async cut => void await Promise.all(links.map(link => link.setCut(cut))),
         close: () => links.forEach(link => link.close()),
     };
 }
 
-async function createServerLink(readPort: () => number | undefined) {
+async function createServerLink(readPort: () => number | undefined, host: string) {
     const sockets = new Set<Socket>();
     const relay = createNetServer(near => {
         const serverPort = readPort();
@@ -249,7 +253,7 @@
             socket.pipe(other);
         }
     });
-    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, "127.0.0.1", resolve));
+    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, host, resolve));
     await listen(0);
     const { port } = relay.address() as AddressInfo;
     return {
--- a/src/serving/resumedStreams.ts
+++ b/src/serving/resumedStreams.ts
@@ -3,7 +3,13 @@
  *
  * @packageDocumentation
  */
-import { isSameOrigin, type StreamId, type StreamOrigin, type StreamOrigins } from "../resumption/index.js";
+import {
+    isSameOrigin,
+    type StreamId,
+    type StreamOrigin,
+    type StreamOrigins,
+    type StreamPath,
+} from "../resumption/index.js";
 import { createLogger, type Milliseconds, waitUnlessAborted } from "../shared/index.js";
 import type { Admission } from "./admission.js";
 import type { BackendServer, ClientRequest, ServingRoute } from "./types.js";
@@ -42,7 +48,7 @@
     }
     const stream: StreamId = { account: account?.name, firstAttemptId: request.resumed.firstAttemptId };
     const services = listServices(route);
-    const decision = await waitUnlessAborted(origins.find(stream, services), signal);
+    const decision = await waitUnlessAborted(origins.find(stream, services, describePath(request)), signal);
     if (!decision) {
         return { kind: "clientLeft", route: route.name, account: account?.name };
     }
@@ -74,6 +80,17 @@
     };
 }
 
+/**
+ * Describes what selects the route of a request.
+ *
+ * @param request - the request
+ * @returns its host and path
+ */
+export function describePath({ host, target }: Pick<ClientRequest, "host" | "target">): StreamPath {
+    // a query may be long and secret, and selects nothing
+    return { host, target: target.split("?", 1)[0]! };
+}
+
 /**
  * Computes how long after the beginning of a stream its client may still be getting events of it.
  *
--- a/src/serving/routeTable.ts
+++ b/src/serving/routeTable.ts
@@ -19,7 +19,7 @@
  * @param config - the configuration; of two routes with the same host and prefix the later one is used
  * @returns the index, which doesn't follow later changes
  */
-export function createRouteTable(config: ServingConfig): RouteTable {
+export function createRouteTable(config: Pick<ServingConfig, "routes">): RouteTable {
     const byHost = new Map<string, Map<string, ServingRoute>>();
     for (const route of config.routes) {
         const prefixes = byHost.get(route.host) ?? new Map<string, ServingRoute>();
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -376,6 +376,7 @@
         onConfiguration: config => {
             quotaHolder.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
+            origins.handleRoutes(config);
             // servers are recognized as engines by their service, which may be new in this configuration
             adapters.handleServers(servers.listAll(), []);
             log.info("configuration", {
--- a/src/serving/streamDelivery.ts
+++ b/src/serving/streamDelivery.ts
@@ -6,7 +6,7 @@
 import type { StreamId } from "../resumption/index.js";
 import { createLogger } from "../shared/index.js";
 import type { RequestParts, RequestState } from "./requestState.js";
-import { listServices } from "./resumedStreams.js";
+import { describePath, listServices } from "./resumedStreams.js";
 import { type BackendServer, formatServerRunId } from "./types.js";
 
 const log = createLogger("serving");
@@ -52,7 +52,7 @@
         return;
     }
     state.origin ??= { service: server.service, version: server.softwareVersion };
-    parts.origins.markBegun(describeStream(state), state.origin, listServices(route));
+    parts.origins.markBegun(describeStream(state), state.origin, listServices(route), describePath(state.request));
 }
 
 /**
