--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -384,6 +384,7 @@
             streamLifetime.update(computeStreamLifetime(config.routes), clock.now());
             quotaHolder.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
+            origins.handleRoutes(config);
             // servers are recognized as engines by their service, which may be new in this configuration
             adapters.handleServers(servers.listAll(), []);
             log.info("configuration", {
