fix(serving): a request that waits for its quota or its stream's origin is refused when the instance stops

What callers saw: a request that was read and waited for its quota, for its turn in it, or for what began its stream while the instance stopped kept waiting until its connection was closed at the end of the stop, without an answer (LOST).

Cause: these waits ended with the client only; those for a server ended with `limitWait` as well. docs/design/plannedStop.md says of each wait that it ends as soon as the request may not begin any more.

Change: both waits use one limited wait, and end with 503 `this instance stops` and `Retry-After`; units that are granted later go back. The decisions of the admission have a file of their own, requestAdmission.ts.

Measured: `request is refused when its instance stops while it waits for its quota`, `delay`, `origin` on the code before: 3 of 41 of `runRequest` fail (`expected clientLeft to be refused`); now 41 of 41. How long such a wait lasts in the field isn't known: by the code 0.2 to 1 s for one question, and the turn of a bucket.

--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -4,14 +4,15 @@
  * @packageDocumentation
  */
 import { computeRequestDigest, type RequestDigest } from "../quarantine/index.js";
-import { type Milliseconds, millisecondsPerSecond, waitUnlessAborted } from "../shared/index.js";
+import { type Milliseconds, waitUnlessAborted } from "../shared/index.js";
 import { recordTaskFailure } from "../supervision/index.js";
-import { type Admission, applyQuota, decideAdmission, returnQuota } from "./admission.js";
+import { type Admission, returnQuota } from "./admission.js";
 import { describeEndNow } from "./answerEnds.js";
 import type { AnswerHead } from "./answerState.js";
 import { describeGuarded } from "./attemptFaults.js";
 import { createClientAnswer } from "./clientAnswer.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
+import { acceptRequest, computeDeadline } from "./requestAdmission.js";
 import {
     createReport,
     describeLeaving,
@@ -19,28 +20,20 @@
     drawStoppingRetryAfter,
     endAfterFailure,
     endRequest,
-    quarantineReasons,
     refuseQuarantined,
     refuseStopping,
-    retryAfterSeconds,
     serviceUnavailableStatus,
-    stoppingReason,
 } from "./requestEnds.js";
 import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
-import { applyStreamOrigin, filterByOrigin } from "./resumedStreams.js";
+import { filterByOrigin } from "./resumedStreams.js";
 import { type AttemptOutcome, runAttempt } from "./runAttempt.js";
 import { chooseServer } from "./serverChoice.js";
-import {
-    type BackendServer,
-    type ClientRequest,
-    formatServerRunId,
-    type ServerRunId,
-    type ServingRoute,
-} from "./types.js";
+import { type BackendServer, type ClientRequest, formatServerRunId, type ServerRunId } from "./types.js";
 
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
+
 /**
  * Runs a request and responds to the client.
  *
@@ -60,20 +53,9 @@
 ): Promise<RequestReport> {
     const startedAt = parts.clock.now();
     const stages = createRequestStages(parts, signal);
-    const allowed = decideAdmission(parts, request);
-    const digest = allowed.kind === "admitted"
-        ? computeRequestDigest({ ...request, account: allowed.account?.name, body })
-        : "";
-    const decided = refuseIfStopping(
-        parts,
-        refuseIfQuarantined(parts, allowed, request, digest, startedAt),
-        request,
-        startedAt,
-    );
-    const located = decided.kind === "admitted"
-        ? await applyStreamOrigin(parts.origins, decided, request, signal)
-        : decided;
-    const admission = located.kind === "admitted" ? await applyQuota(parts, located, request, signal) : located;
+    const computeDigest = (account: string | undefined): RequestDigest =>
+        computeRequestDigest({ ...request, account, body });
+    const { admission, digest } = await acceptRequest(parts, request, computeDigest, startedAt, signal);
     const answer = createClientAnswer(response, parts.clock);
     if (admission.kind !== "admitted") {
         const refusal = admission.kind === "refused" ? admission : undefined;
@@ -185,64 +167,6 @@
     };
 }
 
-function computeDeadline(
-    route: Pick<ServingRoute, "timeout">,
-    request: ClientRequest,
-    startedAt: Milliseconds,
-): Milliseconds {
-    return startedAt + Math.min(route.timeout, request.deadline ?? route.timeout);
-}
-
-// before the quota, so that requests which reach no server use nothing of it
-function refuseIfQuarantined(
-    parts: RequestParts,
-    admission: Admission,
-    request: ClientRequest,
-    digest: RequestDigest,
-    now: Milliseconds,
-): Admission {
-    if (admission.kind !== "admitted") {
-        return admission;
-    }
-    const account = admission.account?.name;
-    const decision = parts.guard.decide({ prompt: request.prompt, account, digest }, now);
-    return decision.kind === "quarantined"
-        ? {
-            kind: "refused",
-            by: "limit",
-            status: serviceUnavailableStatus,
-            reason: quarantineReasons[decision.scope.kind],
-            retryAfter: decision.remaining / millisecondsPerSecond + retryAfterSeconds.jitter * parts.random.next(),
-            route: admission.route.name,
-            account,
-        }
-        : admission;
-}
-
-// before the quota, as its client sends it to another instance at once
-function refuseIfStopping(
-    parts: RequestParts,
-    admission: Admission,
-    request: ClientRequest,
-    startedAt: Milliseconds,
-): Admission {
-    if (admission.kind !== "admitted") {
-        return admission;
-    }
-    const { route, account } = admission;
-    return parts.shutdown.mayBegin({ route, deadlineAt: computeDeadline(route, request, startedAt) })
-        ? admission
-        : {
-            kind: "refused",
-            by: "stop",
-            status: serviceUnavailableStatus,
-            reason: stoppingReason,
-            retryAfter: drawStoppingRetryAfter(parts),
-            route: route.name,
-            account: account?.name,
-        };
-}
-
 /**
  * Describes the refusal of a request that an instance which stops doesn't take.
  *
