fix(serving): an answer that lost its connection after it was written names who closed it

Cause: once an answer is written the HTTP server takes its listeners off the connection, so that the client's signal isn't aborted if the connection is closed then, also by this instance (a drain closes connections whose answers were ended). The report would have named the client, and no stage.

Change: `ClientResponse.finished` says `sent`, `client` or `instance`; an answer closed by the instance is `cut` by `stop`, with `leftWhile` `delivery`.

Measured: the case in `that is handed over is answered once its client has it` fails without the change (`leftWhile` undefined). `runRequest`, `answerState`, `shutdown`, `servingMetrics`, `clientServer`, `decisions` pass.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -610,7 +610,7 @@
         const cut = await runCase({ attempts, finished: never, disconnectAfter: 20, shutdown });
         expect(cut.report).to.include({ by: "stop", outcome: "cut", leftWhile: "delivery" });
         const closed = await runCase({ attempts, finished: Promise.resolve("instance") });
-        expect(closed.report).to.include({ by: "stop", outcome: "cut", heldBack: true });
+        expect(closed.report).to.include({ by: "stop", outcome: "cut", leftWhile: "delivery", heldBack: true });
         expect([read, left, cut, closed].map(({ end, aborted }) => [end, aborted])).to.deep.equal(
             Array.from({ length: 4 }, () => ["end", 0]),
         );
--- a/src/serving/requestEnds.ts
+++ b/src/serving/requestEnds.ts
@@ -47,6 +47,9 @@
     return stoppingRetryAfterSeconds.minimum + stoppingRetryAfterSeconds.jitter * random.next();
 }
 
+/** This instance closes connections of clients only when it stops. */
+const enderOfCloser: Readonly<Record<ConnectionCloser, AnswerEnder>> = { client: "client", instance: "stop" };
+
 /** Who ends a request without a whole answer, and why. */
 export interface RequestEnd {
     readonly by: AnswerEnder;
@@ -92,7 +95,8 @@
  * @returns who ends it
  */
 export function describeLeaving({ stages }: Pick<RequestState, "stages">, closer?: ConnectionCloser): RequestEnd {
-    return { by: closer === "instance" ? "stop" : stages.findCloser(), reason: "", isGone: true };
+    const by = closer === undefined ? stages.findCloser() : enderOfCloser[closer];
+    return { by, reason: "", isGone: true };
 }
 
 /**
--- a/src/serving/requestStages.ts
+++ b/src/serving/requestStages.ts
@@ -26,6 +26,8 @@
 export interface RequestStages {
     /** Records what the request waits for from now on. */
     readonly mark: (stage: RequestStage) => void;
+    /** Records that the client's connection is closed; its signal says so as well, but for an answer that was written. */
+    readonly markClosed: () => void;
     /**
      * Names who closed the client's connection, by the reason of the signal if it has one. Else it was this instance from the
      * end of its stop on, when it closes all that are left.
@@ -56,13 +58,17 @@
         return isClosedHere || (!isKnown && shutdown.ended.aborted) ? "stop" : "client";
     };
     let closer: "client" | "stop" | undefined;
-    signal.addEventListener("abort", () => {
-        leftWhile = stage;
-        leftAt = clock.now();
-        closer = findCloser();
-    }, { once: true });
+    const markClosed = (): void => {
+        if (leftWhile === undefined) {
+            leftWhile = stage;
+            leftAt = clock.now();
+            closer = findCloser();
+        }
+    };
+    signal.addEventListener("abort", markClosed, { once: true });
     return {
         mark: next => stage = next,
+        markClosed,
         findCloser: () => closer ?? findCloser(),
         describe: () => ({
             leftWhile,
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -128,6 +128,7 @@
         return;
     }
     state.isHeldBack = true;
+    state.stages.markClosed();
     endRequest(parts, state, describeLeaving(state, finished));
 }
 
