--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -1,7 +1,17 @@
 import { expect } from "chai";
 import { connect, type Socket } from "node:net";
+import { setFlagsFromString } from "node:v8";
+import { runInNewContext } from "node:vm";
 import { type ClientServer, createClientServer, type ReceivedRequest } from "../clientServer.js";
 
+// what is left after a collection
+function measureKeptBytes(): number {
+    setFlagsFromString("--expose-gc");
+    runInNewContext("gc")();
+    const { heapUsed, arrayBuffers } = process.memoryUsage();
+    return heapUsed + arrayBuffers;
+}
+
 interface OpenedServer {
     readonly server: ClientServer;
     readonly port: number;
@@ -9,13 +19,16 @@
     readonly drain: () => void;
 }
 
-async function openServer(handle: (received: ReceivedRequest) => void): Promise<OpenedServer> {
+async function openServer(
+    handle: (received: ReceivedRequest) => void,
+    bodyBytes = 50,
+): Promise<OpenedServer> {
     let isDraining = false;
     const received: ReceivedRequest[] = [];
     const server = createClientServer({
         host: "127.0.0.1",
         port: 0,
-        findLimits: () => ({ headerBytes: 1_000, bodyBytes: 50, headerTimeout: 3_000, idleTimeout: 15_000 }),
+        findLimits: () => ({ headerBytes: 1_000, bodyBytes, headerTimeout: 3_000, idleTimeout: 15_000 }),
         loop: { isLate: () => false, handleWaiting: () => Promise.resolve() },
         isDraining: () => isDraining,
         onUnread: () => undefined,
@@ -65,6 +78,28 @@
         server.drain();
     });
 
+    // guards against a process that runs out of memory on a body within its limit that comes in tiny chunks
+    it("keeps a body in chunks of one byte in memory of its length", async () => {
+        const size = 400_000;
+        const { server, port, received } = await openServer(({ answer }) => {
+            answer.writeHead(200, [], 0);
+            answer.end();
+        }, size);
+        const socket = connect(port, "127.0.0.1");
+        const answer = collectResponse(socket);
+        const before = measureKeptBytes();
+        socket.write("POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const sent = new Promise(resolve => socket.write("1\r\na\r\n".repeat(size), resolve));
+        await sent;
+        await new Promise(resolve => setTimeout(resolve, 500));
+        const kept = measureKeptBytes() - before;
+        socket.write("0\r\n\r\n");
+        expect(await answer).to.match(/^HTTP\/1.1 200 /);
+        expect(received[0]!.body?.length).to.equal(size);
+        expect(kept).to.be.below(4 * size);
+        server.drain();
+    });
+
     it("refuses a body above the limit with 413", async () => {
         const { server, port, received } = await openServer(() => undefined);
         const socket = connect(port, "127.0.0.1");
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -8,6 +8,7 @@
 import restana from "restana";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
+import { createByteStore } from "./byteStore.js";
 import { createConnectionTable, type OpenRequest } from "./clientConnections.js";
 import { closeFaultyConnections } from "./faultyConnections.js";
 import { createIdleTimeouts } from "./idleTimeouts.js";
@@ -185,16 +186,14 @@
         return;
     }
     const leaving = trackLeaving(request, response, connection.findCloser);
-    const chunks: Buffer[] = [];
-    let size = 0;
+    const body = createByteStore();
     request.on("data", (chunk: Buffer) => {
-        size += chunk.length;
-        if (limits && size > limits.bodyBytes) {
+        body.push(chunk);
+        if (limits && body.countBytes() > limits.bodyBytes) {
             refuseEarly(response, bodyTooLargeStatus);
             request.removeAllListeners("data");
-            return;
+            body.take();
         }
-        chunks.push(chunk);
     });
     request.once("end", () => {
         if (response.headersSent || leaving.aborted) {
@@ -204,7 +203,7 @@
             method: request.method ?? "GET",
             target: request.url ?? "/",
             rawHeaders: request.rawHeaders,
-            body: size === 0 ? undefined : Buffer.concat(chunks),
+            body: body.countBytes() === 0 ? undefined : Buffer.concat(body.take()),
             answer: createClientResponse(response, connection),
             signal: leaving,
         };
