fix(serving): an answer that nobody wants is given up, and bytes after an answer belong to no request

Seen by callers: (1) an answer whose head refuses the request was read on after the request had gone elsewhere, without an end where the server sent without end: no deadline, no bound. (2) Since answers are read in turns, bytes that came after an answer could wait for their turn until the next request was written, which then got them as its answer; found by reading and shown by a test with turns of 20 ms, in which the second request got 5 bytes of no answer for its 11. Cause: (1) the attempt's end left its connection to itself. (2) undici relies on reading all that has come before it writes. Change: (1) the rest of such an answer may have 64 KiB and 1 s, then its connection is closed; a short rest keeps it. An attempt through another instance is aborted. (2) a connection that brings bytes after the end of an answer, or before its first request, is closed before the next request is written; requests that wait for it get another one.

--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -131,12 +131,14 @@
         const detail = `failed here: ${String(error).slice(0, maximumDetailLength)}`;
         finish(() => handlers.onFault({ kind: "broken", detail, isBetweenInstances: true }));
     });
+    const abort = (): void => {
+        isOver = true;
+        resume();
+        startAbort();
+    };
     return {
-        abort: () => {
-            isOver = true;
-            resume();
-            startAbort();
-        },
+        abort,
+        drain: () => isOver || abort(),
         pause: () => {
             isPaused = true;
         },
--- a/src/platform/__tests__/delivered/endlessBytes.ts
+++ b/src/platform/__tests__/delivered/endlessBytes.ts
@@ -48,6 +48,11 @@
     "a body": { route: "plain", start: `${head}\r\n`, unit: largePiece },
     "a body in packets": { route: "plain", start: `${head}\r\n`, unit: "x", isSlow: true },
     "blank lines after an answer": { route: "plain", start: `${head}Content-Length: 0\r\n\r\n`, unit: "\r\n" },
+    "a body after a refusal": {
+        route: "plain",
+        start: `HTTP/1.1 421 -\r\n${ownHeaders}\r\n`,
+        unit: largePiece,
+    },
     comments: { route: "stream", start: events, unit: ":\n\n" },
     events: { route: "stream", start: events, unit: "id: N\ndata: x\n\n", isCounted: true },
     "events in chunks of one byte": {
--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -109,7 +109,7 @@
                 }
             },
             onResponseEnd: () => {
-                socket?.markUseful();
+                socket?.markEnd();
                 if (!isOver && head) {
                     finish(wrapValue({ ...head, body: Buffer.concat(body.take()) }));
                 }
--- a/src/serving/__tests__/endlessAnswers.test.ts
+++ b/src/serving/__tests__/endlessAnswers.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import type { ReadTurns } from "../readTurns.js";
 import { type AttemptFault, createServerConnections, type ServerConnections } from "../serverConnections.js";
 import type { BackendServer, HeaderCodec } from "../types.js";
 
@@ -51,10 +52,15 @@
     /** Bytes that the server has written to all connections. */
     readonly countSent: () => number;
     readonly send: (isPaused?: boolean) => Promise<Seen>;
+    /** Sends a request whose answer is drained from its head on. */
+    readonly sendDrained: () => void;
     readonly close: () => void;
 }
 
-async function createRig(respond: (socket: Socket, count: (bytes: number) => void) => void): Promise<Rig> {
+async function createRig(
+    respond: (socket: Socket, count: (bytes: number) => void) => void,
+    turns?: ReadTurns,
+): Promise<Rig> {
     let sent = 0;
     const server = createServer(socket => {
         socket.on("error", () => undefined);
@@ -74,26 +80,36 @@
     };
     const connections = createServerConnections({
         headers: codec,
-        findConnectionLimit: () => 8,
+        findConnectionLimit: () => turns ? 1 : 8,
         mayReceive: () => true,
         loop: { isLate: () => false, handleWaiting: () => Promise.resolve() },
         onLeaving: () => undefined,
         idleTimeout: 1_000,
+        ...turns && { turns },
     });
+    const request = {
+        server: backend,
+        attemptId: "7",
+        method: "POST",
+        target: "/",
+        headers: [],
+        body: undefined,
+    };
     return {
         connections,
+        sendDrained: () => {
+            const attempt = connections.send(request, {
+                onHead: () => attempt.drain?.(),
+                onData: () => undefined,
+                onEnd: () => undefined,
+                onFault: () => undefined,
+            });
+        },
         countSent: () => sent,
         send: (isPaused = false) =>
             new Promise(resolve => {
                 const pieces: number[] = [];
-                const attempt = connections.send({
-                    server: backend,
-                    attemptId: "7",
-                    method: "POST",
-                    target: "/",
-                    headers: [],
-                    body: undefined,
-                }, {
+                const attempt = connections.send(request, {
                     onHead: () => undefined,
                     onData: chunk => {
                         pieces.push(chunk.length);
@@ -233,6 +249,64 @@
         );
     });
 
+    // guards against an answer without end that nobody wants, which is read until the process ends
+    it("are given up when nobody wants them, and a short rest doesn't cost the connection", async () => {
+        let requests = 0;
+        const opened = new Set<Socket>();
+        const rig = await createRig((socket, count) => {
+            requests++;
+            opened.add(socket);
+            socket.write(requests > 2 ? `${head}\r\n` : `${head}Content-Length: 1\r\n\r\n`);
+            requests > 2
+                ? writeWithoutEnd(socket, Buffer.alloc(65_536), count)
+                : setTimeout(() => socket.write("x"), 20);
+        });
+        const drainAnswer = async (): Promise<void> => {
+            rig.sendDrained();
+            await new Promise(resolve => setTimeout(resolve, 200));
+        };
+        await drainAnswer();
+        await drainAnswer();
+        expect(opened.size).to.equal(1);
+        await drainAnswer();
+        expect([...opened].map(({ destroyed }) => destroyed)).to.deep.equal([true]);
+        expect(rig.countSent()).to.be.below(uselessBytesBound);
+        rig.close();
+    });
+
+    // guards against bytes after an answer that wait for their turn, and are then taken for the answer to the next request
+    it("are not taken for the answer to the next request", async () => {
+        const createAnswer = (body: string): string => `${head}Content-Length: ${body.length}\r\n\r\n${body}`;
+        const first = createAnswer("x".repeat(16_384 - createAnswer("x".repeat(10_000)).length + 10_000));
+        let requests = 0;
+        // a connection may go on once in 20 ms
+        let mayRead = true;
+        const rig = await createRig(socket => {
+            requests++;
+            socket.write(requests === 1 ? `${first}${createAnswer("wrong")}` : createAnswer("right again"));
+        }, {
+            addReader: read => ({
+                begin: () => {
+                    const isGranted = mayRead;
+                    mayRead = false;
+                    if (!isGranted) {
+                        setTimeout(() => {
+                            mayRead = true;
+                            read();
+                        }, 20);
+                    }
+                    return isGranted;
+                },
+                end: () => true,
+                remove: () => true,
+            }),
+        });
+        const seen = [await rig.send(), await rig.send()];
+        rig.close();
+        expect(seen.map(({ pieces }) => pieces.reduce((sum, each) => sum + each, 0)))
+            .to.deep.equal([first.length - first.indexOf("x"), "right again".length]);
+    });
+
     // guards against a server whose answer without end holds up the answers of others
     it("leave time for the answers on other connections", async () => {
         const sound = await createRig(socket => socket.write(`${head}Content-Length: 3\r\n\r\nabc`));
--- a/src/serving/answerDelivery.ts
+++ b/src/serving/answerDelivery.ts
@@ -70,7 +70,6 @@
             }
         },
         push: chunk => {
-            socket?.countUseful(chunk.length);
             if (single) {
                 store.push(single);
                 single = undefined;
@@ -83,7 +82,6 @@
         },
         flush,
         end: notify => {
-            socket?.markUseful();
             releaseSocket();
             finish = notify;
             flush();
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -102,6 +102,7 @@
         };
         const finish = (end: AttemptOutcome): void => {
             stopListening();
+            callGuarded("rest of an answer", () => attempt?.drain?.());
             resolve(end);
         };
         // the server may have run the request, and its answer is no longer read
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -10,6 +10,7 @@
 import { callGuarded, recordTaskFailure, startTask } from "../supervision/index.js";
 import { createAnswerDelivery } from "./answerDelivery.js";
 import type { LoopGate } from "./loopDelay.js";
+import type { ReadTurns } from "./readTurns.js";
 import { findRequestFault } from "./requestCheck.js";
 import { createServerSockets, isNoAnswer, type ServerSocket, type ServerSockets } from "./serverSockets.js";
 import {
@@ -61,6 +62,12 @@
     /** Stops reading the response until `resume`. */
     readonly pause: () => void;
     readonly resume: () => void;
+    /**
+     * Delivers nothing more: a short rest of the answer is read, so that its connection can be used again, else it is closed.
+     *
+     * @default the whole answer is read
+     */
+    readonly drain?: () => void;
 }
 
 /** A request to one server. */
@@ -108,6 +115,8 @@
     readonly loop: LoopGate;
     /** Time after which an idle connection isn't used again; a `Keep-Alive` header of the server overrides it. */
     readonly idleTimeout: Milliseconds;
+    /** Turns in which answers are read. @default turns of these connections alone */
+    readonly turns?: ReadTurns;
 }
 
 const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
@@ -119,6 +128,8 @@
 const lowestFinalStatus = 200;
 /** Interim answers that an attempt may have; servers send some, such as one every few seconds of their work. */
 const interimAnswerLimit = 64;
+/** Rest of an answer that is read though nobody wants it, and the time for that. */
+const ignoredRest = { bytes: 65_536, milliseconds: 1_000 } as const;
 /** Codes of the errors with which undici refuses a request that it can't write. */
 const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
 /**
@@ -136,7 +147,7 @@
 export function createServerConnections(options: ServerConnectionsOptions): ServerConnections {
     const pools = new Map<ServerRunId, ServerPool>();
     const unsentAttempts = createUnsentAttempts();
-    const sockets = createServerSockets(connectTimeoutMilliseconds);
+    const sockets = createServerSockets(connectTimeoutMilliseconds, options.turns);
     const createPool = (server: BackendServer, poolOptions: Pool.Options): Pool =>
         new Pool(`http://${server.address}`, {
             pipelining: 1,
@@ -276,6 +287,8 @@
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
     let interimAnswers = 0;
+    // bytes since nobody wants the answer; `undefined` before
+    let ignoredBytes: number | undefined;
     // connection of the answer, from its head on
     let socket: ServerSocket | undefined;
     const finish = (notify: () => void): void => {
@@ -360,12 +373,22 @@
             handlers.onHead(head);
         }),
         onResponseData: wrapHandler((dispatch, chunk) => {
-            if (!isOver) {
+            socket?.countUseful(chunk.length);
+            if (isOver) {
+                return;
+            }
+            if (ignoredBytes === undefined) {
                 delivery.push(chunk);
+                return;
+            }
+            ignoredBytes += chunk.length;
+            if (ignoredBytes > ignoredRest.bytes) {
+                abort();
             }
         }),
         onResponseEnd: wrapHandler(() => {
             const isReset = sockets.isResetting();
+            socket?.markEnd();
             delivery.end(() =>
                 finish(() =>
                     isReset
@@ -429,7 +452,14 @@
     else {
         send();
     }
-    return { abort, pause: delivery.pause, resume: delivery.resume };
+    const drain = (): void => {
+        if (!isOver && ignoredBytes === undefined) {
+            ignoredBytes = 0;
+            delivery.discard();
+            setTimeout(() => isOver || abort(), ignoredRest.milliseconds).unref();
+        }
+    };
+    return { abort, pause: delivery.pause, resume: delivery.resume, drain };
 }
 
 function isRefusal(error: Error): boolean {
--- a/src/serving/serverSockets.ts
+++ b/src/serving/serverSockets.ts
@@ -15,6 +15,8 @@
     readonly countUseful: (bytes: number) => void;
     /** Forgets all bytes that have come, as they have brought an answer. */
     readonly markUseful: () => void;
+    /** Records that an answer is complete: what comes before the next request is written belongs to none. */
+    readonly markEnd: () => void;
     /** Whether the server has closed or reset the connection. */
     readonly hasEnded: () => boolean;
     /** Reads nothing more of it until `release`. */
@@ -119,17 +121,28 @@
     let isSlow = true;
     let usedBytes = 0;
     let usefulBytes = 0;
+    // what had been written when the last answer was complete
+    let writtenBytes = socket.bytesWritten;
     const readAgain = (): void => {
         if (!isHeld && !socket.destroyed) {
             socket.emit("readable");
         }
     };
     const reader = turns.addReader(readAgain);
+    const markUseful = (): void => {
+        usedBytes = socket.bytesRead;
+        usefulBytes = 0;
+    };
+    // bytes that waited for their turn would else be taken for the answer to the next request
+    const isUnasked = (): boolean => socket.readableLength > 0 && socket.bytesWritten === writtenBytes;
+    const isUseless = (): boolean =>
+        socket.bytesRead - usedBytes > uselessBytesLimit + bytesPerUsefulByte * usefulBytes;
     const connection: ServerSocket = {
         countUseful: bytes => usefulBytes += bytes,
-        markUseful: () => {
-            usedBytes = socket.bytesRead;
-            usefulBytes = 0;
+        markUseful,
+        markEnd: () => {
+            markUseful();
+            writtenBytes = socket.bytesWritten;
         },
         hasEnded: () => hasEnded,
         hold: () => isHeld = true,
@@ -162,8 +175,9 @@
             return readNow(0);
         }
         endRead();
-        if (socket.bytesRead - usedBytes > uselessBytesLimit + bytesPerUsefulByte * usefulBytes) {
-            socket.destroy(createUselessBytesError());
+        if (isUnasked() || isUseless()) {
+            // with an error, requests that wait for the connection would fail as well
+            socket.destroy(isUnasked() ? undefined : createUselessBytesError());
             return readNow(0);
         }
         if (isHeld || !reader.begin()) {
