--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -97,6 +97,7 @@
         const finish = (outcome: AttemptOutcome): void => {
             memory.close();
             over.abort();
+            callGuarded("rest of an answer", () => attempt?.drain?.());
             resolve(outcome);
         };
         const failInside = (error: unknown): void => {
