fix(serving): a connection whose client has left is closed though something came after its request

What callers saw: nothing yet. A client that sends a part of a next head beside its answer and then ends its connection leaves the connection and its request open here for good; a stop would wait for them to the end of its grace. A client that goes on sending bytes that are no request takes memory with each chunk until its answer ends.

Cause: since an answer in progress is ended before its connection, the end of a connection within a head is such a fault, too, and waits for an answer that nobody writes any more, as its client has left. Each chunk after the first fault adds a further wait.

Change: a connection that its client has ended is closed at once, and an answer is waited for once.

Evidence: two cases of faultyConnections.test.ts that fail before (open instead of closed; 6 waits instead of 1).

--- a/src/serving/__tests__/faultyConnections.test.ts
+++ b/src/serving/__tests__/faultyConnections.test.ts
@@ -85,6 +85,31 @@
         close(opened);
     });
 
+    // guards against a connection that stays open for good, with its request, after its client has left
+    it("are closed at once when the client ends them", async () => {
+        const opened = await open();
+        opened.client.write(requestText);
+        await pause(checkIntervalMilliseconds);
+        opened.client.end("GET / HT");
+        await pause(checkIntervalMilliseconds);
+        expect(opened.answers[0]!.closed).to.equal(true);
+        close(opened);
+    });
+
+    // guards against memory for each chunk of a client that sends without end beside its answer
+    it("wait once for the answer, however much comes that is no request", async () => {
+        const opened = await open();
+        opened.client.write(requestText);
+        await pause(checkIntervalMilliseconds);
+        const count = opened.answers[0]!.listenerCount("close");
+        for (let chunk = 0; chunk < 5; chunk++) {
+            opened.client.write("\x00no request\r\n\r\n");
+            await pause(checkIntervalMilliseconds);
+        }
+        expect(opened.answers[0]!.listenerCount("close")).to.equal(count + 1);
+        close(opened);
+    });
+
     it("are closed at once when no answer is in progress", async () => {
         for (const text of ["GET / HT", "\x00no request\r\n\r\n"]) {
             const opened = await open();
--- a/src/serving/faultyConnections.ts
+++ b/src/serving/faultyConnections.ts
@@ -18,6 +18,8 @@
 export function closeFaultyConnections(server: Server): void {
     const answers = new WeakMap<Duplex, ServerResponse>();
     const lateHeads = new WeakMap<Duplex, NodeJS.Timeout>();
+    // each chunk after the first that can't be read is told again
+    const awaited = new WeakSet<ServerResponse>();
     server.prependListener("request", ({ socket }, response) => {
         clearTimeout(lateHeads.get(socket));
         answers.set(socket, response);
@@ -30,10 +32,15 @@
     };
     server.on("clientError", (error: NodeJS.ErrnoException, socket) => {
         const answer = answers.get(socket);
-        if (!answer || answer.closed || socket.destroyed) {
+        // a client that has ended its connection waits for nothing
+        if (!answer || answer.closed || socket.destroyed || socket.readableEnded) {
             socket.destroy();
             return;
         }
+        if (awaited.has(answer)) {
+            return;
+        }
+        awaited.add(answer);
         const isLateHead = error.code === headTimeoutCode;
         answer.once("close", () => isLateHead ? limitHead(socket) : socket.destroy());
     });
