fix(serving): the time of an answer ends when it is handed over, not when its client has read it

What callers saw: nothing yet. The times of answers decide at a stop which requests may still begin. With clients that read slowly the time of their route rises for all, and requests are refused which would have had their answer.

Cause: since a request ends when its client has the answer, its time is taken there.

Change: it is taken where it was before, when the whole answer is written.

Evidence: a case of runRequest.test.ts, in which the time is taken after the client has read before, and earlier now.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -32,6 +32,8 @@
     readonly shutdown?: Shutdown;
     /** What becomes of what was written. @default it gets to the client at once */
     readonly finished?: Promise<"sent" | "instance">;
+    /** Called when the time of a whole answer is recorded. */
+    readonly onAnswerTime?: () => void;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
     /** What throws: the request for a permit, or the sending of its attempt. */
@@ -261,7 +263,10 @@
             onBroken: () => undefined,
             onResumed: () => undefined,
             answerMemory: createAnswerMemory(requestCase.memoryLimit),
-            answerTimes: createAnswerTimes(),
+            answerTimes: {
+                ...createAnswerTimes(),
+                record: () => requestCase.onAnswerTime?.(),
+            },
             shutdown: requestCase.shutdown ?? createTestShutdown(),
         },
         request,
@@ -680,6 +685,20 @@
         expect([report.outcome, end]).to.deep.equal(["answered", "end"]);
     });
 
+    // guards against requests that are refused at a stop because clients have read the answers to others slowly
+    it("that is handed over has taken until then, however long its client reads", async () => {
+        let isRead = false;
+        const finished = new Promise<"sent">(resolve => {
+            setTimeout(() => {
+                isRead = true;
+                resolve("sent");
+            }, 50);
+        });
+        const seen: boolean[] = [];
+        await runCase({ attempts: [sendComplete("x")], finished, onAnswerTime: () => seen.push(isRead) });
+        expect(seen).to.deep.equal([false]);
+    });
+
     // guards against one fault that the record names twice, as if two attempts had ended by it
     it("that is broken off once has its fault once as its reason", async () => {
         const { report } = await runCase({ attempts: [failStream("ECONNRESET")], route: unsafeRoute });
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -93,12 +93,12 @@
         recordTaskFailure("attempts of a request", error);
         endAfterFailure(parts, state, error);
     }
-    await waitForDelivery(parts, state);
-    const report = createReport(parts, state);
-    if (report.outcome === "answered") {
+    // a client that reads slowly says nothing of the time of other answers
+    if (answer.read().phase === "handedOver") {
         parts.answerTimes.record(admission.route.name, parts.clock.now() - startedAt);
     }
-    return report;
+    await waitForDelivery(parts, state);
+    return createReport(parts, state);
 }
 
 function checkEnd({ answer }: RequestState): void {
