fix(serving): a refused answer without end is not read for as long as its server sends it

What callers saw: an answer that is refused by its head, such as a 503 that invites to a repeat, has its rest read so that its connection can be used again. Nobody ends it: the request goes on at another server, and the deadline doesn't hold for the rest. A server whose refusal has no end takes a connection and the time of the loop for good.

Change: the connection is closed after 64 KiB of such a rest.

Evidence: a case of runRequest.test.ts that fails before (no abort; one now).

Not changed: a rest that is silent keeps its connection until its server ends it.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -699,6 +699,18 @@
         expect(seen).to.deep.equal([false]);
     });
 
+    // guards against a refused answer without end that takes time for as long as its server sends it
+    it("that is refused by its head is read to its end only if it is short", async () => {
+        const refuseWith = (chunks: number): AttemptScript => handlers => {
+            handlers.onHead(createHead({ status: 503, isNotRun: true, isSigned: false }));
+            Array.from({ length: chunks }, () => Buffer.alloc(16_384)).forEach(handlers.onData);
+        };
+        const createScripts = (chunks: number): readonly AttemptScript[] => [refuseWith(chunks), sendComplete("x")];
+        const short = await runCase({ attempts: createScripts(4) });
+        const long = await runCase({ attempts: createScripts(5) });
+        expect([short, long].map(({ body, aborted }) => [body, aborted])).to.deep.equal([["x", 0], ["x", 1]]);
+    });
+
     // guards against one fault that the record names twice, as if two attempts had ended by it
     it("that is broken off once has its fault once as its reason", async () => {
         const { report } = await runCase({ attempts: [failStream("ECONNRESET")], route: unsafeRoute });
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -37,6 +37,8 @@
 const soundAnswerMilliseconds = 500;
 /** Bytes of a stream without a next event after which its server counts as faulty. */
 const uselessBytesLimit = 1_048_576;
+/** Bytes of an answer that is refused by its head, after which its connection is closed. */
+const skippedBytesLimit = 65_536;
 /** Lowest priority that servers know; lower ones are raised to it. */
 const lowestPriority = 9;
 const lowestRedirectStatus = 300;
@@ -92,6 +94,8 @@
         const over = new AbortController();
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
+        // of an answer that was refused by its head
+        let skippableBytes: number | undefined;
         const memory = parts.answerMemory.open(() => releaseMemory());
         let attempt: Attempt | undefined = undefined;
         const finish = (outcome: AttemptOutcome): void => {
@@ -146,11 +150,13 @@
             const hasDeliverableResponse = !head.isNotRun && head.isSigned && !answer.hasBegun();
             const reason = `status ${head.status}`;
             if (step.kind === "repeat" && state.heardAt < deadlineAt && takeRetry(parts, state, step)) {
+                skippableBytes = skippedBytesLimit;
                 retryRequest(reason);
                 return;
             }
             if (step.kind === "fail" || (step.kind === "repeat" && !hasDeliverableResponse)) {
                 state.mayHaveRun ||= !head.isNotRun;
+                skippableBytes = skippedBytesLimit;
                 failAttempt({ by: "server", reason });
                 return;
             }
@@ -254,9 +260,21 @@
             parts.origins.markComplete(describeStream(state));
             finish("over");
         };
+        // the rest of a refused answer is read so that its connection can be used again, unless it is long
+        const skipData = (chunk: Buffer): void => {
+            if (skippableBytes === undefined) {
+                return;
+            }
+            skippableBytes -= chunk.length;
+            if (skippableBytes < 0) {
+                skippableBytes = undefined;
+                callGuarded("abort attempt", () => attempt?.abort());
+            }
+        };
+        const takeData = wrapHandler(handleData);
         const handlers: AttemptHandlers = {
             onHead: wrapHandler(handleHead),
-            onData: wrapHandler(handleData),
+            onData: chunk => over.signal.aborted ? skipData(chunk) : takeData(chunk),
             onEnd: wrapHandler(handleEnd),
             onFault: wrapHandler(handleFault),
         };
