--- a/src/serving/__tests__/movedRoute.test.ts
+++ b/src/serving/__tests__/movedRoute.test.ts
@@ -15,7 +15,13 @@
 const streamCount = 12;
 
 interface MovedFleet {
-    readonly send: (instance: number, id: string, begun?: TestAnswer) => Promise<TestAnswer>;
+    /** Begins a stream, or takes it up after the events of `begun`; its client names the first attempt unless `isUnnamed`. */
+    readonly send: (
+        instance: number,
+        id: string,
+        begun?: TestAnswer,
+        isUnnamed?: boolean,
+    ) => Promise<TestAnswer>;
     readonly putServices: (services: readonly string[]) => Promise<void>;
     readonly stopInstance: (instance: number) => Promise<void>;
     readonly stop: () => Promise<void>;
@@ -58,12 +64,13 @@
     );
     await pause(noticeMilliseconds);
     return {
-        send: (instance, id, begun) =>
+        send: (instance, id, begun, isUnnamed = false) =>
             sendRequest(ports[instance * 4]!, {
                 id: begun ? `${id}-1` : id,
                 parts: ["all", `${id}-6-60-4-chunks-rest`],
                 key: "acme-key",
-                ...begun ? { resumes: id, lastEventId: begun.events.at(-1)!.id } : { leaveAfter: 2 },
+                ...begun ? { lastEventId: begun.events.at(-1)!.id } : { leaveAfter: 2 },
+                ...begun && !isUnnamed ? { resumes: id } : {},
             }),
         putServices: async next => {
             configuration = createConfiguration(configuration.version + 1, next);
@@ -83,11 +90,11 @@
 }
 
 // begins streams at the first instance, then `change`, and takes them up at the second one
-async function takeUpAfter(fleet: MovedFleet, change: () => Promise<void>) {
+async function takeUpAfter(fleet: MovedFleet, change: () => Promise<void>, isUnnamed = false) {
     const ids = Array.from({ length: streamCount }, (unused, index) => `s${index}`);
     const begun = await Promise.all(ids.map(id => fleet.send(0, id)));
     await change();
-    const rest = await Promise.all(ids.map((id, index) => fleet.send(1, id, begun[index])));
+    const rest = await Promise.all(ids.map((id, index) => fleet.send(1, id, begun[index], isUnnamed)));
     return rest.map((answer, index) => ({
         status: answer.status,
         services: new Set([...begun[index]!.events, ...answer.events].map(({ version }) => version.split(" ")[1])),
@@ -116,6 +123,15 @@
         expect(streams.every(({ status }) => status === 503)).to.equal(true);
     });
 
+    // guards against the same for clients that name no attempt, whose streams nobody can look up
+    it("are refused, too, when their clients don't name the attempt that began them", async () => {
+        const fleet = await startFleet([otherService]);
+        const streams = await takeUpAfter(fleet, () => fleet.putServices([testService]), true);
+        await fleet.stop();
+        expect(streams.filter(({ services }) => services.size > 1).length).to.equal(0);
+        expect(streams.every(({ status }) => status === 503)).to.equal(true);
+    });
+
     // guards against over-caution: a route that is split still leads to the service that began the stream
     it("go on at the service that began them when the route leads to a second one beside it", async () => {
         const fleet = await startFleet([testService]);
