--- a/src/serving/__tests__/orderPlay.ts
+++ b/src/serving/__tests__/orderPlay.ts
@@ -13,7 +13,7 @@
 import { createMemoryStore, type MemoryStore, pause } from "./testStore.js";
 
 /** No connection of a client has this address, so that the ports of an instance stay free while it starts again. */
-const host = "127.0.0.2";
+const host = "127.0.0.71";
 const instanceCount = 5;
 const shardCount = 4;
 const graceMilliseconds = 4_000;
@@ -208,7 +208,7 @@
     const servers = await startServers(store, random, areLinked);
     const readPorts = servers.map(({ port }) => (): number => port);
     const links = await Promise.all(
-        Array.from({ length: areLinked ? instanceCount : 0 }, () => createServerLinks(readPorts, host)),
+        Array.from({ length: areLinked ? instanceCount : 0 }, () => createServerLinks(readPorts)),
     );
     putTestConfiguration(store);
     const start = (index: number, isFirstStart: boolean): TestInstance =>
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -199,6 +199,9 @@
     };
 }
 
+/** Address of the links; no client's connection has it, so that their ports stay free in a cut. */
+const linkHost = "127.0.0.72";
+
 /** Links of one instance to all servers, each through a port of its own. */
 export interface ServerLinks {
     readonly translate: (address: string) => string;
@@ -215,25 +218,21 @@
  * Creates the links of one instance.
  *
  * @param readPorts - present ports of the servers
- * @param host - address that the links listen on; one that no client's connection has, so that its ports stay free in a cut
  * @returns the links
  */
-export async function createServerLinks(
-    readPorts: readonly (() => number | undefined)[],
-    host = "127.0.0.1",
-): Promise<ServerLinks> {
-    const links = await Promise.all(readPorts.map(readPort => createServerLink(readPort, host)));
+export async function createServerLinks(readPorts: readonly (() => number | undefined)[]): Promise<ServerLinks> {
+    const links = await Promise.all(readPorts.map(createServerLink));
     return {
         translate: address => {
             const index = links.findIndex((unused, server) => formatServerAddress(server) === address);
-            return `${host}:${links[index]!.port}`;
+            return `${linkHost}:${links[index]!.port}`;
         },
         setCut: async cut => void await Promise.all(links.map(link => link.setCut(cut))),
         close: () => links.forEach(link => link.close()),
     };
 }
 
-async function createServerLink(readPort: () => number | undefined, host: string) {
+async function createServerLink(readPort: () => number | undefined) {
     const sockets = new Set<Socket>();
     const relay = createNetServer(near => {
         const serverPort = readPort();
@@ -253,7 +252,7 @@
             socket.pipe(other);
         }
     });
-    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, host, resolve));
+    const listen = (port: number): Promise<void> => new Promise(resolve => relay.listen(port, linkHost, resolve));
     await listen(0);
     const { port } = relay.address() as AddressInfo;
     return {
