--- a/src/resumption/routeHistory.ts
+++ b/src/resumption/routeHistory.ts
@@ -38,32 +38,28 @@
  */
 export function createRouteHistory(isFromStart: boolean): RouteHistory {
     let former: readonly FormerRoutes[] = [];
-    let routes: readonly ServingRoute[] = [];
-    let table: RouteTable | undefined;
+    let present: Routes | undefined;
     let start = Number.POSITIVE_INFINITY;
     return {
-        update: (config, now) => {
-            const next = createRouteTable({ routes: config.routes });
-            const moved = table
-                ? findMoved({ table, routes }, { table: next, routes: config.routes })
-                : new Set<string>();
-            if (!table) {
+        update: ({ routes }, now) => {
+            const next = describeRoutes(routes);
+            const moved = present ? findMoved(present, next) : new Set<string>();
+            if (!present) {
                 start = isFromStart ? Number.NEGATIVE_INFINITY : now;
             }
-            if (table && moved.size > 0) {
-                former = [...former, { table, until: now }];
+            if (present && moved.size > 0) {
+                former = [...former, { table: present.table, until: now }];
             }
             if (former.length > maximumFormerRoutes) {
                 start = former[0]!.until;
                 former = former.slice(1);
             }
-            table = next;
-            routes = config.routes;
+            present = next;
             return moved;
         },
         list: (path, since) => {
             const used = former.filter(({ until }) => until + lagMilliseconds >= since).map(each => each.table);
-            const tables = table ? [...used, table] : used;
+            const tables = present ? [...used, present.table] : used;
             return [...new Set(tables.flatMap(each => listTargets(each, path)))];
         },
         readStart: () => start,
@@ -73,15 +69,30 @@
     };
 }
 
+/** Routes of one configuration. */
 interface Routes {
     readonly table: RouteTable;
-    readonly routes: readonly ServingRoute[];
+    /** Services of each host and prefix, as text. */
+    readonly targets: ReadonlyMap<string, string>;
 }
 
-// a path whose longest prefix is one of either table is led as that prefix is
+function describeRoutes(routes: readonly ServingRoute[]): Routes {
+    const targets = routes.map(({ host, pathPrefix, targets: [first, ...others] }) =>
+        [
+            `${host} ${pathPrefix}`,
+            others.length === 0 ? first!.service : [first!, ...others].map(({ service }) => service).sort().join(),
+        ] as const
+    );
+    return { table: createRouteTable({ routes }), targets: new Map(targets) };
+}
+
+// a prefix that both have with the same services leads where it led; else the route above it may be the other one
 function findMoved(before: Routes, after: Routes): ReadonlySet<string> {
+    const names = [...before.targets.keys(), ...after.targets.keys()];
     const moved = new Set<string>();
-    for (const { host, pathPrefix: target } of [...before.routes, ...after.routes]) {
+    for (const name of names.filter(each => before.targets.get(each) !== after.targets.get(each))) {
+        const separator = name.indexOf(" ");
+        const [host, target] = [name.slice(0, separator), name.slice(separator + 1)];
         const [old, next] = [before, after].map(({ table }) => listTargets(table, { host, target }));
         if (old!.join() !== next!.join()) {
             [...old!, ...next!].forEach(service => moved.add(service));
--- a/src/serving/__tests__/streamOrder.test.ts
+++ b/src/serving/__tests__/streamOrder.test.ts
@@ -50,7 +50,7 @@
             const tries = played.streams.flatMap(stream => stream.tries);
             const whole = played.streams.filter(isWhole);
             if (isByHand) {
-                console.log(describePlay(played, whole.length, tries));
+                console.log([describePlay(played, whole.length, tries), ...faults].join("\n        "));
             }
             expect(faults, `${faults.length} faults in ${played.streams.length} streams`).to.deep.equal([]);
             expect(tries.filter(({ after, events }) => after > 0 && events.length > 0).length).to.be.greaterThan(5);
