fix(serving): an answer without a length isn't broken by the end of another connection in the same turn

What callers saw: an answer that is whole counts as reset, so that its request is repeated, or its connection closed (LOST), when the connection to some server is closed with an error in the turn of the loop in which the answer's own connection ends, for example as another client has left. Answers with a length or in chunks are not concerned.

Cause: one mark for all connections says that a reset is being handled. It is cleared after all callbacks of the turn, and by reading in turns several connections are read in one.

Change: each connection says whether it was reset. In serverSockets.ts the two listeners move into limitReads.

--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -365,7 +365,7 @@
             }
         }),
         onResponseEnd: wrapHandler(() => {
-            const isReset = sockets.isResetting();
+            const isReset = socket?.wasReset() === true;
             delivery.end(() =>
                 finish(() =>
                     isReset
--- a/src/serving/serverSockets.ts
+++ b/src/serving/serverSockets.ts
@@ -17,6 +17,8 @@
     readonly markUseful: () => void;
     /** Whether the server has closed or reset the connection. */
     readonly hasEnded: () => boolean;
+    /** Whether the connection has ended otherwise than by the server's ordinary end. */
+    readonly wasReset: () => boolean;
     /** Reads nothing more of it until `release`. */
     readonly hold: () => void;
     readonly release: () => void;
@@ -29,8 +31,6 @@
     readonly connect: buildConnector.connector;
     /** Returns the connection whose bytes are being parsed. */
     readonly findCurrent: () => ServerSocket | undefined;
-    /** Whether the socket whose end is being handled was reset. */
-    readonly isResetting: () => boolean;
 }
 
 /** Bytes that a connection may bring beside those of answers, such as the sizes of chunks, before it is closed. */
@@ -60,24 +60,13 @@
         highWaterMark: undefined,
         readableHighWaterMark: pieceBytes,
     } as buildConnector.BuildOptions);
-    let isResetting = false;
     let current: ServerSocket | undefined;
-    const markReset = (): void => {
-        isResetting = true;
-        queueMicrotask(() => isResetting = false);
-    };
     return {
         connect: (connectOptions, callback) => {
             // the types don't tell that the connector returns its socket
             const opened: unknown = connectSocket(connectOptions, (...result) => {
                 const socket = result[1];
                 if (socket) {
-                    // undici treats a response without a length as complete when its connection is reset, and libuv reports a
-                    // reset that arrives together with the last bytes as an ordinary end. The listeners run before those of
-                    // undici and mark the reset until the end has been handled; a socket that was reset no longer has a remote
-                    // address
-                    socket.prependListener("error", markReset);
-                    socket.prependListener("end", () => socket.remoteAddress ?? markReset());
                     limitReads(socket, turns, read => current = read);
                 }
                 callback(...result);
@@ -85,7 +74,6 @@
             limitConnecting(opened as Socket, timeout);
         },
         findCurrent: () => current,
-        isResetting: () => isResetting,
     };
 }
 
@@ -131,6 +119,7 @@
     const readNow = socket.read.bind(socket);
     let isHeld = false;
     let hasEnded = false;
+    let wasReset = false;
     let pendingBytes: number | undefined;
     // nothing is known of the first bytes
     let isSlow = true;
@@ -149,6 +138,7 @@
             usefulBytes = 0;
         },
         hasEnded: () => hasEnded,
+        wasReset: () => wasReset,
         hold: () => isHeld = true,
         release: () => {
             if (isHeld) {
@@ -171,6 +161,14 @@
     const markEnd = (): void => {
         hasEnded = true;
     };
+    // undici treats a response without a length as complete when its connection is reset, and libuv reports a reset that
+    // arrives together with the last bytes as an ordinary end. The listeners run before those of undici; a socket that was
+    // reset no longer has a remote address
+    const markReset = (): void => {
+        wasReset = true;
+    };
+    socket.prependListener("error", markReset);
+    socket.prependListener("end", () => socket.remoteAddress ?? markReset());
     socket.prependListener("error", error => (error as NodeJS.ErrnoException).syscall === "read" && markEnd());
     socket.prependListener("end", markEnd);
     socket.once("close", () => reader.remove());
