fix(serving): a client that sends without end what is no request takes no time of the others

What callers saw: nothing yet. A client that goes on sending bytes that are no request beside its answer has all of them read for as long as the answer lasts.

Cause: since an answer in progress is ended before its connection, nothing bounds what comes after the first fault.

Change: the connection is closed when more than 64 KiB come after it, as much as a head may have; the answer then ends as by its client.

Evidence: a case of faultyConnections.test.ts that fails before (open; closed now).

--- a/src/serving/__tests__/faultyConnections.test.ts
+++ b/src/serving/__tests__/faultyConnections.test.ts
@@ -110,6 +110,20 @@
         close(opened);
     });
 
+    // guards against a client that sends without end beside its answer and takes the time of all others
+    it("are closed before the end of the answer when more comes than a head may have", async () => {
+        const opened = await open();
+        opened.client.write(requestText);
+        await pause(checkIntervalMilliseconds);
+        opened.client.write(Buffer.alloc(60_000));
+        await pause(answerMilliseconds);
+        expect(opened.answers[0]!.closed).to.equal(false);
+        opened.client.write(Buffer.alloc(200_000));
+        await pause(answerMilliseconds);
+        expect(opened.answers[0]!.closed).to.equal(true);
+        close(opened);
+    });
+
     it("are closed at once when no answer is in progress", async () => {
         for (const text of ["GET / HT", "\x00no request\r\n\r\n"]) {
             const opened = await open();
--- a/src/serving/faultyConnections.ts
+++ b/src/serving/faultyConnections.ts
@@ -5,10 +5,13 @@
  * @packageDocumentation
  */
 import type { Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
 
 /** Code of the HTTP server's error for a head that isn't complete in time. */
 const headTimeoutCode = "ERR_HTTP_REQUEST_TIMEOUT";
+/** Bytes after the first that can't be read with which a connection is closed before the end of its answer. */
+const faultyBytesLimit = 65_536;
 
 /**
  * Observes the connections of a server.
@@ -18,8 +21,8 @@
 export function closeFaultyConnections(server: Server): void {
     const answers = new WeakMap<Duplex, ServerResponse>();
     const lateHeads = new WeakMap<Duplex, NodeJS.Timeout>();
-    // each chunk after the first that can't be read is told again
-    const awaited = new WeakSet<ServerResponse>();
+    // bytes that had come with the first that can't be read; each chunk after it is told again
+    const readBytes = new WeakMap<ServerResponse, number>();
     server.prependListener("request", ({ socket }, response) => {
         clearTimeout(lateHeads.get(socket));
         answers.set(socket, response);
@@ -37,10 +40,15 @@
             socket.destroy();
             return;
         }
-        if (awaited.has(answer)) {
+        const { bytesRead } = socket as Socket;
+        const firstBytes = readBytes.get(answer);
+        if (firstBytes !== undefined) {
+            if (bytesRead - firstBytes > faultyBytesLimit) {
+                socket.destroy();
+            }
             return;
         }
-        awaited.add(answer);
+        readBytes.set(answer, bytesRead);
         const isLateHead = error.code === headTimeoutCode;
         answer.once("close", () => isLateHead ? limitHead(socket) : socket.destroy());
     });
