--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -387,7 +387,7 @@
             }
         }),
         onResponseEnd: wrapHandler(() => {
-            const isReset = sockets.isResetting();
+            const isReset = socket?.wasReset() === true;
             socket?.markEnd();
             delivery.end(() =>
                 finish(() =>
