--- a/src/serving/__tests__/readTurns.test.ts
+++ b/src/serving/__tests__/readTurns.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createReadTurns, type TurnReader } from "../readTurns.js";
+import { createReadTurns, type TurnReader, turnsPerRead } from "../readTurns.js";
 
 interface Rig {
     /** Names of the connections in the order of their reads, turn by turn. */
@@ -33,9 +33,11 @@
         runTurns: count => {
             for (let turn = 0; turn < count; turn++) {
                 turns.push([]);
-                const begin = beginTurn;
-                beginTurn = undefined;
-                begin?.();
+                for (let passed = 0; passed < turnsPerRead; passed++) {
+                    const begin = beginTurn;
+                    beginTurn = undefined;
+                    begin?.();
+                }
             }
         },
     };
--- a/src/serving/readTurns.ts
+++ b/src/serving/readTurns.ts
@@ -37,11 +37,13 @@
 const turnBytes = 262_144;
 /** Time for a read from which on its connection shares less time. */
 const slowMilliseconds: Milliseconds = 0.5;
+/** Time for connections whose last read took long, and for the others, until those that wait are read. */
+const laneMilliseconds = { slow: 1, quick: 5 } as const;
 /**
- * Time in a turn for connections whose last read took long, and for the others. The runtime accepts one connection in a
- * turn, so that a client waits for as many turns as others have come before it.
+ * Turns until those that wait are read. The runtime accepts one connection in a turn, so that a client waits for as many
+ * turns as others have come before it.
  */
-const laneMilliseconds = { slow: 1, quick: 5 } as const;
+export const turnsPerRead = 8;
 
 /**
  * Creates the turns without connections.
@@ -58,6 +60,7 @@
     const quick = createLane(laneMilliseconds.quick);
     let turn = 0;
     let isTurnComing = false;
+    let passedTurns = 0;
     // only asked for when a limit is reached: what was read in several quiet turns counts as one until then
     const expectTurn = (): void => {
         if (!isTurnComing) {
@@ -66,6 +69,12 @@
         }
     };
     const beginTurn = (): void => {
+        passedTurns++;
+        if (passedTurns < turnsPerRead) {
+            startTurn(beginTurn);
+            return;
+        }
+        passedTurns = 0;
         isTurnComing = false;
         turn++;
         [quick, slow].forEach(serveLane);
