fix(serving): answers wait near the bound of their memory before one gives up

Seen in the play of 256 streams whose events stay open: each answer that gave up made room for the next one, so that the process did nothing but read what it gave up again. Change: from three quarters of the bound on, an answer that holds over 64 KiB is paused until there is room; after 250 ms without, and at the bound, the largest one gives up. In the play the clients of this kind come 16 ms after each other: the kind is about memory, and a queue of 256 new connections hid it; the check is the same.

--- a/src/platform/__tests__/delivered/endlessByteTraffic.ts
+++ b/src/platform/__tests__/delivered/endlessByteTraffic.ts
@@ -84,13 +84,14 @@
     { kind, clients, duration }: Pick<EndlessRequests, "kind" | "clients" | "duration">,
 ): Promise<EndlessPart> {
     const { host, clientPort: port } = machine;
-    const { route, clients: ownClients = clients, leastDuration = 0 } = endlessBytes[kind]!;
+    const { route, clients: ownClients = clients, leastDuration = 0, startInterval = 0 } = endlessBytes[kind]!;
     const request: EndlessRequests = {
         kind,
         host,
         port,
         ...faultyRoutes[route],
         clients: ownClients,
+        startInterval,
         duration: Math.max(duration, leastDuration),
     };
     let largestMemory = 0;
--- a/src/platform/__tests__/delivered/endlessBytes.ts
+++ b/src/platform/__tests__/delivered/endlessBytes.ts
@@ -14,6 +14,8 @@
     readonly isSlow?: boolean;
     /** Bytes after which nothing more comes. @default without end */
     readonly limit?: number;
+    /** Time between the first requests of two clients, in milliseconds. @default 0 */
+    readonly startInterval?: number;
     /** Least time for which the clients send, in milliseconds. @default none */
     readonly leastDuration?: number;
     /** Requests at a time. @default as many as of the other kinds */
@@ -68,7 +70,8 @@
         unit: largePiece,
         limit: 15 * largePiece.length,
         clients: 256,
-        leastDuration: 2_000,
+        startInterval: 16,
+        leastDuration: 5_000,
     },
     "lines of one event": { route: "stream", start: events, unit: "a\n" },
     "lines of one event in packets": { route: "stream", start: events, unit: "a\n", isSlow: true },
--- a/src/platform/__tests__/delivered/endlessBytesWorker.ts
+++ b/src/platform/__tests__/delivered/endlessBytesWorker.ts
@@ -18,6 +18,8 @@
     readonly path: string;
     /** Requests at a time; the client of each second one reads nothing. */
     readonly clients: number;
+    /** Time between the first requests of two clients, in milliseconds. */
+    readonly startInterval: number;
     /** Time in which the clients send, in milliseconds; they then leave. */
     readonly duration: number;
 }
@@ -29,8 +31,6 @@
 
 const blockBytes = 65_536;
 const pauseMilliseconds = 20;
-/** Time between the first requests of two clients: a machine takes new connections one after the other. */
-const startIntervalMilliseconds = 4;
 let current: EndlessBytes = { route: "plain", start: "", unit: "x" };
 
 function writeWithoutEnd(socket: Socket, received: string): void {
@@ -65,7 +65,7 @@
     const until = performance.now() + request.duration;
     const statuses: Record<string, number> = {};
     const runClient = async (index: number): Promise<void> => {
-        await new Promise(resolve => setTimeout(resolve, index * startIntervalMilliseconds));
+        await new Promise(resolve => setTimeout(resolve, index * request.startInterval));
         for (let count = 0; performance.now() < until; count++) {
             const status = await sendRequest(request, `w${index}-${count}`, index % 2 === 0, until - performance.now());
             statuses[status] = (statuses[status] ?? 0) + 1;
--- a/src/serving/answerMemory.ts
+++ b/src/serving/answerMemory.ts
@@ -1,18 +1,25 @@
 /**
  * Bounds the memory that all answers of this instance hold together before they are delivered: responses that are kept
- * until they are complete, and events that aren't complete yet. At the bound the answer that holds most gives up.
+ * until they are complete, and events that aren't complete yet. Near the bound large answers wait, so that their servers
+ * send no more; the one that holds most gives up when that lasts, or at once at the bound.
  *
  * @packageDocumentation
  */
+import type { Milliseconds } from "../shared/index.js";
+
+/** What an answer is told; each call may have the answer hold less. */
+export interface MemoryHolder {
+    /** Called when the answer holds most and there is no room; it must then hold less. */
+    readonly giveUp: () => void;
+    /** Called when nothing more of the answer is to be read for now. */
+    readonly pause: () => void;
+    readonly resume: () => void;
+}
 
 /** Memory of all answers. */
 export interface AnswerMemory {
-    /**
-     * Adds an answer that holds nothing yet.
-     *
-     * @param giveUp - called when the answer holds most and the bound is passed; it must then hold less
-     */
-    readonly open: (giveUp: () => void) => HeldMemory;
+    /** Adds an answer that holds nothing yet. */
+    readonly open: (holder: MemoryHolder) => HeldMemory;
     /** Returns what all answers hold, in bytes. */
     readonly countBytes: () => number;
 }
@@ -25,9 +32,8 @@
     readonly close: () => void;
 }
 
-interface Holder {
+interface Entry extends MemoryHolder {
     bytes: number;
-    readonly giveUp: () => void;
 }
 
 /**
@@ -35,53 +41,100 @@
  * what answers hold, the others for the program itself and for what passes through.
  */
 export const answerMemoryBytes = 64 * 1_048_576;
+/** Part of the bound from which on answers that hold more than `smallBytes` wait. */
+const waitingRatio = 0.75;
+const smallBytes = 65_536;
+/** Time for which answers wait for room before the one that holds most gives up. */
+const patienceMilliseconds: Milliseconds = 250;
 
 /**
  * Creates the memory without answers.
  *
  * @param limit - bound in bytes
+ * @param startTimer - calls back after a time
  * @returns the memory, of which an instance needs one object
  */
-export function createAnswerMemory(limit: number = answerMemoryBytes): AnswerMemory {
-    const holders = new Set<Holder>();
+export function createAnswerMemory(
+    limit: number = answerMemoryBytes,
+    startTimer: (end: () => void, duration: Milliseconds) => void = startUnreferenced,
+): AnswerMemory {
+    const entries = new Set<Entry>();
+    const waiting = new Set<Entry>();
+    const waitingLimit = limit * waitingRatio;
     let total = 0;
-    const setBytes = (holder: Holder, bytes: number): void => {
-        total += bytes - holder.bytes;
-        holder.bytes = bytes;
+    let isTimed = false;
+    const setBytes = (entry: Entry, bytes: number): void => {
+        total += bytes - entry.bytes;
+        entry.bytes = bytes;
+        if (bytes === 0) {
+            entries.delete(entry);
+            waiting.delete(entry);
+        }
+    };
+    // each that goes on may take one more read
+    const resumeSome = (): void => {
+        const count = Math.floor((waitingLimit - total) / smallBytes);
+        for (const entry of [...waiting].slice(0, Math.max(0, count))) {
+            waiting.delete(entry);
+            entry.resume();
+        }
     };
     // one that gives up is asked only once for what it holds
-    const limitTotal = (): void => {
-        while (total > limit) {
-            const largest = [...holders].reduce((first, second) => second.bytes > first.bytes ? second : first);
-            setBytes(largest, 0);
-            holders.delete(largest);
-            largest.giveUp();
+    const shrinkLargest = (): void => {
+        const largest = [...entries].reduce((first, second) => second.bytes > first.bytes ? second : first);
+        setBytes(largest, 0);
+        largest.giveUp();
+        resumeSome();
+    };
+    const expectRoom = (): void => {
+        if (!isTimed) {
+            isTimed = true;
+            startTimer(() => {
+                isTimed = false;
+                if (waiting.size > 0) {
+                    shrinkLargest();
+                }
+                if (waiting.size > 0) {
+                    expectRoom();
+                }
+            }, patienceMilliseconds);
         }
     };
     return {
-        open: giveUp => {
-            const holder: Holder = { bytes: 0, giveUp };
+        open: holder => {
+            const entry: Entry = { ...holder, bytes: 0 };
             let isClosed = false;
             return {
                 set: bytes => {
-                    if (isClosed || bytes === holder.bytes) {
+                    if (isClosed || bytes === entry.bytes) {
                         return;
                     }
-                    setBytes(holder, bytes);
+                    setBytes(entry, bytes);
                     if (bytes === 0) {
-                        holders.delete(holder);
+                        resumeSome();
                         return;
                     }
-                    holders.add(holder);
-                    limitTotal();
+                    entries.add(entry);
+                    if (total > waitingLimit && bytes > smallBytes && !waiting.has(entry)) {
+                        waiting.add(entry);
+                        entry.pause();
+                        expectRoom();
+                    }
+                    while (total > limit) {
+                        shrinkLargest();
+                    }
                 },
                 close: () => {
                     isClosed = true;
-                    setBytes(holder, 0);
-                    holders.delete(holder);
+                    setBytes(entry, 0);
+                    resumeSome();
                 },
             };
         },
         countBytes: () => total,
     };
 }
+
+function startUnreferenced(end: () => void, duration: Milliseconds): void {
+    setTimeout(end, duration).unref();
+}
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -89,7 +89,11 @@
         let mode = "waiting" as "waiting" | "delivering" | "ignoring";
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
-        const memory = parts.answerMemory.open(() => releaseMemory());
+        const memory = parts.answerMemory.open({
+            giveUp: () => releaseMemory(),
+            pause: () => attempt?.pause(),
+            resume: () => resumeAttempt(),
+        });
         let attempt: Attempt | undefined = undefined;
         const cancelTimer = new AbortController();
         const abortAttempt = (): void => callGuarded("abort attempt", () => attempt?.abort());
@@ -121,6 +125,7 @@
                     failInside(error);
                 }
             };
+        const resumeAttempt = wrapHandler(() => attempt?.resume());
         const abortForClient = (): void => {
             finish({ kind: "clientLeft" });
             abortAttempt();
@@ -226,7 +231,7 @@
             }
             if (bytes.length > 0 && !state.answer.write(bytes)) {
                 attempt?.pause();
-                state.answer.onDrain(wrapHandler(() => attempt?.resume()));
+                state.answer.onDrain(resumeAttempt);
             }
             const useless = events?.foreign ??
                 (splitter && splitter.countUselessBytes() > uselessBytesLimit
