--- a/src/serving/__tests__/orderPlay.ts
+++ b/src/serving/__tests__/orderPlay.ts
@@ -9,11 +9,11 @@
 import { type OrderServer, startOrderServer, type StreamBreak } from "./orderServers.js";
 import { testCodec, testConfig, testService } from "./testCodec.js";
 import { putTestConfiguration, startTestInstance, type TestInstance } from "./testInstance.js";
-import { createServerLinks, findFreePorts, type ServerLinks, type TestCut } from "./testServers.js";
+import { createOwnHost, createServerLinks, findFreePorts, type ServerLinks, type TestCut } from "./testServers.js";
 import { createMemoryStore, type MemoryStore, pause } from "./testStore.js";
 
 /** No connection of a client has this address, so that the ports of an instance stay free while it starts again. */
-const host = "127.0.0.71";
+const host = createOwnHost(71);
 const instanceCount = 5;
 const shardCount = 4;
 const graceMilliseconds = 4_000;
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -199,8 +199,8 @@
     };
 }
 
-/** Address of the links; no client's connection has it, so that their ports stay free in a cut. */
-const linkHost = "127.0.0.72";
+/** Address of the links; no client's connection and no other test has it, so that their ports stay free in a cut. */
+const linkHost = createOwnHost(72);
 
 /** Links of one instance to all servers, each through a port of its own. */
 export interface ServerLinks {
@@ -278,6 +278,16 @@
     };
 }
 
+/**
+ * Creates an address of this machine that no other process of the tests uses.
+ *
+ * @param network - second byte, for addresses of different use
+ * @returns the address
+ */
+export function createOwnHost(network: number): string {
+    return `127.${network}.${process.pid >> 8 & 127}.${process.pid & 255}`;
+}
+
 /**
  * Finds ports that no program listens on.
  *
