fix(serving): requests of a closed connection are not counted as open, also those that waited for an earlier one

What callers saw: nothing yet. A client that sends requests without waiting for their answers and then leaves has those behind the first count as open for good; a stop of the instance then lasts to the end of its grace and cuts off nothing.

Cause: the response to such a request has no connection yet, so it isn't closed with it.

Change: the end of a connection ends the count of all its requests.

Evidence: a case of clientServer.test.ts that fails before (1 open; 0 now).

--- a/src/serving/__tests__/clientServer.test.ts
+++ b/src/serving/__tests__/clientServer.test.ts
@@ -197,6 +197,21 @@
         expect(received[2]!.signal.reason).to.equal("instance");
     });
 
+    // guards against a stop that waits to the end of its grace for the requests of a client that has left
+    it("counts no request of a closed connection, also one that waits for an earlier one", async () => {
+        const { server, port, received } = await openServer(() => undefined);
+        const socket = connect(port, "127.0.0.1");
+        socket.write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+        while (received.length < 2) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        expect(server.countOpen()).to.equal(2);
+        socket.destroy();
+        await new Promise(resolve => setTimeout(resolve, 100));
+        expect(server.countOpen()).to.equal(0);
+        server.close();
+    });
+
     it("aborts the signal when the client disconnects", async () => {
         const { server, port, received } = await openServer(() => undefined);
         const socket = connect(port, "127.0.0.1");
--- a/src/serving/clientConnections.ts
+++ b/src/serving/clientConnections.ts
@@ -49,7 +49,11 @@
     return {
         addSocket: socket => {
             connections.set(socket, { requests: 0, readBytes: 0 });
-            socket.once("close", () => connections.delete(socket));
+            // the response to a request that waits for an earlier one isn't closed with the connection
+            socket.once("close", () => {
+                connections.delete(socket);
+                [...open].filter(({ request }) => request.socket === socket).forEach(entry => open.delete(entry));
+            });
         },
         addRequest: (request, response) => {
             const { socket } = request;
