fix(serving): a request that no server has got is tried again at servers that weren't reached, where no other one is left

What callers saw: 503 ("no server") beside a silence of all servers of a service that lasts little more than a second. Since the limit of a connect holds, a request that meets three such servers has excluded all of them after 1.2 s, just before they go on.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -378,6 +378,19 @@
         expect([outcome.status, outcome.sent.length]).to.deep.equal([502, 1]);
     });
 
+    // guards against requests that are refused beside a silence of all servers, which take connections again a second later
+    it("is sent again to servers that weren't reached, where no other one is left", async () => {
+        const failUnreached: AttemptScript = handlers => handlers.onFault({ kind: "notSent", detail: "" });
+        const outcome = await runCase({
+            attempts: [failUnreached, failUnreached, failUnreached, sendComplete("x")],
+            route: once,
+        });
+        expect([outcome.body, new Set(outcome.sent.map(({ server }) => server.id)).size]).to.deep.equal(["x", 3]);
+        const failBroken: AttemptScript = handlers => handlers.onFault({ kind: "broken", detail: "" });
+        const safe = await runCase({ attempts: [failUnreached, failUnreached, failBroken, sendComplete("y")] });
+        expect(safe.sent[3]!.server.id).not.to.equal(safe.sent[2]!.server.id);
+    });
+
     it("goes to any of equally idle servers, so that instances with few requests don't all choose the same", async () => {
         const servers = new Set<string>();
         for (let seed = 1; seed <= 30; seed++) {
--- a/src/serving/attemptFaults.ts
+++ b/src/serving/attemptFaults.ts
@@ -47,6 +47,9 @@
     if (fault.kind !== "rerouted") {
         state.excludedServers.add(run);
     }
+    if (fault.kind === "notSent") {
+        state.unreachedServers.add(run);
+    }
     if (!hasSentBytes(fault)) {
         state.triedServers.delete(run);
     }
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -109,6 +109,8 @@
     readonly refusedBy: Set<ServerRunId>;
     /** Servers that the request must not be sent to again. */
     readonly excludedServers: Set<ServerRunId>;
+    /** Those of them that were not reached, which may be reached again a moment later. */
+    readonly unreachedServers: Set<ServerRunId>;
     /** Attempts so far, including those that no server has received or run. */
     attemptCount: number;
     /** Whether a server may have run the request; it is then answered 502 or 504 instead of 503 if it fails. */
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -146,6 +146,7 @@
         triedServers: new Set(),
         refusedBy: new Set(),
         excludedServers: new Set(),
+        unreachedServers: new Set(),
         attemptCount: 0,
         mayHaveRun: false,
         lastEventId: request.lastEventId,
@@ -268,6 +269,7 @@
     const shedding = parts.servers.listShedding(now);
     const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
     const servers = listServers();
+    restoreUnreached(state, servers, excluded, shedding);
     if (origin && state.answer.hasBegun()) {
         restoreServers(state, servers, excluded, shedding);
     }
@@ -334,6 +336,25 @@
     }
 }
 
+// servers that all fall silent go on together; a request that no server has got is tried again where none is left
+function restoreUnreached(
+    state: RequestState,
+    servers: readonly BackendServer[],
+    excluded: Set<ServerRunId>,
+    shedding: ReadonlyMap<ServerRunId, Milliseconds>,
+): void {
+    if (servers.some(server => !excluded.has(formatServerRunId(server)))) {
+        return;
+    }
+    for (const run of state.unreachedServers) {
+        state.excludedServers.delete(run);
+        if (!shedding.has(run)) {
+            excluded.delete(run);
+        }
+    }
+    state.unreachedServers.clear();
+}
+
 // an instance with few requests finds most servers idle: the first of equal ones must not be the same for all instances
 function moveStart<Item>(items: readonly Item[], fraction: number): readonly Item[] {
     const start = Math.floor(items.length * fraction);
