--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -7,7 +7,7 @@
 import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../serving/serverConnections.js";
 import { formatServerRunId } from "../serving/types.js";
 import { createLogger, type InstanceId } from "../shared/index.js";
-import { callGuarded, startTask } from "../supervision/index.js";
+import { startTask } from "../supervision/index.js";
 import { type AttemptEvent, type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
 
 /** An answer is due after the wait of the other instance at the latest. */
@@ -15,8 +15,6 @@
 /** Time for the answer to an abort, which may be lost like any message; it is then sent again. */
 const abortTimeoutMilliseconds = 120;
 const maximumAborts = 3;
-/** Interval at which the helper is told that an attempt goes on whose client doesn't read; the helper gives up after 1.5 s. */
-const keepMilliseconds = 500;
 const maximumDetailLength = 200;
 const log = createLogger("forwarding");
 
@@ -93,19 +91,8 @@
                 break;
         }
     };
-    const waitUntilResumed = async (): Promise<void> => {
-        if (!isPaused) {
-            return;
-        }
-        const keepAtHelper = (): void =>
-            void callGuarded(
-                "keep of a forwarded attempt",
-                () => network.send(helper, "forwarding", { kind: "keep", id }),
-            );
-        const timer = setInterval(keepAtHelper, keepMilliseconds);
-        await new Promise<void>(resolve => wakeReader = resolve);
-        clearInterval(timer);
-    };
+    const waitUntilResumed = (): Promise<void> =>
+        isPaused ? new Promise(resolve => wakeReader = resolve) : Promise.resolve();
     const run = async (): Promise<void> => {
         const { body, method, target, headers, attemptId } = request;
         const serverRun = formatServerRunId(request.server);
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -25,8 +25,6 @@
 export interface ForwardService {
     readonly start: (message: StartMessage) => Promise<ForwardingMessage>;
     readonly read: (id: string) => Promise<ForwardingMessage>;
-    /** Keeps the events of an attempt whose client doesn't read at present. */
-    readonly keep: (id: string) => void;
     readonly abort: (id: string) => void;
     readonly hasRoom: () => boolean;
     /** Returns the number of attempts of others in progress. */
@@ -150,12 +148,6 @@
             const entry = attempts.get(id);
             return entry ? take(id, entry) : { kind: "refused", reason: "attempt unknown" };
         },
-        keep: id => {
-            const entry = attempts.get(id);
-            if (entry) {
-                entry.askedAt = clock.now();
-            }
-        },
         abort,
         hasRoom,
         countAttempts: () => attempts.size,
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -259,9 +259,6 @@
                     return service.start(message);
                 case "read":
                     return service.read(message.id);
-                case "keep":
-                    service.keep(message.id);
-                    return undefined;
                 case "abort":
                     service.abort(message.id);
                     return { kind: "aborted" };
