fix(platform): a signal that tells of a changed settings file isn't forgotten while the file is being read

What operators saw: a process that was told of a new grace by SIGHUP and stopped 0.1 s later went by the old one.

Cause: a check that was asked for while one was running was taken for that one, which may have read the file before its change, or while it was being written; the next one came up to a second later, or, with a stop, never.

Evidence: settingsFollower.test.ts, "is read again when a check is asked for while one is running": one read before, two after.

--- a/src/platform/__tests__/settingsFollower.test.ts
+++ b/src/platform/__tests__/settingsFollower.test.ts
@@ -90,6 +90,27 @@
         ]);
     });
 
+    // guards against a signal that comes while the file before its change is being read, and is forgotten
+    it("is read again when a check is asked for while one is running", async () => {
+        const started = decodeSettings(JSON.stringify(file));
+        const reads: ((text: string) => void)[] = [];
+        const graces: number[] = [];
+        const follower = createSettingsFollower({
+            started: started.ok ? started.value : expect.fail(started.error.detail),
+            text: JSON.stringify(file),
+            readText: () => new Promise(resolve => reads.push(resolve)),
+            onBounds: ({ gracePeriod }) => graces.push(gracePeriod),
+            log: { info: () => undefined, warn: () => undefined },
+        });
+        const checked = Promise.all([follower.check(), follower.check()]);
+        reads[0]!(JSON.stringify(file));
+        await pause(1);
+        expect(reads).to.have.length(2);
+        reads[1]!(encodeFile({ bounds: { ...file.bounds, grace_s: 3 } }));
+        await checked;
+        expect([graces, reads.length]).to.deep.equal([[3_000], 2]);
+    });
+
     // guards against a process that goes by the grace of its start, so that it is killed with answers in progress (LOST)
     it("gives the grace of a stop, whether a signal tells of the change or not", async () => {
         await runDeployment({
--- a/src/platform/settingsFollower.ts
+++ b/src/platform/settingsFollower.ts
@@ -81,6 +81,7 @@
     // `undefined` when it couldn't be read
     let text: string | undefined = options.text;
     let checking: Promise<void> | undefined;
+    let isAskedAgain = false;
     const applyBounds = (next: PlatformBounds): void => {
         const names = Object.keys(next) as (keyof PlatformBounds)[];
         const changed = names.filter(name => next[name] !== bounds[name]);
@@ -122,5 +123,19 @@
             applyText(text);
         }
     };
-    return { check: () => checking ??= readAndApply().finally(() => checking = undefined) };
+    // what is being read may be older than the change that a further check was asked for
+    const checkUntilNewest = async (): Promise<void> => {
+        do {
+            isAskedAgain = false;
+            await readAndApply();
+        }
+        while (isAskedAgain);
+    };
+    return {
+        check: () => {
+            isAskedAgain = checking !== undefined;
+            checking ??= checkUntilNewest().finally(() => checking = undefined);
+            return checking;
+        },
+    };
 }
