--- a/src/platform/__tests__/settingsFollower.test.ts
+++ b/src/platform/__tests__/settingsFollower.test.ts
@@ -118,6 +118,8 @@
             servers: [{ service, id: "i-1", respond: () => true }],
             machines: 2,
         }, async ({ machines }) => {
+            // an instance may be ready before it knows the servers
+            await pause(1_000);
             const endings = machines.map(async (machine, index) => {
                 const answer = sendClientRequest({
                     host: machine.host,
