fix(peers): a stopped instance closes each connection, also one that another has replaced

Cause: two instances that connect to each other at once have two connections, and the one opened last takes the place of the other in the map. The stop closed those of the map; the other one lived until its idle time of 60 s. A connection whose handshake ended after the stop was closed by nobody either.

Evidence: what kept the process was printed 15 s after the last test: connections from an instance to another instance alone.

Change: all open connections are kept in a set, and a connection that opens after the stop is closed.

--- a/src/peers/peerTask.ts
+++ b/src/peers/peerTask.ts
@@ -86,6 +86,8 @@
  */
 export function createPeerTask(options: PeerTaskOptions): PeerTask {
     const connections = new Map<InstanceId, PeerConnection>();
+    // two instances may connect to each other at once: the connection that isn't used any more is open all the same
+    const openConnections = new Set<PeerConnection>();
     // when a frame of each connection came last
     const heardAt = new WeakMap<PeerConnection, Milliseconds>();
     const connectionAttempts = new Map<InstanceId, ConnectionAttempt>();
@@ -95,9 +97,15 @@
     const counts = { sentFrames: 0, receivedFrames: 0, droppedFrames: 0, refusedMessages: 0 };
     let refusalLoggedAt = Number.NEGATIVE_INFINITY;
     let server: WebSocketServer | undefined;
+    let isStopped = false;
 
     const events: ConnectionEvents = {
         onOpen: connection => {
+            openConnections.add(connection);
+            if (isStopped) {
+                connection.close();
+                return;
+            }
             connections.set(connection.peer, connection);
             heardAt.set(connection, options.clock.now());
         },
@@ -107,6 +115,7 @@
             callGuarded("message of an instance", () => receiveFrame(connection, frame));
         },
         onClose: connection => {
+            openConnections.delete(connection);
             if (connections.get(connection.peer) === connection) {
                 connections.delete(connection.peer);
                 pending.failAll(connection.peer, { kind: "disconnected" });
@@ -248,7 +257,8 @@
     };
     const run = async (signal: AbortSignal): Promise<void> => {
         await waitForAbort(signal);
-        connections.forEach(connection => connection.close());
+        isStopped = true;
+        openConnections.forEach(connection => connection.close());
         server?.close();
     };
     return {
