--- a/src/testing/mochaSetup.ts
+++ b/src/testing/mochaSetup.ts
@@ -5,6 +5,7 @@
  */
 import { setLogLevel } from "../shared/index.js";
 import { readKnownRed } from "./knownRed.js";
+import { watchEnd } from "./processEnd.js";
 import { saveSnapshots } from "./snapshot.js";
 
 const knownRedTitles = readKnownRed("test");
@@ -27,6 +28,7 @@
     afterAll: () => {
         saveSnapshots();
         process.stdout.write(`\n${passed} passed, ${failed} failed\n`);
+        watchEnd();
     },
 };
 
