test(serving): a request of a run that has ended doesn't end the next run of a server of the tests

What was seen: `crashingPrompt.test.ts` passed and its process went on for as long as it was watched (6 minutes), in 4 of 5 runs, by a server that listened.

Cause: an answer with the crashing part that began after its server's run had ended counted for the next run and ended it, before that one listened. Two runs were then started, and the first was closed by nobody. A run that was to begin later than the stop kept the process as well, for 58 s in `restartedInstances.test.ts`, by its timer of 60 s.

Evidence: the stack of `listen` of the server that was left: the timer of the restart.

--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, createServer as createNetServer, type Socket } from "node:net";
+import { startDetached } from "../../testing/index.js";
 import type { BackendServer } from "../types.js";
 import { firstTestAccount, testService } from "./testCodec.js";
 import { testHost } from "./testHost.js";
@@ -106,7 +107,8 @@
         server?.close();
         sockets.forEach(socket => socket.resetAndDestroy());
         store.put("servers", `s-${index}-${endedRun}`, undefined);
-        setTimeout(() => world.stopping.aborted || void listen(), options.restartDelay ?? 1_000);
+        const restart = setTimeout(() => startDetached(listen()), options.restartDelay ?? 1_000);
+        world.stopping.addEventListener("abort", () => clearTimeout(restart), { once: true });
     };
     const respond = (request: IncomingMessage, response: ServerResponse, body: string): void => {
         const parts = String(request.headers.parts ?? "").split(",");
@@ -140,7 +142,12 @@
             setTimeout(end, 20, run);
             return;
         }
-        setTimeout(() => writeAnswer(request, response, headers), options.readHeadDelay?.() ?? 0);
+        const arrivedRun = run;
+        // a request of a run that has ended doesn't end the next one
+        setTimeout(
+            () => arrivedRun === run && writeAnswer(request, response, headers),
+            options.readHeadDelay?.() ?? 0,
+        );
     };
     const writeAnswer = (
         request: IncomingMessage,
@@ -166,18 +173,26 @@
         setTimeout(() => response.end(), (count - first) * interval);
     };
     const listen = async (): Promise<void> => {
-        server = createServer((request, response) => {
+        if (world.stopping.aborted) {
+            return;
+        }
+        const opened = createServer((request, response) => {
             const chunks: Buffer[] = [];
             request.on("data", (chunk: Buffer) => chunks.push(chunk));
             request.once("end", () => respond(request, response, Buffer.concat(chunks).toString()));
         });
-        server.on("connection", socket => {
+        server = opened;
+        opened.on("connection", socket => {
             sockets.add(socket);
             socket.on("error", () => undefined);
             socket.once("close", () => sockets.delete(socket));
         });
-        await new Promise<void>(resolve => server!.listen(0, "127.0.0.1", resolve));
-        port = (server.address() as AddressInfo).port;
+        await new Promise<void>(resolve => opened.listen(0, "127.0.0.1", resolve));
+        if (world.stopping.aborted) {
+            opened.close();
+            return;
+        }
+        port = (opened.address() as AddressInfo).port;
         writeEntry();
     };
     const writeEntry = (): void => {
