fix(shared): a reset of a connection whose end is on its way leaves no descriptor, and no process that never ends

Cause: a reset while the end of the same connection is being sent is refused by Node.js (EINVAL), which keeps the descriptor for good; at its end the process waits for that handle without end. `resetAndDestroy` alone sends an end first, so that any other owner which closes the connection in the next turns meets just that, such as a link of the test fleet.

Evidence: the stack of both processes: `Environment::CleanupHandles`, `uv_run` without end, beside connections that are destroyed and have no descriptor any more; a program of ten lines shows both (EINVAL, then full speed until it is ended).

Change: `resetSocket` is the one way to reset; the linter says so. It resets at once, and closes a connection whose end is on its way, with all its bytes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,6 +30,10 @@
             "no-restricted-syntax": [
                 "error",
                 { selector: "Literal[raw='null']", message: "Use undefined; for JSON use jsonNull of shared/json." },
+                {
+                    selector: "MemberExpression[property.name='resetAndDestroy']",
+                    message: "Use resetSocket of shared/resetSocket, which leaves no descriptor open.",
+                },
             ],
             "@typescript-eslint/switch-exhaustiveness-check": "error",
             "@typescript-eslint/no-floating-promises": ["error", { ignoreVoid: false }],
--- a/src/serving/__tests__/cutHeads.test.ts
+++ b/src/serving/__tests__/cutHeads.test.ts
@@ -3,7 +3,13 @@
 import { sendThroughInstance } from "../../forwarding/forwardClient.js";
 import { createForwardService } from "../../forwarding/forwardService.js";
 import type { PeerNetwork } from "../../peers/index.js";
-import { createSeededRandom, createSystemClock, type SeededRandom, wrapValue } from "../../shared/index.js";
+import {
+    createSeededRandom,
+    createSystemClock,
+    resetSocket,
+    type SeededRandom,
+    wrapValue,
+} from "../../shared/index.js";
 import { startDetached } from "../../testing/index.js";
 import { type AttemptHandlers, createServerConnections, type ServerConnections } from "../serverConnections.js";
 import type { BackendServer, HeaderCodec } from "../types.js";
@@ -117,7 +123,7 @@
         return;
     }
     if (plan.isReset) {
-        socket.resetAndDestroy();
+        resetSocket(socket);
     }
     else {
         socket.end();
--- a/src/serving/__tests__/endlessAnswers.test.ts
+++ b/src/serving/__tests__/endlessAnswers.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import fc from "fast-check";
 import { type AddressInfo, createServer, type Socket } from "node:net";
+import { resetSocket } from "../../shared/index.js";
 import type { ReadTurns } from "../readTurns.js";
 import { type AttemptFault, createServerConnections, type ServerConnections } from "../serverConnections.js";
 import type { BackendServer, HeaderCodec } from "../types.js";
@@ -155,7 +156,7 @@
         const seen = await sendTo(socket => {
             socket.write(`${head}\r\nabc`);
             setTimeout(() => socket.write("def"), 20);
-            setTimeout(() => socket.resetAndDestroy(), 50);
+            setTimeout(() => resetSocket(socket), 50);
         }, true);
         expect(seen.end).to.include({ kind: "broken" });
     });
@@ -209,7 +210,7 @@
             const closed = await sendTo(socket => socket.end(bytes));
             const reset = await sendTo(socket => {
                 socket.write(bytes);
-                setTimeout(() => socket.resetAndDestroy(), 30);
+                setTimeout(() => resetSocket(socket), 30);
             });
             const faults = [closed, reset].map(({ end }) => end as AttemptFault);
             expect(faults.map(({ kind }) => kind)).to.deep.equal(["broken", "broken"]);
--- a/src/serving/__tests__/heldAnswers.test.ts
+++ b/src/serving/__tests__/heldAnswers.test.ts
@@ -1,5 +1,6 @@
 import { expect } from "chai";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
+import { resetSocket } from "../../shared/index.js";
 import { type Attempt, createServerConnections } from "../serverConnections.js";
 import { testCodec } from "./testCodec.js";
 import { pause } from "./testStore.js";
@@ -18,8 +19,8 @@
 const endings: Readonly<Record<string, Ending>> = {
     "ended with its last bytes": socket => socket.end(),
     ended: socket => setTimeout(() => socket.end(), holdMilliseconds / 3),
-    "reset with its last bytes": socket => socket.resetAndDestroy(),
-    reset: socket => setTimeout(() => socket.resetAndDestroy(), holdMilliseconds / 3),
+    "reset with its last bytes": socket => resetSocket(socket),
+    reset: socket => setTimeout(() => resetSocket(socket), holdMilliseconds / 3),
 };
 // an answer that has its whole length is whole, whatever becomes of its connection
 const isWhole = (form: keyof typeof forms, ending: string): boolean =>
--- a/src/serving/__tests__/orderServers.ts
+++ b/src/serving/__tests__/orderServers.ts
@@ -3,7 +3,7 @@
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
-import type { SeededRandom } from "../../shared/index.js";
+import { resetSocket, type SeededRandom } from "../../shared/index.js";
 import type { BackendServer } from "../types.js";
 import type { MemoryStore } from "./testStore.js";
 
@@ -150,7 +150,7 @@
         // nothing tells an end between two events from the end of a stream that ends with its connection
         const isUnclear = how === "betweenEvents" && form === "connection";
         if (how === "reset" || isUnclear || !response.headersSent) {
-            socket?.resetAndDestroy();
+            socket && resetSocket(socket);
             return;
         }
         if (how === "insideEvent") {
--- a/src/serving/__tests__/serverConnections.test.ts
+++ b/src/serving/__tests__/serverConnections.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { waitForEvents } from "../../shared/index.js";
+import { resetSocket, waitForEvents } from "../../shared/index.js";
 import { startDetached } from "../../testing/index.js";
 import type { LoopGate } from "../loopDelay.js";
 import { type Attempt, createServerConnections, type ServerConnections } from "../serverConnections.js";
@@ -194,7 +194,7 @@
 
     const breaks: readonly (readonly [string, (socket: Socket) => void])[] = [
         ["by a close before the response", socket => socket.end()],
-        ["by a reset before the response", socket => socket.resetAndDestroy()],
+        ["by a reset before the response", socket => resetSocket(socket)],
         ["by an end within the head", socket => socket.end("HTTP/1.1 200 OK\r\nId")],
         ["by an end within a body with a content length", socket => socket.end(`${head}Content-Length: 9\r\n\r\nabc`)],
         [
@@ -217,14 +217,14 @@
     it("is broken when the connection of a response without a length is reset", async () => {
         const observed = await runAttempt(socket => {
             socket.write(`${head}Connection: close\r\n\r\nabc`);
-            setTimeout(() => socket.resetAndDestroy(), 30);
+            setTimeout(() => resetSocket(socket), 30);
         });
         expect(observed.end).to.equal("broken");
     });
 
     it("is broken when the reset arrives together with the last bytes", async () => {
         const observed = await runAttempt(socket =>
-            socket.write(`${head}Connection: close\r\n\r\nabc`, () => socket.resetAndDestroy())
+            socket.write(`${head}Connection: close\r\n\r\nabc`, () => resetSocket(socket))
         );
         expect(observed.end).to.equal("broken");
     });
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -3,6 +3,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, createServer as createNetServer, type Socket } from "node:net";
+import { resetSocket } from "../../shared/index.js";
 import { startDetached } from "../../testing/index.js";
 import type { BackendServer } from "../types.js";
 import { firstTestAccount, testService } from "./testCodec.js";
@@ -105,7 +106,7 @@
         port = undefined;
         world.crashes.push(performance.now());
         server?.close();
-        sockets.forEach(socket => socket.resetAndDestroy());
+        sockets.forEach(socket => resetSocket(socket));
         store.put("servers", `s-${index}-${endedRun}`, undefined);
         const restart = setTimeout(() => startDetached(listen()), options.restartDelay ?? 1_000);
         world.stopping.addEventListener("abort", () => clearTimeout(restart), { once: true });
@@ -216,7 +217,7 @@
         writeEntry,
         deleteEntry: () => store.put("servers", readId(), undefined),
         restart: () => end(run),
-        resetConnections: () => sockets.forEach(socket => socket.resetAndDestroy()),
+        resetConnections: () => sockets.forEach(socket => resetSocket(socket)),
         close: () => {
             server?.close();
             sockets.forEach(socket => socket.destroy());
@@ -263,14 +264,14 @@
     const relay = createNetServer(near => {
         const serverPort = readPort();
         if (serverPort === undefined) {
-            near.resetAndDestroy();
+            resetSocket(near);
             return;
         }
         const far = connect({ host, port: serverPort });
         for (const [socket, other] of [[near, far], [far, near]] as const) {
             sockets.add(socket);
             // a reset is passed on as one
-            socket.on("error", () => other.resetAndDestroy());
+            socket.on("error", () => resetSocket(other));
             socket.once("close", () => {
                 sockets.delete(socket);
                 other.destroy();
@@ -285,13 +286,13 @@
         port,
         setCut: async (cut: TestCut): Promise<void> => {
             if (cut === "none") {
-                sockets.forEach(socket => socket.resetAndDestroy());
+                sockets.forEach(socket => resetSocket(socket));
                 await listen(port);
                 return;
             }
             relay.close();
             if (cut === "refused") {
-                sockets.forEach(socket => socket.resetAndDestroy());
+                sockets.forEach(socket => resetSocket(socket));
             }
             if (cut === "frozen") {
                 sockets.forEach(socket => socket.pause());
--- a/src/serving/clientServer.ts
+++ b/src/serving/clientServer.ts
@@ -6,7 +6,7 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, Server as ListeningServer } from "node:net";
 import restana from "restana";
-import type { Milliseconds } from "../shared/index.js";
+import { type Milliseconds, resetSocket } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
 import { createByteStore } from "./byteStore.js";
 import { createConnectionTable, type OpenRequest } from "./clientConnections.js";
@@ -275,8 +275,8 @@
 
 // an answer without chunks may have no length, and its client takes the end of the connection for its end
 function abortResponse(response: ServerResponse): void {
-    if (response.headersSent && !response.chunkedEncoding) {
-        response.socket?.resetAndDestroy();
+    if (response.socket && response.headersSent && !response.chunkedEncoding) {
+        resetSocket(response.socket);
     }
     response.destroy();
 }
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -14,5 +14,6 @@
 export * from "./logSink.js";
 export * from "./networkAddress.js";
 export * from "./random.js";
+export * from "./resetSocket.js";
 export * from "./result.js";
 export * from "./time.js";
--- a/src/standins/faultyBackend.ts
+++ b/src/standins/faultyBackend.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import { type AddressInfo, createServer, type Server, type Socket } from "node:net";
-import { jsonNull } from "../shared/index.js";
+import { jsonNull, resetSocket } from "../shared/index.js";
 
 /** How the backend handles one request. */
 export type BackendBehavior =
@@ -118,7 +118,7 @@
             }
         });
     });
-    const resetSockets = (): void => sockets.forEach(socket => void socket.resetAndDestroy());
+    const resetSockets = (): void => sockets.forEach(socket => resetSocket(socket));
     const port = await startListening(server);
     return {
         address: `127.0.0.1:${port}`,
@@ -160,7 +160,7 @@
 function serveRequest(served: ServedRequest, behavior: BackendBehavior): void {
     const { socket, run, answer, finish } = served;
     const send = (pieces: readonly string[]): void => pieces.forEach(piece => void socket.write(piece));
-    const reset = (): void => void setImmediate(() => socket.resetAndDestroy());
+    const reset = (): void => void setImmediate(() => resetSocket(socket));
     const { pieces } = answer;
     run.ran = behavior.kind !== "refuse" && (behavior.kind !== "resetUnanswered" || behavior.runs);
     switch (behavior.kind) {
