test: a process of the tests that would go on behind its last event fails, and says which connections were left

A connection that Node.js can't close any more keeps the process at full speed after `exit`, when no timer runs. The check looks for one at that event and ends the process with status 70. `processEnd.test.ts` has such a process.

--- a/src/testing/__tests__/processEnd.test.ts
+++ b/src/testing/__tests__/processEnd.test.ts
@@ -29,6 +29,22 @@
         );
     });
 
+    // guards against a process that goes on at full speed after its last event, which no timer can end
+    it("is forced where a connection was left that can't be closed any more", async () => {
+        const { status, written } = await runProgram([
+            `import { connect, createServer } from "node:net";`,
+            `watchEnd(60_000);`,
+            `const server = createServer({ allowHalfOpen: true }, socket => {`,
+            `    socket.on("error", () => undefined);`,
+            `    socket.end();`,
+            `    process.nextTick(() => socket.resetAndDestroy());`,
+            `    server.close();`,
+            `}).listen(0, "127.0.0.1", () => connect(server.address().port, "127.0.0.1").resume());`,
+        ]);
+        expect(status).to.equal(leftOpenExitStatus);
+        expect(written).to.include("a connection can't be closed any more; open: connection");
+    });
+
     it("isn't held up where nothing was left open", async () => {
         expect(await runProgram(["watchEnd(60_000);"])).to.deep.equal({ status: 0, written: "" });
     });
--- a/src/testing/processEnd.ts
+++ b/src/testing/processEnd.ts
@@ -20,16 +20,24 @@
 export const leftOpenExitStatus = 70;
 
 /**
- * Ends this process with a status of its own, and names what keeps it, when it goes on for too long.
+ * Ends this process with a status of its own, and names what keeps it, when it goes on for too long, or would go on for good
+ * behind its last event.
  *
  * @param limit - time that it may go on, in milliseconds
  */
 export function watchEnd(limit: Milliseconds = endLimitMilliseconds): void {
-    setTimeout(() => {
-        const described = describeOpenResources();
-        process.stderr.write(`the process goes on ${limit} ms after its last test; open: ${described.join(", ")}\n`);
-        process.exit(leftOpenExitStatus);
-    }, limit).unref();
+    setTimeout(() => failEnd(`the process goes on ${limit} ms after its last test`), limit).unref();
+    // Node.js waits without end for a handle that it can't close any more, after the last event of the process
+    process.once("exit", () => {
+        if (listHandles().some(handle => handle instanceof Socket && handle.destroyed)) {
+            failEnd("a connection can't be closed any more");
+        }
+    });
+}
+
+function failEnd(reason: string): void {
+    process.stderr.write(`${reason}; open: ${describeOpenResources().join(", ")}\n`);
+    process.exit(leftOpenExitStatus);
 }
 
 /**
@@ -38,12 +46,15 @@
  * @returns a line for each handle, then the count of each kind of resource
  */
 export function describeOpenResources(): readonly string[] {
-    const handles = (process as unknown as ProcessHandles)._getActiveHandles();
     const counts = new Map<string, number>();
     for (const kind of process.getActiveResourcesInfo()) {
         counts.set(kind, (counts.get(kind) ?? 0) + 1);
     }
-    return [...handles.map(describeHandle), ...[...counts].map(([kind, count]) => `${count} ${kind}`)];
+    return [...listHandles().map(describeHandle), ...[...counts].map(([kind, count]) => `${count} ${kind}`)];
+}
+
+function listHandles(): readonly unknown[] {
+    return (process as unknown as ProcessHandles)._getActiveHandles();
 }
 
 function describeHandle(handle: unknown): string {
@@ -51,7 +62,9 @@
         return `server at ${JSON.stringify(handle.address())}`;
     }
     if (handle instanceof Socket) {
-        return `connection ${handle.localPort ?? "none"} to ${handle.remotePort ?? "none"}`;
+        return `connection ${handle.localPort ?? "none"} to ${handle.remotePort ?? "none"}${
+            handle.destroyed ? ", closed" : ""
+        }`;
     }
     if (handle instanceof ChildProcess) {
         return `process ${handle.pid ?? "none"}: ${handle.spawnargs.join(" ")}`;
