fix(serving): a wait of a request ends at its deadline, whatever time-outs its calls have

Cause: only attempts had a watch on the deadline. Waits before them (what began a stream, quota and its delay, trial, place, permit) ended by the client, by the stop, or by the time-outs of their own calls. A place was asked of up to three holders one after the other, 350 ms each, without a look at the time.

Evidence: requestWaits.test.ts, virtual time, no network.

Change: one limit for all waits of a request (requestWait.ts): client, stop and deadline.

--- /dev/null
+++ b/src/serving/__tests__/requestWaits.test.ts
@@ -0,0 +1,50 @@
+import { expect } from "chai";
+import { requestWaits, runWaitingRequest } from "./waitingRequest.js";
+
+/** Time-outs of calls that are waited for must not be seen in the ends of the requests, so that several are tried. */
+const timeouts = [100, 300, 500, 1_250, 1_500, 2_000];
+/** Interval at which a stopping instance asks waiting requests. */
+const stopCheckMilliseconds = 50;
+const longTimeout = 30_000;
+
+describe("wait of a request", () => {
+    for (const wait of requestWaits) {
+        // guards against a wait that goes on past the time-out of the route, by the time-outs of its own calls (CONFIG)
+        it(`ends at the time-out of its route while it waits for: ${wait}`, async () => {
+            for (const timeout of timeouts.filter(tried => wait !== "delay" || tried < 1_000)) {
+                const { endedAt, status, by, reason } = await runWaitingRequest({ waits: [wait], timeout });
+                expect({ endedAt, status, by, reason }, String(timeout)).to.deep.equal({
+                    endedAt: timeout,
+                    // a server may be running it
+                    status: wait === "response" ? 504 : 503,
+                    by: "deadline",
+                    reason: "timeout",
+                });
+            }
+        });
+
+        // guards against work for a client that has left (GONE)
+        it(`ends at once when its client leaves while it waits for: ${wait}`, async () => {
+            const { endedAt, outcome } = await runWaitingRequest({
+                waits: [wait],
+                timeout: longTimeout,
+                leavesAt: 410,
+            });
+            expect([endedAt, outcome]).to.deep.equal([410, "clientLeft"]);
+        });
+
+        // guards against a request whose connection is closed at the end of a stop, as its wait wasn't told (LOST)
+        it(`ends soon when its instance stops while it waits for: ${wait}`, async () => {
+            const stopsAt = 410;
+            const { endedAt, by, status } = await runWaitingRequest({
+                waits: [wait],
+                timeout: longTimeout,
+                stopsAt,
+            });
+            // what is under way has the whole grace
+            const latest = wait === "response" ? 3_000 : stopCheckMilliseconds;
+            expect([by, status]).to.deep.equal(["stop", wait === "response" ? 502 : 503]);
+            expect(endedAt).to.be.within(stopsAt, stopsAt + latest);
+        });
+    }
+});
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -1,6 +1,6 @@
 /**
  * Admits a request: the decisions in their order, and the waits for what began its stream and for its quota, which end when the
- * request may not begin any more.
+ * request may not begin any more or its deadline is over.
  *
  * @packageDocumentation
  */
@@ -15,6 +15,7 @@
     stoppingReason,
 } from "./requestEnds.js";
 import type { RequestParts } from "./requestState.js";
+import { limitRequestWait } from "./requestWait.js";
 import { applyStreamOrigin } from "./resumedStreams.js";
 import type { ClientRequest, ServingRoute } from "./types.js";
 
@@ -26,7 +27,8 @@
  * @param computeDigest - computes the identity of the request for an account
  * @param startedAt - time of its arrival
  * @param signal - aborted when the client disconnects
- * @returns the admission with the identity of the request, which is empty if the first decision refuses it
+ * @returns the admission with the identity of the request, which is empty if the first decision refuses it, and its deadline,
+ * which is infinite then
  */
 export async function acceptRequest(
     parts: RequestParts,
@@ -34,22 +36,22 @@
     computeDigest: (account: string | undefined) => RequestDigest,
     startedAt: Milliseconds,
     signal: AbortSignal,
-): Promise<{ readonly admission: Admission; readonly digest: RequestDigest; }> {
+): Promise<{ readonly admission: Admission; readonly digest: RequestDigest; readonly deadlineAt: Milliseconds; }> {
     const allowed = decideAdmission(parts, request);
     if (allowed.kind !== "admitted") {
-        return { admission: allowed, digest: "" };
+        return { admission: allowed, digest: "", deadlineAt: Number.POSITIVE_INFINITY };
     }
+    const deadlineAt = computeDeadline(allowed.route, request, startedAt);
     const digest = computeDigest(allowed.account?.name);
     const decided = refuseIfStopping(
         parts,
         refuseIfQuarantined(parts, allowed, request, digest, startedAt),
-        request,
-        startedAt,
+        deadlineAt,
     );
     const admission = decided.kind === "admitted"
-        ? await waitForAdmission(parts, decided, request, startedAt, signal)
+        ? await waitForAdmission(parts, decided, request, deadlineAt, signal)
         : decided;
-    return { admission, digest };
+    return { admission, digest, deadlineAt };
 }
 
 // a request that waits at the end of a stop would lose its connection without an answer
@@ -57,33 +59,30 @@
     parts: RequestParts,
     decided: Extract<Admission, { readonly kind: "admitted"; }>,
     request: ClientRequest,
-    startedAt: Milliseconds,
+    deadlineAt: Milliseconds,
     signal: AbortSignal,
 ): Promise<Admission> {
     const { route, account } = decided;
-    const wait = parts.shutdown.limitWait({ route, deadlineAt: computeDeadline(route, request, startedAt) }, signal);
+    const wait = limitRequestWait(parts, { route, deadlineAt }, signal);
     try {
         const located = await applyStreamOrigin(parts.origins, decided, request, wait.signal);
         const admission = located.kind === "admitted"
             ? await applyQuota(parts, located, request, wait.signal)
             : located;
-        const isEndedByStop = admission.kind === "clientLeft" && !signal.aborted;
-        return isEndedByStop ? describeStop(parts, route.name, account?.name) : admission;
+        if (admission.kind !== "clientLeft" || signal.aborted) {
+            return admission;
+        }
+        return parts.shutdown.mayBegin({ route, deadlineAt })
+            ? describeTimeout(parts, route.name, account?.name)
+            : describeStop(parts, route.name, account?.name);
     }
     finally {
         wait.finish();
     }
 }
 
-/**
- * Computes the time at which a request must have ended.
- *
- * @param route - route of the request
- * @param request - decoded headers of the request
- * @param startedAt - time of its arrival
- * @returns the earlier of its own deadline and the time-out of its route
- */
-export function computeDeadline(
+// the earlier of its own deadline and the time-out of its route
+function computeDeadline(
     route: Pick<ServingRoute, "timeout">,
     request: ClientRequest,
     startedAt: Milliseconds,
@@ -121,14 +120,13 @@
 function refuseIfStopping(
     parts: RequestParts,
     admission: Admission,
-    request: ClientRequest,
-    startedAt: Milliseconds,
+    deadlineAt: Milliseconds,
 ): Admission {
     if (admission.kind !== "admitted") {
         return admission;
     }
     const { route, account } = admission;
-    return parts.shutdown.mayBegin({ route, deadlineAt: computeDeadline(route, request, startedAt) })
+    return parts.shutdown.mayBegin({ route, deadlineAt })
         ? admission
         : describeStop(parts, route.name, account?.name);
 }
@@ -144,3 +142,16 @@
         account,
     };
 }
+
+// no server has run it
+function describeTimeout(parts: RequestParts, route: string, account: string | undefined): Admission {
+    return {
+        kind: "refused",
+        by: "deadline",
+        status: serviceUnavailableStatus,
+        reason: "timeout",
+        retryAfter: retryAfterSeconds.minimum + retryAfterSeconds.jitter * parts.random.next(),
+        route,
+        account,
+    };
+}
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -12,7 +12,7 @@
 import { describeGuarded } from "./attemptFaults.js";
 import { createClientAnswer } from "./clientAnswer.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
-import { acceptRequest, computeDeadline } from "./requestAdmission.js";
+import { acceptRequest } from "./requestAdmission.js";
 import {
     createReport,
     describeLeaving,
@@ -26,6 +26,7 @@
 } from "./requestEnds.js";
 import { createRequestStages } from "./requestStages.js";
 import type { ClientResponse, RequestParts, RequestReport, RequestState, SelectedServer } from "./requestState.js";
+import { limitRequestWait } from "./requestWait.js";
 import { filterByOrigin } from "./resumedStreams.js";
 import { type AttemptOutcome, runAttempt } from "./runAttempt.js";
 import { chooseServer } from "./serverChoice.js";
@@ -55,7 +56,7 @@
     const stages = createRequestStages(parts, signal);
     const computeDigest = (account: string | undefined): RequestDigest =>
         computeRequestDigest({ ...request, account, body });
-    const { admission, digest } = await acceptRequest(parts, request, computeDigest, startedAt, signal);
+    const { admission, digest, deadlineAt } = await acceptRequest(parts, request, computeDigest, startedAt, signal);
     const answer = createClientAnswer(response, parts.clock);
     if (admission.kind !== "admitted") {
         const refusal = admission.kind === "refused" ? admission : undefined;
@@ -65,7 +66,7 @@
             by,
             head: refusal && describeRefusal(parts, request, refusal),
             isGone: !refusal,
-            deadlineAt: Number.POSITIVE_INFINITY,
+            deadlineAt,
             stopsIn: parts.shutdown.measureRemaining(),
         });
         return {
@@ -84,7 +85,7 @@
             ...stages.describe(),
         };
     }
-    const state = createState(parts, { request, body, answer, signal, admission, digest, startedAt, stages });
+    const state = createState({ request, body, answer, signal, admission, digest, startedAt, deadlineAt, stages });
     try {
         await runAttempts(parts, state);
         checkEnd(state);
@@ -134,15 +135,13 @@
 
 type StateBase = Pick<
     RequestState,
-    "request" | "body" | "answer" | "signal" | "admission" | "digest" | "startedAt" | "stages"
+    "request" | "body" | "answer" | "signal" | "admission" | "digest" | "startedAt" | "deadlineAt" | "stages"
 >;
 
-function createState(parts: RequestParts, base: StateBase): RequestState {
+function createState(base: StateBase): RequestState {
     const { admission, request, startedAt } = base;
-    const { route } = admission;
     return {
         ...base,
-        deadlineAt: computeDeadline(route, request, startedAt),
         triedServers: new Set(),
         refusedBy: new Set(),
         excludedServers: new Set(),
@@ -193,7 +192,7 @@
     while (outcome === "repeat") {
         state.stages.mark("server");
         const attempt = { route: state.admission.route, deadlineAt: state.deadlineAt };
-        const wait = parts.shutdown.limitWait(attempt, state.signal);
+        const wait = limitRequestWait(parts, attempt, state.signal);
         const found = await findServer(parts, state, wait.signal).finally(wait.finish);
         const selected = found.kind === "selected" ? found.selected : undefined;
         if (!selected || !isSendAllowed(parts, state)) {
@@ -229,15 +228,12 @@
     else if (!parts.shutdown.mayBegin({ route, deadlineAt })) {
         refuseStopping(parts, state);
     }
-    else if (found.kind === "quarantined") {
-        refuseQuarantined(parts, state);
-    }
-    else if (!found.selected) {
-        endRequest(parts, state, { by: "noServer", reason: "no server", returnsIn: state.returnAt - now });
-    }
     else if (now >= deadlineAt) {
         endRequest(parts, state, { by: "deadline", reason: "timeout", returnsIn: state.returnAt - now });
     }
+    else if (found.kind === "selected" && !found.selected) {
+        endRequest(parts, state, { by: "noServer", reason: "no server", returnsIn: state.returnAt - now });
+    }
     else {
         refuseQuarantined(parts, state);
     }
--- a/src/supervision/index.ts
+++ b/src/supervision/index.ts
@@ -7,3 +7,4 @@
 export * from "./mailbox.js";
 export * from "./processEnd.js";
 export * from "./supervisor.js";
+export * from "./waitLimit.js";
