fix(serving): nothing is asked for a request whose client left while its quota delayed it

What others saw (in a test, not in a record): a client that left during the delay of its quota had its request go on: a trial was asked for, a permit, or places at holders, which load adapters for it, until its deadline (GONE, once such a place leads to work; the request itself wasn't sent).

Cause: a wait listened to the client's signal without a look at whether it had been aborted before, and the delay of a quota ends as admitted when the client leaves. The units were given back only at the end.

Change: limitWait is over at once for a client that has left, and the trial, which is given once, isn't asked for when the wait is over.

--- a/src/serving/__tests__/requestWaits.test.ts
+++ b/src/serving/__tests__/requestWaits.test.ts
@@ -47,4 +47,21 @@
             expect(endedAt).to.be.within(stopsAt, stopsAt + latest);
         });
     }
+
+    // guards against a place, a permit or a trial that is asked for on behalf of a client that left while it waited (GONE)
+    for (const next of ["trial", "silentHolder", "permit"] as const) {
+        it(`isn't followed by a wait for another thing once its client has left: ${next}`, async () => {
+            const { endedAt, outcome, calls, units } = await runWaitingRequest({
+                waits: ["delay", next],
+                timeout: longTimeout,
+                leavesAt: 410,
+            });
+            expect({ endedAt, outcome, calls, units }).to.deep.equal({
+                endedAt: 410,
+                outcome: "clientLeft",
+                calls: { quota: 1 },
+                units: 0,
+            });
+        });
+    }
 });
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -244,6 +244,10 @@
     | { readonly kind: "quarantined"; };
 
 async function findServer(parts: RequestParts, state: RequestState, signal: AbortSignal): Promise<FoundServer> {
+    // a trial is given once
+    if (signal.aborted) {
+        return { kind: "selected", selected: undefined };
+    }
     if (!await checkQuarantine(parts, state, signal)) {
         return { kind: "quarantined" };
     }
--- a/src/serving/shutdown.ts
+++ b/src/serving/shutdown.ts
@@ -122,7 +122,8 @@
         limitWait: (attempt, client) => {
             const wait = new AbortController();
             const abort = (): void => wait.abort();
-            const check = (): void => isBeginAllowed(attempt) ? undefined : abort();
+            // a client that left before isn't heard of again
+            const check = (): void => isBeginAllowed(attempt) && !client.aborted ? undefined : abort();
             client.addEventListener("abort", abort, { once: true });
             waits.add(check);
             check();
