fix(adapters): a request isn't held past its time for a place while holders are silent

Cause: a round over the holders of three shards looked at the time only before it began, and a holder that had said `waiting` was followed by the next one after the end. Nothing can come of these questions: they carry a patience of less than zero, which holders refuse.

Now it ends in the millisecond of the limit (100 to 1,500 ms, silent holders and ones that say that they work on it), and the last one that was asked is told to forget the request.

Change: the wait has a limit of its own (createWaitLimit). The test's clock let time jump with each sleep, so that no wait could end another; it goes on to the end of the next sleep now, and a silent holder takes its 350 ms.

--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { type BackendServer, formatServerRunId, type PlaceOutcome } from "../../serving/types.js";
-import { createSeededRandom } from "../../shared/index.js";
+import { type Clock, createSeededRandom } from "../../shared/index.js";
 import { createAdapterVersions } from "../adapterVersions.js";
 import { createEngineShards } from "../engineShards.js";
 import type { PlaceRequest, PlaceResponse } from "../messages.js";
@@ -26,20 +26,52 @@
     /** Holders that were told that an engine leaves. */
     readonly told: string[];
     readonly acquire: (change?: Partial<AcquireRequest>) => ReturnType<PlaceClient["acquire"]>;
+    readonly readTime: () => number;
 }
 
-async function createClient(answer: Answer, leaving: ReadonlySet<string> = new Set()): Promise<TestClient> {
+/** As that of the instance. */
+const holderTimeoutMilliseconds = 350;
+
+// goes on to the end of the next sleep whenever nothing else is to be done
+function createRunningClock(): Clock {
     let now = 0;
+    let isRunning = false;
+    const sleeps = new Map<() => void, number>();
+    const runOn = (): void => {
+        const [next] = [...sleeps].sort(([, left], [, right]) => left - right);
+        isRunning = next !== undefined;
+        if (next) {
+            now = Math.max(now, next[1]);
+            next[0]();
+            setImmediate(runOn);
+        }
+    };
+    return {
+        now: () => now,
+        sleep: (duration, signal) =>
+            new Promise(resolve => {
+                const finish = (): void => {
+                    sleeps.delete(finish);
+                    resolve();
+                };
+                sleeps.set(finish, now + duration);
+                signal?.addEventListener("abort", finish, { once: true });
+                if (signal?.aborted) {
+                    finish();
+                }
+                if (!isRunning) {
+                    isRunning = true;
+                    setImmediate(runOn);
+                }
+            }),
+    };
+}
+
+async function createClient(answer: Answer, leaving: ReadonlySet<string> = new Set()): Promise<TestClient> {
     const asked: string[] = [];
     const ended: string[] = [];
     const told: string[] = [];
-    const clock = {
-        now: () => now,
-        sleep: (duration: number) => {
-            now += duration;
-            return Promise.resolve();
-        },
-    };
+    const clock = createRunningClock();
     const holders = createShardHolders({
         self: "self",
         clock,
@@ -58,14 +90,14 @@
         isLimited: () => false,
         isLeaving: run => leaving.has(run),
         reportLeaving: holder => told.push(holder),
-        ask: (holder, shard, request) => {
-            now += 1;
+        ask: async (holder, shard, request) => {
             asked.push(`${holder}${request.isLoadIgnored ? " again" : ""}`);
             const response = answer(holder, shard, request);
+            await clock.sleep(response ? 1 : holderTimeoutMilliseconds);
             if (!response) {
                 holders.markSilent(holder, "timeout");
             }
-            return Promise.resolve(response);
+            return response;
         },
         end: (holder: string, id: string, outcome: PlaceOutcome) => ended.push(`${holder} ${outcome}`),
     });
@@ -74,6 +106,7 @@
         asked,
         ended,
         told,
+        readTime: clock.now,
         acquire: change =>
             client.acquire({
                 service: "llm",
@@ -188,6 +221,19 @@
         expect(ended).to.deep.equal([`${preferred[0]} unknown`]);
     });
 
+    // guards against a request that is held here for as long as silent holders have time for their answers, and then refused
+    it("isn't waited for past the time of the request while holders are silent, or say that they work on it", async () => {
+        for (const until of [100, 300, 400, 1_250, 1_500]) {
+            for (const answer of [undefined, { kind: "waiting" } as const]) {
+                const { acquire, readTime, asked, ended } = await createClient(() => answer);
+                expect(await acquire({ until })).to.equal(undefined);
+                expect(readTime(), `${until} ${answer?.kind}`).to.equal(until);
+                // the last one that was asked is told to forget the request
+                expect(ended.at(-1)).to.equal(`${asked.at(-1)} unknown`);
+            }
+        }
+    });
+
     it("isn't taken on an engine that this instance knows to be leaving", async () => {
         const { acquire, ended } = await createClient(() => createPlaced(ranked[0]!.engine));
         const usable = servers.filter(server => server !== ranked[0]!.engine);
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -15,7 +15,7 @@
     type SoftwareVersion,
 } from "../serving/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds, waitUnlessAborted } from "../shared/index.js";
-import { startTask } from "../supervision/index.js";
+import { createWaitLimit, startTask } from "../supervision/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
 import type { EngineShards } from "./engineShards.js";
 import { type AdapterKey, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
@@ -41,7 +41,7 @@
     readonly priority: number;
     /** Latest end of a load with which the request can still be answered within its target latency. */
     readonly usefulUntil: Milliseconds;
-    /** Aborted when the client disconnects. */
+    /** Aborted when the request may not begin any more. */
     readonly signal: AbortSignal;
 }
 
@@ -251,18 +251,27 @@
         const asked = emptiest && await requestPlace(request, emptiest.shard, true);
         return asked?.kind === "acquired" ? asked.engine : undefined;
     };
+    const findPlace = async (request: AcquireRequest): Promise<AcquiredEngine | undefined> => {
+        const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
+        const guessed = new Set<ServerRunId>(request.excluded);
+        while (isWithinTime(request) && hasUsableEngine(request)) {
+            const engine = await tryShards(request, key, guessed);
+            if (engine) {
+                return engine;
+            }
+            await clock.sleep(retryIntervalMilliseconds, request.signal);
+        }
+        return undefined;
+    };
     return {
         acquire: async request => {
-            const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
-            const guessed = new Set<ServerRunId>(request.excluded);
-            while (isWithinTime(request) && hasUsableEngine(request)) {
-                const engine = await tryShards(request, key, guessed);
-                if (engine) {
-                    return engine;
-                }
-                await clock.sleep(Math.min(retryIntervalMilliseconds, request.until - clock.now()), request.signal);
+            const limit = createWaitLimit(clock, request.until, request.signal);
+            try {
+                return await findPlace({ ...request, signal: limit.signal });
+            }
+            finally {
+                limit.finish();
             }
-            return undefined;
         },
     };
 }
