test: a late answer beside a configuration is named with its time-outs and what the machines wrote of it

The message is one line now: the request, how long it took, which time-outs held, how far past the longest it ended, and the lines of all machines that name it (by whose hand it ended, what it waited for, how long it took there). The checks themselves are the same.

--- a/src/platform/__tests__/configurationBesideSilence.test.ts
+++ b/src/platform/__tests__/configurationBesideSilence.test.ts
@@ -79,6 +79,8 @@
     readonly runs: ReadonlySet<string>;
     readonly versions: readonly Acknowledged[];
     readonly ends: number;
+    /** What all machines have written. */
+    readonly output: string;
 }
 
 const firstValues: ChangedValues = {
@@ -204,7 +206,8 @@
             const sent = (await Promise.all(clients)).flat();
             const ends = machines.reduce((sum, machine) => sum + machine.countEnds(), 0);
             writeCounts(seed, sent, machines);
-            return { sent, runs: servers.runs, versions, ends };
+            const output = machines.map(machine => machine.readOutput()).join("\n");
+            return { sent, runs: servers.runs, versions, ends, output };
         });
     }
     finally {
@@ -256,32 +259,39 @@
         : Array.from({ length: events }, (unused, index) => `id: ${index + 1}\ndata: ${index + 1}\n\n`).join("");
 }
 
-function describeSent({ id, route, work, events, answer }: Sent, { versions }: PlayResult): string {
+// with the lines of the machines that name it: by whose hand it ended, what it waited for and how long it took there
+function describeSent({ id, route, work, events, answer }: Sent, { versions, output }: PlayResult): string {
     const since = versions.map(({ at }) => Math.round(answer.endedAt - at)).filter(age => age >= 0 && age < 1e6);
-    return `${id} ${route}, work ${work}, events ${events ?? "-"}, took ${
-        Math.round(answer.endedAt - answer.sentAt)
-    }, ` +
-        `status ${answer.status ?? "none"}, ${answer.body.length} bytes, ended ${since.join()} after the changes`;
+    const took = Math.round(answer.endedAt - answer.sentAt);
+    const timeouts = listTimeouts(versions, answer.sentAt);
+    const lines = output.split("\n").filter(line => line.includes(`"${id}"`));
+    return `${id} ${route}, work ${work}, events ${events ?? "-"}, took ${took}, time-outs ${timeouts.join()}, ` +
+        `${took - Math.max(...timeouts)} past the longest, status ${answer.status ?? "none"}, ` +
+        `${answer.body.length} bytes, ended ${since.join()} after the changes; written of it: ${lines.join(" ")}`;
+}
+
+// the message is one line, as of a known failure only the first line is printed
+function expectNone(requests: readonly Sent[], name: string, result: PlayResult): void {
+    const described = requests.map(request => describeSent(request, result));
+    expect(described.length, [name, ...described].join(" | ")).to.equal(0);
 }
 
 function expectWholeAnswers(result: PlayResult): void {
     const { sent, runs } = result;
-    const describeAll = (requests: readonly Sent[]): readonly string[] =>
-        requests.map(request => describeSent(request, result));
     expect(result.ends, "processes that ended").to.equal(0);
-    expect(describeAll(sent.filter(request => isLost(request, result))), "lost").to.deep.equal([]);
+    expectNone(sent.filter(request => isLost(request, result)), "lost", result);
     const short = sent.filter(request =>
         request.answer.status === 200 && request.answer.isComplete && request.answer.body !== formatWhole(request)
     );
-    expect(describeAll(short), "successes that aren't whole").to.deep.equal([]);
+    expectNone(short, "successes that aren't whole", result);
     const untrue = sent.filter(({ id, route, answer }) =>
         answer.status === 503 && runs.has(id) && ["order", "note", "spareNote"].includes(route)
     );
-    expect(describeAll(untrue), "refused although a server runs it").to.deep.equal([]);
+    expectNone(untrue, "refused although a server runs it", result);
     const late = sent.filter(({ answer }) =>
         answer.endedAt - answer.sentAt > Math.max(...listTimeouts(result.versions, answer.sentAt)) + 500
     );
-    expect(describeAll(late), "without an answer at the time-out").to.deep.equal([]);
+    expectNone(late, "without an answer at the time-out", result);
     expect(sent.filter(({ answer }) => answer.status === 200).length, "served").to.be.above(sent.length / 2);
 }
 
