fix(forwarding): an attempt whose client reads slowly is kept at the instance that carries it

Callers saw a stream cut off, or gone on with a second run, when they hadn't read for 1.5 s while another instance carried it (LOST).

Cause: events are asked for, and while the client doesn't read nobody asks, which the carrying instance took for the end of the asking one.

It ends with the attempt, whoever ends it (the end of the answer, the client, the stop, the deadline); past the request's deadline nothing is kept, whatever the attempt waits for. The carrying instance ends an attempt that nobody has asked for or kept for 1.5 s, as before, and logs it.

Existing tests: sendThroughInstance takes the clock, so that two tests hand it over; the network of forwardedAttempt.test.ts passes the new message on.

--- a/src/forwarding/__tests__/forwardedAttempt.test.ts
+++ b/src/forwarding/__tests__/forwardedAttempt.test.ts
@@ -95,6 +95,9 @@
                 return rig.service.start(message);
             case "read":
                 return rig.service.read(message.id);
+            case "keep":
+                rig.service.keep(message.id);
+                return undefined;
             case "abort":
                 rig.service.abort(message.id);
                 return { kind: "aborted" };
@@ -147,7 +150,8 @@
 
 function send(rig: Rig) {
     const seen: Seen = { text: "", hasEnded: false };
-    const attempt = sendThroughInstance(createNetwork(rig), "i-1", "r-1", request, {
+    const way = { network: createNetwork(rig), helper: "i-1", clock: createSystemClock() };
+    const attempt = sendThroughInstance(way, "r-1", request, {
         onHead: ({ status }) => seen.status = status,
         onData: chunk => seen.text += chunk.toString(),
         onEnd: () => seen.hasEnded = true,
--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -6,8 +6,9 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../serving/serverConnections.js";
 import { formatServerRunId } from "../serving/types.js";
-import { createLogger, type InstanceId } from "../shared/index.js";
-import { startTask } from "../supervision/index.js";
+import { type Clock, createLogger, type InstanceId } from "../shared/index.js";
+import { callGuarded, startTask } from "../supervision/index.js";
+import { createHeldReading } from "./heldReading.js";
 import { type AttemptEvent, type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
 
 /** An answer is due after the wait of the other instance at the latest. */
@@ -18,26 +19,32 @@
 const maximumDetailLength = 200;
 const log = createLogger("forwarding");
 
+/** Way to an instance that reaches servers. */
+export interface HelperWay {
+    readonly network: PeerNetwork;
+    readonly helper: InstanceId;
+    readonly clock: Clock;
+}
+
 /**
  * Sends an attempt through a helper.
  *
- * @param network - connections to other instances
- * @param helper - instance that reaches servers
+ * @param way - the helper and the connections to it
  * @param id - identifies the attempt over all instances
  * @param request - the attempt
  * @param handlers - callbacks
  * @returns the attempt in progress
  */
 export function sendThroughInstance(
-    network: PeerNetwork,
-    helper: InstanceId,
+    { network, helper, clock }: HelperWay,
     id: string,
     request: AttemptRequest,
     handlers: AttemptHandlers,
 ): Attempt {
     let isOver = false;
-    let wakeReader: (() => void) | undefined;
-    let isPaused = false;
+    const keep = (): void =>
+        void callGuarded("keep of a forwarded attempt", () => network.send(helper, "forwarding", { kind: "keep", id }));
+    const reading = createHeldReading({ clock, keep, keepUntil: request.deadlineAt });
     const requestHelper = async (message: ForwardingMessage): Promise<ForwardingMessage | AttemptFault> => {
         const response = await network.request(helper, "forwarding", message, answerTimeoutMilliseconds);
         if (!response.ok) {
@@ -54,6 +61,7 @@
     const finish = (notify: () => void): void => {
         if (!isOver) {
             isOver = true;
+            reading.end();
             notify();
         }
     };
@@ -91,8 +99,6 @@
                 break;
         }
     };
-    const waitUntilResumed = (): Promise<void> =>
-        isPaused ? new Promise(resolve => wakeReader = resolve) : Promise.resolve();
     const run = async (): Promise<void> => {
         const { body, method, target, headers, attemptId } = request;
         const serverRun = formatServerRunId(request.server);
@@ -111,7 +117,7 @@
             const answer = await requestHelper(message);
             if (answer.kind === "events") {
                 answer.events.forEach(deliver);
-                await waitUntilResumed();
+                await reading.wait();
                 message = { kind: "read", id };
                 continue;
             }
@@ -122,10 +128,6 @@
             finish(() => handlers.onFault(fault));
         }
     };
-    const resume = (): void => {
-        isPaused = false;
-        wakeReader?.();
-    };
     startTask("forwarded attempt", run, error => {
         startAbort();
         const detail = `failed here: ${String(error).slice(0, maximumDetailLength)}`;
@@ -133,16 +135,14 @@
     });
     const abort = (): void => {
         isOver = true;
-        resume();
+        reading.end();
         startAbort();
     };
     return {
         abort,
         drain: () => isOver || abort(),
-        pause: () => {
-            isPaused = true;
-        },
-        resume,
+        pause: reading.pause,
+        resume: reading.resume,
     };
 }
 
--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -6,7 +6,7 @@
 import { type ByteStore, createByteStore } from "../serving/byteStore.js";
 import type { Attempt, AttemptFault, ServerConnections } from "../serving/serverConnections.js";
 import type { BackendServer, ServerRunId } from "../serving/types.js";
-import type { Clock, Milliseconds } from "../shared/index.js";
+import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import { recordTaskFailure } from "../supervision/index.js";
 import type { AttemptEvent, ForwardingMessage, StartMessage } from "./messages.js";
 
@@ -26,11 +26,13 @@
 export interface ForwardService {
     readonly start: (message: StartMessage) => Promise<ForwardingMessage>;
     readonly read: (id: string) => Promise<ForwardingMessage>;
+    /** Keeps an attempt whose client doesn't read at present, so that nobody asks for its events. */
+    readonly keep: (id: string) => void;
     readonly abort: (id: string) => void;
     readonly hasRoom: () => boolean;
     /** Returns the number of attempts of others in progress. */
     readonly countAttempts: () => number;
-    /** Ends attempts whose events nobody asks for any more. */
+    /** Ends attempts whose events nobody asks for, and which nobody keeps any more. */
     readonly expire: (now: Milliseconds) => void;
 }
 
@@ -51,8 +53,9 @@
 const pauseBytes = 65_536;
 /** Time for which an answer waits for an event. */
 const waitMilliseconds = 300;
-/** Time without a question after which the sender is taken to have ended. */
+/** Time without a question, or a message that keeps the attempt, after which the sender is taken to have ended. */
 const abandonedMilliseconds = 1_500;
+const log = createLogger("forwarding");
 
 /**
  * Creates the service without attempts.
@@ -158,12 +161,21 @@
             const entry = attempts.get(id);
             return entry ? take(id, entry) : { kind: "refused", reason: "attempt unknown" };
         },
+        keep: id => {
+            const entry = attempts.get(id);
+            if (entry) {
+                entry.askedAt = clock.now();
+            }
+        },
         abort,
         hasRoom,
         countAttempts: () => attempts.size,
         expire: now => {
-            [...attempts].filter(([, { askedAt }]) => now - askedAt > abandonedMilliseconds).forEach(([id]) =>
-                abort(id)
+            [...attempts].filter(([, { askedAt }]) => now - askedAt > abandonedMilliseconds).forEach(
+                ([id, { askedAt }]) => {
+                    log.info("forwarded attempt abandoned", { id, silence: Math.round(now - askedAt) });
+                    abort(id);
+                },
             );
         },
     };
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -205,7 +205,7 @@
     const sendThrough = (helper: InstanceId, request: AttemptRequest, handlers: AttemptHandlers): Attempt => {
         lastAttempt++;
         options.onForwarded();
-        return sendThroughInstance(network, helper, `${options.runId} ${lastAttempt}`, request, {
+        return sendThroughInstance({ network, helper, clock }, `${options.runId} ${lastAttempt}`, request, {
             ...handlers,
             onHead: head => {
                 if (head.isLeaving) {
@@ -259,6 +259,9 @@
                     return service.start(message);
                 case "read":
                     return service.read(message.id);
+                case "keep":
+                    service.keep(message.id);
+                    return undefined;
                 case "abort":
                     service.abort(message.id);
                     return { kind: "aborted" };
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -88,6 +88,8 @@
     }),
     // the events since the last answer; the receiver waits a while for the first one
     z.object({ kind: z.literal("read"), id: nameSchema }),
+    // the sender's client doesn't read at present, so that it asks for no events; without an answer, unknown to the build before
+    z.object({ kind: z.literal("keep"), id: nameSchema }),
     z.object({ kind: z.literal("events"), events: createListSchema(eventSchema) }),
     // the receiver has sent nothing, and won't
     z.object({ kind: z.literal("refused"), reason: textSchema }),
--- a/src/serving/__tests__/cutHeads.test.ts
+++ b/src/serving/__tests__/cutHeads.test.ts
@@ -197,9 +197,10 @@
             return wrapValue(answer as never);
         },
     };
+    const way = { network, helper: "front-1", clock: createSystemClock() };
     return {
         send: (request, handlers: AttemptHandlers) =>
-            sendThroughInstance(network, "front-1", `f ${request.attemptId}`, request, handlers),
+            sendThroughInstance(way, `f ${request.attemptId}`, request, handlers),
     };
 }
 
--- a/src/serving/__tests__/generatedMessages.test.ts
+++ b/src/serving/__tests__/generatedMessages.test.ts
@@ -115,6 +115,7 @@
             kind: "events",
             events: [{ kind: "head", head }, { kind: "data", chunk: Buffer.from("d") }, { kind: "end" }],
         },
+        { kind: "keep", id: "a 1" },
         { kind: "refused", reason: "no room" },
     ]],
 ];
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -293,6 +293,7 @@
         body,
         wasRefused: refusedBy.has(formatServerRunId(server)),
         mayBegin: () => parts.shutdown.mayBegin({ route: admission.route, deadlineAt }),
+        deadlineAt,
     };
 }
 
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -87,6 +87,8 @@
     readonly wasRefused?: boolean;
     /** Asked again when a connection is ready: whether the answer can be expected before this instance stops. @default it can */
     readonly mayBegin?: () => boolean;
+    /** Time after which nobody waits for the answer. @default somebody waits until the attempt is aborted */
+    readonly deadlineAt?: Milliseconds;
 }
 
 /** Connections to all backend servers. */
