fix(serving): ids of events are kept as digits, so that those beyond 2^53 aren't rounded

Callers whose streams have ids such as times in nanoseconds saw a sound stream cut, or gone on with, after was taken for a repeat of ...992 (LOST), and got an event twice where a stream that broke after was asked for after ...000 (ORDER). An id of more than 15 digits that a client named was passed on, and the events after it weren't compared with it.

Cause: ids were numbers. Change: eventIds.ts holds them as digits without zeros before them, and compares them by length and text; at most 128 digits, as they are kept with each stream and sent on (a longer one is none, as a text was before; it was Infinity). Log lines name the digits.

Existing tests: ids that were written as numbers are texts (12 is "12"); the codec of the tests decodes ids as the platform's does. No bound is changed.

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -51,7 +51,7 @@
     return platformHeaderCodec.decodeRequest("POST", "/a/b?c=d", rawRequest);
 }
 
-function encodeForwarded(lastEventId?: number): Map<string, string> {
+function encodeForwarded(lastEventId?: string): Map<string, string> {
     const headers = platformHeaderCodec.encodeForwardedHeaders(decodeRawRequest(), {
         server: "i-1",
         account: "acme",
@@ -81,7 +81,7 @@
             deadline: 12_000,
             choice: { model: "base", adapter: "a17" },
             tokens: { prompt: 1460, output: 80 },
-            lastEventId: 12,
+            lastEventId: "12",
         });
     });
 
@@ -166,7 +166,20 @@
     });
 
     it("replaces the client's last event id when the stream continues after a later event", () => {
-        expect(encodeForwarded(31).get("last-event-id")).to.equal("31");
+        expect(encodeForwarded("31").get("last-event-id")).to.equal("31");
+    });
+
+    // guards against a stream that goes on after another event than the client has (ORDER)
+    it("decodes a last event id beyond 2^53 exactly, and passes one on that it can't decode", () => {
+        for (const id of ["9007199254740993", "1796472600508000001", "18446744073709551615", "9".repeat(128)]) {
+            const request = platformHeaderCodec.decodeRequest("POST", "/", ["Last-Event-Id", id]);
+            expect(request.lastEventId, id).to.equal(id);
+        }
+        for (const text of ["9".repeat(129), "-1", "1.5", "12n", ""]) {
+            const request = platformHeaderCodec.decodeRequest("POST", "/", ["Last-Event-Id", text]);
+            expect(request.lastEventId, text).to.equal(undefined);
+            expect(request.passedHeaders, text).to.deep.equal(["Last-Event-Id", text]);
+        }
     });
 
     it("decodes the head of a server's response", () => {
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import { decodeEventId } from "../serving/eventIds.js";
 import type {
     ClientRequest,
     ForwardedHeaders,
@@ -169,7 +170,7 @@
         choice: decodeModelChoice(values.get(names.model)),
         tokens: decodeTokenCounts(values.get(names.tokens)),
         prompt: decodePromptParts(values.get(names.promptParts)),
-        lastEventId: decodeWholeNumber(values.get(names.lastEventId)),
+        lastEventId: decodeEventId((values.get(names.lastEventId) ?? "").trim()),
         resumed: decodeResumedStream(values.get(names.lastEventId), values.get(names.resumes)),
         passedHeaders: filterHeaders(rawHeaders, values.get("connection"), unforwardedRequestHeaders),
     };
@@ -178,7 +179,7 @@
 function encodeForwardedHeaders(request: ClientRequest, forwarded: ForwardedHeaders): string[] {
     const headers = forwarded.lastEventId === undefined
         ? [...request.passedHeaders]
-        : replaceHeader(request.passedHeaders, names.lastEventId, String(forwarded.lastEventId));
+        : replaceHeader(request.passedHeaders, names.lastEventId, forwarded.lastEventId);
     headers.push(names.expectedServer, forwarded.server);
     headers.push(names.deadline, String(Math.max(1, Math.floor(forwarded.deadline))));
     if (forwarded.account !== undefined) {
--- a/src/serving/__tests__/decisions.test.ts
+++ b/src/serving/__tests__/decisions.test.ts
@@ -81,7 +81,7 @@
         for (let size = 1; size <= stream.length; size++) {
             const splitter = createEventSplitter({ after: undefined, isNumbered: true });
             const passed: Buffer[] = [];
-            let lastId: number | undefined;
+            let lastId: string | undefined;
             for (let start = 0; start < stream.length; start += size) {
                 const events = splitter.push(stream.subarray(start, start + size));
                 passed.push(events.bytes);
@@ -90,7 +90,7 @@
             expect(Buffer.concat(passed).toString(), `chunks of ${size}`).to.equal(
                 stream.subarray(0, stream.length - "id: 14\nda".length).toString(),
             );
-            expect(lastId).to.equal(13);
+            expect(lastId).to.equal("13");
             expect(splitter.readIncomplete().toString()).to.equal("id: 14\nda");
         }
     });
--- a/src/serving/__tests__/eventSplitter.test.ts
+++ b/src/serving/__tests__/eventSplitter.test.ts
@@ -68,7 +68,7 @@
             const after = Math.floor(random.next() * 5);
             const pieces = createPieces(random, after);
             const bytes = Buffer.from(pieces.map(({ text }) => text).join(""));
-            const splitter = createEventSplitter({ after: after === 0 ? undefined : after, isNumbered: true });
+            const splitter = createEventSplitter({ after: after === 0 ? undefined : String(after), isNumbered: true });
             const passed: Buffer[] = [];
             let foreign: string | undefined;
             for (let start = 0; start < bytes.length && !foreign;) {
@@ -84,18 +84,45 @@
     });
 
     it("names what doesn't belong to the stream", () => {
-        const push = (text: string, after?: number) =>
+        const push = (text: string, after?: string) =>
             createEventSplitter({ after, isNumbered: true }).push(Buffer.from(text)).foreign;
-        expect(push("id: 3\ndata: x\n\n", 3)).to.equal("event 3 after event 3");
-        expect(push("data: x\n\n", 3)).to.equal("an event without an id");
-        expect(push("id: 4\ndata: xHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", 3))
+        expect(push("id: 3\ndata: x\n\n", "3")).to.equal("event 3 after event 3");
+        expect(push("data: x\n\n", "3")).to.equal("an event without an id");
+        expect(push("id: 4\ndata: xHTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", "3"))
             .to.equal("lines that are no event");
-        expect(push("id: 4\ndata: x\n\n", 3)).to.equal(undefined);
+        expect(push("id: 4\ndata: x\n\n", "3")).to.equal(undefined);
+    });
+
+    // guards against a sound stream that is cut, or an event passed on twice, as ids beyond 2^53 were rounded (LOST, ORDER)
+    it("tells ids apart that a number with a point doesn't, and compares them by value", () => {
+        const push = (...ids: readonly string[]) => {
+            const splitter = createEventSplitter({ after: undefined, isNumbered: true });
+            const { foreign, lastId } = splitter.push(Buffer.from(ids.map(id => `id: ${id}\ndata: x\n\n`).join("")));
+            return [foreign, lastId];
+        };
+        expect(push("9007199254740992", "9007199254740993")).to.deep.equal([undefined, "9007199254740993"]);
+        expect(push("1796472600508000000", "1796472600508000001")).to.deep.equal([undefined, "1796472600508000001"]);
+        expect(push("9007199254740993", "9007199254740993"))
+            .to.deep.equal(["event 9007199254740993 after event 9007199254740993", "9007199254740993"]);
+        expect(push("9", "10", "99999999999999999999", "100000000000000000000"))
+            .to.deep.equal([undefined, "100000000000000000000"]);
+        expect(push("100000000000000000000", "99999999999999999999")[0]).to.be.a("string");
+        expect(push("007", "8", "0008")).to.deep.equal(["event 8 after event 8", "8"]);
+    });
+
+    // guards against a server that has its ids kept, and sent on, at any length
+    it("takes an id of more than 128 digits for none", () => {
+        const push = (digits: number, isNumbered: boolean) =>
+            createEventSplitter({ after: undefined, isNumbered })
+                .push(Buffer.from(`id: ${"9".repeat(digits)}\ndata: x\n\n`));
+        expect([push(128, true).foreign, push(128, true).lastId]).to.deep.equal([undefined, "9".repeat(128)]);
+        expect([push(129, true).foreign, push(129, true).lastId]).to.deep.equal(["an event without an id", undefined]);
+        expect([push(500_000, false).foreign, push(500_000, false).lastId]).to.deep.equal([undefined, undefined]);
     });
 
     // guards against slow but sound streams that are cut because their server keeps the connection open by comments
     it("passes comments on between events, which don't count as progress", () => {
-        const splitter = createEventSplitter({ after: 3, isNumbered: true });
+        const splitter = createEventSplitter({ after: "3", isNumbered: true });
         const events = splitter.push(Buffer.from("id: 4\ndata: a\n\n: ping\n\n"));
         expect([events.bytes.toString(), events.foreign]).to.deep.equal(["id: 4\ndata: a\n\n: ping\n\n", undefined]);
         splitter.push(Buffer.from(": ping\n\n"));
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -423,6 +423,20 @@
         expect(single).to.deep.include({ status: 502, body: "" });
     });
 
+    // guards against an event that comes twice, as a stream is asked for after an event before the last one (ORDER)
+    it("resumes a stream after its last complete event where ids are beyond 2^53", async () => {
+        const createScript = (text: string, end: "end" | "break"): AttemptScript => handlers => {
+            handlers.onHead(createHead({ isEventStream: true }));
+            handlers.onData(Buffer.from(text));
+            return end === "end" ? handlers.onEnd() : handlers.onFault({ kind: "broken", detail: "ECONNRESET" });
+        };
+        const [first, second] = [1, 2].map(last => `id: 179647260050800000${last}\ndata: a\n\n`);
+        const attempts = [createScript(first!, "break"), createScript(second!, "end")];
+        const outcome = await runCase({ route: resumable, attempts });
+        expect(outcome.sent[1]!.headers[2]).to.equal("1796472600508000001");
+        expect(outcome).to.deep.include({ body: `${first}${second}`, end: "end" });
+    });
+
     it("resumes a stream on another server after the last complete event", async () => {
         const head = createHead({ isEventStream: true });
         const sendFirst: AttemptScript = handlers => {
--- a/src/serving/__tests__/testCodec.ts
+++ b/src/serving/__tests__/testCodec.ts
@@ -1,6 +1,7 @@
 /**
  * Configuration and headers of the tests over whole instances.
  */
+import { decodeEventId } from "../eventIds.js";
 import type { HeaderCodec, ServingConfig } from "../types.js";
 
 /** The one service, whose servers aren't engines. */
@@ -51,7 +52,7 @@
             choice: undefined,
             tokens: undefined,
             prompt: parts && { shared: parts.slice(0, -1), own: parts.at(-1)! },
-            lastEventId: headers.has("last-event-id") ? Number(headers.get("last-event-id")) : undefined,
+            lastEventId: decodeEventId(headers.get("last-event-id") ?? ""),
             resumed: headers.has("last-event-id") ? { firstAttemptId: headers.get("resumes") } : undefined,
             passedHeaders: ["id", headers.get("id")!, ...named === undefined ? [] : ["parts", named]],
         };
@@ -62,7 +63,7 @@
         forwarded.server,
         "account",
         forwarded.account ?? "",
-        ...forwarded.lastEventId === undefined ? [] : ["last-event-id", String(forwarded.lastEventId)],
+        ...forwarded.lastEventId === undefined ? [] : ["last-event-id", forwarded.lastEventId],
     ],
     decodeResponseHead: (status, raw) => {
         const headers = readHeaders(raw);
--- a/src/serving/eventSplitter.ts
+++ b/src/serving/eventSplitter.ts
@@ -5,13 +5,14 @@
  *
  * @packageDocumentation
  */
+import { decodeEventId, type EventId, isLaterEvent } from "./eventIds.js";
 
 /** Complete events that a chunk has finished. */
 export interface SplitEvents {
     /** Bytes of the complete events, up to the first one that doesn't belong here; empty when there is none. */
     readonly bytes: Buffer;
     /** Id of the last of these events; `undefined` when it has none. */
-    readonly lastId: number | undefined;
+    readonly lastId: EventId | undefined;
     /** Why the bytes after these don't belong to the stream; `undefined` when all do. Nothing is to be pushed then. */
     readonly foreign: string | undefined;
 }
@@ -31,14 +32,14 @@
 /** What is known of a stream before its first byte. */
 export interface EventSplitterOptions {
     /** Last event that the client has; the next one must have a higher id. `undefined` when it has none. */
-    readonly after: number | undefined;
+    readonly after: EventId | undefined;
     /** Whether each event must have a numeric id; else those of a stream whose first event has none needn't. */
     readonly isNumbered: boolean;
 }
 
 /** What the lines of an event that isn't complete have shown so far. */
 interface OpenEvent {
-    id: number | undefined;
+    id: EventId | undefined;
     /** Whether each line is a comment or a field of an event. */
     isEvent: boolean;
     /** Whether it holds comments only, as servers send them to keep a connection open. */
@@ -77,7 +78,7 @@
         if (id === undefined) {
             return hasIds && !isComment ? "an event without an id" : undefined;
         }
-        return lastId !== undefined && id <= lastId ? `event ${id} after event ${lastId}` : undefined;
+        return lastId !== undefined && !isLaterEvent(id, lastId) ? `event ${id} after event ${lastId}` : undefined;
     };
     return {
         push: chunk => {
@@ -181,7 +182,7 @@
     }
     const line = bytes.toString("latin1", start, end);
     const id = idLinePattern.exec(line)?.[1];
-    event.id = id === undefined ? event.id : Number(id);
+    event.id = id === undefined ? event.id : decodeEventId(id);
     event.isComment = false;
     event.isEvent &&= eventLinePattern.test(line) && !responseHeaderPattern.test(line);
 }
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -13,6 +13,7 @@
 import type { AnswerMemory } from "./answerMemory.js";
 import type { AnswerTimes } from "./answerTimes.js";
 import type { ClientAnswer } from "./clientAnswer.js";
+import type { EventId } from "./eventIds.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
 import type { ServerList } from "./serverList.js";
@@ -116,7 +117,7 @@
     /** Whether a server may have run the request; it is then answered 502 or 504 instead of 503 if it fails. */
     mayHaveRun: boolean;
     /** Last event delivered to the client, or the one that it named itself. */
-    lastEventId: number | undefined;
+    lastEventId: EventId | undefined;
     /** What began the stream, from its first event on; only such servers may go on with it. */
     origin: StreamOrigin | undefined;
     /** Software versions of the servers whose events were delivered; a server that states none counts as `unstated`. */
--- a/src/serving/streamDelivery.ts
+++ b/src/serving/streamDelivery.ts
@@ -5,6 +5,7 @@
  */
 import type { StreamId } from "../resumption/index.js";
 import { createLogger } from "../shared/index.js";
+import type { EventId } from "./eventIds.js";
 import type { RequestParts, RequestState } from "./requestState.js";
 import { describePath, listServices } from "./resumedStreams.js";
 import { type BackendServer, formatServerRunId } from "./types.js";
@@ -23,7 +24,7 @@
     parts: RequestParts,
     state: RequestState,
     server: BackendServer,
-    resumedAfter: number | undefined,
+    resumedAfter: EventId | undefined,
 ): void {
     if (state.hasDelivered) {
         return;
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { BackendServerId, ClientAccountId, FailureDomainId, Milliseconds, Result } from "../shared/index.js";
+import type { EventId } from "./eventIds.js";
 
 /**
  * Whether a request may run more than once: `idempotent` requests may, `once` requests never do, and `stream` requests
@@ -219,7 +220,7 @@
     /** `undefined` when the client named no parts. */
     readonly prompt: PromptParts | undefined;
     /** Last event that the client received of an earlier stream. */
-    readonly lastEventId: number | undefined;
+    readonly lastEventId: EventId | undefined;
     /** `undefined` when the request doesn't ask for the rest of an earlier stream. */
     readonly resumed: ResumedStream | undefined;
     /** Names and values in turn to forward to the server, without hop-by-hop headers and those that this layer sets. */
@@ -237,7 +238,7 @@
     /** Adapter version that the server must use; `undefined` for any. */
     readonly version: number | undefined;
     /** Event after which a stream continues; when `undefined`, the client's own value is forwarded. */
-    readonly lastEventId: number | undefined;
+    readonly lastEventId: EventId | undefined;
 }
 
 /** Load that a server reports with a response. */
