fix(serving): an answer that waits for memory goes on when it holds little by itself

What callers saw: nothing until the deadline (504, or a cut answer). A response that is kept until it is whole waits once it holds over 64 KiB while all answers hold over 48 MiB; at that same size it is written to its client, and so holds nothing. It was then taken off the list of those that wait without being told to go on: its server's connection stayed paused. The same for an answer that gave up and is delivered as it arrives.

An answer that waits and holds at most 64 KiB goes on at once, whoever made it hold less; one that is closed is forgotten.

--- a/src/serving/__tests__/answerMemory.test.ts
+++ b/src/serving/__tests__/answerMemory.test.ts
@@ -45,4 +45,22 @@
         expect(seen.slice(1)).to.deep.equal(["first", "second goes on"]);
         expect([memory.countBytes(), timers.length]).to.deep.equal([130 * kibibyte, 0]);
     });
+
+    // guards against an answer that stands still to its deadline, as it waited when it was written to its client
+    it("has an answer go on that holds little again, by itself or as it gave up", () => {
+        const kibibyte = 1_024;
+        const memory = createAnswerMemory(400 * kibibyte, () => undefined);
+        const seen: string[] = [];
+        const [other, delivered, given] = ["other", "delivered", "given"].map(name =>
+            memory.open(createHolder(name, seen))
+        );
+        other!.set(300 * kibibyte);
+        delivered!.set(70 * kibibyte);
+        delivered!.set(0);
+        expect(seen.splice(0)).to.deep.equal(["delivered waits", "delivered goes on"]);
+        other!.set(30 * kibibyte);
+        given!.set(305 * kibibyte);
+        other!.set(96 * kibibyte);
+        expect(seen).to.deep.equal(["given waits", "other waits", "given", "given goes on", "other goes on"]);
+    });
 });
--- a/src/serving/answerMemory.ts
+++ b/src/serving/answerMemory.ts
@@ -68,15 +68,18 @@
         entry.bytes = bytes;
         if (bytes === 0) {
             entries.delete(entry);
-            waiting.delete(entry);
+        }
+    };
+    const resumeWaiting = (entry: Entry): void => {
+        if (waiting.delete(entry)) {
+            entry.resume();
         }
     };
     // each that goes on may take one more read
     const resumeSome = (): void => {
         const count = Math.floor((waitingLimit - total) / smallBytes);
         for (const entry of [...waiting].slice(0, Math.max(0, count))) {
-            waiting.delete(entry);
-            entry.resume();
+            resumeWaiting(entry);
         }
     };
     // one that gives up is asked only once for what it holds
@@ -84,6 +87,7 @@
         const largest = [...entries].reduce((first, second) => second.bytes > first.bytes ? second : first);
         setBytes(largest, 0);
         largest.giveUp();
+        resumeWaiting(largest);
         resumeSome();
     };
     const expectRoom = (): void => {
@@ -110,6 +114,9 @@
                         return;
                     }
                     setBytes(entry, bytes);
+                    if (bytes <= smallBytes) {
+                        resumeWaiting(entry);
+                    }
                     if (bytes === 0) {
                         resumeSome();
                         return;
@@ -127,6 +134,7 @@
                 close: () => {
                     isClosed = true;
                     setBytes(entry, 0);
+                    waiting.delete(entry);
                     resumeSome();
                 },
             };
