fix(forwarding): attempts of other instances are part of the bound for all answers

What callers would see: an instance that carries attempts of others while its own clients' answers fill the 64 MiB has up to 8 MiB more, and ends when the machine's memory is full, with all its requests (LOST).

Cause: a forwarded attempt counted for itself only (64 KiB and one read, of 64 attempts), and an answer's memory counted as the sum of its lengths: small chunks have a block of 8 KiB, a large one the read that it is a part of.

Change: the instance has one memory of answers; each forwarded attempt opens its part of it and records what its bytes and events keep alive. Near the bound its server waits; at the bound the one that holds most is ended, and the other instance hears that the attempt is unknown, which blames no server.

--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -3,10 +3,11 @@
  *
  * @packageDocumentation
  */
+import { type AnswerMemory, createAnswerMemory, type HeldMemory } from "../serving/answerMemory.js";
 import { type ByteStore, createByteStore } from "../serving/byteStore.js";
 import type { Attempt, AttemptFault, ServerConnections } from "../serving/serverConnections.js";
-import type { BackendServer, ServerRunId } from "../serving/types.js";
-import type { Clock, Milliseconds } from "../shared/index.js";
+import type { BackendServer, ServerResponseHead, ServerRunId } from "../serving/types.js";
+import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import { recordTaskFailure } from "../supervision/index.js";
 import type { AttemptEvent, ForwardingMessage, StartMessage } from "./messages.js";
 
@@ -20,6 +21,8 @@
     readonly isReaching: () => boolean;
     /** Whether this instance stops and begins no attempts of others. */
     readonly isStopping: () => boolean;
+    /** Memory of all answers of this instance. @default one for these attempts alone */
+    readonly answerMemory?: Pick<AnswerMemory, "open">;
 }
 
 /** Service for other instances. */
@@ -38,8 +41,13 @@
     attempt: Attempt | undefined;
     /** Events before the bytes. */
     events: AttemptEvent[];
+    /** Memory that the events keep alive. */
+    eventBytes: number;
     /** Bytes of the answer that wait to be fetched; small chunks of them are one event. */
     readonly bytes: ByteStore;
+    readonly memory: HeldMemory;
+    /** Whether the memory of all answers has no room for more. */
+    isWaiting: boolean;
     isOver: boolean;
     askedAt: Milliseconds;
     wake: () => void;
@@ -53,6 +61,9 @@
 const waitMilliseconds = 300;
 /** Time without a question after which the sender is taken to have ended. */
 const abandonedMilliseconds = 1_500;
+/** Memory of a string beside its characters. */
+const stringBytes = 16;
+const log = createLogger("forwarding");
 
 /**
  * Creates the service without attempts.
@@ -61,13 +72,15 @@
  * @returns the service
  */
 export function createForwardService(options: ForwardServiceOptions): ForwardService {
-    const { clock } = options;
+    const { clock, answerMemory = createAnswerMemory() } = options;
     const attempts = new Map<string, ForwardedAttempt>();
     const hasRoom = (): boolean => options.isReaching() && !options.isStopping() && attempts.size < maximumAttempts;
     const add = (entry: ForwardedAttempt, event: AttemptEvent): void => {
         moveBytes(entry);
         entry.events.push(event);
+        entry.eventBytes += event.kind === "head" ? estimateHeadBytes(event.head) : 0;
         entry.isOver ||= event.kind === "end" || event.kind === "fault";
+        recordMemory(entry);
         entry.wake();
     };
     const addBytes = (entry: ForwardedAttempt, chunk: Buffer): void => {
@@ -75,8 +88,36 @@
         if (entry.bytes.countBytes() > pauseBytes) {
             entry.attempt?.pause();
         }
+        recordMemory(entry);
         entry.wake();
     };
+    const resumeAttempt = (entry: ForwardedAttempt): void => {
+        if (!entry.isWaiting && entry.bytes.countBytes() <= pauseBytes) {
+            entry.attempt?.resume();
+        }
+    };
+    const openMemory = (id: string): HeldMemory =>
+        answerMemory.open({
+            // the other instance hears that the attempt is unknown, which is no fault of its server
+            giveUp: () => {
+                log.warn("attempt of another instance given up for want of memory", { id });
+                abort(id);
+            },
+            pause: () => {
+                const entry = attempts.get(id);
+                if (entry) {
+                    entry.isWaiting = true;
+                    entry.attempt?.pause();
+                }
+            },
+            resume: () => {
+                const entry = attempts.get(id);
+                if (entry) {
+                    entry.isWaiting = false;
+                    resumeAttempt(entry);
+                }
+            },
+        });
     const take = async (id: string, entry: ForwardedAttempt): Promise<ForwardingMessage> => {
         entry.askedAt = clock.now();
         if (entry.events.length === 0 && entry.bytes.countBytes() === 0) {
@@ -90,17 +131,26 @@
         const { events } = entry;
         entry.askedAt = clock.now();
         entry.events = [];
+        entry.eventBytes = 0;
+        entry.memory.set(0);
         if (isFull) {
-            entry.attempt?.resume();
+            resumeAttempt(entry);
         }
         if (entry.isOver) {
+            entry.memory.close();
             attempts.delete(id);
         }
         return { kind: "events", events };
     };
     const abort = (id: string): void => {
-        attempts.get(id)?.attempt?.abort();
-        attempts.delete(id);
+        const entry = attempts.get(id);
+        if (entry) {
+            attempts.delete(id);
+            entry.events = [];
+            entry.bytes.take();
+            entry.memory.close();
+            entry.attempt?.abort();
+        }
     };
     return {
         start: async message => {
@@ -111,7 +161,10 @@
             const entry: ForwardedAttempt = {
                 attempt: undefined,
                 events: [],
+                eventBytes: 0,
                 bytes: createByteStore(),
+                memory: openMemory(message.id),
+                isWaiting: false,
                 isOver: false,
                 askedAt: clock.now(),
                 wake: () => undefined,
@@ -148,6 +201,7 @@
             }
             catch (error) {
                 // nothing was sent, so that the other instance may choose again
+                entry.memory.close();
                 attempts.delete(message.id);
                 recordTaskFailure("attempt of another instance", error);
                 return { kind: "refused", reason: "failed inside" };
@@ -170,8 +224,17 @@
 }
 
 // the bytes come before whatever event comes next
-function moveBytes({ events, bytes }: ForwardedAttempt): void {
-    bytes.take().forEach(chunk => events.push({ kind: "data", chunk }));
+function moveBytes(entry: ForwardedAttempt): void {
+    entry.eventBytes += entry.bytes.countHeldBytes();
+    entry.bytes.take().forEach(chunk => entry.events.push({ kind: "data", chunk }));
+}
+
+function recordMemory({ bytes, eventBytes, memory }: ForwardedAttempt): void {
+    memory.set(bytes.countHeldBytes() + eventBytes);
+}
+
+function estimateHeadBytes({ passedHeaders }: ServerResponseHead): number {
+    return passedHeaders.reduce((sum, text) => sum + text.length + stringBytes, 0);
 }
 
 // the sender checks its requests itself; one of an older version doesn't know `unsendable`
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -5,6 +5,7 @@
  * @packageDocumentation
  */
 import type { PeerNetwork } from "../peers/index.js";
+import type { AnswerMemory } from "../serving/answerMemory.js";
 import { findRequestFault } from "../serving/requestCheck.js";
 import type {
     Attempt,
@@ -52,6 +53,8 @@
     readonly onLeaving: (server: BackendServer) => void;
     /** Whether this instance stops and begins no attempts of others. */
     readonly isStopping: () => boolean;
+    /** Memory of all answers of this instance. @default one for the attempts of others alone */
+    readonly answerMemory?: Pick<AnswerMemory, "open">;
     /** Counts an attempt that is sent through another instance. */
     readonly onForwarded: () => void;
 }
@@ -103,6 +106,7 @@
         findServer: options.findServer,
         isReaching: () => !isCutOff,
         isStopping: options.isStopping,
+        ...options.answerMemory && { answerMemory: options.answerMemory },
     });
     const pickSome = (candidates: readonly HelperCandidate[], count: number): readonly InstanceId[] => {
         const rest = [...candidates];
--- a/src/serving/byteStore.ts
+++ b/src/serving/byteStore.ts
@@ -9,6 +9,8 @@
 export interface ByteStore {
     readonly push: (chunk: Buffer) => void;
     readonly countBytes: () => number;
+    /** Returns the size of the memory that the bytes keep alive. */
+    readonly countHeldBytes: () => number;
     /** Returns the bytes in order and forgets them; no piece is empty. */
     readonly take: () => readonly Buffer[];
 }
@@ -28,6 +30,7 @@
     let block: Buffer | undefined;
     let blockSize = 0;
     let size = 0;
+    let heldSize = 0;
     const closeBlock = (): void => {
         if (block && blockSize > 0) {
             pieces.push(block.subarray(0, blockSize));
@@ -40,6 +43,7 @@
             if (!block || blockSize === block.length) {
                 closeBlock();
                 block = Buffer.allocUnsafeSlow(blockBytes);
+                heldSize += blockBytes;
             }
             const copied = chunk.copy(block, blockSize, start);
             start += copied;
@@ -52,18 +56,21 @@
             if (isWorthKeeping(chunk)) {
                 closeBlock();
                 pieces.push(chunk);
+                heldSize += chunk.buffer.byteLength;
             }
             else {
                 addCopy(chunk);
             }
         },
         countBytes: () => size,
+        countHeldBytes: () => heldSize,
         take: () => {
             closeBlock();
             const taken = pieces;
             pieces = [];
             block = undefined;
             size = 0;
+            heldSize = 0;
             return taken;
         },
     };
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -208,7 +208,7 @@
             }
             if (held) {
                 held.bytes.push(chunk);
-                memory.set(held.bytes.countBytes());
+                memory.set(held.bytes.countHeldBytes());
                 if (held && held.bytes.countBytes() > responseBufferBytes) {
                     flushBuffer(held.head.contentLength);
                 }
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -224,7 +224,9 @@
         loop: gate,
         idleTimeout: serverIdleTimeoutMilliseconds,
     });
+    const answerMemory = createAnswerMemory();
     const forwarding = createForwardingConnections({
+        answerMemory,
         runId: `${self.id}@${startUnixTime}`,
         failureDomain: options.failureDomain,
         clock,
@@ -313,7 +315,7 @@
         permits: adapters.permits,
         guard,
         origins,
-        answerMemory: createAnswerMemory(),
+        answerMemory,
         answerTimes,
         shutdown,
         onBroken: metrics.countBrokenAnswer,
