fix(peers): what waits to be sent to other instances is part of the bound for all answers

What callers would see: an instance answers others that ask on and read nothing (they stand still, or the link does), keeps all answers, and ends when the machine's memory is full, with its own clients' requests (LOST). Messages without an answer were dropped beyond 1 MiB a connection; answers, such as the events of forwarded attempts and reads of topics, had no bound.

Change: each connection opens its part of the instance's memory of answers and records its buffered bytes, and 1 KiB for the objects of each frame. At the bound the connection on which most waits is closed, if nothing else holds more. Requests on it may have been handled, as after any lost connection.

--- a/src/peers/connection.ts
+++ b/src/peers/connection.ts
@@ -25,7 +25,8 @@
     readonly isOpen: () => boolean;
     /** Returns the number of bytes that are buffered and not yet written to the network. */
     readonly measureBacklog: () => number;
-    readonly send: (frame: PayloadFrame) => void;
+    /** Sends a frame; `onWritten` is called once it is no longer buffered. */
+    readonly send: (frame: PayloadFrame, onWritten?: () => void) => void;
     /** Starts the closing handshake of the WebSocket. */
     readonly close: () => void;
     /** Ends the connection at once, without a word to the peer. */
@@ -162,9 +163,9 @@
         peer,
         isOpen: () => socket.readyState === WebSocket.OPEN,
         measureBacklog: () => socket.bufferedAmount,
-        send: frame => {
+        send: (frame, onWritten) => {
             refreshIdleTimer();
-            socket.send(codec.encode(frame));
+            socket.send(codec.encode(frame), onWritten);
         },
         close: () => socket.close(),
         terminate: () => socket.terminate(),
--- a/src/peers/peerTask.ts
+++ b/src/peers/peerTask.ts
@@ -6,6 +6,7 @@
  */
 import type { AddressInfo } from "node:net";
 import { WebSocketServer } from "ws";
+import type { AnswerMemory, HeldMemory } from "../serving/answerMemory.js";
 import {
     type Clock,
     createLogger,
@@ -46,6 +47,8 @@
     /** Finds the IP address and port of an instance; `undefined` if they are unknown. */
     readonly findAddress: (instance: InstanceId) => string | undefined;
     readonly clock: Clock;
+    /** Memory that the frames which wait to be sent are part of. @default they have no bound together */
+    readonly memory?: Pick<AnswerMemory, "open">;
 }
 
 /** The task, with the interface that the other parts of the instance use. */
@@ -74,6 +77,14 @@
     readonly frames: PayloadFrame[];
 }
 
+/** What waits to be sent on a connection. */
+interface Backlog {
+    readonly memory: HeldMemory;
+    frames: number;
+}
+
+/** Memory of the objects of a frame that waits to be sent, beside its bytes. */
+const frameObjectBytes = 1_024;
 /** Interval of the log lines on refused messages; all are counted. */
 const refusalLogIntervalMilliseconds = 1_000;
 const debug = createLogger("peers");
@@ -88,6 +99,7 @@
     const connections = new Map<InstanceId, PeerConnection>();
     // when a frame of each connection came last
     const heardAt = new WeakMap<PeerConnection, Milliseconds>();
+    const backlogs = new WeakMap<PeerConnection, Backlog>();
     const connectionAttempts = new Map<InstanceId, ConnectionAttempt>();
     const retryAt = new Map<InstanceId, number>();
     const handlers = new Map<string, UntypedHandler>();
@@ -100,6 +112,7 @@
         onOpen: connection => {
             connections.set(connection.peer, connection);
             heardAt.set(connection, options.clock.now());
+            openBacklog(connection);
         },
         onFrame: (connection, frame) => {
             counts.receivedFrames++;
@@ -107,12 +120,44 @@
             callGuarded("message of an instance", () => receiveFrame(connection, frame));
         },
         onClose: connection => {
+            backlogs.get(connection)?.memory.close();
             if (connections.get(connection.peer) === connection) {
                 connections.delete(connection.peer);
                 pending.failAll(connection.peer, { kind: "disconnected" });
             }
         },
     };
+    const sendCounted = (connection: PeerConnection, frame: PayloadFrame): void => {
+        const backlog = backlogs.get(connection);
+        if (!backlog) {
+            connection.send(frame);
+            return;
+        }
+        const record = (): void => {
+            const bytes = connection.measureBacklog();
+            backlog.memory.set(bytes === 0 ? 0 : bytes + backlog.frames * frameObjectBytes);
+        };
+        backlog.frames++;
+        connection.send(frame, () => {
+            backlog.frames--;
+            record();
+        });
+        record();
+    };
+    // what waits to be sent can't be taken back but with the connection
+    const openBacklog = (connection: PeerConnection): void => {
+        const memory = options.memory?.open({
+            giveUp: () => {
+                debug.warn("connection ended for want of memory", { peer: connection.peer });
+                connection.terminate();
+            },
+            pause: () => undefined,
+            resume: () => undefined,
+        });
+        if (memory) {
+            backlogs.set(connection, { memory, frames: 0 });
+        }
+    };
     const receiveFrame = (connection: PeerConnection, frame: PayloadFrame): void => {
         switch (frame.kind) {
             case "message":
@@ -160,7 +205,7 @@
             return;
         }
         counts.sentFrames++;
-        connection.send(frame);
+        sendCounted(connection, frame);
     };
     // other requests to the same instance may have been sent over a connection that is still closing
     const failUnsent = ({ frames }: ConnectionAttempt, error: PeerError): void =>
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -124,7 +124,9 @@
         dependencies.listUndecodedHeaders ?? (() => []),
     );
     const random = createSeededRandom(startUnixTime % 2 ** 31);
+    const answerMemory = createAnswerMemory();
     const peers = createPeerTask({
+        memory: answerMemory,
         self: self.id,
         host: options.host,
         port: options.peerPort,
@@ -224,7 +226,6 @@
         loop: gate,
         idleTimeout: serverIdleTimeoutMilliseconds,
     });
-    const answerMemory = createAnswerMemory();
     const forwarding = createForwardingConnections({
         answerMemory,
         runId: `${self.id}@${startUnixTime}`,
