fix(serving): the rest of an answer that isn't passed on is read until its request's deadline at most

What callers saw: requests that wait in the pool for a connection which the silent rest of a refused answer holds, after that answer's request had no time left.

Cause: the rest may have 64 KiB and 1 s, whatever time the request has.

Change: an attempt that is drained hears how long its request has; the earlier of that and 1 s closes the connection.

In endlessAnswers.test.ts `drain` gets its argument (60 s, so that the bounds there are those of before).

--- a/src/serving/__tests__/endlessAnswers.test.ts
+++ b/src/serving/__tests__/endlessAnswers.test.ts
@@ -99,7 +99,7 @@
         connections,
         sendDrained: () => {
             const attempt = connections.send(request, {
-                onHead: () => attempt.drain?.(),
+                onHead: () => attempt.drain?.(60_000),
                 onData: () => undefined,
                 onEnd: () => undefined,
                 onFault: () => undefined,
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -101,7 +101,7 @@
         const finish = (outcome: AttemptOutcome): void => {
             memory.close();
             over.abort();
-            callGuarded("rest of an answer", () => attempt?.drain?.());
+            callGuarded("rest of an answer", () => attempt?.drain?.(deadlineAt - parts.clock.now()));
             resolve(outcome);
         };
         const failInside = (error: unknown): void => {
--- a/src/serving/serverAttempt.ts
+++ b/src/serving/serverAttempt.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher, Pool } from "undici";
+import type { Milliseconds } from "../shared/index.js";
 import { recordTaskFailure, startTask } from "../supervision/index.js";
 import { createAnswerDelivery } from "./answerDelivery.js";
 import type {
@@ -25,7 +26,7 @@
 const lowestFinalStatus = 200;
 /** Interim answers that an attempt may have; servers send some, such as one every few seconds of their work. */
 const interimAnswerLimit = 64;
-/** Rest of an answer that is read though nobody wants it, and the time for that. */
+/** Rest of an answer that is read though nobody wants it, and the time for that, if the request has as much left. */
 const ignoredRest = { bytes: 65_536, milliseconds: 1_000 } as const;
 /** Codes of the errors with which undici refuses a request that it can't write. */
 const refusalCodes: ReadonlySet<string> = new Set(["UND_ERR_INVALID_ARG", "UND_ERR_NOT_SUPPORTED"]);
@@ -237,11 +238,12 @@
     else {
         send();
     }
-    const drain = (): void => {
+    const drain = (timeLeft: Milliseconds): void => {
         if (!isOver && ignoredBytes === undefined) {
             ignoredBytes = 0;
             delivery.discard();
-            setTimeout(() => isOver || abort(), ignoredRest.milliseconds).unref();
+            const duration = Math.min(ignoredRest.milliseconds, Math.max(0, timeLeft));
+            setTimeout(() => isOver || abort(), duration).unref();
         }
     };
     return { abort, pause: delivery.pause, resume: delivery.resume, drain };
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -63,11 +63,12 @@
     readonly pause: () => void;
     readonly resume: () => void;
     /**
-     * Delivers nothing more: a short rest of the answer is read, so that its connection can be used again, else it is closed.
+     * Delivers nothing more: a short rest of the answer is read, so that its connection can be used again, else it is closed,
+     * at the latest once the request has no time left.
      *
      * @default the whole answer is read
      */
-    readonly drain?: () => void;
+    readonly drain?: (timeLeft: Milliseconds) => void;
 }
 
 /** A request to one server. */
