fix(platform): a topic whose pages have no end is given up as a fault of the store

What callers would see: all instances that read such a topic at once keep its records until their memory is full (LOST); with small pages they ask for one after the other for good, at the store's rate.

Cause: a page is bounded (2 MiB), the number of pages wasn't, nor was it noticed that the same page came again.

Change: a read counts the bytes of its pages and 128 for the objects of each record, at least 64,000 for a page, and is given up beyond 32 MiB; all reads at the same time share 64 MiB, beyond which the largest fails. It fails as `unreachable`: followers deliver nothing of it, so that what was known stays, and ask again; the topic is read again 5 s later, as a read that is given up takes up to a second. The store's own bound (`part_mb`, 200) is more than a machine's memory bears.

--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -29,6 +29,7 @@
     encodeRecord,
     maximumKeyBytes,
 } from "./logRecords.js";
+import { createTopicReads, type TopicRead, type TopicReads } from "./topicReads.js";
 
 /** Client of the store. */
 export interface PlatformStore extends KeyedLog {
@@ -104,8 +105,10 @@
     });
     const sendRequest = (httpRequest: HttpRequest): Promise<Result<Buffer, StoreError>> =>
         readResponse(sendHttpRequest(pool, { ...httpRequest, onHeaders }, sockets));
+    const reads = createTopicReads();
     return {
-        readNewest: topic => readLatestRecords(sendRequest, topicNames[topic]),
+        readNewest: topic =>
+            runRead(reads, topicNames[topic], read => readLatestRecords(sendRequest, topicNames[topic], read)),
         readFrom: async (topic, offset, wait) => {
             const path = `/log-read?topic=${topicNames[topic]}&part=0&from=${offset}&wait_ms=${wait}`;
             const answer = await sendRequest({ method: "GET", path, timeout: wait + longPollMarginMilliseconds });
@@ -132,11 +135,28 @@
             return answer.ok ? wrapValue(undefined) : answer;
         },
         shards: createShardGroup(sendRequest),
-        streams: createExpiringLog(sendRequest, streamTopic),
+        streams: createExpiringLog(sendRequest, streamTopic, reads),
         close: () => startTask("close connections", () => pool.destroy()),
     };
 }
 
+async function runRead<Value>(
+    reads: TopicReads,
+    topic: string,
+    run: (read: TopicRead) => Promise<Result<Value, StoreError>>,
+): Promise<Result<Value, StoreError>> {
+    const read = reads.open(topic, performance.now());
+    if (!read) {
+        return wrapError({ kind: "unreachable", detail: "the topic was too large, and is read again later" });
+    }
+    try {
+        return await run(read);
+    }
+    finally {
+        read.close();
+    }
+}
+
 type StoreRequestSender = (httpRequest: HttpRequest) => Promise<Result<Buffer, StoreError>>;
 
 async function readResponse(answered: ReturnType<typeof sendHttpRequest>): Promise<Result<Buffer, StoreError>> {
@@ -166,14 +186,17 @@
     return decoded.ok ? decoded.value.first_offset : undefined;
 }
 
-function createExpiringLog(sendRequest: StoreRequestSender, topic: string): ExpiringLog {
+function createExpiringLog(sendRequest: StoreRequestSender, topic: string, reads: TopicReads): ExpiringLog {
     const readPage = (offset: number): Promise<Result<Buffer, StoreError>> =>
         sendRequest({
             method: "GET",
             path: `/log-read?topic=${topic}&part=0&from=${offset}&wait_ms=0`,
             timeout: requestTimeoutMilliseconds,
         });
-    const readRest = async (offset: number): Promise<Result<readonly Uint8Array[], StoreError>> => {
+    const readRest = async (
+        offset: number,
+        read: TopicRead,
+    ): Promise<Result<readonly Uint8Array[], StoreError>> => {
         const records: Uint8Array[] = [];
         for (;;) {
             const answer = await readPage(offset + records.length);
@@ -184,6 +207,13 @@
             if (!page.ok) {
                 return wrapError({ kind: "unreachable", detail: page.error.detail });
             }
+            const excess = read.addPage(
+                { bytes: answer.value.length, records: page.value.records.length },
+                performance.now(),
+            );
+            if (excess !== undefined) {
+                return wrapError({ kind: "unreachable", detail: excess });
+            }
             // not spread over arguments, of which there may be too many
             page.value.records.forEach(record => records.push(record));
             if (page.value.records.length === 0 || offset + records.length >= page.value.endOffset) {
@@ -202,8 +232,12 @@
             return answer.ok ? wrapValue(undefined) : answer;
         },
         readAll: async () => {
-            const read = await readRest(0);
-            return !read.ok && read.error.kind === "expired" ? readRest(read.error.firstOffset ?? 0) : read;
+            const records = await runRead(reads, topic, read => readRest(0, read));
+            if (records.ok || records.error.kind !== "expired") {
+                return records;
+            }
+            const { firstOffset = 0 } = records.error;
+            return runRead(reads, topic, read => readRest(firstOffset, read));
         },
     };
 }
@@ -211,6 +245,7 @@
 async function readLatestRecords(
     sendRequest: StoreRequestSender,
     topic: string,
+    read: TopicRead,
 ): Promise<Result<KeyedSnapshot, StoreError>> {
     const records: KeyedRecord[] = [];
     let after = "";
@@ -226,6 +261,13 @@
         if (!page.ok) {
             return page;
         }
+        const excess = read.addPage(
+            { bytes: answer.value.length, records: page.value.records.length },
+            performance.now(),
+        );
+        if (excess !== undefined) {
+            return wrapError({ kind: "unreachable", detail: excess });
+        }
         records.push(...page.value.records);
         endOffset ??= page.value.endOffset;
         if (!page.value.hasMore || page.value.lastKey === undefined) {
