--- a/src/serving/__tests__/keyedFollower.test.ts
+++ b/src/serving/__tests__/keyedFollower.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { type Result, wrapValue } from "../../shared/index.js";
+import { type Result, wrapError, wrapValue } from "../../shared/index.js";
 import { createKeyedFollower } from "../keyedFollower.js";
 import { createTopicCache } from "../topicCache.js";
 import type { KeyedRecord, KeyedSnapshot, StoreError } from "../types.js";
@@ -62,4 +62,47 @@
         const read = cache.read(undefined);
         expect(read?.kind === "records" && [read.records.length, read.endOffset]).to.deep.equal([6, 7]);
     });
+
+    // guards against servers, or a configuration, that are forgotten because a read of their topic is given up
+    it("keeps what it knows while new snapshots fail, and takes the next one that comes", async () => {
+        const stop = new AbortController();
+        const cache = createTopicCache();
+        const taken: (readonly string[])[] = [];
+        const failures: string[] = [];
+        const failure = wrapError<StoreError>({ kind: "unreachable", detail: "topic of more than 33554432 bytes" });
+        const snapshots: readonly Result<KeyedSnapshot, StoreError>[] = [
+            wrapValue({ records: [createRecord("a", 0)], endOffset: 1 }),
+            failure,
+            failure,
+            wrapValue({ records: [createRecord("b", 8)], endOffset: 9 }),
+        ];
+        let asked = 0;
+        const follower = createKeyedFollower({
+            log: {
+                readNewest: async () => snapshots[asked++]!,
+                readFrom: async (topic, offset) => {
+                    if (offset === 9) {
+                        stop.abort();
+                    }
+                    return wrapError({ kind: "expired", firstOffset: 8 });
+                },
+                append: async () => wrapValue(undefined),
+            },
+            topic: "servers",
+            wait: 0,
+            cache,
+            sleep: async () => undefined,
+            onSnapshot: records => taken.push(records.map(({ key }) => key)),
+            onRecords: () => undefined,
+            onConfirmed: () => undefined,
+            onFailure: ({ kind }) => {
+                const read = cache.read(undefined);
+                const known = read?.kind === "records" ? read.records.map(([key]) => key) : [];
+                failures.push(`${kind} ${known.join()}`);
+            },
+        });
+        await follower.run(stop.signal);
+        expect(taken).to.deep.equal([["a"], ["b"]]);
+        expect(failures).to.deep.equal(["expired a", "unreachable a", "unreachable a"]);
+    });
 });
