refactor(serving): the rest that nobody wants and the fault of an error are functions of their own

`sendAttempt` is shorter by the two parts that need nothing else of it; its handlers still share its state. No change of behaviour: serverConnections, endlessAnswers, refusedRests, heldAnswers, cutHeads and unreadableAnswers pass as before (20, 20, 10, 16, 2 and 2).

--- a/src/serving/serverAttempt.ts
+++ b/src/serving/serverAttempt.ts
@@ -73,8 +73,6 @@
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
     let interimAnswers = 0;
-    // bytes since nobody wants the answer; `undefined` before
-    let ignoredBytes: number | undefined;
     // connection of the answer, from its head on
     let socket: ServerSocket | undefined;
     const finish = (notify: () => void): void => {
@@ -85,6 +83,7 @@
             notify();
         }
     };
+    const rest = createIgnoredRest(() => isOver || abort());
     const endUnsent = (fault: AttemptFault): void => finish(() => handlers.onFault(fault));
     const abort = (): void => {
         isOver = true;
@@ -163,13 +162,11 @@
             if (isOver) {
                 return;
             }
-            if (ignoredBytes === undefined) {
-                delivery.push(chunk);
-                return;
+            if (rest.isIgnored()) {
+                rest.add(chunk.length);
             }
-            ignoredBytes += chunk.length;
-            if (ignoredBytes > ignoredRest.bytes) {
-                abort();
+            else {
+                delivery.push(chunk);
             }
         }),
         onResponseEnd: wrapHandler(() => {
@@ -192,16 +189,10 @@
                 sendChecked();
                 return;
             }
-            const isRefused = !hasConnection && isRefusal(error);
-            const isUnusable = isRefused || (isDispatching && !hasConnection);
-            const detail = isRefused ? error.message : (error as NodeJS.ErrnoException).code ?? error.message;
-            const kind = isRefused ? "unsendable" : controller ? "broken" : "notSent";
-            const fault: AttemptFault = kind === "broken"
-                ? { kind, detail, isNoAnswer: isNoAnswer(error, socket) }
-                : { kind, detail };
+            const fault = describeError(error, { hasConnection, isWritten: controller !== undefined, socket });
             delivery.flush();
             finish(() => handlers.onFault(fault));
-            if (isUnusable) {
+            if (fault.kind === "unsendable" || (isDispatching && !hasConnection)) {
                 // the pool doesn't use the connection again that it chose for the request
                 replacePool(run, pool);
             }
@@ -239,16 +230,58 @@
         send();
     }
     const drain = (timeLeft: Milliseconds): void => {
-        if (!isOver && ignoredBytes === undefined) {
-            ignoredBytes = 0;
+        if (!isOver && !rest.isIgnored()) {
             delivery.discard();
-            const duration = Math.min(ignoredRest.milliseconds, Math.max(0, timeLeft));
-            setTimeout(() => isOver || abort(), duration).unref();
+            rest.begin(timeLeft);
         }
     };
     return { abort, pause: delivery.pause, resume: delivery.resume, drain };
 }
 
+/** What comes of an answer that nobody wants any more. */
+interface IgnoredRest {
+    /** Whether nobody wants the answer. */
+    readonly isIgnored: () => boolean;
+    readonly begin: (timeLeft: Milliseconds) => void;
+    readonly add: (bytes: number) => void;
+}
+
+function createIgnoredRest(end: () => void): IgnoredRest {
+    let bytes: number | undefined;
+    return {
+        isIgnored: () => bytes !== undefined,
+        begin: timeLeft => {
+            bytes = 0;
+            setTimeout(end, Math.min(ignoredRest.milliseconds, Math.max(0, timeLeft))).unref();
+        },
+        add: more => {
+            bytes = (bytes ?? 0) + more;
+            if (bytes > ignoredRest.bytes) {
+                end();
+            }
+        },
+    };
+}
+
+interface AttemptProgress {
+    /** Whether undici has had a connection for the request. */
+    readonly hasConnection: boolean;
+    /** Whether bytes of the request may have been written. */
+    readonly isWritten: boolean;
+    /** Connection of the answer, from its head on. */
+    readonly socket: ServerSocket | undefined;
+}
+
+function describeError(error: Error, { hasConnection, isWritten, socket }: AttemptProgress): AttemptFault {
+    if (!hasConnection && isRefusal(error)) {
+        return { kind: "unsendable", detail: error.message };
+    }
+    const detail = (error as NodeJS.ErrnoException).code ?? error.message;
+    return isWritten
+        ? { kind: "broken", detail, isNoAnswer: isNoAnswer(error, socket) }
+        : { kind: "notSent", detail };
+}
+
 function isRefusal(error: Error): boolean {
     return refusalCodes.has((error as NodeJS.ErrnoException).code ?? "");
 }
