--- a/src/forwarding/__tests__/slowReader.test.ts
+++ b/src/forwarding/__tests__/slowReader.test.ts
@@ -252,7 +252,7 @@
                 await play.history.runAsync(500);
                 play.attempt.pause();
                 await play.history.runAsync(3_000);
-                play.attempt[end]!();
+                end === "abort" ? play.attempt.abort() : play.attempt.drain!(60_000);
                 await play.history.runAsync(3_100);
                 expect(play.server.abortedAt, `${end}, seed ${seed}`).to.be.within(3_000, 3_010);
                 const count = play.kept.length;
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -124,7 +124,9 @@
         dependencies.listUndecodedHeaders ?? (() => []),
     );
     const random = createSeededRandom(startUnixTime % 2 ** 31);
+    const answerMemory = createAnswerMemory();
     const peers = createPeerTask({
+        memory: answerMemory,
         self: self.id,
         host: options.host,
         port: options.peerPort,
@@ -225,6 +227,7 @@
         idleTimeout: serverIdleTimeoutMilliseconds,
     });
     const forwarding = createForwardingConnections({
+        answerMemory,
         runId: `${self.id}@${startUnixTime}`,
         failureDomain: options.failureDomain,
         clock,
@@ -313,7 +316,7 @@
         permits: adapters.permits,
         guard,
         origins,
-        answerMemory: createAnswerMemory(),
+        answerMemory,
         answerTimes,
         shutdown,
         onBroken: metrics.countBrokenAnswer,
