fix(quarantine): the ends that a quarantine explains follow its record, whoever writes or deletes it

What callers saw: a request whose record another instance had deleted, or an operator by hand, was never refused again by the holder that had decided on it, however many servers it ended; and a new holder blamed a request that ran beside a crashing one which the holder before it had found.

Cause: the holder kept what its own decisions explain, and forgot it only when it lifted the quarantine itself.

Change: before each decision the explanations are those of the quarantines in the list, as read from the store.

--- a/src/quarantine/__tests__/quarantineDecider.test.ts
+++ b/src/quarantine/__tests__/quarantineDecider.test.ts
@@ -3,7 +3,7 @@
 import { quarantineMessageSchema } from "../messages.js";
 import { createQuarantineDecider, type QuarantineDecider } from "../quarantineDecider.js";
 import { createQuarantineList, type QuarantineList } from "../quarantineList.js";
-import type { BrokenRequest, RequestScope } from "../types.js";
+import { type BrokenRequest, formatScopeKey, type RequestScope } from "../types.js";
 
 interface TestDecider {
     readonly decider: QuarantineDecider;
@@ -34,7 +34,7 @@
     decider.receiveReport({
         kind: "report",
         breaks: [0, 50, 100].map(age => ({
-            run: `${request.digest}-${age}`,
+            run: `${request.digest}-${now - age}`,
             service: "s",
             age,
             requests: [{ ...request, shared: [] }],
@@ -107,6 +107,35 @@
         expect(decide(test.list, "common", 11_400)).to.equal("open");
     });
 
+    // guards against a request whose quarantine another instance or an operator ended, and that is never refused again
+    it("is made again for a request whose record was deleted elsewhere, when it ends servers again", async () => {
+        const test = createDecider();
+        await makeQuarantine(test, createRequest("bad"), 0);
+        test.list.replaceAll([], 30_000);
+        test.setTime(30_000);
+        await test.decider.update(30_000);
+        expect(decide(test.list, "bad", 30_000)).to.equal("open");
+        await makeQuarantine(test, createRequest("bad"), 60_000);
+        expect(decide(test.list, "bad", 61_300)).to.equal("quarantined");
+    });
+
+    // guards against blame for a request beside the one that the instance before found, of which the next one has no ends
+    it("takes ends for explained by what another instance decided", async () => {
+        const first = createDecider();
+        await makeQuarantine(first, createRequest("bad"), 0);
+        const second = createDecider(first.list);
+        const breaks = [0, 50, 100].map(age => ({
+            run: `late-${age}`,
+            service: "s",
+            age,
+            requests: ["bad", "beside"].map(digest => ({ ...createRequest(digest), shared: [] })),
+        }));
+        await second.decider.update(1_300);
+        second.decider.receiveReport({ kind: "report", breaks, alive: [], answers: [], sound: [] }, 1_400);
+        await second.decider.update(2_700);
+        expect(first.list.list().map(formatScopeKey)).to.deep.equal(["request bad"]);
+    });
+
     // guards against an account that fills the list, so that nothing of the others can be quarantined
     it("keeps the newest fifty of an account, and those of the others", async () => {
         const test = createDecider();
--- a/src/quarantine/quarantineDecider.ts
+++ b/src/quarantine/quarantineDecider.ts
@@ -48,6 +48,7 @@
     // times from which on an answer clears a quarantine that this instance has decided
     const clearedFrom = new Map<ScopeKey, Milliseconds>();
     const widened = new Map<ScopeKey, PartScope>();
+    const explained = new Map<ScopeKey, QuarantineScope>();
     let isUpdating = false;
     const write = async (quarantine: Quarantine): Promise<boolean> => {
         const key = formatScopeKey(quarantine);
@@ -72,7 +73,6 @@
         if (await options.publish(key, undefined)) {
             list.apply({ key, value: undefined }, options.now());
             clearedFrom.delete(key);
-            evidence.removeExplanation(scope);
             log.info("quarantine lifted", { ...scope, reason });
         }
     };
@@ -91,12 +91,21 @@
                 return;
             }
             clearedFrom.set(formatScopeKey(scope), findClearedFrom(scope, firstAt));
-            if (!await write({ ...scope, trials: 0 })) {
-                return;
+            if (await write({ ...scope, trials: 0 })) {
+                log.warn("request quarantined: servers ended when they began to run it", { ...scope, crashes });
             }
-            log.warn("request quarantined: servers ended when they began to run it", { ...scope, crashes });
         }
-        evidence.addExplanation(scope);
+    };
+    // records may be written and deleted by another instance that decides, or deleted by hand
+    const updateExplanations = (): void => {
+        for (const [key, scope] of [...explained].filter(([, each]) => !list.find(each))) {
+            explained.delete(key);
+            evidence.removeExplanation(scope);
+        }
+        for (const known of list.list().filter(each => !explained.has(formatScopeKey(each)))) {
+            explained.set(formatScopeKey(known), known);
+            evidence.addExplanation(known);
+        }
     };
     // one more account whose request ended a server is enough where another one's prompts are quarantined already
     const addWiderScopes = (shared: readonly string[], account: string | undefined): void => {
@@ -114,6 +123,7 @@
         for (const quarantine of list.list().filter(isCleared)) {
             await endQuarantine(quarantine, "a request of its scope was answered");
         }
+        updateExplanations();
         for (const [key, scope] of [...widened]) {
             widened.delete(key);
             await start(scope, now, 1);
