fix(serving): an answer is read on only when neither its client nor the memory of all answers holds it back

Cause: both reasons call the same `pause` and `resume` of the attempt, and the first that ends resumes for both.

Test: runRequest.test.js "is read on only when neither its client ...".

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -2,7 +2,7 @@
 import type { PlaceClient } from "../../adapters/placeClient.js";
 import type { QuarantineDecision } from "../../quarantine/index.js";
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
-import { createAnswerMemory } from "../answerMemory.js";
+import { type AnswerMemory, createAnswerMemory, type MemoryHolder } from "../answerMemory.js";
 import { createAnswerTimes } from "../answerTimes.js";
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
@@ -28,6 +28,10 @@
     readonly seed?: number;
     /** Bytes that all answers may hold. @default as in an instance */
     readonly memoryLimit?: number;
+    readonly answerMemory?: Pick<AnswerMemory, "open">;
+    readonly slowClient?: Pick<ClientResponse, "write" | "onDrain">;
+    /** Gets what is done with the reading of servers. */
+    readonly reads?: string[];
     /** Stop of the instance. @default none */
     readonly shutdown?: Shutdown;
     /** What becomes of what was written. @default it gets to the client at once */
@@ -170,6 +174,7 @@
         end: () => end = "end",
         destroy: () => end = "destroyed",
         onDrain: () => undefined,
+        ...requestCase.slowClient,
         ...requestCase.finished ? { finished: requestCase.finished } : {},
     };
     const request: ClientRequest = {
@@ -222,7 +227,11 @@
                     }
                     sent.push(attempt);
                     setImmediate(() => runScript?.(handlers, attempt));
-                    return { abort: () => aborted++, pause: () => undefined, resume: () => undefined };
+                    return {
+                        abort: () => aborted++,
+                        pause: () => requestCase.reads?.push("pause"),
+                        resume: () => requestCase.reads?.push("resume"),
+                    };
                 },
                 remove: () => undefined,
                 close: () => undefined,
@@ -262,7 +271,7 @@
             },
             onBroken: () => undefined,
             onResumed: () => undefined,
-            answerMemory: createAnswerMemory(requestCase.memoryLimit),
+            answerMemory: requestCase.answerMemory ?? createAnswerMemory(requestCase.memoryLimit),
             answerTimes: {
                 ...createAnswerTimes(),
                 record: () => requestCase.onAnswerTime?.(),
@@ -327,6 +336,40 @@
         expect([outcome.sent.length, outcome.aborted]).to.deep.equal([2, 1]);
     });
 
+    // guards against an answer that is read on while there is no memory for it, as its client has taken what it had
+    it("is read on only when neither its client nor the memory of all answers holds it back", async () => {
+        const steps = ["drain", "room"] as const;
+        for (const order of [steps, steps.toReversed()]) {
+            const reads: string[] = [];
+            const seen: (readonly string[])[] = [];
+            let holder: MemoryHolder | undefined;
+            let drain = (): void => undefined;
+            const pauseTwice: AttemptScript = handlers => {
+                handlers.onHead(createHead({ isEventStream: true }));
+                handlers.onData(Buffer.from("id: 1\ndata: a\n\n"));
+                holder!.pause();
+                for (const step of order) {
+                    step === "drain" ? drain() : holder!.resume();
+                    seen.push([...reads]);
+                }
+                handlers.onEnd();
+            };
+            await runCase({
+                attempts: [pauseTwice],
+                route: resumable,
+                reads,
+                slowClient: { write: () => false, onDrain: resume => drain = resume },
+                answerMemory: {
+                    open: opened => {
+                        holder = opened;
+                        return { set: () => undefined, close: () => undefined };
+                    },
+                },
+            });
+            expect(seen).to.deep.equal([["pause", "pause"], ["pause", "pause", "resume"]]);
+        }
+    });
+
     // guards against a request that can't be sent and is tried at one server after the other, which all get a mark
     it("is answered 400 after one attempt when its head can't be written", async () => {
         const refuse: AttemptScript = handlers => handlers.onFault({ kind: "unsendable", detail: "two hosts" });
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -92,10 +92,18 @@
         const over = new AbortController();
         let splitter: EventSplitter | undefined;
         let held: BufferedResponse | undefined;
+        // whether the memory of all answers has no room for more
+        let isWaiting = false;
         const memory = parts.answerMemory.open({
             giveUp: () => releaseMemory(),
-            pause: () => attempt?.pause(),
-            resume: () => resumeAttempt(),
+            pause: () => {
+                isWaiting = true;
+                attempt?.pause();
+            },
+            resume: () => {
+                isWaiting = false;
+                resumeAttempt();
+            },
         });
         let attempt: Attempt | undefined = undefined;
         const finish = (outcome: AttemptOutcome): void => {
@@ -121,7 +129,11 @@
                     failInside(error);
                 }
             };
-        const resumeAttempt = wrapHandler(() => attempt?.resume());
+        const resumeAttempt = wrapHandler(() => {
+            if (!isWaiting && !state.isHeldBack) {
+                attempt?.resume();
+            }
+        });
         const endAnswer = (end: RequestEnd): void => {
             if (endRequest(parts, state, end)) {
                 finish("over");
@@ -190,7 +202,7 @@
             state.isHeldBack = true;
             answer.onDrain(wrapHandler(() => {
                 state.isHeldBack = false;
-                attempt?.resume();
+                resumeAttempt();
             }));
         };
         const failUseless = (detail: string): void => {
