test(serving): a stream of the tests that is asked for after its last event ends, and counts as finished

Two unfinished streams of passing runs were traced: a client that left late had all six events, returned after the last one, and the server of the tests wrote a seventh, so that the last id wasn't six.

--- a/src/serving/__tests__/streamVersions.test.ts
+++ b/src/serving/__tests__/streamVersions.test.ts
@@ -64,8 +64,11 @@
     return streams.filter(({ versions }) => versions.length > 1).length;
 }
 
+// a client that leaves late has all events before it returns, and gets none then
 function measureFinishedShare(streams: readonly StreamTries[]): number {
-    const finished = streams.filter(({ tries }) => tries.at(-1)!.events.at(-1)?.id === eventCount);
+    const finished = streams.filter(({ tries }) =>
+        tries.at(-1)!.status === 200 && tries.flatMap(({ events }) => events).at(-1)?.id === eventCount
+    );
     return finished.length / streams.length;
 }
 
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -162,6 +162,11 @@
         const writeEvent = (id: number): void => {
             response.write(`id: ${id}\ndata: ${version}\n\n`);
         };
+        if (first > count) {
+            // asked for after its last event
+            response.end();
+            return;
+        }
         writeEvent(first);
         if (options.crashingPart !== undefined && parts.includes(options.crashingPart)) {
             setTimeout(end, 20, run);
