fix(resumption): a stopped instance tries nothing again of what began streams

What was seen: the process of `restartedInstances.test.ts` went on for over 30 s after its last test, by a pause of 500 ms that three stopped instances began again and again. The delivered program ends its process all the same.

Cause: reading and writing the streams' records is repeated while the store doesn't answer, for up to a minute and without an end, and was told of no stop.

Evidence: the stacks of the timers that were left: `load` of `streamArchive.ts`.

Change: the archive is closed with the instance; a batch that waits is written once more.

`streamArchive.test.ts`: one read and one write once it is closed.

--- a/src/resumption/__tests__/streamArchive.test.ts
+++ b/src/resumption/__tests__/streamArchive.test.ts
@@ -1,5 +1,5 @@
 import { expect } from "chai";
-import { createSystemClock, wrapValue } from "../../shared/index.js";
+import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createStreamArchive } from "../streamArchive.js";
 
 const createRecord = (service: string, key: string, version: unknown = "v1"): Uint8Array =>
@@ -31,4 +31,21 @@
             ["llm", undefined, undefined, undefined, undefined, "llm"],
         );
     });
+
+    // guards against a stopped instance that goes on for a minute with what the store doesn't answer
+    it("tries nothing again once it is closed", async () => {
+        let reads = 0;
+        let writes = 0;
+        const unreachable = wrapError({ kind: "unreachable", detail: "away" } as const);
+        const archive = createStreamArchive(createSystemClock(), {
+            append: async () => (writes++, unreachable),
+            readAll: async () => (reads++, unreachable),
+        });
+        const loaded = archive.load();
+        archive.add([{ key: "k", origin: { service: "llm", version: "v1" } }]);
+        archive.close();
+        await loaded;
+        await new Promise(resolve => setTimeout(resolve, 250));
+        expect([reads, writes]).to.deep.equal([1, 1]);
+    });
 });
--- a/src/resumption/__tests__/streamOrigins.test.ts
+++ b/src/resumption/__tests__/streamOrigins.test.ts
@@ -84,7 +84,12 @@
         },
         shardCount,
         isFirstStart,
-        archive: { add: () => undefined, find: () => Promise.resolve(undefined), load: () => Promise.resolve() },
+        archive: {
+            add: () => undefined,
+            find: () => Promise.resolve(undefined),
+            close: () => undefined,
+            load: () => Promise.resolve(),
+        },
         readStreamLifetime: () => streamLifetime,
         readNow: () => readClocks(world),
         checkServers: async () => {
--- a/src/resumption/streamArchive.ts
+++ b/src/resumption/streamArchive.ts
@@ -29,6 +29,8 @@
     readonly find: (key: string) => Promise<StreamOrigin | undefined>;
     /** Reads the records that earlier instances have written; tries again until it succeeds or they are too old. */
     readonly load: () => Promise<void>;
+    /** Ends what is tried again: a batch that waits is written once more, and nothing is read. */
+    readonly close: () => void;
 }
 
 /** Time in which streams are collected before they are written; those of the last batch are lost when all are killed. */
@@ -62,6 +64,7 @@
     let waiting: StreamRecord[] = [];
     let isWriting = false;
     let loading: Promise<void> = Promise.resolve();
+    const closing = new AbortController();
     // an exception is a failed call, which is tried again
     const callStore = async <Value>(
         name: string,
@@ -87,8 +90,8 @@
     const write = async (): Promise<void> => {
         isWriting = true;
         try {
-            while (waiting.length > 0) {
-                await clock.sleep(batchMilliseconds);
+            while (waiting.length > 0 && !closing.signal.aborted) {
+                await clock.sleep(batchMilliseconds, closing.signal);
                 await writeBatch();
             }
         }
@@ -109,8 +112,8 @@
     };
     const load = async (): Promise<void> => {
         const expiresAt = clock.now() + archiveLifetimeMilliseconds;
-        while (!await readRecords(expiresAt) && clock.now() < expiresAt) {
-            await clock.sleep(loadRetryMilliseconds);
+        while (!closing.signal.aborted && !await readRecords(expiresAt) && clock.now() < expiresAt) {
+            await clock.sleep(loadRetryMilliseconds, closing.signal);
         }
     };
     return {
@@ -130,6 +133,7 @@
             loading = load();
             return loading;
         },
+        close: () => closing.abort(),
     };
 }
 
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -465,6 +465,7 @@
                 handleWaiting: gate.handleWaiting,
             }));
         stopping.abort();
+        archive.close();
         clientServer.close();
         readinessServer.close();
         metricsServer.close();
