--- a/src/platform/__tests__/stopInTurn.test.ts
+++ b/src/platform/__tests__/stopInTurn.test.ts
@@ -22,9 +22,9 @@
     readonly answer: DeliveredAnswer;
 }
 
-// what tells why a request was refused
+// what tells why a request was refused or failed
 function isAboutHolders(line: string): boolean {
-    return /"outcome":"refused"|"event":"(shards|started|draining|holder)/.test(line);
+    return /"outcome":"(refused|failed|cut)"|"event":"(shards|started|draining|holder)/.test(line);
 }
 
 function sendSteadily(listUsed: () => readonly DeliveredMachine[]): { readonly stop: () => Promise<readonly Sent[]>; } {
