refactor(adapters): questions to holders, and permits, have files of their own

Two questions to holders were written out twice. One difference: a holder that answers a question for a permit counts as responsive, as one that answers for a place did.

--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -15,7 +15,7 @@
     type PlaceOutcome,
     type ServerRunId,
 } from "../serving/types.js";
-import type { Clock, FailureDomainId, InstanceId, Milliseconds, Result, SeededRandom } from "../shared/index.js";
+import type { Clock, FailureDomainId, InstanceId, Milliseconds, SeededRandom } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
@@ -24,17 +24,18 @@
 import { createEnginePlaces } from "./enginePlaces.js";
 import { createEngineShards } from "./engineShards.js";
 import { createHolderLoads } from "./holderLoads.js";
+import { createHolderQuestion, decodeAnswer, holderTimeoutMilliseconds } from "./holderQuestions.js";
+import { createInstancePermits } from "./instancePermits.js";
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
 import {
     type AdapterMessage,
-    adapterMessageSchema,
     formatAdapterKey,
     parseAdapterKey,
     type PlaceRequest,
     type PlaceResponse,
 } from "./messages.js";
 import { createModelLoadLimiter } from "./modelLoadLimiter.js";
-import { createPermitClient, type PermitClient } from "./permitClient.js";
+import type { PermitClient } from "./permitClient.js";
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient } from "./placeClient.js";
 import { createPlaceService } from "./placeService.js";
 import { createResidencyIndex } from "./residencyIndex.js";
@@ -115,8 +116,6 @@
     readonly held: readonly BackendServer[];
 }
 
-/** Time after which a holder that hasn't responded counts as silent; it responds sooner even if it can't decide yet. */
-const holderTimeoutMilliseconds = 350;
 /** Lowest priority, so that outdated versions are replaced only after the loads that client requests wait for. */
 const replacementLoadParameters = { priority: 10, usefulFor: 0, patience: 1_000 };
 /** Interval between report fetches from engines that have no base model loaded. */
@@ -211,13 +210,14 @@
                 { kind: "askHolders" },
                 holderTimeoutMilliseconds,
             );
-            const answer = decodeAnswer(response);
+            const answer = response.ok ? decodeAnswer(response.value) : undefined;
             return answer?.kind === "holders" ? answer.holders : undefined;
         },
         readStore: options.readHolders,
         onMoved: (shard, holder) => sendRelease(shard, holder),
     });
     const modelLoadLimiter = createModelLoadLimiter(clock, () => holders.listOthers().length + 1);
+    const requestHolder = createHolderQuestion(network, holders);
     // the next holder of a shard may send orders as soon as the lease of this instance's last order is over
     const sendRelease = (shard: number, holder: InstanceId): void => {
         const released = releasedAt.get(shard);
@@ -291,13 +291,7 @@
             return shards?.find(shard) ? placeService.handle(request) : { kind: "notHolder" };
         }
         const message = { kind: "place", shard, ...request } as unknown as AdapterMessage;
-        const response = await network.request(holder, "adapters", message, holderTimeoutMilliseconds);
-        if (!response.ok) {
-            holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            return undefined;
-        }
-        holders.markResponsive(holder);
-        const answer = decodeAnswer(response);
+        const answer = await requestHolder(holder, message);
         return answer && isPlaceResponse(answer) ? answer : undefined;
     };
     const end = (holder: InstanceId, id: string, outcome: PlaceOutcome): void => {
@@ -309,38 +303,15 @@
     };
     const sendLeaving = (holder: InstanceId, run: ServerRunId): void =>
         network.send(holder, "adapters", { kind: "leaving", run });
-    const permitClient = createPermitClient({
+    const permits = createInstancePermits({
+        self,
         clock,
-        findHolder: server => {
-            const holder = holders.find(findShard(server.id));
-            return holder !== undefined && holder !== self && holders.isSilent(holder) ? undefined : holder;
-        },
-        tell: (holder, server, requestsPerSecond) => {
-            const run = formatServerRunId(server);
-            if (holder === self) {
-                serverPermits.setLimit(run, requestsPerSecond, clock.now());
-                return;
-            }
-            network.send(holder, "adapters", { kind: "limit", run, requestsPerSecond });
-        },
-        ask: async (holder, server, requestsPerSecond) => {
-            const run = formatServerRunId(server);
-            const shard = findShard(server.id);
-            if (holder === self) {
-                return decidePermit(shard, run, requestsPerSecond);
-            }
-            const message: AdapterMessage = { kind: "askPermit", shard, run, requestsPerSecond };
-            const response = await network.request(holder, "adapters", message, holderTimeoutMilliseconds);
-            if (!response.ok) {
-                holders.markSilent(holder, response.error.kind === "unreachable" ? "unreachable" : "timeout");
-            }
-            const answer = decodeAnswer(response);
-            const wait = answer?.kind === "permit" ? answer.wait : undefined;
-            if (wait === undefined) {
-                startTask("holders of shards", holders.refresh);
-            }
-            return wait;
-        },
+        network,
+        holders,
+        serverPermits,
+        requestHolder,
+        findShard: server => findShard(server.id),
+        isHeld: shard => shards?.find(shard) !== undefined,
     });
     const placeClient = createPlaceClient({
         runId: options.runId,
@@ -348,7 +319,7 @@
         shards: engineShards,
         holders,
         versions,
-        isLimited: permitClient.isLimited,
+        isLimited: permits.client.isLimited,
         isLeaving: options.isLeaving,
         reportLeaving: sendLeaving,
         ask: requestPlace,
@@ -372,17 +343,6 @@
             adapterMover.move(manager.service, manager.listBusiest());
         }
     };
-    // `undefined` when this instance doesn't hold the server's shard
-    const decidePermit = (shard: number, run: ServerRunId, requestsPerSecond: number): Milliseconds | undefined => {
-        if (!shards?.find(shard)) {
-            return undefined;
-        }
-        const now = clock.now();
-        if (!serverPermits.isLimited(run)) {
-            serverPermits.setLimit(run, requestsPerSecond, now);
-        }
-        return serverPermits.take(run, now) ? 0 : serverPermits.measureWait(run, now);
-    };
     const replaceOutdatedAdapters = (): void => {
         const newest = versions.listNewest();
         for (const manager of managers.values()) {
@@ -423,7 +383,7 @@
                 adapterMover.loadAhead(message);
                 return undefined;
             case "askPermit":
-                return { kind: "permit", wait: decidePermit(message.shard, message.run, message.requestsPerSecond) };
+                return { kind: "permit", wait: permits.decide(message.shard, message.run, message.requestsPerSecond) };
             case "askHolders":
                 return { kind: "holders", holders: holders.list().map(entry => [...entry]) };
             case "loads":
@@ -448,7 +408,7 @@
         },
         holders,
         acquire: placeClient.acquire,
-        permits: permitClient,
+        permits: permits.client,
         recordVersion: (model, adapter, version, announcedAt) => {
             if (versions.record(formatAdapterKey(model, adapter), version, announcedAt)) {
                 replaceOutdatedAdapters();
@@ -462,10 +422,7 @@
             }
         },
         handleServers: (added, removed) => {
-            removed.map(formatServerRunId).forEach(run => {
-                serverPermits.remove(run);
-                permitClient.remove(run);
-            });
+            removed.map(formatServerRunId).forEach(permits.remove);
             removed.forEach(closeManager);
             openManagers(added);
         },
@@ -492,11 +449,6 @@
     };
 }
 
-// an unreadable answer, as of an instance of another version, is none
-function decodeAnswer(response: Result<unknown, unknown>): AdapterMessage | undefined {
-    return response.ok ? adapterMessageSchema.safeParse(response.value).data : undefined;
-}
-
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
     return ["placed", "waiting", "busy", "unavailable", "notHolder"].includes(message.kind);
 }
