fix(forwarding): the end of a carried answer that comes while earlier bytes are fetched is kept for the next fetch

What callers saw: an answer of over 64 KiB that another instance carried, or a stream in a burst, was broken ("the other instance lost the attempt") though its server had sent all of it: 502, or a second run where the request may be repeated (LOST).

Cause: the carrying instance hands over what waits, lets its server go on, and then forgets the attempt if its end has come. Going on delivers at once what had been read meanwhile, the end too, which was forgotten with the attempt. Since the bound of all answers covers these attempts the same happens where the memory's turn ends. The order is older than both.

Change: whether the end is among the events that are handed over is read together with them.

Test: heldRest.test.ts, with the real delivery of answers. Before: ["head", "102400 bytes"], then the attempt is unknown; after: the last 1,024 bytes and the end follow, for both reasons to be held back. forwardedAttempt 11, slowReader 8, forwardedMemory 1 passing.

--- a/src/forwarding/forwardService.ts
+++ b/src/forwarding/forwardService.ts
@@ -130,7 +130,8 @@
         }
         const isFull = entry.bytes.countBytes() > pauseBytes;
         moveBytes(entry);
-        const { events } = entry;
+        // what goes on below may bring the end at once, which is fetched next time
+        const { events, isOver } = entry;
         entry.askedAt = clock.now();
         entry.events = [];
         entry.eventBytes = 0;
@@ -138,7 +139,7 @@
         if (isFull) {
             resumeAttempt(entry);
         }
-        if (entry.isOver) {
+        if (isOver) {
             entry.memory.close();
             attempts.delete(id);
         }
