fix(peers): a connection that is ended for want of memory counts no longer, so that no second one is ended for it

What callers would see: requests on sound connections to other instances failed, and large answers gave up, though the connection on which most waited had been ended at the bound of all answers (LOST).

Cause: what waits on an ended connection is given up frame by frame, and each frame's callback recorded what was left, so that the whole was counted again and the next largest gave up for it.

Change: the connection's part of the memory is closed as it is ended.

--- a/src/peers/__tests__/unreadFrames.test.ts
+++ b/src/peers/__tests__/unreadFrames.test.ts
@@ -109,6 +109,12 @@
         expect([connections, rest]).to.deep.equal([0, 0]);
     });
 
+    // guards against a second connection that is ended while the first one's memory is on its way back
+    it("have one connection ended where that is enough", async () => {
+        const { connections, counted } = await collectUnread(["first", "second"], 140, largeBytes);
+        expect([connections, counted > mebibyte]).to.deep.equal([1, true]);
+    });
+
     for (const [responseBytes, count] of fewAnswers) {
         // guards against frames that keep more memory than is counted, as parts of larger buffers or by their objects
         it(`take the memory that is counted, at most, when they have ${responseBytes} bytes`, async () => {
--- a/src/peers/peerTask.ts
+++ b/src/peers/peerTask.ts
@@ -158,6 +158,8 @@
         const memory = options.memory?.open({
             giveUp: () => {
                 debug.warn("connection ended for want of memory", { peer: connection.peer });
+                // its frames are given up one after the other, and count no longer
+                backlogs.get(connection)?.memory.close();
                 connection.terminate();
             },
             pause: () => undefined,
