refactor(peers): the memory that connections share is an interface of this layer

The connections to other instances imported a type of the serving layer, which lies above them. They say themselves what they need, and the memory of all answers satisfies it.

--- a/src/peers/peerTask.ts
+++ b/src/peers/peerTask.ts
@@ -6,7 +6,6 @@
  */
 import type { AddressInfo } from "node:net";
 import { WebSocketServer } from "ws";
-import type { AnswerMemory, HeldMemory } from "../serving/answerMemory.js";
 import {
     type Clock,
     createLogger,
@@ -34,7 +33,15 @@
     waitingFramesPerPeerLimit,
 } from "./constants.js";
 import { createPendingRequests } from "./pendingRequests.js";
-import type { PeerError, PeerHandler, PeerMessagesByTopic, PeerNetwork, PeerTopic } from "./types.js";
+import type {
+    BoundedMemory,
+    ConnectionMemory,
+    PeerError,
+    PeerHandler,
+    PeerMessagesByTopic,
+    PeerNetwork,
+    PeerTopic,
+} from "./types.js";
 
 /** Settings of the connections to other instances. */
 export interface PeerTaskOptions {
@@ -48,7 +55,7 @@
     readonly findAddress: (instance: InstanceId) => string | undefined;
     readonly clock: Clock;
     /** Memory that the frames which wait to be sent are part of. @default they have no bound together */
-    readonly memory?: Pick<AnswerMemory, "open">;
+    readonly memory?: BoundedMemory;
 }
 
 /** The task, with the interface that the other parts of the instance use. */
@@ -79,7 +86,7 @@
 
 /** What waits to be sent on a connection. */
 interface Backlog {
-    readonly memory: HeldMemory;
+    readonly memory: ConnectionMemory;
     frames: number;
 }
 
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -69,3 +69,26 @@
     /** Sets the handler of a topic and replaces the previous one. */
     readonly handle: <Topic extends PeerTopic>(topic: Topic, handler: PeerHandler<Topic>) => void;
 }
+
+/** Memory with a bound that the connections share with other parts of the instance. */
+export interface BoundedMemory {
+    /** Adds a connection on which nothing waits to be sent. */
+    readonly open: (holder: BoundedMemoryHolder) => ConnectionMemory;
+}
+
+/** What a connection is told of the memory. */
+export interface BoundedMemoryHolder {
+    /** Called when the connection holds most and there is no room; it must then hold less. */
+    readonly giveUp: () => void;
+    /** Called when the connection holds much while there is little room, and once that is over. */
+    readonly pause: () => void;
+    readonly resume: () => void;
+}
+
+/** Memory of one connection. */
+export interface ConnectionMemory {
+    /** Records how much waits to be sent, in bytes. */
+    readonly set: (bytes: number) => void;
+    /** Ends the connection's part: nothing waits any more. */
+    readonly close: () => void;
+}
