fix(serving): an answer waits once for its client, however many chunks another instance hands over at once

What operators would see: a MaxListenersExceededWarning of Node.js on several lines, for each request whose client reads slowly while another instance carries its attempt. Callers saw nothing.

Cause: chunks that came with one message are passed on though the first of them was held back, and each waited for the client by a listener of its own.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -370,6 +370,21 @@
         }
     });
 
+    // guards against a listener for each chunk that an instance in between hands over at once, of which Node.js warns
+    it("waits once for a client that doesn't read, however many chunks come at once", async () => {
+        let waits = 0;
+        const sendChunks: AttemptScript = handlers => {
+            handlers.onHead(createHead({ isEventStream: true }));
+            for (let id = 1; id <= 12; id++) {
+                handlers.onData(Buffer.from(`id: ${id}\ndata: a\n\n`));
+            }
+            handlers.onEnd();
+        };
+        const slowClient = { write: () => false, onDrain: () => void waits++ };
+        await runCase({ attempts: [sendChunks], route: resumable, slowClient });
+        expect(waits).to.equal(1);
+    });
+
     // guards against a request that can't be sent and is tried at one server after the other, which all get a mark
     it("is answered 400 after one attempt when its head can't be written", async () => {
         const refuse: AttemptScript = handlers => handlers.onFault({ kind: "unsendable", detail: "two hosts" });
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -199,6 +199,10 @@
         };
         const pauseServer = (): void => {
             attempt?.pause();
+            // another instance hands over several chunks at once
+            if (state.isHeldBack) {
+                return;
+            }
             state.isHeldBack = true;
             answer.onDrain(wrapHandler(() => {
                 state.isHeldBack = false;
