fix(serving): a bucket without a share isn't full, and a previous holder counts who asks before it goes on

What callers would see: more than the quota.

Cause: a bucket's capacity is its share of the burst, and a full bucket admits a request of any size. With a share of 0 it has a capacity of 0 and is always full. And the shares of a shard that is lost were those of the last request: a holder that had stood still went on for 2 s with the whole burst of instances that have asked another one since.

Change: a previous holder counts its shares anew before it goes on; a bucket without a share admits what its level covers; shares in which an account has none are counted again before a decision. Shards without accounts aren't recorded as lost, as they aren't as gained.

--- a/src/serving/quotaBucket.ts
+++ b/src/serving/quotaBucket.ts
@@ -66,8 +66,8 @@
     return {
         take: (amount, present, isResumed = false) => {
             fillLevel(present);
-            // a full bucket admits a request larger than the burst, which could otherwise never run
-            const needed = Math.min(amount, computeCapacity());
+            // a full bucket admits a request larger than the burst, which could otherwise never run; one without a share isn't full
+            const needed = share > 0 ? Math.min(amount, computeCapacity()) : amount;
             const rate = Math.max(1, limits.ratePerSecond * share);
             const wait = Math.max(0, (needed - level - allowance) / rate * millisecondsPerSecond);
             if (wait > (isResumed ? resumedDelayLimitMilliseconds : delayLimitMilliseconds)) {
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -311,7 +311,11 @@
                 handover.handleGained(shard);
             }
         },
-        handleShardLost: handover.handleLost,
+        handleShardLost: shard => {
+            if (shard < accountShardCount) {
+                handover.handleLost(shard);
+            }
+        },
         tick: () => {
             quotaHolder.keepOnly(isDecidedHere);
             const shardsByHolder = groupShards();
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -73,6 +73,7 @@
     const handedShares = new Map<number, { readonly share: number; readonly until: Milliseconds; }>();
     const pausedShards = new Set<number>();
     let sharesUpdatedAt = Number.NEGATIVE_INFINITY;
+    let shares: ReadonlyMap<number, number> = new Map();
     const computeShares = (now: Milliseconds): ReadonlyMap<number, number> => {
         const counts = new Map<number, number>();
         for (const [instance, { at, shards }] of present) {
@@ -84,21 +85,20 @@
             shards.forEach(shard => counts.set(shard, (counts.get(shard) ?? 0) + added));
         }
         const total = options.countInstances() ?? Number.POSITIVE_INFINITY;
-        const shares = new Map([...counts].map(([shard, count]) => [shard, Math.min(1, count / total + spareShare)]));
+        const computed = new Map([...counts].map(([shard, count]) => [shard, Math.min(1, count / total + spareShare)]));
         for (const [shard, { share, until }] of handedShares) {
             // the same instances: the larger share, not the sum
-            shares.set(shard, Math.max(shares.get(shard) ?? 0, now < until ? share : 0));
+            computed.set(shard, Math.max(computed.get(shard) ?? 0, now < until ? share : 0));
         }
-        return shares;
+        return computed;
     };
     const updateShares = (now: Milliseconds): void => {
-        if (now - sharesUpdatedAt < shareUpdateMilliseconds) {
-            return;
-        }
         sharesUpdatedAt = now;
-        const shares = computeShares(now);
+        shares = computeShares(now);
         buckets.forEach((bucket, account) => bucket.setShare(shares.get(options.findShard(account)) ?? 0, now));
     };
+    const isShareOld = (shard: number, now: Milliseconds): boolean =>
+        now - sharesUpdatedAt >= shareUpdateMilliseconds || (shares.get(shard) ?? 0) === 0;
     const getBucket = (account: ClientAccountId, quota: AccountQuota, now: Milliseconds): QuotaBucket => {
         let bucket = buckets.get(account);
         if (!bucket) {
@@ -125,7 +125,9 @@
             const shard = options.findShard(request.account);
             const known = present.get(from)?.shards ?? [];
             markPresent(from, known.includes(shard) ? known : [...known, shard], now);
-            updateShares(now);
+            if (isShareOld(shard, now)) {
+                updateShares(now);
+            }
             const bucket = getBucket(request.account, quota, now);
             bucket.grant(request.allowance);
             bucket.charge(request.admittedAlone, now);
@@ -147,6 +149,8 @@
             [...buckets.keys()].filter(name => !isHeld(name)).forEach(name => buckets.delete(name));
         },
         pause: (shard, now) => {
+            // one that stood still knows of instances that have asked another holder since
+            updateShares(now);
             pausedShards.add(shard);
             listBuckets(shard).forEach(([, bucket]) => bucket.pause(now));
         },
@@ -175,7 +179,6 @@
                     getBucket(account, quota, now).addLevel(level, now);
                 }
             }
-            sharesUpdatedAt = Number.NEGATIVE_INFINITY;
             updateShares(now);
         },
     };
