perf(quarantine): the ends are gone through once for all quarantined requests

What callers would see: answers late at the instance that decides on quarantines, for seconds after many servers ended. Found by review.

Cause: whether other requests explain the ends under a quarantined one was asked of each quarantine by itself, and each question went through all ends, every 100 ms, in one stretch without a pause. 500 requests may be quarantined, 50 of one account.

Change: one pass an update, and one more after each quarantine that it ends.

The present tests ask by the new name, with the same expectations.

--- a/src/quarantine/__tests__/crashEvidence.test.ts
+++ b/src/quarantine/__tests__/crashEvidence.test.ts
@@ -204,10 +204,10 @@
         const later = createEvidence([["beside"], ["beside", "bad"], ["beside", "bad"], ["bad"], ["bad"]]);
         expect(later.listBlamed(1_650)).to.deep.equal([{ scope: beside, crashes: 3, firstAt: 0 }]);
         later.addExplanation(beside, 3);
-        expect(later.isOutweighed(beside, 1_650)).to.equal(false);
+        expect(later.createWeighing(1_650)(beside)).to.equal(false);
         expect(later.listBlamed(1_950)).to.deep.equal([{ scope: bad, crashes: 4, firstAt: 300 }]);
         later.addExplanation(bad, 4);
-        expect(scopes.map(scope => later.isOutweighed(scope, 1_950))).to.deep.equal([false, true]);
+        expect(scopes.map(scope => later.createWeighing(1_950)(scope))).to.deep.equal([false, true]);
         // three ends that are left are chance, as others came between them
         const scattered = createEvidence(
             [["beside"], ["bad", "beside"], ["bad"], ["bad", "beside"], ["beside"], ["bad"], ["bad"], ["beside"], [
@@ -216,7 +216,7 @@
         );
         scattered.addExplanation(beside, 3);
         scattered.addExplanation(bad, 4);
-        expect(scopes.map(scope => scattered.isOutweighed(scope, 2_600))).to.deep.equal([false, true]);
+        expect(scopes.map(scope => scattered.createWeighing(2_600)(scope))).to.deep.equal([false, true]);
         // of two with as many ends one is blamed, until the next end
         const even = createEvidence([["beside"], ["bad"], ["beside", "bad"], ["beside", "bad"], ["beside", "bad"]]);
         expect(even.listBlamed(1_950)).to.deep.equal([{ scope: beside, crashes: 4, firstAt: 0 }]);
@@ -227,7 +227,7 @@
         first.addExplanation(bad, 4);
         expect(first.listBlamed(3_000)).to.deep.equal([]);
         first.addExplanation(beside, 3);
-        expect(scopes.map(scope => first.isOutweighed(scope, 3_000))).to.deep.equal([false, true]);
+        expect(scopes.map(scope => first.createWeighing(3_000)(scope))).to.deep.equal([false, true]);
     });
 
     it("blames nothing for servers that break off at one moment, or that go on answering", () => {
@@ -288,4 +288,32 @@
         const outcomes = Array.from({ length: 40 }, (unused, seed) => runHistory(seed + 101, undefined, 0.5));
         expect(outcomes.map(({ wrongly }) => wrongly).filter(wrongly => wrongly > 0)).to.deep.equal([]);
     });
+
+    // guards against a pass over all ends for each quarantine, which stops the instance that decides
+    it("goes through the ends once for any number of quarantined requests", () => {
+        const countReads = (size: number): number => {
+            const evidence = createCrashEvidence();
+            let reads = 0;
+            const createCounted = (digest: string): BrokenRequest => ({
+                ...createRequest("", []),
+                get digest() {
+                    reads++;
+                    return digest;
+                },
+            });
+            for (let run = 0; run < 64; run++) {
+                const requests = Array.from({ length: 20 }, (unused, index) => createCounted(`${run} ${index}`));
+                evidence.addBreak({ run: `${run}`, service: "llm", at: run * 100, requests });
+            }
+            const scopes = Array.from(
+                { length: size },
+                (unused, index) => ({ kind: "request", digest: `${index} 0`, account: "acme" } as const),
+            );
+            scopes.forEach(scope => evidence.addExplanation(scope, 3));
+            reads = 0;
+            scopes.forEach(evidence.createWeighing(7_000));
+            return reads;
+        };
+        expect(countReads(50)).to.equal(countReads(1));
+    });
 });
--- a/src/quarantine/crashEvidence.ts
+++ b/src/quarantine/crashEvidence.ts
@@ -54,8 +54,11 @@
     readonly addExplanation: (scope: QuarantineScope, crashes?: number) => void;
     /** Lets the ends of servers under a scope count again. */
     readonly removeExplanation: (scope: QuarantineScope) => void;
-    /** Whether ends under a quarantined request count for others that have more, and those that are left don't blame it. */
-    readonly isOutweighed: (scope: RequestScope, now: Milliseconds) => boolean;
+    /**
+     * Goes through the evidence once, for any number of quarantined requests. The function tells whether ends under one
+     * count for others that have more, and those that are left don't blame it; it holds until the evidence changes.
+     */
+    readonly createWeighing: (now: Milliseconds) => (scope: RequestScope) => boolean;
 }
 
 interface Suspicion {
@@ -69,6 +72,11 @@
     position: number;
 }
 
+interface RequestWeight {
+    readonly key: ScopeKey;
+    readonly moments: number;
+}
+
 type RequestMoments = ReadonlyMap<ScopeKey, ReadonlySet<Milliseconds>>;
 
 /** Moments at which servers must have ended under requests before these are blamed. */
@@ -131,20 +139,19 @@
     };
     const countMoments = (found: RequestMoments, key: ScopeKey): number =>
         Math.max(found.get(key)?.size ?? 0, explanations.get(key) ?? 0);
-    const findHeaviest = (found: RequestMoments, ended: ServerBreak, except?: ScopeKey): number =>
-        Math.max(
-            0,
-            ...ended.requests.map(request => formatScopeKey(describeRequest(request)))
-                .filter(key => key !== except && explanations.has(key))
-                .map(key => countMoments(found, key)),
-        );
+    // those of the quarantined requests under which a server ended, most first
+    const listWeights = (found: RequestMoments, ended: ServerBreak): readonly RequestWeight[] =>
+        ended.requests.map(request => formatScopeKey(describeRequest(request)))
+            .filter(key => explanations.has(key))
+            .map(key => ({ key, moments: countMoments(found, key) }))
+            .sort((left, right) => right.moments - left.moments);
     const listSuspicions = (recent: readonly ServerBreak[]): readonly Suspicion[] => {
         const suspicions = new Map<ScopeKey, Suspicion>();
         const moments = { part: listMoments(recent, "part"), request: listMoments(recent, "request") };
         const requestMoments = listRequestMoments(recent);
         const shared = listSharedParts(recent);
         for (const [index, ended] of recent.entries()) {
-            const heaviest = findHeaviest(requestMoments, ended);
+            const heaviest = listWeights(requestMoments, ended)[0]?.moments ?? 0;
             const isCounted = (scope: QuarantineScope): boolean =>
                 ended.at > sound.find(scope) &&
                 (scope.kind === "part" || countMoments(requestMoments, formatScopeKey(scope)) > heaviest);
@@ -255,23 +262,30 @@
                 .forEach(([run, ended]) => runs.set(run, { ...ended, requests: [] }));
         },
         removeExplanation: scope => void explanations.delete(formatScopeKey(scope)),
-        isOutweighed: (scope, now) => {
+        createWeighing: now => {
             const recent = listRecent(now);
             const found = listRequestMoments(recent);
             const starts = listMoments(recent, "request");
-            const key = formatScopeKey(scope);
-            const own = found.get(key) ?? new Set();
-            const count = countMoments(found, key);
-            const lost = recent.map((ended, index) =>
-                own.has(starts[index]!) && findHeaviest(found, ended, key) > count ? starts[index]! : undefined
-            );
-            const moments = new Set([...own].filter(moment => !lost.includes(moment)));
-            // ends that are forgotten or not known here go on counting for it
-            const leftCount = count - own.size + moments.size;
-            const services = new Set(recent.filter(isUnder(scope)).map(({ service }) => service));
-            return moments.size < own.size &&
-                (leftCount < blamedMomentCount ||
-                    (leftCount === moments.size && isChance({ scope, services, moments }, recent)));
+            const weights = recent.map(ended => listWeights(found, ended));
+            return scope => {
+                const key = formatScopeKey(scope);
+                const own = found.get(key) ?? new Set();
+                const count = countMoments(found, key);
+                const lost = new Set(
+                    starts.filter((start, index) =>
+                        own.has(start) && (weights[index]!.find(other => other.key !== key)?.moments ?? 0) > count
+                    ),
+                );
+                if (lost.size === 0) {
+                    return false;
+                }
+                const moments = new Set([...own].filter(moment => !lost.has(moment)));
+                // ends that are forgotten or not known here go on counting for it
+                const leftCount = count - lost.size;
+                const services = new Set(recent.filter(isUnder(scope)).map(({ service }) => service));
+                return leftCount < blamedMomentCount ||
+                    (leftCount === moments.size && isChance({ scope, services, moments }, recent));
+            };
         },
     };
 }
--- a/src/quarantine/quarantineDecider.ts
+++ b/src/quarantine/quarantineDecider.ts
@@ -5,7 +5,7 @@
  * @packageDocumentation
  */
 import { createLogger, type Milliseconds } from "../shared/index.js";
-import { createCrashEvidence, evidenceLifetimeMilliseconds } from "./crashEvidence.js";
+import { type CrashEvidence, createCrashEvidence, evidenceLifetimeMilliseconds } from "./crashEvidence.js";
 import type { CrashReport } from "./messages.js";
 import { encodeQuarantine, type KnownQuarantine, measureRemaining, type QuarantineList } from "./quarantineList.js";
 import { formatScopeKey, type PartScope, type Quarantine, type QuarantineScope, type ScopeKey } from "./types.js";
@@ -83,9 +83,6 @@
     const isCleared = (quarantine: QuarantineScope & { readonly seenAt: Milliseconds; }): boolean =>
         evidence.findSoundAt(quarantine) >
             (clearedFrom.get(formatScopeKey(quarantine)) ?? findClearedFrom(quarantine, quarantine.seenAt));
-    // once a request has been tried, what its trials show decides
-    const isOutweighed = (quarantine: KnownQuarantine, now: Milliseconds): boolean =>
-        quarantine.kind === "request" && quarantine.trials === 0 && evidence.isOutweighed(quarantine, now);
     const endQuarantine = async (scope: QuarantineScope, reason: string): Promise<void> => {
         const key = formatScopeKey(scope);
         if (await options.publish(key, undefined)) {
@@ -101,6 +98,20 @@
             await endQuarantine(oldest, "its account has too many of them");
         }
     };
+    // once a request has been tried, what its trials show decides
+    const endOutweighed = async (now: Milliseconds): Promise<void> => {
+        let isOutweighed: ReturnType<CrashEvidence["createWeighing"]> | undefined;
+        for (const quarantine of list.list()) {
+            if (quarantine.kind !== "request" || quarantine.trials > 0) {
+                continue;
+            }
+            isOutweighed ??= evidence.createWeighing(now);
+            if (isOutweighed(quarantine)) {
+                await endQuarantine(quarantine, "other requests explain the ends of servers under it");
+                isOutweighed = undefined;
+            }
+        }
+    };
     const start = async (scope: QuarantineScope, firstAt: Milliseconds, crashes: number): Promise<void> => {
         if (!list.find(scope)) {
             await makeRoom(scope);
@@ -131,11 +142,7 @@
         for (const quarantine of list.list().filter(isCleared)) {
             await endQuarantine(quarantine, "a request of its scope was answered");
         }
-        for (const quarantine of list.list()) {
-            if (isOutweighed(quarantine, now)) {
-                await endQuarantine(quarantine, "other requests explain the ends of servers under it");
-            }
-        }
+        await endOutweighed(now);
         for (const [key, scope] of [...widened]) {
             widened.delete(key);
             await start(scope, now, 1);
