fix(serving): levels of two previous holders are kept by the larger of their shares

What callers would see: 429 within the quota, where two previous holders answer a new one.

Cause: the second answer replaced the share of the first, and its levels were cut to the share that the bucket had before.

Change: the larger share counts while both are new, and it is set before the levels are added.

--- a/src/serving/__tests__/quotaHolder.test.ts
+++ b/src/serving/__tests__/quotaHolder.test.ts
@@ -64,4 +64,15 @@
         holder.take("i-20", { account: "other", units: 1, admittedAlone: 0, allowance: 0 }, 15_000);
         expect(takeUnits(holder, 2 * burst, 15_050)).to.equal("exceeded");
     });
+
+    // guards against 429 within the quota: levels that are cut to the share which another previous holder handed over
+    for (const shares of [[0.1, 0.9], [0.9, 0.1]]) {
+        it(`are kept as two previous holders hand them over: shares of ${shares.join(" and ")}`, () => {
+            const holder = createHolder();
+            shares.forEach((share, index) =>
+                holder.takeOver(shard, { share, levels: [["acme", burst * share]] }, 100 + index)
+            );
+            expect(sumTaken(holder, 500, 110)).to.be.within(0.8 * burst, 1.1 * burst);
+        });
+    }
 });
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -172,14 +172,17 @@
             return { share, levels: handed.map(([account, bucket]) => [account, bucket.measureLevel(now)] as const) };
         },
         takeOver: (shard, { share, levels }, now) => {
-            handedShares.set(shard, { share, until: now + handedShareMilliseconds });
+            const known = handedShares.get(shard);
+            const knownShare = known && now < known.until ? known.share : 0;
+            handedShares.set(shard, { share: Math.max(knownShare, share), until: now + handedShareMilliseconds });
+            // a bucket has no more than its share, so that its share comes first
+            updateShares(now);
             for (const [account, level] of levels) {
                 const quota = quotas.get(account);
                 if (quota && options.findShard(account) === shard) {
                     getBucket(account, quota, now).addLevel(level, now);
                 }
             }
-            updateShares(now);
         },
     };
 }
