fix(peers): a connection between instances is ended for want of memory at the bound only

What callers would see: orders, quotas and places that were asked for on a connection to another instance fail together (LOST) while there is room: above 48 of 64 MiB a connection with over 64 KiB to send counted as one that waits, and as the one that holds most it was ended when the wait lasted for 250 ms. A connection can't wait, as what it sends can't be held back.

Change: a holder without `pause` doesn't wait, and is left out when those that wait have waited for too long.

Before: "has a holder that can't wait give up at the bound only" had the connection give up in place of the answer.

--- a/src/peers/peerTask.ts
+++ b/src/peers/peerTask.ts
@@ -169,8 +169,6 @@
                 backlogs.get(connection)?.memory.close();
                 connection.terminate();
             },
-            pause: () => undefined,
-            resume: () => undefined,
         });
         if (memory) {
             backlogs.set(connection, { memory, frames: 0 });
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -80,9 +80,6 @@
 export interface BoundedMemoryHolder {
     /** Called when the connection holds most and there is no room; it must then hold less. */
     readonly giveUp: () => void;
-    /** Called when the connection holds much while there is little room, and once that is over. */
-    readonly pause: () => void;
-    readonly resume: () => void;
 }
 
 /** Memory of one connection. */
--- a/src/serving/__tests__/answerMemory.test.ts
+++ b/src/serving/__tests__/answerMemory.test.ts
@@ -63,4 +63,20 @@
         other!.set(96 * kibibyte);
         expect(seen).to.deep.equal(["given waits", "other waits", "given", "given goes on", "other goes on"]);
     });
+
+    // guards against a connection to another instance that is ended with its requests while there is room for what it holds
+    it("has a holder that can't wait give up at the bound only", () => {
+        const kibibyte = 1_024;
+        const timers: (() => void)[] = [];
+        const memory = createAnswerMemory(400 * kibibyte, end => timers.push(end));
+        const seen: string[] = [];
+        const connection = memory.open({ giveUp: () => seen.push("connection") });
+        const answer = memory.open(createHolder("answer", seen));
+        connection.set(220 * kibibyte);
+        answer.set(90 * kibibyte);
+        timers.shift()!();
+        expect(seen.splice(0)).to.deep.equal(["answer waits", "answer", "answer goes on"]);
+        connection.set(401 * kibibyte);
+        expect([seen, timers.length]).to.deep.equal([["connection"], 0]);
+    });
 });
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -347,9 +347,9 @@
             const pauseTwice: AttemptScript = handlers => {
                 handlers.onHead(createHead({ isEventStream: true }));
                 handlers.onData(Buffer.from("id: 1\ndata: a\n\n"));
-                holder!.pause();
+                holder!.pause!();
                 for (const step of order) {
-                    step === "drain" ? drain() : holder!.resume();
+                    step === "drain" ? drain() : holder!.resume!();
                     seen.push([...reads]);
                 }
                 handlers.onEnd();
--- a/src/serving/answerMemory.ts
+++ b/src/serving/answerMemory.ts
@@ -11,9 +11,9 @@
 export interface MemoryHolder {
     /** Called when the answer holds most and there is no room; it must then hold less. */
     readonly giveUp: () => void;
-    /** Called when nothing more of the answer is to be read for now. */
-    readonly pause: () => void;
-    readonly resume: () => void;
+    /** Called when nothing more of the answer is to be read for now. @default it can't wait, and gives up at the bound only */
+    readonly pause?: () => void;
+    readonly resume?: () => void;
 }
 
 /** Memory of all answers. */
@@ -72,7 +72,7 @@
     };
     const resumeWaiting = (entry: Entry): void => {
         if (waiting.delete(entry)) {
-            entry.resume();
+            entry.resume?.();
         }
     };
     // each that goes on may take one more read
@@ -83,8 +83,8 @@
         }
     };
     // one that gives up is asked only once for what it holds
-    const shrinkLargest = (): void => {
-        const largest = [...entries].reduce((first, second) => second.bytes > first.bytes ? second : first);
+    const shrinkLargest = (among: Iterable<Entry>): void => {
+        const largest = [...among].reduce((first, second) => second.bytes > first.bytes ? second : first);
         setBytes(largest, 0);
         largest.giveUp();
         resumeWaiting(largest);
@@ -96,7 +96,7 @@
             startTimer(() => {
                 isTimed = false;
                 if (waiting.size > 0) {
-                    shrinkLargest();
+                    shrinkLargest([...entries].filter(entry => entry.pause));
                 }
                 if (waiting.size > 0) {
                     expectRoom();
@@ -122,13 +122,13 @@
                         return;
                     }
                     entries.add(entry);
-                    if (total > waitingLimit && bytes > smallBytes && !waiting.has(entry)) {
+                    if (entry.pause && total > waitingLimit && bytes > smallBytes && !waiting.has(entry)) {
                         waiting.add(entry);
                         entry.pause();
                         expectRoom();
                     }
                     while (total > limit) {
-                        shrinkLargest();
+                        shrinkLargest(entries);
                     }
                 },
                 close: () => {
