--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -96,6 +96,7 @@
     let run = 0;
     let port: number | undefined;
     let server: Server | undefined;
+    let restart: NodeJS.Timeout | undefined;
     let version: string | number = "v1";
     const readId = (): string => `s-${index}-${run}`;
     const end = (endedRun: number): void => {
@@ -108,8 +109,7 @@
         server?.close();
         sockets.forEach(socket => resetSocket(socket));
         store.put("servers", `s-${index}-${endedRun}`, undefined);
-        const restart = setTimeout(() => startDetached(listen()), options.restartDelay ?? 1_000);
-        world.stopping.addEventListener("abort", () => clearTimeout(restart), { once: true });
+        restart = setTimeout(() => startDetached(listen()), options.restartDelay ?? 1_000);
     };
     const respond = (request: IncomingMessage, response: ServerResponse, body: string): void => {
         const parts = String(request.headers.parts ?? "").split(",");
@@ -224,6 +224,7 @@
         restart: () => end(run),
         resetConnections: () => sockets.forEach(socket => resetSocket(socket)),
         close: () => {
+            clearTimeout(restart);
             server?.close();
             sockets.forEach(socket => socket.destroy());
         },
