--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -162,13 +162,14 @@
         const writeEvent = (id: number): void => {
             response.write(`id: ${id}\ndata: ${version}\n\n`);
         };
-        if (first > count) {
+        const isCrashing = options.crashingPart !== undefined && parts.includes(options.crashingPart);
+        if (first > count && !isCrashing) {
             // asked for after its last event
             response.end();
             return;
         }
         writeEvent(first);
-        if (options.crashingPart !== undefined && parts.includes(options.crashingPart)) {
+        if (isCrashing) {
             setTimeout(end, 20, run);
             return;
         }
