feat(routing): the time since a client's first attempt follows from the deadlines that its route's requests name

A client that returns after a refusal names a shorter deadline than with its first attempt. The latency objective counts from the first attempt, so a returning request must not pass for a new one.

--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -1,6 +1,7 @@
 /**
- * Choice of an engine for a request.
+ * Choice of an engine for a request, and what is known of the request for it.
  *
  * @packageDocumentation
  */
 export * from "./engineScore.js";
+export * from "./requestAge.js";
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import type { PlaceClient } from "../../adapters/placeClient.js";
 import type { QuarantineDecision } from "../../quarantine/index.js";
+import { createRequestAges } from "../../routing/index.js";
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
 import { type AnswerMemory, createAnswerMemory, type MemoryHolder } from "../answerMemory.js";
 import { createAnswerTimes } from "../answerTimes.js";
@@ -272,6 +273,7 @@
             onBroken: () => undefined,
             onResumed: () => undefined,
             answerMemory: requestCase.answerMemory ?? createAnswerMemory(requestCase.memoryLimit),
+            requestAges: createRequestAges(),
             answerTimes: {
                 ...createAnswerTimes(),
                 record: () => requestCase.onAnswerTime?.(),
--- a/src/serving/__tests__/waitingRequest.ts
+++ b/src/serving/__tests__/waitingRequest.ts
@@ -6,6 +6,7 @@
 import type { PlaceResponse } from "../../adapters/messages.js";
 import { createPlaceClient, type PlaceClient } from "../../adapters/placeClient.js";
 import { createShardHolders } from "../../adapters/shardHolders.js";
+import { createRequestAges } from "../../routing/index.js";
 import type { Clock } from "../../shared/index.js";
 import { createHistory, type History, startDetached } from "../../testing/index.js";
 import { createAnswerMemory } from "../answerMemory.js";
@@ -138,6 +139,7 @@
         onResumed: () => undefined,
         answerMemory: createAnswerMemory(),
         answerTimes: createAnswerTimes(),
+        requestAges: createRequestAges(),
         shutdown,
     } as unknown as RequestParts;
     const leaving = new AbortController();
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -19,6 +19,15 @@
 import { applyStreamOrigin } from "./resumedStreams.js";
 import type { ClientRequest, ServingRoute } from "./types.js";
 
+/** Admission of a request; the identity is empty and the times are infinite if the first decision refuses it. */
+export interface AcceptedRequest {
+    readonly admission: Admission;
+    readonly digest: RequestDigest;
+    readonly deadlineAt: Milliseconds;
+    /** End of its latency objective, which counts from the first attempt of its client. */
+    readonly objectiveAt: Milliseconds;
+}
+
 /**
  * Admits a request or refuses it.
  *
@@ -27,8 +36,7 @@
  * @param computeDigest - computes the identity of the request for an account
  * @param startedAt - time of its arrival
  * @param signal - aborted when the client disconnects
- * @returns the admission with the identity of the request, which is empty if the first decision refuses it, and its deadline,
- * which is infinite then
+ * @returns the admission with the identity and the times of the request
  */
 export async function acceptRequest(
     parts: RequestParts,
@@ -36,11 +44,18 @@
     computeDigest: (account: string | undefined) => RequestDigest,
     startedAt: Milliseconds,
     signal: AbortSignal,
-): Promise<{ readonly admission: Admission; readonly digest: RequestDigest; readonly deadlineAt: Milliseconds; }> {
+): Promise<AcceptedRequest> {
     const allowed = decideAdmission(parts, request);
     if (allowed.kind !== "admitted") {
-        return { admission: allowed, digest: "", deadlineAt: Number.POSITIVE_INFINITY };
+        return {
+            admission: allowed,
+            digest: "",
+            deadlineAt: Number.POSITIVE_INFINITY,
+            objectiveAt: Number.POSITIVE_INFINITY,
+        };
     }
+    const { name, targetLatency } = allowed.route;
+    const objectiveAt = startedAt - parts.requestAges.estimate(name, request.deadline) + targetLatency;
     const deadlineAt = computeDeadline(allowed.route, request, startedAt);
     const digest = computeDigest(allowed.account?.name);
     const decided = refuseIfStopping(
@@ -51,7 +66,7 @@
     const admission = decided.kind === "admitted"
         ? await waitForAdmission(parts, decided, request, deadlineAt, signal)
         : decided;
-    return { admission, digest, deadlineAt };
+    return { admission, digest, deadlineAt, objectiveAt };
 }
 
 // a request that waits at the end of a stop would lose its connection without an answer
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -7,6 +7,7 @@
 import type { PlaceClient } from "../adapters/placeClient.js";
 import type { RequestDigest, RequestGuard } from "../quarantine/index.js";
 import type { StreamOrigin, StreamOrigins } from "../resumption/index.js";
+import type { RequestAges } from "../routing/index.js";
 import type { Clock, FailureDomainId, Milliseconds, SeededRandom } from "../shared/index.js";
 import type { Admission, AdmissionParts } from "./admission.js";
 import type { AnswerEnd } from "./answerEnds.js";
@@ -56,6 +57,7 @@
     readonly origins: StreamOrigins;
     readonly answerMemory: Pick<AnswerMemory, "open">;
     readonly answerTimes: Pick<AnswerTimes, "record">;
+    readonly requestAges: RequestAges;
     readonly shutdown: Pick<Shutdown, "mayBegin" | "limitWait" | "ended" | "measureSinceBegun" | "measureRemaining">;
     /** Counts an answer that a server broke off. */
     readonly onBroken: () => void;
@@ -101,6 +103,8 @@
     readonly startedAt: Milliseconds;
     /** Time at which the response must have ended. */
     readonly deadlineAt: Milliseconds;
+    /** End of the latency objective, which counts from the first attempt of the client. */
+    readonly objectiveAt: Milliseconds;
     /** Aborted when the client's connection is closed; the reason may be a `ConnectionCloser`. */
     readonly signal: AbortSignal;
     readonly stages: RequestStages;
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -56,7 +56,8 @@
     const stages = createRequestStages(parts, signal);
     const computeDigest = (account: string | undefined): RequestDigest =>
         computeRequestDigest({ ...request, account, body });
-    const { admission, digest, deadlineAt } = await acceptRequest(parts, request, computeDigest, startedAt, signal);
+    const accepted = await acceptRequest(parts, request, computeDigest, startedAt, signal);
+    const { admission, deadlineAt } = accepted;
     const answer = createClientAnswer(response, parts.clock);
     if (admission.kind !== "admitted") {
         const refusal = admission.kind === "refused" ? admission : undefined;
@@ -85,7 +86,7 @@
             ...stages.describe(),
         };
     }
-    const state = createState({ request, body, answer, signal, admission, digest, startedAt, deadlineAt, stages });
+    const state = createState({ ...accepted, request, body, answer, signal, admission, startedAt, stages });
     try {
         await runAttempts(parts, state);
         checkEnd(state);
@@ -135,7 +136,16 @@
 
 type StateBase = Pick<
     RequestState,
-    "request" | "body" | "answer" | "signal" | "admission" | "digest" | "startedAt" | "deadlineAt" | "stages"
+    | "request"
+    | "body"
+    | "answer"
+    | "signal"
+    | "admission"
+    | "digest"
+    | "startedAt"
+    | "deadlineAt"
+    | "objectiveAt"
+    | "stages"
 >;
 
 function createState(base: StateBase): RequestState {
@@ -298,6 +308,11 @@
             deadlineAt: state.deadlineAt,
             signal,
             priority: state.admission.account?.priority ?? route.priority,
+            route: route.name,
+            account: state.admission.account?.name,
+            tokens: state.request.tokens,
+            parts: state.request.promptSizes,
+            objectiveAt: state.objectiveAt,
             ...waitLimits,
         });
         state.placeWait += parts.clock.now() - now;
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -11,6 +11,7 @@
 import { createPeerTask } from "../peers/peerTask.js";
 import { createRequestGuard } from "../quarantine/index.js";
 import { createStreamArchive, createStreamOrigins } from "../resumption/index.js";
+import { createRequestAges } from "../routing/index.js";
 import { createLogger, createSeededRandom, millisecondsPerSecond, waitForEvents } from "../shared/index.js";
 import { createSupervisor, runTask, startTask } from "../supervision/index.js";
 import { createAccountLimits } from "./accountLimits.js";
@@ -325,6 +326,7 @@
         origins,
         answerMemory,
         answerTimes,
+        requestAges: createRequestAges(),
         shutdown,
         onBroken: metrics.countBrokenAnswer,
         onResumed: metrics.countResumedStream,
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -219,6 +219,8 @@
     readonly tokens: { readonly prompt: number; readonly output: number; } | undefined;
     /** `undefined` when the client named no parts. */
     readonly prompt: PromptParts | undefined;
+    /** Tokens of the parts of the prompt, in the order of the parts. @default none are known */
+    readonly promptSizes?: readonly (readonly [id: PromptPartId, tokens: number])[] | undefined;
     /** Last event that the client received of an earlier stream. */
     readonly lastEventId: EventId | undefined;
     /** `undefined` when the request doesn't ask for the rest of an earlier stream. */
