feat(adapters): a question for a place may name route, account, tokens, prompt parts, objective and regions

Holders need them to weigh requests against each other. All fields are optional, as instances of the build before ask without them. No decision uses them yet.

--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -6,7 +6,7 @@
  * @packageDocumentation
  */
 import * as z from "zod";
-import type { PlaceOutcome, ServerRunId, SoftwareVersion } from "../serving/types.js";
+import type { PlaceOutcome, PromptPartId, ServerRunId, SoftwareVersion } from "../serving/types.js";
 import {
     addressSchema,
     amountSchema,
@@ -75,8 +75,24 @@
     readonly version: number | undefined;
 }
 
+/** What a holder weighs of a client request. All fields are missing in requests of instances that run an older build. */
+export interface PlaceDemand {
+    /** Name of the route, which is the kind of the request. */
+    readonly route?: string | undefined;
+    /** Client account; missing for requests without a key. */
+    readonly account?: string | undefined;
+    /** Prompt tokens, and the maximum of output tokens. */
+    readonly tokens?: { readonly prompt: number; readonly output: number; } | undefined;
+    /** Parts of the prompt in their order, with their tokens; the last one belongs to the request or its session. */
+    readonly parts?: readonly (readonly [id: PromptPartId, tokens: number])[] | undefined;
+    /** Time left of the latency objective, counted from the client's first attempt; negative when it has passed. */
+    readonly objective?: Milliseconds | undefined;
+    /** Regions of which the engine must be in one; any where this is missing. */
+    readonly regions?: readonly string[] | undefined;
+}
+
 /** Request to the holder of a shard for a place on one of its engines. */
-export interface PlaceRequest {
+export interface PlaceRequest extends PlaceDemand {
     /** Unique over all instances; the request may be sent again under the same id. */
     readonly id: string;
     readonly service: string;
@@ -139,6 +155,12 @@
     patience: timeLeftSchema,
     deadline: timeLeftSchema,
     isLoadIgnored: z.boolean(),
+    route: nameSchema.optional(),
+    account: nameSchema.optional(),
+    tokens: z.object({ prompt: amountSchema, output: amountSchema }).optional(),
+    parts: createListSchema(z.tuple([nameSchema, amountSchema])).optional(),
+    objective: timeLeftSchema.optional(),
+    regions: createListSchema(nameSchema).optional(),
 });
 const placeOutcomeSchema = z.enum(["answered", "failed", "unreachable", "missing", "unknown"]) satisfies z.ZodType<
     PlaceOutcome
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -18,11 +18,17 @@
 import { createWaitLimit, startTask } from "../supervision/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
 import type { EngineShards } from "./engineShards.js";
-import { type AdapterKey, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
+import {
+    type AdapterKey,
+    formatAdapterKey,
+    type PlaceDemand,
+    type PlaceRequest,
+    type PlaceResponse,
+} from "./messages.js";
 import type { ShardHolders } from "./shardHolders.js";
 
 /** Parameters for a place. Times are on the instance's clock. */
-export interface AcquireRequest {
+export interface AcquireRequest extends Omit<PlaceDemand, "objective"> {
     readonly service: string;
     readonly choice: ModelChoice;
     /** Software version that the engine must have; `undefined` for any. */
@@ -41,6 +47,8 @@
     readonly priority: number;
     /** Latest end of a load with which the request can still be answered within its target latency. */
     readonly usefulUntil: Milliseconds;
+    /** End of the latency objective; missing where it isn't known. */
+    readonly objectiveAt?: Milliseconds | undefined;
     /** Aborted when the request may not begin any more. */
     readonly signal: AbortSignal;
 }
@@ -134,6 +142,12 @@
             patience: request.until - now,
             deadline: request.deadlineAt - now,
             isLoadIgnored,
+            route: request.route,
+            account: request.account,
+            tokens: request.tokens,
+            parts: request.parts,
+            objective: request.objectiveAt === undefined ? undefined : request.objectiveAt - now,
+            regions: request.regions,
         };
     };
     // engines of another version don't help a stream that is bound to one, so that it needn't wait for them
--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -113,6 +113,16 @@
         expect(decode(many)!.shared).to.have.length(16);
     });
 
+    it("decodes the tokens of a prompt's parts, and takes no part that can't be read for an empty one", () => {
+        const decode = (value: string): ClientRequest["promptSizes"] =>
+            platformHeaderCodec.decodeRequest("GET", "/", ["X-Oriolehatch-Prompt-Prefix", value]).promptSizes;
+        expect(decode("5C1e:800, 91bd:410")).to.deep.equal([["5c1e", 800], ["91bd", 410]]);
+        expect(decode("5c1e:99999999999999999999")).to.deep.equal([["5c1e", 1_000_000_000]]);
+        expect(["", "x:1", "5c1e:-3"].map(decode)).to.deep.equal([undefined, undefined, undefined]);
+        const many = Array.from({ length: 3_000 }, (unused, index) => `${index.toString(16)}:1`).join();
+        expect(decode(many)).to.have.length(17);
+    });
+
     it("decodes the limit that a server names, and keeps it from the client", () => {
         const decode = (value: string): number | undefined =>
             platformHeaderCodec.decodeResponseHead(200, ["Server-Limit", value]).requestLimit;
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -124,7 +124,7 @@
 
 /** Parts of a prompt beyond this number are not looked at, so that a client can't have any number of them kept. */
 const maximumPromptParts = 16;
-const promptPartPattern = /^([0-9a-f]{1,64}):\d+$/i;
+const promptPartPattern = /^([0-9a-f]{1,64}):(\d+)$/i;
 
 /** Attempt ids that are longer than this, or hold other characters, name no attempt. */
 const attemptIdPattern = /^[\x21-\x7e]{1,128}$/;
@@ -170,6 +170,7 @@
         choice: decodeModelChoice(values.get(names.model)),
         tokens: decodeTokenCounts(values.get(names.tokens)),
         prompt: decodePromptParts(values.get(names.promptParts)),
+        promptSizes: decodePromptSizes(values.get(names.promptParts)),
         lastEventId: decodeEventId((values.get(names.lastEventId) ?? "").trim()),
         resumed: decodeResumedStream(values.get(names.lastEventId), values.get(names.resumes)),
         passedHeaders: filterHeaders(rawHeaders, values.get("connection"), unforwardedRequestHeaders),
@@ -344,6 +345,17 @@
     return { shared: [...new Set(ids.slice(0, maximumPromptParts) as string[])], own };
 }
 
+// of a longer list the first parts, which other requests may share, as later ones are only kept together with them
+function decodePromptSizes(text: string | undefined): ClientRequest["promptSizes"] {
+    const sizes = (text ?? "").split(",", maximumPromptParts + 1).flatMap(part => decodePromptSize(part));
+    return sizes.length > 0 ? sizes : undefined;
+}
+
+function decodePromptSize(text: string): readonly (readonly [id: string, tokens: number])[] {
+    const match = promptPartPattern.exec(text.trim());
+    return match ? [[match[1]!.toLowerCase(), Math.min(Number(match[2]), maximumCount)]] : [];
+}
+
 function decodeServerLoad(text: string | undefined): ServerLoad | undefined {
     const [running, waiting, slots] = (text ?? "").split(",").map(part => decodeWholeNumber(part));
     if (running === undefined || waiting === undefined || slots === undefined) {
