fix(serving): an instance is ready only once it has read the list of servers

Readiness followed from the age of the configuration alone, and the list of servers is read by another task, so that clients were sent to an instance that refused all of them. readyWithServers.test.ts delays the list by 600 ms: red before.

--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -306,6 +306,8 @@
         onConfirmed: origins.confirmServers,
     });
     let knownServers: readonly BackendServer[] = [];
+    // before its first read this instance would refuse each request for want of a server
+    let isServerListRead = false;
     const requestParts: RequestParts = {
         configuration,
         limits,
@@ -355,7 +357,7 @@
         host: options.host,
         port: options.readyPort,
         isReady: () =>
-            !shutdown.hasBegun() &&
+            !shutdown.hasBegun() && isServerListRead &&
             configuration.measureAge(readClocks()) < options.revocationBound * readinessAgeRatio,
     });
     const isSameServerValue = (id: string, previous: Uint8Array, next: Uint8Array): boolean => {
@@ -390,7 +392,10 @@
         guard,
         refused: createRefusedRecords(metrics.countRefusedRecord),
         onServers: applyServerChange,
-        onServersConfirmed: origins.confirmServers,
+        onServersConfirmed: at => {
+            isServerListRead = true;
+            origins.confirmServers(at);
+        },
         onStoreFailure: metrics.countStoreFailure,
         onConfiguration: config => {
             streamLifetime.update(computeStreamLifetime(config.routes), clock.now());
