fix(serving): the time-out of a connection on which a part of a request has come isn't changed, whatever Node.js does with it

Node.js 20.20.2 lets the keep-alive timer run while a part of a head arrives; the versions before ended it, on which the test relied (timer 0). Bytes that have come tell such a connection now.

--- a/src/serving/idleTimeouts.ts
+++ b/src/serving/idleTimeouts.ts
@@ -24,6 +24,8 @@
     setting: Milliseconds;
     /** Time after which the connection is closed, which is longer than the setting. */
     timeout: Milliseconds;
+    /** Bytes that had come from the client when the connection became idle. */
+    readonly bytesRead: number;
 }
 
 /** A timer of 0 would mean none. */
@@ -46,7 +48,12 @@
         // the HTTP server has set its timer before; there is none when a request waits or the connection closes
         response.once("finish", () => {
             if (socket.timeout && !socket.destroyed) {
-                const connection = { since: now(), setting: server.keepAliveTimeout, timeout: socket.timeout };
+                const connection = {
+                    since: now(),
+                    setting: server.keepAliveTimeout,
+                    timeout: socket.timeout,
+                    bytesRead: socket.bytesRead,
+                };
                 idle.set(socket, connection);
                 renewTimeout(socket, connection, announced, now());
             }
@@ -60,9 +67,10 @@
     };
 }
 
-// a connection on which a part of a request has come has no timer, and gets none
+// a connection on which a part of a request has come is as the HTTP server left it: some versions of Node.js have ended its
+// timer, others let it run
 function renewTimeout(socket: Socket, connection: IdleConnection, setting: Milliseconds, now: Milliseconds): void {
-    if (setting <= connection.setting || !socket.timeout) {
+    if (setting <= connection.setting || !socket.timeout || socket.bytesRead !== connection.bytesRead) {
         return;
     }
     connection.timeout += setting - connection.setting;
