feat(platform): what servers and services state of coldness is decoded

Cause: a cold server tolerates only a few requests per second, and nothing of what entries, responses, services and settings say of it was read. Change: cold_remaining_ms of entries, X-Oriolehatch-Cold-Ms of responses, cold_start_s and cold_per_s of services, cold_over and cold_slack of the bounds. An unreadable or negative remaining time is marked as such and does not remove the server; a configuration with one is refused, so that the one in force stays. Out-of-range bounds move to the end of their range, as all bounds do. Verified: headers, records, generatedInputs and decodedRanges tests of src/platform.

--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -133,6 +133,17 @@
         expect(platformHeaderCodec.decodeResponseHead(200, ["Server-Limit", "2"]).passedHeaders).to.deep.equal([]);
     });
 
+    // guards against a cold server that is taken for warm, or one that is held for cold by a value that can't be read
+    it("decodes how much longer a server stays cold, and keeps it from the client", () => {
+        const decode = (value: string) => platformHeaderCodec.decodeResponseHead(200, ["X-Oriolehatch-Cold-Ms", value]);
+        expect(["8000", "0", " 12.5 "].map(value => decode(value).coldFor)).to.deep.equal([8_000, 0, 12.5]);
+        expect(["-1", "soon", "", "1e4"].map(value => decode(value).coldFor)).to.deep.equal(
+            Array.from({ length: 4 }, () => "unreadable"),
+        );
+        expect(decode("5").passedHeaders).to.deep.equal([]);
+        expect(platformHeaderCodec.decodeResponseHead(200, []).coldFor).to.equal(undefined);
+    });
+
     it("treats invalid values as missing", () => {
         const raw = ["X-Oriolehatch-Deadline-Ms", "soon", "X-Oriolehatch-Token-Counts", "1", "X-Oriolehatch-Model", ""];
         const request = platformHeaderCodec.decodeRequest("GET", "/", raw);
--- a/src/platform/__tests__/records.test.ts
+++ b/src/platform/__tests__/records.test.ts
@@ -149,6 +149,33 @@
         });
     });
 
+    // guards against a server that is lost for an unreadable time, and a configuration with one that comes into force
+    it("decodes what servers and services state of coldness, and tells what can't be read", () => {
+        const entry = { service: "llm", address: "10.0.0.9:8080", zone: "a", state: "ready" };
+        const decodeCold = (remaining: unknown): unknown => {
+            const decoded = decodeServerEntry("i-1", encodeJson({ ...entry, cold_remaining_ms: remaining }));
+            return decoded.ok ? decoded.value.coldFor : decoded.error.kind;
+        };
+        expect([9_000, 0, undefined].map(decodeCold)).to.deep.equal([9_000, 0, undefined]);
+        expect([-1, "soon", {}].map(decodeCold)).to.deep.equal(["unreadable", "unreadable", "unreadable"]);
+        const decodeService = (service: object): unknown => {
+            const value = { version: 1, routes: [], services: [{ name: "llm", ...service }], limits: {} };
+            const decoded = decodeOperatorRecord("config", encodeJson(value));
+            const config = decoded.ok && decoded.value.kind === "configuration" ? decoded.value.config : undefined;
+            const found = config?.services.get("llm");
+            return found ? [found.coldStart, found.coldPerSecond] : "refused";
+        };
+        const services = [{ cold_start_s: 12, cold_per_s: 7 }, { cold_start_s: 12 }, {
+            cold_start_s: 12,
+            cold_per_s: 0,
+        }];
+        expect(services.map(decodeService)).to.deep.equal([[12_000, 7], [undefined, undefined], [
+            undefined,
+            undefined,
+        ]]);
+        expect([{ cold_start_s: -1 }, { cold_per_s: "x" }].map(decodeService)).to.deep.equal(["refused", "refused"]);
+    });
+
     it("keeps the software version of a server as it stands", () => {
         const decodeVersion = (version: unknown): unknown => {
             const entry = { service: "llm", address: "10.0.0.9:8080", zone: "a", state: "ready", version };
@@ -201,6 +228,8 @@
         };
         const decoded = decodeSettings(JSON.stringify(settings));
         expect(decoded.ok && decoded.value.bounds.gracePeriod).to.equal(8_000);
+        const cold = decodeSettings(JSON.stringify({ ...settings, bounds: { cold_over: 1.5, cold_slack: 5 } }));
+        expect(cold.ok && cold.value.bounds).to.deep.include({ coldExcessFactor: 1.5, coldExcessAllowance: 5 });
         const otherForm = { ...settings, platform: { ...settings.platform, form: "table" } };
         const refused = decodeSettings(JSON.stringify(otherForm));
         expect(refused.ok ? "" : refused.error.detail).to.equal(
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -13,6 +13,7 @@
     ResumedStream,
     ServerLoad,
     ServerResponseHead,
+    StatedColdness,
 } from "../serving/types.js";
 import {
     longestTimerMilliseconds,
@@ -42,6 +43,8 @@
     requestLimit: "server-limit",
     // seconds, with a fraction or none, for which a server that answers 503 wants no more requests from this instance
     retryAfter: "retry-after",
+    // milliseconds for which the server stays cold, 0 when it isn't
+    cold: "x-oriolehatch-cold-ms",
     // 1 in all responses of a server that is about to stop
     leaving: "server-leaving",
     // the server has not executed the request and will not
@@ -118,6 +121,7 @@
 const internalResponseHeaders: ReadonlySet<string> = new Set([
     names.load,
     names.requestLimit,
+    names.cold,
     names.leaving,
     names.serverId,
 ]);
@@ -210,6 +214,7 @@
         load: decodeServerLoad(values.get(names.load)),
         requestLimit: decodeRequestLimit(values.get(names.requestLimit)),
         retryAfter: status === serviceUnavailableStatus ? decodeRetryAfter(values.get(names.retryAfter)) : undefined,
+        coldFor: decodeColdness(values.get(names.cold)),
         isLeaving: decodeLeavingNotice(values.get(names.leaving)),
         isEventStream: (values.get("content-type") ?? "").startsWith("text/event-stream"),
         contentLength: decodeWholeNumber(values.get("content-length")),
@@ -325,6 +330,13 @@
         : undefined;
 }
 
+function decodeColdness(text: string | undefined): StatedColdness | undefined {
+    if (text === undefined) {
+        return undefined;
+    }
+    return /^\d{1,15}(\.\d{1,9})?$/.test(text.trim()) ? Number(text) : "unreadable";
+}
+
 /**
  * Decodes the header by which a server announces that it is about to stop.
  *
--- a/src/platform/instanceOptions.ts
+++ b/src/platform/instanceOptions.ts
@@ -65,6 +65,14 @@
                 return readBounds().quotaExcessAllowance;
             },
         },
+        cold: {
+            get over() {
+                return readBounds().coldExcessFactor;
+            },
+            get slack() {
+                return readBounds().coldExcessAllowance;
+            },
+        },
         retry: {
             window: settings.bounds.retryWindow,
             get ratio() {
--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -17,6 +17,7 @@
 import {
     createLimitedNumber,
     maximumCount,
+    millisecondsPerSecond,
     ordinalSchema,
     parseBoundedJson,
     type Result,
@@ -37,6 +38,7 @@
 // the store accepts only valid configurations, so that a number out of its range is moved to the end of it
 const timeout = createLimitedNumber(0, longestTimeoutMilliseconds);
 const amount = createLimitedNumber(0, maximumCount);
+const coldSeconds = z.number().min(0).max(longestTimeoutMilliseconds / millisecondsPerSecond);
 const quotaAmount = createLimitedNumber(0, maximumQuotaRate);
 
 const routeSchema = z.object({
@@ -82,6 +84,10 @@
     // connections that one server accepts from all instances together
     connection_limit: amount.default(Infinity),
     engine: engineSchema.optional(),
+    // how long a server is cold after it starts, while there is traffic; the configuration with a negative time is refused
+    cold_start_s: coldSeconds.default(0),
+    // requests per second that a cold server tolerates; 0 for servers that are never cold
+    cold_per_s: z.number().min(0).max(maximumCount).default(0),
 });
 const accountSchema = z.object({
     name: z.string(),
@@ -186,6 +192,10 @@
     return {
         name: service.name,
         connectionLimit: service.connection_limit,
+        ...service.cold_per_s > 0 && {
+            coldStart: service.cold_start_s * millisecondsPerSecond,
+            coldPerSecond: service.cold_per_s,
+        },
         engine: engine && {
             batchSlots: engine.slots,
             kvCacheTokens: engine.kv_cache_tokens,
--- a/src/platform/serverEntry.ts
+++ b/src/platform/serverEntry.ts
@@ -33,6 +33,8 @@
     adapters: createListSchema(loadedAdapterSchema).default([]),
 }));
 
+const unreadable = "unreadable" as const;
+
 const serverEntrySchema = z.object({
     service: nameSchema.min(1),
     address: addressSchema,
@@ -46,6 +48,8 @@
     // start of the process as Unix time in milliseconds
     born: startTimeSchema.default(0),
     models: loadedModelsSchema.default([]),
+    // how much longer the server stays cold; one that can't be read must not remove the server from the list
+    cold_remaining_ms: z.union([z.number().min(0).optional(), z.unknown().transform(() => unreadable)]),
 });
 
 /**
@@ -68,6 +72,7 @@
             softwareVersion: entry.version,
             slots: entry.slots,
             models: entry.models as readonly LoadedModel[],
+            ...entry.cold_remaining_ms !== undefined && { coldFor: entry.cold_remaining_ms },
         });
     }
     catch (error) {
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -76,6 +76,10 @@
     readonly quotaExcessAllowance: number;
     /** Not used by this program. */
     readonly modelLoadWindow: Milliseconds;
+    /** Factor by which the requests of a cold server in one second may exceed what it tolerates. */
+    readonly coldExcessFactor: number;
+    /** Requests by which they may exceed it in addition. */
+    readonly coldExcessAllowance: number;
 }
 
 /** Why the settings can't be used. */
@@ -144,6 +148,9 @@
         quota_slack: amount.default(0),
         // window of the limit on model loads
         ceiling_window_s: windowSeconds.default(5),
+        // factor and requests by which a cold server may get more than it tolerates in one second
+        cold_over: amount.default(1),
+        cold_slack: amount.default(0),
     }),
     // the store
     platform: z.object({
@@ -201,6 +208,8 @@
             quotaExcessRatio: file.bounds.quota_over,
             quotaExcessAllowance: file.bounds.quota_slack,
             modelLoadWindow: file.bounds.ceiling_window_s * millisecondsPerSecond,
+            coldExcessFactor: file.bounds.cold_over,
+            coldExcessAllowance: file.bounds.cold_slack,
         },
     });
 }
--- a/src/serving/servingOptions.ts
+++ b/src/serving/servingOptions.ts
@@ -67,6 +67,8 @@
     readonly isFirstStart: boolean;
     /** Bounds within which quotas of client accounts may be exceeded. */
     readonly quota: QuotaBounds;
+    /** Factor and number of requests by which a cold server may get more than it tolerates. @default 1 and 0 */
+    readonly cold?: { readonly over: number; readonly slack: number; };
     /** Limit on the retries of all instances together, see `RetryBudgetOptions`. */
     readonly retry: { readonly window: Milliseconds; readonly ratio: number; readonly slack: number; };
     readonly clock: Clock;
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -74,6 +74,10 @@
     readonly connectionLimit: number;
     /** `undefined` for a service whose servers are not model engines. */
     readonly engine: EngineLimits | undefined;
+    /** Time for which a server is cold after its start, while there is traffic. @default 0 */
+    readonly coldStart?: Milliseconds;
+    /** Requests per second that a cold server tolerates from all instances together; 0 when servers are never cold. @default 0 */
+    readonly coldPerSecond?: number;
 }
 
 /** Rate limit of a client account, enforced over all instances together. */
@@ -151,8 +155,13 @@
     readonly slots: number;
     /** Models that the server reported in its entry. */
     readonly models: readonly LoadedModel[];
+    /** Time for which the server stays cold, counted from the write of its entry; missing when it states none. */
+    readonly coldFor?: StatedColdness | undefined;
 }
 
+/** How much longer a server stays cold, 0 when it isn't cold; `unreadable` when the statement can't be read. */
+export type StatedColdness = Milliseconds | "unreadable";
+
 /** Identifier of one run of a backend server, from the start of its process to its end; a restart gets a new one. */
 export type ServerRunId = string;
 
@@ -265,6 +274,8 @@
     readonly requestLimit: number | undefined;
     /** Time for which the server wants no more requests from this instance; `undefined` when it says nothing of it. */
     readonly retryAfter: Milliseconds | undefined;
+    /** How much longer the server stays cold; missing when the response says nothing of it. */
+    readonly coldFor?: StatedColdness | undefined;
     /** Whether the server announces that it is about to stop and wants no new requests. */
     readonly isLeaving: boolean;
     readonly isEventStream: boolean;
