--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,5 +3,6 @@
  *
  * @packageDocumentation
  */
+export * from "./coldServer.js";
 export * from "./engineScore.js";
 export * from "./requestAge.js";
