feat(adapters): permits of the shard's holder pace requests to cold servers

Cause: instances sent a cold server any number of requests, and it crashes at a rate well above what it tolerates. Change: coldServers.ts keeps the coldness of runs; serverPermits grants evenly spaced permits, at the lower rate until a holder is settled and confirmed; places carry the permit and its age, plain servers are asked for with askPermit, a void permit is not used, a 421 returns its permit, and instances without a holder send nothing. New message fields are optional, and returnPermit is sent only to an instance that has offered it. Entries of cold servers are passed on to relayed readers. A cold server counts as fuller in the choice, and as a load target has little free capacity.

--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -6,6 +6,7 @@
  * @packageDocumentation
  */
 import type { PeerNetwork } from "../peers/index.js";
+import { type ColdServers, createColdServers } from "../serving/coldServers.js";
 import { createServerRecords } from "../serving/serverRecords.js";
 import {
     type BackendServer,
@@ -39,7 +40,7 @@
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient } from "./placeClient.js";
 import { createPlaceService } from "./placeService.js";
 import { createResidencyIndex } from "./residencyIndex.js";
-import { createServerPermits } from "./serverPermits.js";
+import { createServerPermits, type PacedPermitCounts } from "./serverPermits.js";
 import { createShardHolders, type ShardHolder, type ShardHolders } from "./shardHolders.js";
 import type { ShardTask } from "./shardTask.js";
 import type { EngineControl } from "./types.js";
@@ -75,6 +76,10 @@
     readonly findLimits: (service: string) => EngineLimits | undefined;
     /** Time from a version's announcement during which requests may still start on older ones. */
     readonly versionGracePeriod: Milliseconds;
+    /** Coldness of the servers. @default none is ever cold */
+    readonly cold?: ColdServers;
+    /** Time after which the store reassigns the shards of an instance that is silent. @default 0 */
+    readonly shardTtl?: Milliseconds;
 }
 
 /** Coordinator of adapters on engines. */
@@ -89,7 +94,9 @@
      */
     readonly acquire: (request: AcquireRequest) => Promise<AcquiredEngine | undefined>;
     /** Limits that servers have named, and permits for servers without places. */
-    readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
+    readonly permits: Omit<PermitClient, "isLimited" | "remove">;
+    /** Permits for cold servers that this instance has given. */
+    readonly readPermitCounts: () => PacedPermitCounts;
     /** Records a version of an adapter; `announcedAt` is the earliest time of its announcement. */
     readonly recordVersion: (model: string, adapter: string, version: number, announcedAt: Milliseconds) => void;
     /**
@@ -120,6 +127,11 @@
 const replacementLoadParameters = { priority: 10, usefulFor: 0, patience: 1_000 };
 /** Interval between report fetches from engines that have no base model loaded. */
 const missingModelCheckIntervalMilliseconds = 500;
+/**
+ * Time beyond the lifetime of a membership after which the previous holder of a shard gives permits for cold servers at
+ * the lower rate, or none: then no window of a second and the delay of permits has the full rate of both.
+ */
+const takeoverMarginMilliseconds = 1_500;
 
 /**
  * Creates the coordinator. The caller must pass on changes of servers, shards and versions, and messages of peers.
@@ -132,7 +144,21 @@
     const records = createServerRecords();
     const residency = createResidencyIndex();
     const managers = new Map<ServerRunId, EngineManager>();
-    const serverPermits = createServerPermits();
+    const cold = options.cold ?? createColdServers({
+        clock,
+        findService: () => undefined,
+        readBounds: () => ({ over: 1, slack: 0 }),
+    });
+    const gainedAt = new Map<number, Milliseconds>();
+    // the only holder is one that has held the shard for long and whose membership the store has just confirmed
+    const isSettledHolder = (run: ServerRunId): boolean => {
+        const heldSince = gainedAt.get(findShard(parseServerId(run)));
+        const settlingTime = (options.shardTtl ?? 0) + takeoverMarginMilliseconds;
+        return heldSince !== undefined && clock.now() - heldSince >= settlingTime && shards?.isConfirmed() === true;
+    };
+    const serverPermits = createServerPermits({
+        findColdRate: (run, isAskedCold) => cold.findRate(run, isSettledHolder(run), isAskedCold),
+    });
     const versions = createAdapterVersions(() => options.versionGracePeriod);
     const engineShards = createEngineShards(options.shardCount);
     const { findShard } = engineShards;
@@ -180,6 +206,7 @@
         isOrderAllowed,
         ensure: (run, request) => managers.get(run)?.ensure(request),
         readMeanLoad: service => holderLoads.readMeanLoad(service),
+        measureColdLoad: cold.measureLoad,
     });
     const places = createEnginePlaces(records, {
         onTaken: ({ run, choice }) =>
@@ -197,7 +224,13 @@
         finder,
         places,
         records,
-        takePermit: run => serverPermits.take(run, clock.now()),
+        takePermit: run => {
+            const now = clock.now();
+            const isPaced = cold.canBeCold(run) ? serverPermits.isPaced(run, now) : undefined;
+            return serverPermits.take(run, now) ? { isPaced } : undefined;
+        },
+        returnPermit: run => serverPermits.giveBack(run, clock.now()),
+        recordReached: cold.recordReached,
     });
     const holders = createShardHolders({
         self,
@@ -309,6 +342,7 @@
         network,
         holders,
         serverPermits,
+        cold,
         requestHolder,
         findShard: server => findShard(server.id),
         isHeld: shard => shards?.find(shard) !== undefined,
@@ -319,7 +353,8 @@
         shards: engineShards,
         holders,
         versions,
-        isLimited: permits.client.isLimited,
+        isLimited: run => permits.client.isLimited(run) || cold.needsPermit(run),
+        isStatedCold: cold.isStatedCold,
         isLeaving: options.isLeaving,
         reportLeaving: sendLeaving,
         ask: requestPlace,
@@ -375,6 +410,9 @@
                 return undefined;
             case "limit":
                 serverPermits.setLimit(message.run, message.requestsPerSecond, clock.now());
+                if (message.coldFor !== undefined) {
+                    cold.recordTold(message.run, message.coldFor);
+                }
                 return undefined;
             case "leaving":
                 options.onLeaving(message.run, "instance");
@@ -383,7 +421,14 @@
                 adapterMover.loadAhead(message);
                 return undefined;
             case "askPermit":
-                return { kind: "permit", wait: permits.decide(message.shard, message.run, message.requestsPerSecond) };
+                return {
+                    kind: "permit",
+                    wait: permits.decide(message.shard, message.run, message.requestsPerSecond, message.coldFor),
+                    isReturnable: true,
+                };
+            case "returnPermit":
+                permits.takeBack(message.shard, message.run);
+                return undefined;
             case "askHolders":
                 return { kind: "holders", holders: holders.list().map(entry => [...entry]) };
             case "loads":
@@ -409,6 +454,7 @@
         holders,
         acquire: placeClient.acquire,
         permits: permits.client,
+        readPermitCounts: serverPermits.readCounts,
         recordVersion: (model, adapter, version, announcedAt) => {
             if (versions.record(formatAdapterKey(model, adapter), version, announcedAt)) {
                 replaceOutdatedAdapters();
@@ -427,10 +473,13 @@
             openManagers(added);
         },
         handleShardGained: shard => {
+            gainedAt.set(shard, clock.now());
+            serverPermits.resetPace(run => findShard(parseServerId(run)) === shard);
             openManagers(options.listEngines().filter(server => findShard(server.id) === shard));
         },
         handleShardLost: (shard, generation) => {
             holders.markReleased(shard);
+            gainedAt.delete(shard);
             const closed = options.listEngines().filter(server => findShard(server.id) === shard).map(closeManager);
             const orderTimes = closed.map(manager => manager?.readLastOrderAt() ?? Number.NEGATIVE_INFINITY);
             releasedAt.set(shard, { generation, lastOrderAt: Math.max(Number.NEGATIVE_INFINITY, ...orderTimes) });
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -36,6 +36,8 @@
     readonly ensure: (run: ServerRunId, request: EnsureRequest) => Promise<EnsureResult> | undefined;
     /** Mean load over all engines of a service, as far as it is known; 1 is a full engine. */
     readonly readMeanLoad: (service: string) => number;
+    /** Part of an engine's slots that counts as occupied because it is or was cold. @default 0 for all */
+    readonly measureColdLoad?: (run: ServerRunId) => number;
 }
 
 /** Result of a search. */
@@ -118,6 +120,7 @@
             isUnavailableForLoad: run => unavailable.has(run) || fullEngines.has(run),
             meanLoad: options.readMeanLoad(request.service),
             isLoadIgnored: request.isLoadIgnored,
+            ...options.measureColdLoad && { measureColdLoad: options.measureColdLoad },
             isDiverted: !request.isLoadIgnored && isDiverted(key),
         });
     };
--- a/src/adapters/enginePlaces.ts
+++ b/src/adapters/enginePlaces.ts
@@ -14,6 +14,8 @@
     readonly choice: ModelChoice;
     /** Time after which the place is free even without a report. */
     readonly expiresAt: Milliseconds;
+    /** Whether it took one of the few permits of a cold engine. */
+    readonly isPaced: boolean;
 }
 
 /** All places given by this instance. */
--- a/src/adapters/engineSelection.ts
+++ b/src/adapters/engineSelection.ts
@@ -76,7 +76,7 @@
         return describeResident(input, resident, key);
     }
     const target = input.isDiverted ? undefined : selectLoadTarget(input, key, preferredLoadLimit);
-    const targetLoad = target ? computeEngineLoad(input, target) : Number.POSITIVE_INFINITY;
+    const targetLoad = target ? computeTargetLoad(input, target) : Number.POSITIVE_INFINITY;
     const isTargetPreferred = targetLoad <= preferredLoadLimit;
     if (target && (isTargetPreferred || (!isHealthy && input.isLoadIgnored))) {
         return { kind: "load", server: target };
@@ -140,7 +140,7 @@
     const holding = input.residency.listEngines(key);
     const others = candidates.filter(server => !holding.has(formatServerRunId(server)));
     const ranked = rankEngines(key, others.length > 0 ? others : candidates);
-    return ranked.find(server => computeEngineLoad(input, server) <= preferredLoadLimit) ??
+    return ranked.find(server => computeTargetLoad(input, server) <= preferredLoadLimit) ??
         findLeastLoaded(input, ranked);
 }
 
@@ -197,11 +197,16 @@
 function findLeastLoaded(input: EngineSelectionInput, servers: readonly BackendServer[]): BackendServer | undefined {
     let best: BackendServer | undefined;
     for (const server of servers) {
-        best = !best || computeEngineLoad(input, server) < computeEngineLoad(input, best) ? server : best;
+        best = !best || computeTargetLoad(input, server) < computeTargetLoad(input, best) ? server : best;
     }
     return best;
 }
 
+// a cold engine has little free capacity for one more adapter; permits decide on requests for those that it has
+function computeTargetLoad(input: EngineSelectionInput, server: BackendServer): number {
+    return computeEngineLoad(input, server) + (input.measureColdLoad?.(formatServerRunId(server)) ?? 0);
+}
+
 function computeEngineLoad(input: EngineSelectionInput, server: BackendServer): number {
     return computeLoad(server, input.records.getRecord(formatServerRunId(server)), input.now);
 }
--- a/src/adapters/instancePermits.ts
+++ b/src/adapters/instancePermits.ts
@@ -4,11 +4,12 @@
  * @packageDocumentation
  */
 import type { PeerNetwork } from "../peers/index.js";
+import type { ColdServers } from "../serving/coldServers.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "../serving/types.js";
 import type { Clock, InstanceId, Milliseconds } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import type { HolderQuestion } from "./holderQuestions.js";
-import { createPermitClient, type PermitClient } from "./permitClient.js";
+import { createPermitClient, type PermitClient, type ToldLimit } from "./permitClient.js";
 import type { ServerPermits } from "./serverPermits.js";
 import type { ShardHolders } from "./shardHolders.js";
 
@@ -20,6 +21,7 @@
     readonly holders: Pick<ShardHolders, "find" | "isSilent" | "refresh">;
     /** Permits of the servers whose shards this instance holds. */
     readonly serverPermits: ServerPermits;
+    readonly cold: Pick<ColdServers, "needsPermit" | "measureRemaining" | "findRate">;
     readonly requestHolder: HolderQuestion;
     /** Shard of a server. */
     readonly findShard: (server: BackendServer) => number;
@@ -31,11 +33,21 @@
 export interface InstancePermits {
     readonly client: PermitClient;
     /** Gives a permit, or tells the time until there is one; `undefined` when this instance doesn't hold the shard. */
-    readonly decide: (shard: number, run: ServerRunId, requestsPerSecond: number) => Milliseconds | undefined;
+    readonly decide: (
+        shard: number,
+        run: ServerRunId,
+        requestsPerSecond: number,
+        coldFor: Milliseconds | undefined,
+    ) => Milliseconds | undefined;
+    /** Takes back a permit that this instance gave. */
+    readonly takeBack: (shard: number, run: ServerRunId) => void;
     /** Forgets a run of a server. */
     readonly remove: (run: ServerRunId) => void;
 }
 
+/** Time for which a server is paced that an instance holds for cold; each question for a permit tells it again. */
+const askedColdMilliseconds = 2_000;
+
 /**
  * Creates the permits.
  *
@@ -44,49 +56,74 @@
  */
 export function createInstancePermits(options: InstancePermitsOptions): InstancePermits {
     const { requestHolder, clock, findShard, holders, network, self, serverPermits } = options;
-    const decide = (shard: number, run: ServerRunId, requestsPerSecond: number): Milliseconds | undefined => {
+    const decide: InstancePermits["decide"] = (shard, run, requestsPerSecond, coldFor) => {
         if (!options.isHeld(shard)) {
             return undefined;
         }
         const now = clock.now();
-        if (!serverPermits.isLimited(run)) {
+        if (coldFor === undefined && !serverPermits.isLimited(run)) {
             serverPermits.setLimit(run, requestsPerSecond, now);
         }
-        return serverPermits.take(run, now) ? 0 : serverPermits.measureWait(run, now);
+        if (coldFor !== undefined && coldFor > 0) {
+            serverPermits.markAskedCold(run, now + Math.min(coldFor, askedColdMilliseconds));
+        }
+        // a wait of 0 would be taken for a permit
+        return serverPermits.take(run, now) ? 0 : Math.max(1, serverPermits.assignTurn(run, now));
+    };
+    const takeBack = (shard: number, run: ServerRunId): void => {
+        if (options.isHeld(shard)) {
+            serverPermits.giveBack(run, clock.now());
+        }
     };
-    const sendLimit = (holder: InstanceId, server: BackendServer, requestsPerSecond: number | undefined): void => {
+    const sendLimit = (holder: InstanceId, server: BackendServer, limit: ToldLimit): void => {
         const run = formatServerRunId(server);
         if (holder === self) {
-            serverPermits.setLimit(run, requestsPerSecond, clock.now());
+            serverPermits.setLimit(run, limit.requestsPerSecond, clock.now());
             return;
         }
-        network.send(holder, "adapters", { kind: "limit", run, requestsPerSecond });
+        network.send(holder, "adapters", { kind: "limit", run, ...limit });
     };
-    const requestPermit = async (holder: InstanceId, server: BackendServer, requestsPerSecond: number) => {
+    const requestPermit = async (
+        holder: InstanceId,
+        server: BackendServer,
+        requestsPerSecond: number,
+        coldFor: Milliseconds | undefined,
+    ) => {
         const run = formatServerRunId(server);
         const shard = findShard(server);
         if (holder === self) {
-            return decide(shard, run, requestsPerSecond);
+            const ownWait = decide(shard, run, requestsPerSecond, coldFor);
+            return ownWait === undefined ? undefined : { wait: ownWait, isReturnable: true };
         }
-        const answer = await requestHolder(holder, { kind: "askPermit", shard, run, requestsPerSecond });
-        const wait = answer?.kind === "permit" ? answer.wait : undefined;
-        if (wait === undefined) {
+        const answer = await requestHolder(holder, { kind: "askPermit", shard, run, requestsPerSecond, coldFor });
+        if (answer?.kind !== "permit" || answer.wait === undefined) {
             startTask("holders of shards", holders.refresh);
+            return undefined;
         }
-        return wait;
+        return { wait: answer.wait, isReturnable: answer.isReturnable === true };
     };
     const client = createPermitClient({
         clock,
+        cold: options.cold,
         findHolder: server => {
             const holder = holders.find(findShard(server));
             return holder !== undefined && holder !== self && holders.isSilent(holder) ? undefined : holder;
         },
         tell: sendLimit,
         ask: requestPermit,
+        giveBack: (holder, server) => {
+            const run = formatServerRunId(server);
+            if (holder === self) {
+                takeBack(findShard(server), run);
+                return;
+            }
+            network.send(holder, "adapters", { kind: "returnPermit", shard: findShard(server), run });
+        },
     });
     return {
         client,
         decide,
+        takeBack,
         remove: run => {
             serverPermits.remove(run);
             client.remove(run);
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -9,6 +9,7 @@
 import type { PlaceOutcome, PromptPartId, ServerRunId, SoftwareVersion } from "../serving/types.js";
 import {
     addressSchema,
+    ageSchema,
     amountSchema,
     createListSchema,
     type Milliseconds,
@@ -115,6 +116,14 @@
     readonly isLoadIgnored: boolean;
 }
 
+/** What the holder of a server that can be cold decided on a request to it. */
+export interface PlacePermit {
+    /** Whether the request has one of the few permits of a server that is cold or was so a moment ago. */
+    readonly isPaced: boolean;
+    /** Time since the decision. */
+    readonly age: Milliseconds;
+}
+
 /** Response to a request for a place. */
 export type PlaceResponse =
     /** `version` is the one that the engine must have; any is allowed where it is missing. */
@@ -122,6 +131,8 @@
         readonly kind: "placed";
         readonly server: { readonly id: string; readonly startedAt: number; readonly address: string; };
         readonly version?: number | undefined;
+        /** How the holder decided where servers of the service can be cold; missing otherwise and from older builds. */
+        readonly permit?: PlacePermit | undefined;
     }
     /** Not decided yet: send the request again under the same id. */
     | { readonly kind: "waiting"; }
@@ -173,6 +184,7 @@
         kind: z.literal("placed"),
         server: z.object({ id: nameSchema, startedAt: startTimeSchema, address: addressSchema }),
         version: ordinalSchema.optional(),
+        permit: z.object({ isPaced: z.boolean(), age: ageSchema }).optional(),
     }),
     z.object({ kind: z.literal("waiting") }),
     z.object({ kind: z.literal("busy"), load: amountSchema }),
@@ -181,7 +193,13 @@
     // the request with this id has ended, or gave up waiting for a place
     z.object({ kind: z.literal("ended"), id: nameSchema, outcome: placeOutcomeSchema }),
     // requests a second that a server takes from all instances together; missing when it no longer names a limit
-    z.object({ kind: z.literal("limit"), run: nameSchema, requestsPerSecond: amountSchema.optional() }),
+    z.object({
+        kind: z.literal("limit"),
+        run: nameSchema,
+        requestsPerSecond: amountSchema.optional(),
+        // how much longer the server stays cold, as its response stated
+        coldFor: waitSchema.optional(),
+    }),
     // a server has announced that it is about to stop
     z.object({ kind: z.literal("leaving"), run: nameSchema }),
     // asks to have adapters of an engine that takes no more requests loaded elsewhere, busiest first
@@ -191,9 +209,18 @@
         shard: shardNumberSchema,
         run: nameSchema,
         requestsPerSecond: amountSchema,
+        // how much longer the sender holds the server for cold; missing when the server has only named a limit
+        coldFor: waitSchema.optional(),
     }),
     // time until the server takes a request; 0 grants it now
-    z.object({ kind: z.literal("permit"), wait: waitSchema.optional() }),
+    z.object({
+        kind: z.literal("permit"),
+        wait: waitSchema.optional(),
+        // whether the permit may be returned by the message below
+        isReturnable: z.boolean().optional(),
+    }),
+    // the server has not taken the request of a permit; sent only to instances that have said that permits are returnable
+    z.object({ kind: z.literal("returnPermit"), shard: shardNumberSchema, run: nameSchema }),
     z.object({ kind: z.literal("askHolders") }),
     z.object({ kind: z.literal("holders"), holders: createListSchema(z.tuple([shardNumberSchema, nameSchema])) }),
     z.object({
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -6,6 +6,8 @@
  * @packageDocumentation
  */
 import { LRUCache } from "lru-cache";
+import { permitLifetimeMilliseconds } from "../routing/index.js";
+import type { SendPermit } from "../serving/coldServers.js";
 import {
     type BackendServer,
     formatServerRunId,
@@ -22,6 +24,7 @@
     type AdapterKey,
     formatAdapterKey,
     type PlaceDemand,
+    type PlacePermit,
     type PlaceRequest,
     type PlaceResponse,
 } from "./messages.js";
@@ -58,6 +61,8 @@
     readonly server: BackendServer;
     /** Version that the engine must have; `undefined` while any version is allowed. */
     readonly requiredVersion: number | undefined;
+    /** Permit of the holder, where servers of the service can be cold. */
+    readonly permit: SendPermit | undefined;
     /** Gives the place back; must be called once. */
     readonly release: (outcome: PlaceOutcome) => void;
 }
@@ -70,8 +75,13 @@
     readonly shards: EngineShards;
     readonly holders: ShardHolders;
     readonly versions: AdapterVersions;
-    /** Whether a server has named a limit, so that only its holder may let requests go there. */
+    /** Whether a server is limited or may be cold, so that only its holder may let requests go there. */
     readonly isLimited: (run: ServerRunId) => boolean;
+    /**
+     * Whether an engine is known to be cold, so that a place on it needs a permit, which holders of older builds don't
+     * give. @default none is
+     */
+    readonly isStatedCold?: (run: ServerRunId) => boolean;
     /** Whether an engine has announced that it is about to stop; its holder may not know yet. */
     readonly isLeaving: (run: ServerRunId) => boolean;
     /** Tells a holder that an engine is about to stop. */
@@ -88,6 +98,12 @@
     readonly acquire: (request: AcquireRequest) => Promise<AcquiredEngine | undefined>;
 }
 
+interface AskedHolder {
+    readonly response: PlaceResponse | undefined;
+    /** Time at which the question was sent that was answered. */
+    readonly askedAt: Milliseconds;
+}
+
 type AskedPlace =
     | { readonly kind: "acquired"; readonly engine: AcquiredEngine; }
     | { readonly kind: "busy"; readonly load: number; }
@@ -119,11 +135,15 @@
         holder: InstanceId,
         id: string,
         response: Extract<PlaceResponse, { readonly kind: "placed"; }>,
+        askedAt: Milliseconds,
     ): AcquiredEngine | undefined => {
         const run = formatServerRunId(response.server);
+        const permit = describePermit(response.permit, askedAt);
+        const isPermitted = permit ? clock.now() <= (permit.until ?? clock.now()) : !options.isStatedCold?.(run);
         const server = request.listServers().find(listed => formatServerRunId(listed) === run);
-        return server && {
+        return !server || !isPermitted ? undefined : {
             server,
+            permit,
             requiredVersion: response.version,
             release: outcome => options.end(holder, id, outcome),
         };
@@ -160,15 +180,16 @@
         holder: InstanceId,
         shard: number,
         message: PlaceRequest,
-    ): Promise<PlaceResponse | undefined> => {
+    ): Promise<AskedHolder> => {
         for (;;) {
+            const askedAt = clock.now();
             const response = await waitUnlessAborted(options.ask(holder, shard, message), request.signal);
             if (response?.kind !== "waiting" && !request.signal.aborted) {
-                return response;
+                return { response, askedAt };
             }
             if (!isWithinTime(request)) {
                 options.end(holder, message.id, "unknown");
-                return { kind: "unavailable" };
+                return { response: { kind: "unavailable" }, askedAt };
             }
         }
     };
@@ -185,10 +206,11 @@
         }
         lastRequest++;
         const id = `${options.runId} ${lastRequest}`;
-        const response = await requestUntilDecided(request, holder, shard, createMessage(request, id, isLoadIgnored));
+        const message = createMessage(request, id, isLoadIgnored);
+        const { response, askedAt } = await requestUntilDecided(request, holder, shard, message);
         switch (response?.kind) {
             case "placed": {
-                const engine = describePlace(request, holder, id, response);
+                const engine = describePlace(request, holder, id, response, askedAt);
                 if (engine) {
                     return { kind: "acquired", engine };
                 }
@@ -235,6 +257,7 @@
         return {
             server,
             requiredVersion: options.versions.findOldestAllowed(key, clock.now()),
+            permit: undefined,
             release: () => undefined,
         };
     };
@@ -289,3 +312,11 @@
         },
     };
 }
+
+// the permit was given after the question was sent, but for the age that the holder states
+function describePermit(permit: PlacePermit | undefined, askedAt: Milliseconds): SendPermit | undefined {
+    return permit && {
+        decidedAt: askedAt - permit.age,
+        until: permit.isPaced ? askedAt - permit.age + permitLifetimeMilliseconds : undefined,
+    };
+}
--- a/src/adapters/placeService.ts
+++ b/src/adapters/placeService.ts
@@ -27,14 +27,26 @@
     readonly finder: EngineFinder;
     readonly places: EnginePlaces;
     readonly records: ServerRecords;
-    /** Takes a permit for a request to a server, and returns whether its limit has room for it. */
-    readonly takePermit: (run: ServerRunId) => boolean;
+    /** Takes a permit for a request to a server; `undefined` when its limit or its coldness leaves no room for it. */
+    readonly takePermit: (run: ServerRunId) => TakenPermit | undefined;
+    /** Returns the permit of a request that a paced server has not taken. */
+    readonly returnPermit: (run: ServerRunId) => void;
+    /** Records whether a request reached its server. */
+    readonly recordReached: (run: ServerRunId, isReached: boolean) => void;
+}
+
+/** Permit for a place. */
+export interface TakenPermit {
+    /** Whether the server is cold or was so a moment ago; `undefined` where servers of its service are never cold. */
+    readonly isPaced: boolean | undefined;
 }
 
 interface UndecidedRequest {
     readonly response: Promise<PlaceResponse>;
     readonly expiresAt: Milliseconds;
     readonly cancel: AbortController;
+    /** Time at which a place was given. */
+    decidedAt: Milliseconds;
 }
 
 /** Time after which an undecided request gets its first response. */
@@ -59,7 +71,8 @@
             return { kind: "unavailable" };
         }
         // another request may have taken the last permit since the engine was selected
-        if (!options.takePermit(formatServerRunId(found.server))) {
+        const permit = options.takePermit(formatServerRunId(found.server));
+        if (!permit) {
             return { kind: "unavailable" };
         }
         const { id, startedAt, address } = found.server;
@@ -67,10 +80,28 @@
             run: formatServerRunId(found.server),
             choice: { model: request.model, adapter: request.adapter },
             expiresAt: clock.now() + request.deadline,
+            isPaced: permit.isPaced === true,
         });
-        return { kind: "placed", server: { id, startedAt, address }, version: found.version };
+        entry.decidedAt = clock.now();
+        return {
+            kind: "placed",
+            server: { id, startedAt, address },
+            version: found.version,
+            ...permit.isPaced !== undefined && { permit: { isPaced: permit.isPaced, age: 0 } },
+        };
     };
-    const recordOutcome = ({ run, choice }: EnginePlace, outcome: PlaceOutcome): void => {
+    // the sender may ask again only some time after the decision
+    const describeAge = (response: PlaceResponse, entry: UndecidedRequest): PlaceResponse =>
+        response.kind === "placed" && response.permit
+            ? { ...response, permit: { ...response.permit, age: Math.max(0, clock.now() - entry.decidedAt) } }
+            : response;
+    const recordOutcome = ({ run, choice, isPaced }: EnginePlace, outcome: PlaceOutcome): void => {
+        if (outcome !== "unknown") {
+            options.recordReached(run, outcome !== "unreachable");
+        }
+        if (outcome === "missing" && isPaced) {
+            options.returnPermit(run);
+        }
         switch (outcome) {
             case "answered":
                 records.markSuccess(run, clock.now());
@@ -91,6 +122,7 @@
     const start = (request: PlaceRequest): UndecidedRequest => {
         const entry = {
             expiresAt: clock.now() + request.patience + decisionLifetimeMilliseconds,
+            decidedAt: clock.now(),
             cancel: new AbortController(),
             response: Promise.resolve<PlaceResponse>({ kind: "unavailable" }),
         };
@@ -113,7 +145,7 @@
             if (response.kind !== "waiting") {
                 requests.delete(request.id);
             }
-            return response;
+            return describeAge(response, entry);
         },
         end: (id, outcome) => {
             const entry = requests.get(id);
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -5,6 +5,7 @@
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
 import { type AnswerMemory, createAnswerMemory, type MemoryHolder } from "../answerMemory.js";
 import { createAnswerTimes } from "../answerTimes.js";
+import { createColdServers } from "../coldServers.js";
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
 import type { QuotaDecision } from "../quotaMessages.js";
@@ -245,9 +246,17 @@
                     if (requestCase.failsAt === "permit") {
                         throw new TypeError("injected");
                     }
-                    return undecided === "permit" ? never : Promise.resolve(true);
+                    return undecided === "permit" ? never : Promise.resolve({ decidedAt: 0, until: undefined });
                 },
+                recordCold: () => undefined,
+                returnPermit: () => undefined,
+                measureWait: () => 0,
             },
+            cold: createColdServers({
+                clock: { now: () => 0 },
+                findService: () => undefined,
+                readBounds: () => ({ over: 1, slack: 0 }),
+            }),
             guard: {
                 decide: decideGuarded,
                 requestTrial: () => undecided === "trial" ? never : Promise.resolve(false),
--- a/src/serving/attemptFaults.ts
+++ b/src/serving/attemptFaults.ts
@@ -48,6 +48,7 @@
         state.excludedServers.add(run);
     }
     if (fault.kind === "notSent") {
+        parts.cold.recordReached(run, false);
         state.unreachedServers.add(run);
     }
     if (!hasSentBytes(fault)) {
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -7,6 +7,7 @@
 import type { RequestGuard } from "../quarantine/index.js";
 import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
+import type { ColdServers } from "./coldServers.js";
 import type { ConfigurationState } from "./configurationState.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
@@ -35,6 +36,8 @@
     readonly clock: Clock;
     readonly configuration: ConfigurationState;
     readonly servers: ServerList;
+    /** Coldness that entries state. @default not kept */
+    readonly cold?: Pick<ColdServers, "readEntries" | "markEntryGone">;
     readonly directory: InstanceDirectory;
     readonly guard: Pick<RequestGuard, "replaceAll" | "applyRecord">;
     readonly refused: Pick<RefusedRecords, "add" | "remove">;
@@ -151,11 +154,18 @@
         sleep: clock.sleep,
         onSnapshot: records => {
             const entries = records.map(decodeServer).filter(server => server !== undefined);
+            options.cold?.readEntries(entries, true);
             options.onServers(servers.replaceAll(entries, clock.now()));
         },
         onRecords: records => {
             for (const record of records) {
                 const server = decodeServer(record);
+                if (server) {
+                    options.cold?.readEntries([server], false);
+                }
+                else {
+                    options.cold?.markEntryGone(record.key);
+                }
                 options.onServers(server ? servers.put(server) : servers.remove(record.key, clock.now()));
             }
         },
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -14,6 +14,7 @@
 import type { AnswerMemory } from "./answerMemory.js";
 import type { AnswerTimes } from "./answerTimes.js";
 import type { ClientAnswer } from "./clientAnswer.js";
+import type { ColdServers, SendPermit } from "./coldServers.js";
 import type { EventId } from "./eventIds.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
@@ -52,7 +53,14 @@
     readonly connections: ServerConnections;
     readonly headers: HeaderCodec;
     readonly adapters: PlaceClient;
-    readonly permits: Pick<PermitClient, "recordLimit" | "acquirePermit">;
+    readonly permits: Pick<
+        PermitClient,
+        "recordLimit" | "recordCold" | "acquirePermit" | "returnPermit" | "measureWait"
+    >;
+    readonly cold: Pick<
+        ColdServers,
+        "needsPermit" | "recordResponse" | "recordReached" | "measureLoad" | "mayBegin"
+    >;
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
     readonly answerMemory: Pick<AnswerMemory, "open">;
@@ -161,6 +169,8 @@
     readonly server: BackendServer;
     /** Adapter version that the server must use; `undefined` for any. */
     readonly requiredVersion: number | undefined;
+    /** Permit for the attempt; `undefined` where nobody has decided on one. */
+    readonly permit: SendPermit | undefined;
     /** Gives back the place on an engine, once; `undefined` for a server without places. */
     readonly release: ((outcome: PlaceOutcome) => void) | undefined;
 }
--- a/src/serving/responseRecords.ts
+++ b/src/serving/responseRecords.ts
@@ -5,7 +5,7 @@
  */
 import { createLogger } from "../shared/index.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
-import { type BackendServer, formatServerRunId, type ServerResponseHead } from "./types.js";
+import { type BackendServer, formatServerRunId, type ServerResponseHead, type StatedColdness } from "./types.js";
 
 /** Status of a server that doesn't hold the model or adapter that the request selects. */
 const misdirectedStatus = 421;
@@ -37,8 +37,13 @@
         log.info("server wants no requests", { run, duration: head.retryAfter, id: state.request.attemptId });
         parts.servers.markShedding(run, now + head.retryAfter);
     }
+    // an answer of another run says nothing of this one
     if (head.status !== misdirectedStatus) {
         recordLimit(parts, selected.server, head.requestLimit);
+        recordColdness(parts, selected.server, head.coldFor);
+    }
+    else if (!selected.release && selected.permit?.until !== undefined) {
+        parts.permits.returnPermit(selected.server);
     }
     if (head.isNotRun) {
         state.refusedBy.add(run);
@@ -61,6 +66,15 @@
     parts.records.markSuccess(run, now);
 }
 
+// the holder of the server's shard learns of a change, as it grants the permits
+function recordColdness(parts: RequestParts, server: BackendServer, coldFor: StatedColdness | undefined): void {
+    const wasPaced = parts.cold.needsPermit(formatServerRunId(server));
+    parts.cold.recordResponse(server, coldFor);
+    if (typeof coldFor === "number" && (coldFor > 0 || wasPaced)) {
+        parts.permits.recordCold(server, coldFor);
+    }
+}
+
 function recordLimit(parts: RequestParts, server: BackendServer, requestsPerSecond: number | undefined): void {
     const run = formatServerRunId(server);
     const record = parts.records.getRecord(run);
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -292,7 +292,7 @@
 
 function describeAttempt(parts: RequestParts, state: RequestState, selected: SelectedServer): AttemptRequest {
     const { request, admission, deadlineAt, body, lastEventId, refusedBy } = state;
-    const { server, requiredVersion } = selected;
+    const { server, requiredVersion, permit } = selected;
     return {
         server,
         attemptId: request.attemptId,
@@ -308,7 +308,9 @@
         }),
         body,
         wasRefused: refusedBy.has(formatServerRunId(server)),
-        mayBegin: () => parts.shutdown.mayBegin({ route: admission.route, deadlineAt }),
+        mayBegin: () =>
+            parts.shutdown.mayBegin({ route: admission.route, deadlineAt }) &&
+            parts.cold.mayBegin(formatServerRunId(server), permit),
         deadlineAt,
     };
 }
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -323,17 +323,26 @@
         ? servers.filter(server => allowed.has(formatServerRunId(server)))
         : servers;
     const shifted = moveStart(candidates, parts.random.next());
+    const unpermitted: ServerRunId[] = [];
     for (;;) {
-        const server = chooseServer({ servers: shifted, records, failureDomain, excluded, now });
-        const isPermitted = server && await waitUnlessAborted(parts.permits.acquirePermit(server), signal);
+        const measureColdLoad = parts.cold.measureLoad;
+        const server = chooseServer({ servers: shifted, records, failureDomain, excluded, now, measureColdLoad });
+        const permit = server && await waitUnlessAborted(parts.permits.acquirePermit(server), signal);
         if (signal.aborted) {
             return undefined;
         }
-        if (!server || isPermitted) {
-            return server && { server, requiredVersion: undefined, release: undefined };
+        if (!server && unpermitted.length > 0) {
+            const waits = unpermitted.map(parts.permits.measureWait);
+            state.returnAt = Math.max(state.returnAt, parts.clock.now() + Math.min(...waits));
         }
-        // servers whose limit has no room are left out for this attempt only
+        if (!server || permit) {
+            return server && { server, requiredVersion: undefined, permit, release: undefined };
+        }
+        // servers whose limit or coldness leaves no room are left out for this attempt only
         excluded.add(formatServerRunId(server));
+        if (parts.cold.needsPermit(formatServerRunId(server))) {
+            unpermitted.push(formatServerRunId(server));
+        }
     }
 }
 
--- a/src/serving/serverAttempt.ts
+++ b/src/serving/serverAttempt.ts
@@ -21,7 +21,8 @@
 
 /** Fault of an attempt whose server may receive nothing more. */
 export const withdrawnFault: AttemptFault = { kind: "withdrawn", detail: "the server takes no more requests" };
-const stoppingFault: AttemptFault = { kind: "withdrawn", detail: "this instance stops" };
+/** Fault of an attempt of an instance that stops, or whose permit for a cold server is void. */
+const lateFault: AttemptFault = { kind: "withdrawn", detail: "the attempt may not begin any more" };
 const maximumDetailLength = 200;
 const lowestFinalStatus = 200;
 /** Interim answers that an attempt may have; servers send some, such as one every few seconds of their work. */
@@ -119,7 +120,7 @@
                 endUnsent(withdrawnFault);
             }
             if (!isOver && request.mayBegin?.() === false) {
-                endUnsent(stoppingFault);
+                endUnsent(lateFault);
             }
             isPostponed = !isOver && checks < maximumChecks && options.loop.isLate();
             if (isOver || isPostponed) {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -18,6 +18,7 @@
 import { createAnswerMemory } from "./answerMemory.js";
 import { createAnswerTimes } from "./answerTimes.js";
 import { createClientServer, type ReceivedRequest } from "./clientServer.js";
+import { createColdServers } from "./coldServers.js";
 import { createConfigurationState } from "./configurationState.js";
 import { drainInstance } from "./drain.js";
 import { createFollowers } from "./followers.js";
@@ -37,8 +38,9 @@
 import { computeStreamLifetime } from "./resumedStreams.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { describeStoppingRefusal, runRequest } from "./runRequest.js";
+import { isSameServerValue } from "./sameServerValue.js";
 import { createServerConnections } from "./serverConnections.js";
-import { createServerList, isSameEntry, type ServerListChange } from "./serverList.js";
+import { createServerList, type ServerListChange } from "./serverList.js";
 import { createServerListCheck } from "./serverListCheck.js";
 import { createServerRecords } from "./serverRecords.js";
 import { createMetricsServer, createServingMetrics } from "./servingMetrics.js";
@@ -123,6 +125,7 @@
     const metrics = createServingMetrics(
         () => adapters.readLoadStatus(),
         dependencies.listUndecodedHeaders ?? (() => []),
+        () => ({ servers: cold.countCold(), permits: adapters.readPermitCounts() }),
     );
     const random = createSeededRandom(startUnixTime % 2 ** 31);
     const answerMemory = createAnswerMemory();
@@ -135,6 +138,11 @@
         clock,
     });
     const findService = (name: string) => configuration.read()?.config.services.get(name);
+    const cold = createColdServers({
+        clock,
+        findService,
+        readBounds: () => options.cold ?? { over: 1, slack: 0 },
+    });
     const readHolders = async (): Promise<readonly ShardHolder[] | undefined> => {
         const owners = await dependencies.shards.listOwners();
         if (!owners.ok) {
@@ -163,6 +171,8 @@
         get versionGracePeriod() {
             return options.versionBound;
         },
+        cold,
+        shardTtl: options.shardTtl,
     });
     const shards = createShardTask({
         group: dependencies.shards,
@@ -322,6 +332,7 @@
         headers: dependencies.headers,
         adapters,
         permits: adapters.permits,
+        cold,
         guard,
         origins,
         answerMemory,
@@ -358,13 +369,9 @@
             !shutdown.hasBegun() &&
             configuration.measureAge(readClocks()) < options.revocationBound * readinessAgeRatio,
     });
-    const isSameServerValue = (id: string, previous: Uint8Array, next: Uint8Array): boolean => {
-        const [left, right] = [previous, next].map(value => dependencies.records.decodeServerEntry(id, value));
-        return left!.ok && right!.ok && isSameEntry(left!.value, right!.value);
-    };
     const caches = {
         configuration: createTopicCache(),
-        servers: createTopicCache({ isSameValue: isSameServerValue }),
+        servers: createTopicCache({ isSameValue: (...entry) => isSameServerValue(dependencies.records, ...entry) }),
         instances: createTopicCache(),
         quarantines: createTopicCache(),
     };
@@ -386,6 +393,7 @@
         clock,
         configuration,
         servers,
+        cold,
         directory,
         guard,
         refused: createRefusedRecords(metrics.countRefusedRecord),
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { LoadStatus } from "../adapters/loadScheduler.js";
+import type { PacedPermitCounts } from "../adapters/serverPermits.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
@@ -41,6 +42,12 @@
     readonly count: number;
 }
 
+/** Cold servers, and the permits for them that this instance has decided on. */
+export interface ColdCounts {
+    readonly servers: number;
+    readonly permits: PacedPermitCounts;
+}
+
 /** HTTP server that exposes the metrics. */
 export interface MetricsServer {
     /** Opens the port; rejects when it is taken. */
@@ -59,11 +66,13 @@
  *
  * @param readLoads - returns the present number of adapter loads; called for each scrape
  * @param listUndecodedHeaders - returns the headers that nobody decodes; called for each scrape
+ * @param readCold - returns the present number of cold servers and the permits for them; called for each scrape
  * @returns the metrics, all at zero
  */
 export function createServingMetrics(
     readLoads: () => LoadStatus,
     listUndecodedHeaders: () => readonly UndecodedHeader[] = () => [],
+    readCold: () => ColdCounts = () => ({ servers: 0, permits: { granted: 0, refused: 0, returned: 0 } }),
 ): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
@@ -180,6 +189,25 @@
             Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
         },
     });
+    new Gauge({
+        name: "oriolehatch_cold_servers",
+        help: "Listed servers that this instance treats as cold",
+        registers,
+        collect() {
+            this.set(readCold().servers);
+        },
+    });
+    new Counter({
+        name: "oriolehatch_cold_permits_total",
+        help:
+            "Permits for cold servers and for those that were so a moment ago, which this instance decided as a holder",
+        labelNames: ["result"],
+        registers,
+        collect() {
+            this.reset();
+            Object.entries(readCold().permits).forEach(([result, count]) => this.inc({ result }, count));
+        },
+    });
     new Counter({
         name: "oriolehatch_task_failures_total",
         help: "Exceptions in tasks of this process, by task",
