test(serving): cold servers behind three whole instances; fix(routing): no cost of coldness in the choice among servers

Cause: a cold server counted as three quarters full got no request while others were idle, so that it would never have become warm. Change: only as the target of a load does a cold engine count as fuller; permits alone limit the requests.

--- a/src/adapters/engineSelection.ts
+++ b/src/adapters/engineSelection.ts
@@ -28,6 +28,8 @@
     readonly isLoadIgnored: boolean;
     /** Whether requests for the adapter were sent to another holder, on whose engines it is probably resident. */
     readonly isDiverted: boolean;
+    /** Part of an engine's slots that counts as occupied for loads because it is or was cold. @default 0 for all */
+    readonly measureColdLoad?: (run: ServerRunId) => number;
 }
 
 /** Selected engine, and whether the adapter must first be loaded there. */
--- a/src/serving/__tests__/testCodec.ts
+++ b/src/serving/__tests__/testCodec.ts
@@ -76,6 +76,7 @@
             requestLimit: headers.has("limit") ? Number(headers.get("limit")) : undefined,
             retryAfter: headers.has("retry-after") ? Number(headers.get("retry-after")) * 1_000 : undefined,
             isLeaving: headers.has("leaving"),
+            coldFor: headers.has("cold") ? Number(headers.get("cold")) : undefined,
             isEventStream: true,
             contentLength: undefined,
             passedHeaders: [],
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -3,6 +3,7 @@
  */
 import type { ServingConfig } from "../types.js";
 import { sendRequest, type TestAnswer, type TestRequest } from "./testClient.js";
+import { testConfig } from "./testCodec.js";
 import { createInstanceLinks, createInstanceStore, type TestStoreCut } from "./testCuts.js";
 import type { FaultPoint } from "./testFaults.js";
 import { putTestConfiguration, startTestInstance, type TestInstance } from "./testInstance.js";
@@ -26,6 +27,8 @@
 export interface TestFleetOptions extends TestServerOptions {
     readonly instances: number;
     readonly servers: number;
+    /** Services of the configuration. @default those of `testConfig` */
+    readonly services?: ServingConfig["services"];
     /** Has what is given to the first instance fail at times. @default nothing fails */
     readonly faults?: FaultPoint;
 }
@@ -69,6 +72,7 @@
  * @returns the fleet, ready for requests; the caller stops it
  */
 export async function startTestFleet(options: TestFleetOptions): Promise<TestFleet> {
+    const { services } = options;
     const store = createMemoryStore(4);
     const arrivals: TestArrival[] = [];
     const closes: TestClose[] = [];
@@ -97,6 +101,7 @@
             ports: ports.slice(index * 4, index * 4 + 4),
             store: stores[index]!.store,
             isFirstStart,
+            ...services && { readConfig: () => ({ ...testConfig, services }) },
             translateAddress: links[index]!.translate,
             ...options.faults && index === 0 ? { faults: options.faults } : {},
         });
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -77,6 +77,7 @@
         grace: options.grace ?? 1_000,
         isFirstStart,
         quota: { window: 8_000, excessRatio: 0.1, excessUnits: 17_000 },
+        cold: { over: 1.5, slack: 5 },
         retry: { window: 10_000, ratio: 0.2, slack: 50 },
         clock: faults.wrap("clock", createSystemClock()),
     }, {
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -51,6 +51,12 @@
     readonly readHeadDelay?: () => number;
     /** Seconds for which a server, counted from 0, wants no more requests; it turns requests away meanwhile. */
     readonly readShedding?: (server: number) => number | undefined;
+    /**
+     * Time for which a server, counted from 0, stays cold, as its responses and its entry state it, and whether they do.
+     *
+     * @default they state nothing
+     */
+    readonly readCold?: (server: number, by: "response" | "entry") => number | undefined;
     /** Whether a server, counted from 0, says in its responses that it leaves. */
     readonly isLeaving?: (server: number) => boolean;
 }
@@ -124,6 +130,10 @@
         if (options.isLeaving?.(index)) {
             headers["leaving"] = "1";
         }
+        const coldFor = options.readCold?.(index, "response");
+        if (coldFor !== undefined) {
+            headers["cold"] = String(coldFor);
+        }
         if (request.headers.expected !== readId()) {
             response.writeHead(421, { ...headers, "not-run": "1" });
             response.end();
@@ -214,6 +224,7 @@
             softwareVersion: version,
             slots: 32,
             models: [],
+            coldFor: options.readCold?.(index, "entry"),
         };
         store.put("servers", readId(), Buffer.from(JSON.stringify(entry)));
     };
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -57,10 +57,7 @@
         PermitClient,
         "recordLimit" | "recordCold" | "acquirePermit" | "returnPermit" | "measureWait"
     >;
-    readonly cold: Pick<
-        ColdServers,
-        "needsPermit" | "recordResponse" | "recordReached" | "measureLoad" | "mayBegin"
-    >;
+    readonly cold: Pick<ColdServers, "needsPermit" | "recordResponse" | "recordReached" | "mayBegin">;
     readonly guard: RequestGuard;
     readonly origins: StreamOrigins;
     readonly answerMemory: Pick<AnswerMemory, "open">;
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -325,8 +325,7 @@
     const shifted = moveStart(candidates, parts.random.next());
     const unpermitted: ServerRunId[] = [];
     for (;;) {
-        const measureColdLoad = parts.cold.measureLoad;
-        const server = chooseServer({ servers: shifted, records, failureDomain, excluded, now, measureColdLoad });
+        const server = chooseServer({ servers: shifted, records, failureDomain, excluded, now });
         const permit = server && await waitUnlessAborted(parts.permits.acquirePermit(server), signal);
         if (signal.aborted) {
             return undefined;
--- a/src/serving/serverChoice.ts
+++ b/src/serving/serverChoice.ts
@@ -16,8 +16,6 @@
     /** Servers that the request must not be sent to again. */
     readonly excluded: ReadonlySet<ServerRunId>;
     readonly now: Milliseconds;
-    /** Part of a server's slots that counts as occupied because it is or was cold. @default 0 for all */
-    readonly measureColdLoad?: (run: ServerRunId) => number;
 }
 
 /** Cost of a server in another failure domain; costs are added to the load, where 1 is a full server. */
@@ -56,9 +54,7 @@
     const domainCost = server.failureDomain === input.failureDomain ? 0 : crossDomainCost;
     const avoided = record.avoidedUntil > input.now ? avoidanceCost : 0;
     const failures = computeFailureRatio(record, input.now) * failureCost;
-    // a cold server isn't preferred because few requests run there
-    const coldLoad = input.measureColdLoad?.(formatServerRunId(server)) ?? 0;
-    return computeLoad(server, record, input.now) + coldLoad + domainCost + avoided + failures;
+    return computeLoad(server, record, input.now) + domainCost + avoided + failures;
 }
 
 /**
