test(adapters): permits on cold engines; feat(forwarding): a paced request is not sent through another instance

Cause: places on cold engines had no tests, and an attempt that goes through another instance may reach a cold server long after its permit. Change: tests of places, permits, selection for loads and the table of cold servers. A cut-off instance withdraws an attempt with a permit for a cold server, so that the request goes to another one; the head of a forwarded answer keeps what the server states of its coldness.

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -1,7 +1,8 @@
 import { expect } from "chai";
 import type { PeerNetwork } from "../../peers/index.js";
-import { type BackendServer, formatServerRunId } from "../../serving/types.js";
-import { createSeededRandom, wrapError, wrapValue } from "../../shared/index.js";
+import { type ColdServers, createColdServers } from "../../serving/coldServers.js";
+import { type BackendServer, formatServerRunId, type PlaceOutcome } from "../../serving/types.js";
+import { type Clock, createSeededRandom, wrapError, wrapValue } from "../../shared/index.js";
 import { startDetached } from "../../testing/index.js";
 import { type AdapterCoordinator, createAdapterCoordinator } from "../adapterCoordinator.js";
 import type { AdapterMessage } from "../messages.js";
@@ -16,6 +17,10 @@
     readonly listUsable?: () => readonly BackendServer[];
     /** Called with each order that loads an adapter. */
     readonly onLoad?: (server: BackendServer, adapter: string) => void;
+    /** Time that has passed in addition to sleeps. @default none */
+    readonly readWaited?: () => number;
+    /** Creates the table of cold servers. @default none is ever cold */
+    readonly createCold?: (clock: Pick<Clock, "now">) => ColdServers;
 }
 
 // a coordinator that holds the shards of all engines, beside another instance that holds a shard without engines
@@ -23,7 +28,8 @@
     servers: readonly BackendServer[],
     hooks: CoordinatorHooks = {},
 ): Promise<AdapterCoordinator> {
-    let now = 0;
+    let slept = 0;
+    const readNow = (): number => slept + (hooks.readWaited?.() ?? 0);
     const loaded = new Set<string>();
     const network: PeerNetwork = {
         self: "i",
@@ -31,7 +37,9 @@
         request: () => Promise.resolve(wrapError({ kind: "timeout" })),
         handle: () => undefined,
     };
+    const cold = hooks.createCold?.({ now: readNow });
     const coordinator = createAdapterCoordinator({
+        ...cold && { cold },
         self: "i",
         runId: "i@1",
         failureDomain: "a",
@@ -53,10 +61,10 @@
                 Promise.resolve(wrapValue({ startedAt: 1, sequence: 0, models: server.models, pending: [] })),
         },
         clock: {
-            now: () => now,
+            now: readNow,
             // sleeps that can be cancelled are time limits, which don't pass here
             sleep: (duration, signal) => {
-                now += signal ? 0 : duration;
+                slept += signal ? 0 : duration;
                 return new Promise(resolve => signal ?? setImmediate(resolve));
             },
         },
@@ -72,7 +80,11 @@
         findLimits: () => testLimits,
         versionGracePeriod: 5_000,
     });
-    const shards = { find: () => ({ fencingNumber: 1, activeAt: 0 }), list: () => [0] } as unknown as ShardTask;
+    const shards = {
+        find: () => ({ fencingNumber: 1, activeAt: 0 }),
+        list: () => [0],
+        isConfirmed: () => true,
+    } as unknown as ShardTask;
     coordinator.setShardTask(shards);
     coordinator.handleServers(servers, []);
     await coordinator.holders.reload();
@@ -199,6 +211,44 @@
         expect(again!.server).to.equal(limited.server);
     });
 
+    // guards against places on a cold engine that no permit covers, and permits that are lost with a 421
+    it("takes a permit on an engine that another instance was told to be cold, and returns it on a 421", async () => {
+        const servers = [createTestServer("i-1")];
+        const run = formatServerRunId(servers[0]!);
+        let waited = 0;
+        const coordinator = await createCoordinator(servers, {
+            readWaited: () => waited,
+            createCold: clock => {
+                const cold = createColdServers({
+                    clock,
+                    findService: name => ({ name, connectionLimit: 9, engine: testLimits, coldPerSecond: 2 }),
+                    readBounds: () => ({ over: 2, slack: 5 }),
+                });
+                cold.readEntries(servers, true);
+                return cold;
+            },
+        });
+        let asks = 0;
+        const requestPlace = async (outcome?: PlaceOutcome) => {
+            const id = `other@1 ${asks++}`;
+            const request = createRequest(() => servers);
+            const times = { usefulFor: 600, patience: 5_000, deadline: 9_000, isLoadIgnored: true };
+            const message = { ...request, ...request.choice, ...times, kind: "place", shard: 0, id, excluded: [] };
+            const placed = await coordinator.handleMessage("other", message as unknown as AdapterMessage);
+            outcome && startDetached(coordinator.handleMessage("other", { kind: "ended", id, outcome }));
+            return placed?.kind === "placed" ? placed.permit : placed?.kind;
+        };
+        expect(await requestPlace("answered")).to.deep.equal({ isPaced: false, age: 0 });
+        startDetached(coordinator.handleMessage("other", { kind: "limit", run, coldFor: 5_000 }));
+        expect(await requestPlace()).to.equal("unavailable");
+        waited += 500;
+        expect(await requestPlace("missing")).to.deep.equal({ isPaced: true, age: 0 });
+        // the adapter is loaded again first, which takes no time here
+        expect(await requestPlace("answered")).to.deep.equal({ isPaced: true, age: 0 });
+        expect(await requestPlace()).to.equal("unavailable");
+        expect(coordinator.readPermitCounts()).to.include({ granted: 2, returned: 1 });
+    });
+
     it("publishes the load counts when waiting loads become late, so that other holders don't wait", async () => {
         const servers = [createTestServer("i-1")];
         const published: AdapterMessage[] = [];
--- a/src/adapters/__tests__/engineSelection.test.ts
+++ b/src/adapters/__tests__/engineSelection.test.ts
@@ -22,17 +22,21 @@
     readonly residency: ResidencyIndex;
     readonly records: ServerRecords;
     readonly select: (adapter: string | undefined, oldestVersion?: number) => EngineSelection;
+    /** Runs that are cold. */
+    readonly cold: Set<string>;
 }
 
 function createFleet(): Fleet {
     const residency = createResidencyIndex();
     const records = createServerRecords();
+    const cold = new Set<string>();
     servers.forEach(server =>
         residency.replace({ run: formatServerRunId(server), models: [{ name: "base", adapters: [] }] })
     );
     return {
         residency,
         records,
+        cold,
         select: (adapter, oldestVersion) => {
             const { requests, slots } = sumEngineLoad(servers, records, 0);
             const input = {
@@ -48,6 +52,7 @@
                 isUnavailableForLoad: () => false,
                 meanLoad: requests / slots,
                 isDiverted: false,
+                measureColdLoad: (run: string) => cold.has(run) ? 0.75 : 0,
             };
             const selection = selectEngine({ ...input, isLoadIgnored: false });
             // when all engines are busy, a request is sent again to the holder with the emptiest one
@@ -67,6 +72,21 @@
     fleet.residency.apply({ run: formatServerRunId(server), model: "base", adapter, version });
 }
 
+describe("selection of an engine for a load while some are cold", () => {
+    // guards against adapters that all move to engines that are empty because they have just returned cold
+    it("prefers warm engines, though they have requests, and takes a cold one when the others are full", () => {
+        const fleet = createFleet();
+        servers.slice(0, 4).forEach(server => fleet.cold.add(formatServerRunId(server)));
+        servers.slice(4).forEach(server => fleet.records.getRecord(formatServerRunId(server)).inFlight = 10);
+        for (let adapter = 0; adapter < 50; adapter++) {
+            const { id } = expectServer(fleet.select(`a${adapter}`));
+            expect(Number(id.slice(2))).to.be.at.least(4);
+        }
+        servers.slice(4).forEach(server => fleet.records.getRecord(formatServerRunId(server)).inFlight = 40);
+        expect(Number(expectServer(fleet.select("a1")).id.slice(2))).to.be.below(4);
+    });
+});
+
 describe("selection of an engine", () => {
     it("spreads adapters of skewed popularity so that no engine has twice the mean load", () => {
         const fleet = createFleet();
--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -67,7 +67,11 @@
     };
 }
 
-async function createClient(answer: Answer, leaving: ReadonlySet<string> = new Set()): Promise<TestClient> {
+async function createClient(
+    answer: Answer,
+    leaving: ReadonlySet<string> = new Set(),
+    isStatedCold: (run: string) => boolean = () => false,
+): Promise<TestClient> {
     const asked: string[] = [];
     const ended: string[] = [];
     const told: string[] = [];
@@ -87,7 +91,8 @@
         shards,
         holders,
         versions: createAdapterVersions(() => 5_000),
-        isLimited: () => false,
+        isLimited: isStatedCold,
+        isStatedCold,
         isLeaving: run => leaving.has(run),
         reportLeaving: holder => told.push(holder),
         ask: async (holder, shard, request) => {
@@ -242,6 +247,47 @@
     });
 });
 
+describe("place on a cold engine", () => {
+    const run = formatServerRunId(ranked[0]!.engine);
+    const request = { listServers: () => [ranked[0]!.engine], until: 100 };
+
+    // guards against places that a holder of an older build gives, or one whose permit was long on its way
+    it("is given back without a permit that is still valid", async () => {
+        for (const permit of [undefined, { isPaced: true, age: 300 }]) {
+            const { acquire, ended } = await createClient(
+                () => ({ ...createPlaced(ranked[0]!.engine), permit } as PlaceResponse),
+                new Set(),
+                other => other === run,
+            );
+            expect(await acquire(request)).to.equal(undefined);
+            expect(ended[0]).to.equal(`${preferred[0]} unknown`);
+        }
+    });
+
+    it("is taken with a permit, which is void soon after it was given, or when the holder knows it to be warm", async () => {
+        const permits = [{ isPaced: true, age: 100 }, { isPaced: false, age: 0 }];
+        const untils = await Promise.all(permits.map(async permit => {
+            const placed = { ...createPlaced(ranked[0]!.engine), permit } as PlaceResponse;
+            const { acquire } = await createClient(() => placed, new Set(), other => other === run);
+            return (await acquire(request))!.permit!.until;
+        }));
+        expect(untils).to.deep.equal([150, undefined]);
+    });
+
+    // guards against a request that goes to the adapter's last engine without a permit, as its holder can't be reached
+    it("isn't taken without a holder, though the adapter was there last", async () => {
+        let isCold = false;
+        const { acquire } = await createClient(
+            () => isCold ? undefined : createPlaced(ranked[0]!.engine),
+            new Set(),
+            other => isCold && other === run,
+        );
+        await acquire();
+        isCold = true;
+        expect(await acquire({ until: 1_000 })).to.equal(undefined);
+    });
+});
+
 describe("ranking of shards", () => {
     it("sends an adapter to the same shard when another engine is added, unless that engine is preferred", () => {
         const added = [...servers, createTestServer("i-new")];
--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -236,8 +236,18 @@
             log.info("servers in reach again", { run: formatServerRunId(server) });
         }
     };
+    // the permit of a cold server is void before a helper has sent the request, whatever build that has
+    const withdrawPaced = (handlers: AttemptHandlers): Attempt => {
+        const pending = setImmediate(() =>
+            handlers.onFault({ kind: "withdrawn", detail: "a cold server isn't reached through another instance" })
+        );
+        return { abort: () => clearImmediate(pending), pause: () => undefined, resume: () => undefined };
+    };
     return {
         send: (request, handlers) => {
+            if (isCutOff && request.isPaced) {
+                return withdrawPaced(handlers);
+            }
             const isSmall = (request.body?.length ?? 0) <= maximumBodyBytes;
             // what can't be sent is a fault of the request, not of a helper that would refuse it
             const isSendable = findRequestFault(request) === undefined;
--- a/src/forwarding/messages.ts
+++ b/src/forwarding/messages.ts
@@ -41,6 +41,7 @@
     }).optional(),
     requestLimit: amountSchema.optional(),
     retryAfter: waitSchema.optional(),
+    coldFor: z.union([waitSchema, z.literal("unreadable")]).optional(),
     isLeaving: z.boolean(),
     isEventStream: z.boolean(),
     contentLength: ordinalSchema.optional(),
@@ -51,6 +52,7 @@
     load: head.load,
     requestLimit: head.requestLimit,
     retryAfter: head.retryAfter,
+    coldFor: head.coldFor,
     contentLength: head.contentLength,
 }));
 const faultSchema = z.object({
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -311,6 +311,7 @@
         mayBegin: () =>
             parts.shutdown.mayBegin({ route: admission.route, deadlineAt }) &&
             parts.cold.mayBegin(formatServerRunId(server), permit),
+        isPaced: permit?.until !== undefined,
         deadlineAt,
     };
 }
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -88,6 +88,8 @@
     readonly wasRefused?: boolean;
     /** Asked again when a connection is ready: whether the answer can be expected before this instance stops. @default it can */
     readonly mayBegin?: () => boolean;
+    /** Whether the request has a permit for a cold server, which would be void before another instance had sent it. */
+    readonly isPaced?: boolean;
     /** Time after which nobody waits for the answer. @default somebody waits until the attempt is aborted */
     readonly deadlineAt?: Milliseconds;
 }
