feat(platform): decode evacuations, homes, and the regions of failure domains

Operators need to empty a failure domain and to keep requests within regions, but nothing read the records and settings that ask for it. Records with the key evacuate/ZONE and their deletion, allowed_regions of routes and tenants, and region, zones and bounds.evacuation_ms of the settings are decoded into typed fields. Region and zones need a restart; the comparison that says so goes by content.

Verified: records, decodedRanges and settingsFollower tests.

--- a/src/platform/__tests__/records.test.ts
+++ b/src/platform/__tests__/records.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { decodeKeyedReadResponse, encodeKeyedRecord } from "../logRecords.js";
-import { decodeOperatorRecord } from "../operatorRecords.js";
+import { decodeOperatorDeletion, decodeOperatorRecord } from "../operatorRecords.js";
 import { decodeServerEntry } from "../serverEntry.js";
 import { decodeSettings } from "../settings.js";
 
@@ -115,6 +115,52 @@
         expect(decodeOperatorRecord("config", Buffer.from("{")).ok).to.equal(false);
     });
 
+    // guards against an evacuation that is taken for something else, or for another domain, and one whose end isn't seen
+    it("decodes an evacuation, and its withdrawal from the deletion of the key", () => {
+        const requested = decodeOperatorRecord("evacuate/east/1", encodeJson({}));
+        expect(requested).to.deep.equal({
+            ok: true,
+            value: { kind: "evacuation", domain: "east/1", isRequested: true },
+        });
+        expect(decodeOperatorDeletion("evacuate/east/1")).to.deep.equal({
+            kind: "evacuation",
+            domain: "east/1",
+            isRequested: false,
+        });
+        expect(decodeOperatorDeletion("config")).to.deep.equal({ kind: "other" });
+        for (const value of ["[]", "7", "{", ""]) {
+            expect(decodeOperatorRecord("evacuate/a", Buffer.from(value)).ok, value).to.equal(false);
+        }
+    });
+
+    // guards against homes that are dropped, and an empty list that allows no region instead of all
+    it("decodes the homes of routes and accounts, of which a missing or empty list sets none", () => {
+        const route = {
+            name: "r",
+            host: "h",
+            path_prefix: "/",
+            kind: "safe",
+            service: "s",
+            timeout_ms: 1,
+            target_latency_ms: 1,
+        };
+        const lists = [["eu", "us"], [], undefined];
+        const decoded = decodeOperatorRecord(
+            "config",
+            encodeJson({
+                version: 1,
+                routes: lists.map(regions => ({ ...route, allowed_regions: regions })),
+                services: [],
+                tenants: lists.map((regions, index) => ({ name: `t${index}`, allowed_regions: regions })),
+                limits: {},
+            }),
+        );
+        const config = decoded.ok && decoded.value.kind === "configuration" ? decoded.value.config : undefined;
+        const expected = [["eu", "us"], undefined, undefined];
+        expect(config!.routes.map(({ allowedRegions }) => allowedRegions)).to.deep.equal(expected);
+        expect(config!.accounts!.map(({ allowedRegions }) => allowedRegions)).to.deep.equal(expected);
+    });
+
     it("decodes the entry of a server", () => {
         const entry = decodeServerEntry(
             "i-1",
@@ -201,6 +247,15 @@
         };
         const decoded = decodeSettings(JSON.stringify(settings));
         expect(decoded.ok && decoded.value.bounds.gracePeriod).to.equal(8_000);
+        expect(decoded.ok && [decoded.value.region, decoded.value.bounds.evacuationDelay]).to.deep.equal([
+            undefined,
+            5_000,
+        ]);
+        const placed = decodeSettings(JSON.stringify({ ...settings, zones: { a: "eu", b: "us" } }));
+        expect(placed.ok && [placed.value.region, [...placed.value.regionsByDomain]]).to.deep.equal([
+            undefined,
+            [["a", "eu"], ["b", "us"]],
+        ]);
         const otherForm = { ...settings, platform: { ...settings.platform, form: "table" } };
         const refused = decodeSettings(JSON.stringify(otherForm));
         expect(refused.ok ? "" : refused.error.detail).to.equal(
--- a/src/platform/__tests__/settingsFollower.test.ts
+++ b/src/platform/__tests__/settingsFollower.test.ts
@@ -12,6 +12,8 @@
     node_name: "front-1",
     ip_address: "10.0.0.1",
     zone: "a",
+    // compared by content, as each reading of the file makes another table
+    zones: { a: "eu" },
     listen_addresses: { front: "10.0.0.1:1", ready: "10.0.0.1:2" },
     internal_ports: [7_600, 7_615],
     heartbeat_ms: 1_200,
@@ -83,6 +85,7 @@
             encodeFile({ ...moved, bounds: { ...file.bounds, grace_s: 4, budget_window_s: 30 } }),
         ]);
         expect([options.grace, options.retry.window, options.failureDomain]).to.deep.equal([4_000, 10_000, "a"]);
+        expect(options.region).to.equal("eu");
         expect(lines).to.deep.equal([
             ["settings need a restart", { fields: ["zone", "platform.address"] }],
             ["settings changed", { gracePeriod: 4_000 }],
--- a/src/platform/instanceOptions.ts
+++ b/src/platform/instanceOptions.ts
@@ -29,6 +29,8 @@
         instanceName: settings.instanceName,
         host: settings.host,
         failureDomain: settings.failureDomain,
+        region: settings.region ?? settings.regionsByDomain.get(settings.failureDomain),
+        regionsByDomain: settings.regionsByDomain,
         cores: settings.cores,
         clientPort: parsePort(settings.clientAddress),
         readyPort: parsePort(settings.readinessAddress),
@@ -51,6 +53,9 @@
         get versionBound() {
             return readBounds().adapterVersionGracePeriod;
         },
+        get evacuationBound() {
+            return readBounds().evacuationDelay;
+        },
         get grace() {
             return readBounds().gracePeriod;
         },
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -15,7 +15,7 @@
 import { createPlatformHeaderCodec, decodedResponseHeaders } from "./headers.js";
 import { createHeaderTrace, type ResponseSource } from "./headerTrace.js";
 import { createInstanceOptions } from "./instanceOptions.js";
-import { decodeOperatorRecord } from "./operatorRecords.js";
+import { decodeOperatorDeletion, decodeOperatorRecord } from "./operatorRecords.js";
 import { decodeServerEntry } from "./serverEntry.js";
 import { decodeSettings, settingsFileVariable } from "./settings.js";
 import { createSettingsFollower } from "./settingsFollower.js";
@@ -96,7 +96,7 @@
         control: createEngineControlClient(checkHeaders("engine")),
         headers: createPlatformHeaderCodec(checkHeaders("server")),
         listUndecodedHeaders: headerTrace.list,
-        records: { decodeOperatorRecord, decodeServerEntry },
+        records: { decodeOperatorRecord, decodeOperatorDeletion, decodeServerEntry },
     });
     await serving.run(shutdown.signal);
     flushLog();
--- a/src/platform/operatorRecords.ts
+++ b/src/platform/operatorRecords.ts
@@ -1,6 +1,6 @@
 /**
- * Decodes the records that operators write to the platform's store: the configuration, and the current version of each
- * adapter. The schemas have the field names of the wire.
+ * Decodes the records that operators write to the platform's store: the configuration, the current version of each
+ * adapter, and the evacuations of failure domains. The schemas have the field names of the wire.
  *
  * @packageDocumentation
  */
@@ -39,6 +39,9 @@
 const amount = createLimitedNumber(0, maximumCount);
 const quotaAmount = createLimitedNumber(0, maximumQuotaRate);
 
+// regions whose servers may receive the requests; all where it is missing or empty
+const regionsSchema = z.array(z.string()).default([]);
+
 const routeSchema = z.object({
     name: z.string(),
     host: z.string(),
@@ -60,6 +63,7 @@
     public: z.boolean().default(false),
     // whether an interrupted stream may continue on another server, after the last event that the client received
     can_resume: z.boolean().default(false),
+    allowed_regions: regionsSchema,
 });
 const engineSchema = z.object({
     // maximum number of requests that one engine runs in a batch
@@ -95,6 +99,7 @@
     // 0 for no limit
     rate_per_s: quotaAmount.default(0),
     burst: quotaAmount.default(0),
+    allowed_regions: regionsSchema,
 });
 const configSchema = z.object({
     // one beyond the exact numbers would be equal to later ones, or hide all of them
@@ -112,6 +117,9 @@
 });
 /** Names that can be sent in a header; an account with another could not be told to servers. */
 const headerValuePattern = /^[\t\x20-\x7e\x80-\xff]{1,1024}$/;
+/** Keys of the evacuations; the name of a failure domain follows. */
+const evacuationPrefix = "evacuate/";
+const evacuationSchema = z.object({});
 const adapterVersionSchema = z.object({ model: z.string(), adapter: z.string(), version: ordinalSchema });
 
 const requestKindsByWireName: Readonly<Record<"safe" | "unsafe" | "stream", RequestKind>> = {
@@ -123,24 +131,50 @@
 /**
  * Decodes a record of the operators' topic.
  *
- * @param key - key of the record: `config`, `version/...`, or a key that has no meaning here
+ * @param key - key of the record: `config`, `version/...`, `evacuate/...`, or a key that has no meaning here
  * @param value - content of the record, JSON in UTF-8
  * @returns the decoded record, of kind `other` for keys without a meaning here; an error when the content is not valid
  */
 export function decodeOperatorRecord(key: string, value: Uint8Array): Result<OperatorRecord, RecordError> {
-    const isConfiguration = key === "config";
-    if (!isConfiguration && !key.startsWith("version/")) {
+    const decode = findDecoder(key);
+    if (!decode) {
         return wrapValue({ kind: "other" });
     }
     try {
-        const parsed: unknown = parseBoundedJson(value, maximumRecordBytes, Number.POSITIVE_INFINITY);
-        return wrapValue(isConfiguration ? decodeConfiguration(parsed) : decodeAdapterVersion(parsed));
+        return wrapValue(decode(parseBoundedJson(value, maximumRecordBytes, Number.POSITIVE_INFINITY)));
     }
     catch (error) {
         return wrapError(describeRecordError(error));
     }
 }
 
+/**
+ * Decodes what the deletion of a key of the operators' topic means.
+ *
+ * @param key - the key
+ * @returns the end of an evacuation, or a record of kind `other`: configuration and versions stay as they are
+ */
+export function decodeOperatorDeletion(key: string): OperatorRecord {
+    return key.startsWith(evacuationPrefix) ? describeEvacuation(key, false) : { kind: "other" };
+}
+
+function findDecoder(key: string): ((parsed: unknown) => OperatorRecord) | undefined {
+    if (key === "config") {
+        return decodeConfiguration;
+    }
+    if (key.startsWith(evacuationPrefix)) {
+        return parsed => {
+            evacuationSchema.parse(parsed);
+            return describeEvacuation(key, true);
+        };
+    }
+    return key.startsWith("version/") ? decodeAdapterVersion : undefined;
+}
+
+function describeEvacuation(key: string, isRequested: boolean): OperatorRecord {
+    return { kind: "evacuation", domain: key.slice(evacuationPrefix.length), isRequested };
+}
+
 function decodeConfiguration(parsed: unknown): OperatorRecord {
     const file = configSchema.parse(parsed);
     const config: ServingConfig = {
@@ -178,9 +212,14 @@
         priority: route.priority,
         isPublic: route.public,
         canResume: route.can_resume,
+        ...decodeRegions(route.allowed_regions),
     };
 }
 
+function decodeRegions(regions: readonly string[]): { readonly allowedRegions?: readonly string[]; } {
+    return regions.length > 0 ? { allowedRegions: regions } : {};
+}
+
 function decodeService(service: z.infer<typeof serviceSchema>): ServingService {
     const { engine } = service;
     return {
@@ -214,5 +253,6 @@
                 defaultTokens: account.plain_tokens,
             }
             : undefined,
+        ...decodeRegions(account.allowed_regions),
     };
 }
--- a/src/platform/settings.ts
+++ b/src/platform/settings.ts
@@ -30,6 +30,10 @@
     /** IP address of the process. */
     readonly host: string;
     readonly failureDomain: string;
+    /** Region of the process; `undefined` for that of its failure domain. */
+    readonly region: string | undefined;
+    /** Region of each failure domain of the deployment. */
+    readonly regionsByDomain: ReadonlyMap<string, string>;
     /** Address that accepts clients' requests. */
     readonly clientAddress: string;
     /** Address of the readiness endpoint, which the platform polls before it sends clients to the instance. */
@@ -64,6 +68,8 @@
     readonly areOrdersFenced: boolean;
     /** Time from the announcement of a new adapter version until no request may start on an older one. */
     readonly adapterVersionGracePeriod: Milliseconds;
+    /** Time from the request to evacuate a failure domain from which nothing may be sent to its servers. */
+    readonly evacuationDelay: Milliseconds;
     /** Highest ratio of repeated requests to all requests for a service in the window. */
     readonly retryRatio: number;
     readonly retryWindow: Milliseconds;
@@ -116,6 +122,9 @@
     ),
     ip_address: z.string().refine(text => isIPv4(text), "give an IP address, such as 10.0.0.1"),
     zone: nameSchema,
+    region: nameSchema.min(1).optional(),
+    // region of each failure domain
+    zones: z.record(nameSchema, nameSchema.min(1)).default({}),
     // whether the whole system starts for the first time
     bootstrap: z.boolean().default(false),
     // `front` is for clients, `ready` for readiness checks
@@ -135,6 +144,7 @@
         lease_ms: milliseconds.default(3_000),
         require_fencing: z.boolean().default(false),
         version_ms: milliseconds.default(5_000),
+        evacuation_ms: milliseconds.default(5_000),
         // the retry budget
         budget_ratio: amount.default(0.2),
         budget_window_s: windowSeconds.default(10),
@@ -178,6 +188,8 @@
         instanceName: file.node_name,
         host: file.ip_address,
         failureDomain: file.zone,
+        region: file.region,
+        regionsByDomain: new Map(Object.entries(file.zones)),
         clientAddress: file.listen_addresses.front,
         readinessAddress: file.listen_addresses.ready,
         peerPort: file.internal_ports[0],
@@ -194,6 +206,7 @@
             orderLease: file.bounds.lease_ms,
             areOrdersFenced: file.bounds.require_fencing,
             adapterVersionGracePeriod: file.bounds.version_ms,
+            evacuationDelay: file.bounds.evacuation_ms,
             retryRatio: file.bounds.budget_ratio,
             retryWindow: file.bounds.budget_window_s * millisecondsPerSecond,
             retryAllowance: file.bounds.budget_slack,
--- a/src/platform/settingsFollower.ts
+++ b/src/platform/settingsFollower.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import { isDeepStrictEqual } from "node:util";
 import type { Logger } from "../shared/index.js";
 import { decodeSettings, type PlatformBounds, type PlatformSettings } from "./settings.js";
 
@@ -39,6 +40,8 @@
     instanceName: "node_name",
     host: "ip_address",
     failureDomain: "zone",
+    region: "region",
+    regionsByDomain: "zones",
     clientAddress: "listen_addresses.front",
     readinessAddress: "listen_addresses.ready",
     peerPort: "internal_ports",
@@ -61,7 +64,8 @@
 export function decideSettingsChange(started: PlatformSettings, next: PlatformSettings): SettingsChange {
     const { retryWindow } = started.bounds;
     const fields = Object.keys(fixedFieldPaths) as (keyof typeof fixedFieldPaths)[];
-    const changed = fields.filter(field => started[field] !== next[field]).map(field => fixedFieldPaths[field]);
+    const changed = fields.filter(field => !isDeepStrictEqual(started[field], next[field]))
+        .map(field => fixedFieldPaths[field]);
     return {
         bounds: { ...next.bounds, retryWindow },
         needingRestart: next.bounds.retryWindow === retryWindow ? changed : [...changed, retryWindowPath],
--- a/src/serving/servingOptions.ts
+++ b/src/serving/servingOptions.ts
@@ -34,6 +34,10 @@
     /** IP address of all ports. */
     readonly host: string;
     readonly failureDomain: FailureDomainId;
+    /** Region of the instance. @default it is in none */
+    readonly region?: string | undefined;
+    /** Region of each failure domain of the deployment; others can't be evacuated and are in no region. @default none */
+    readonly regionsByDomain?: ReadonlyMap<FailureDomainId, string>;
     /** Processor time that the instance may use, in cores; the largest instances hold the shards of engines. */
     readonly cores: number;
     readonly clientPort: number;
@@ -59,6 +63,8 @@
     readonly revocationBound: Milliseconds;
     /** Time after the publication of an adapter version from which older versions must not be used for new requests. */
     readonly versionBound: Milliseconds;
+    /** Time from the request to evacuate a failure domain from which nothing may be sent to its servers. @default 5000 */
+    readonly evacuationBound?: Milliseconds;
     /** Interval at which servers write their entries to the store. */
     readonly serverHeartbeat: Milliseconds;
     /** Time from SIGTERM until the platform kills the process. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -43,6 +43,8 @@
     readonly isPublic: boolean;
     /** Whether a stream that broke may be resumed on another server after the last event that the client received. */
     readonly canResume: boolean;
+    /** Regions whose servers may receive the requests; never empty. @default all */
+    readonly allowedRegions?: readonly string[];
 }
 
 /** Memory that a base model and each of its adapters take in an engine. */
@@ -95,6 +97,8 @@
     readonly priority: number | undefined;
     /** `undefined` for an account without a limit. */
     readonly quota: AccountQuota | undefined;
+    /** Regions whose servers may receive the requests; never empty. @default all */
+    readonly allowedRegions?: readonly string[];
 }
 
 /** Limits on what a client may send, and on how long it may take. */
@@ -352,6 +356,8 @@
 export type OperatorRecord =
     | { readonly kind: "configuration"; readonly config: ServingConfig; }
     | { readonly kind: "adapterVersion"; readonly model: string; readonly adapter: string; readonly version: number; }
+    /** Requests that nothing more is sent to the servers of a failure domain, or withdraws that. */
+    | { readonly kind: "evacuation"; readonly domain: FailureDomainId; readonly isRequested: boolean; }
     /** A kind of record that instances don't use. */
     | { readonly kind: "other"; };
 
@@ -366,5 +372,7 @@
 /** Decoders of the records in the platform's keyed topics. */
 export interface RecordCodec {
     readonly decodeOperatorRecord: (key: string, value: Uint8Array) => Result<OperatorRecord, RecordError>;
+    /** Decodes what the deletion of a key means. @default nothing */
+    readonly decodeOperatorDeletion?: (key: string) => OperatorRecord;
     readonly decodeServerEntry: (id: string, value: Uint8Array) => Result<BackendServer, RecordError>;
 }
