--- a/src/serving/__tests__/topicCache.test.ts
+++ b/src/serving/__tests__/topicCache.test.ts
@@ -33,6 +33,22 @@
         expect(listRecords(cache.read(5))).to.deep.equal([["a", undefined]]);
     });
 
+    // guards against a deletion that a reader never learns of, as one that starts, or starts over, takes a snapshot after it
+    it("says that it doesn't know what was deleted between its last read and its snapshot", () => {
+        const cache = createCache();
+        cache.replaceAll([{ key: "b", value: encodeVersion(2), offset: 4 }], 9);
+        expect(cache.read(5)?.kind).to.equal("records");
+        expect(cache.read(7)?.kind).to.equal("expired");
+        expect(cache.read(9)).to.equal(undefined);
+        cache.apply([{ key: "c", value: encodeVersion(7), offset: 9 }], 10);
+        expect(cache.read(7)?.kind).to.equal("expired");
+        const fresh = createTopicCache();
+        fresh.replaceAll([{ key: "b", value: encodeVersion(2), offset: 4 }], 9);
+        fresh.markConfirmed({ monotonic: performance.now(), timeOfDay: Date.now() });
+        expect([fresh.read(5)?.kind, fresh.read(9)]).to.deep.equal(["expired", undefined]);
+        expect(listRecords(fresh.read(undefined))).to.deep.equal([["b", 2]]);
+    });
+
     it("says that it doesn't know what was deleted long ago", () => {
         const cache = createCache();
         for (let offset = 5; offset < 2_000; offset++) {
--- a/src/serving/topicCache.ts
+++ b/src/serving/topicCache.ts
@@ -63,6 +63,8 @@
     let endOffset: number | undefined;
     // deletions before this offset are no longer known
     let forgottenBefore = 0;
+    // offsets between the last read and the snapshot after it: deletions of keys that came meanwhile aren't known
+    let skipped: { readonly after: number; readonly before: number; } = { after: 0, before: 0 };
     let confirmedAt: ClockReading | undefined;
     let confirmations = 0;
     let isFailing = false;
@@ -112,6 +114,8 @@
             const missing = [...records.keys()].filter(key => !present.has(key));
             missing.forEach(key => put({ key, value: undefined, offset: Math.max(0, end - 1) }));
             newest.forEach(put);
+            forgottenBefore = Math.max(forgottenBefore, skipped.before);
+            skipped = { after: endOffset ?? -1, before: end };
             endOffset = end;
             endChange();
         },
@@ -140,7 +144,7 @@
             if (offset === undefined) {
                 return describe([...records.values()].filter(record => record.value !== undefined));
             }
-            if (offset < forgottenBefore) {
+            if (offset < forgottenBefore || (offset > skipped.after && offset < skipped.before)) {
                 return { kind: "expired" };
             }
             const later = offset < endOffset ? [...records.values()].filter(record => record.offset >= offset) : [];
