--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -5,9 +5,18 @@
  * @packageDocumentation
  */
 import type { RequestGuard } from "../quarantine/index.js";
-import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
+import {
+    type Clock,
+    createLogger,
+    type FailureDomainId,
+    type Milliseconds,
+    type Result,
+    wrapError,
+    wrapValue,
+} from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import type { ConfigurationState } from "./configurationState.js";
+import type { EvacuationEvent } from "./evacuations.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
 import { createKeyedFollower } from "./keyedFollower.js";
@@ -20,7 +29,9 @@
     KeyedLog,
     KeyedRecord,
     KeyedTopic,
+    OperatorRecord,
     RecordCodec,
+    RecordError,
     ServingConfig,
     StoreError,
 } from "./types.js";
@@ -56,6 +67,10 @@
         version: number,
         earliestPublishedAt: Milliseconds,
     ) => void;
+    /** Whether the deployment has a failure domain; another one can't be evacuated. @default none */
+    readonly isKnownDomain?: (domain: FailureDomainId) => boolean;
+    /** Called with each record of an evacuation, and with those of each snapshot. @default nobody is told */
+    readonly onEvacuation?: (event: EvacuationEvent) => void;
 }
 
 /** Time that the store may delay a read without news. A longer one would delay the detection of a dead connection. */
@@ -90,46 +105,78 @@
 
 function createConfigurationFollower(options: FollowersOptions): Task {
     const { clock, configuration } = options;
-    const applyRecord = (record: KeyedRecord): void => {
-        const decoded = record.value && options.codec.decodeOperatorRecord(record.key, record.value);
-        if (!decoded) {
-            return;
-        }
+    const decodeRecord = ({ key, value }: KeyedRecord): OperatorRecord | undefined => {
+        const decoded = value
+            ? checkDomain(options, options.codec.decodeOperatorRecord(key, value))
+            : wrapValue(options.codec.decodeOperatorDeletion?.(key));
         if (!decoded.ok) {
-            options.refused.add("configuration", record.key, decoded.error);
-            return;
+            options.refused.add("configuration", key, decoded.error);
+            return undefined;
         }
-        options.refused.remove("configuration", record.key);
-        switch (decoded.value.kind) {
+        options.refused.remove("configuration", key);
+        return decoded.value;
+    };
+    const applyRecord = (decoded: OperatorRecord): void => {
+        switch (decoded.kind) {
             case "configuration":
-                if (configuration.apply(decoded.value.config)) {
-                    options.onConfiguration(decoded.value.config);
+                if (configuration.apply(decoded.config)) {
+                    options.onConfiguration(decoded.config);
                 }
                 break;
             case "adapterVersion": {
-                const { model, adapter, version } = decoded.value;
+                const { model, adapter, version } = decoded;
                 // the version may have been published at any time since the last confirmed read
                 options.onAdapterVersion(model, adapter, version, clock.now() - configuration.measureAge(readClocks()));
                 break;
             }
+            case "evacuation":
+                options.onEvacuation?.({ ...decoded, kind: "record" });
+                break;
             case "other":
                 break;
         }
     };
-    const applyAll = (records: readonly KeyedRecord[]): void => records.forEach(applyRecord);
+    const applyRecords = (records: readonly KeyedRecord[]): void => {
+        for (const record of records) {
+            const decoded = decodeRecord(record);
+            if (decoded) {
+                applyRecord(decoded);
+            }
+        }
+    };
+    const findDomain = ({ key }: KeyedRecord): readonly FailureDomainId[] => {
+        const named = options.codec.decodeOperatorDeletion?.(key);
+        return named?.kind === "evacuation" ? [named.domain] : [];
+    };
+    const applySnapshot = (records: readonly KeyedRecord[]): void => {
+        const decoded = records.map(decodeRecord);
+        const requested = decoded.filter(each => each?.kind === "evacuation").map(({ domain }) => domain);
+        const unreadable = records.filter((record, index) => !decoded[index]).flatMap(findDomain);
+        options.onEvacuation?.({ kind: "snapshot", requested, unreadable });
+        decoded.filter(each => each !== undefined && each.kind !== "evacuation").forEach(each => applyRecord(each!));
+    };
     return createKeyedFollower({
         log: options.log,
         topic: "configuration",
         cache: options.caches?.configuration,
         wait: longPollMilliseconds,
         sleep: clock.sleep,
-        onSnapshot: applyAll,
-        onRecords: applyAll,
+        onSnapshot: applySnapshot,
+        onRecords: applyRecords,
         onConfirmed: configuration.markConfirmed,
         onFailure: createFailureHandler(options, "configuration"),
     });
 }
 
+function checkDomain(
+    { isKnownDomain = () => false }: FollowersOptions,
+    decoded: Result<OperatorRecord, RecordError>,
+): Result<OperatorRecord, RecordError> {
+    return decoded.ok && decoded.value.kind === "evacuation" && !isKnownDomain(decoded.value.domain)
+        ? wrapError({ kind: "unreadable", field: "", detail: "the settings name no such failure domain" })
+        : decoded;
+}
+
 function createServerFollower(options: FollowersOptions): Task {
     const { clock, servers } = options;
     const handleFailure = createFailureHandler(options, "servers");
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -2,11 +2,12 @@
  * List of the backend servers that may receive requests. A server whose entry disappears while the store can't be
  * reached, or shortly afterwards, stays in the list for a short time, because the store may have expired the entries of
  * live servers. A run of a server that has announced itself that it leaves gets no more requests, whatever its entry says.
+ * Servers of evacuated failure domains get none while the evacuation is in force.
  *
  * @packageDocumentation
  */
 import { LRUCache } from "lru-cache";
-import type { Milliseconds } from "../shared/index.js";
+import type { FailureDomainId, Milliseconds } from "../shared/index.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "./types.js";
 
 /** Settings of the list. */
@@ -30,7 +31,13 @@
     readonly listUsable: (service: string) => readonly BackendServer[];
     /** Returns all servers; the same list as before while nothing has changed. */
     readonly listAll: () => readonly BackendServer[];
-    /** Whether a run takes requests: it is listed, and neither draining nor leaving. */
+    /** Replaces the failure domains whose servers get nothing. */
+    readonly setEvacuated: (domains: ReadonlySet<FailureDomainId>) => void;
+    /** Whether a server is in an evacuated failure domain. */
+    readonly isEvacuated: (server: Pick<BackendServer, "failureDomain">) => boolean;
+    /** Whether a service has no usable server, but servers in evacuated failure domains. */
+    readonly isWithheld: (service: string) => boolean;
+    /** Whether a run takes requests: it is listed, neither draining nor leaving, and not evacuated. */
     readonly isServing: (run: ServerRunId) => boolean;
     /** Whether a run may receive a request now: it takes requests, and has not asked to be left alone for a time. */
     readonly mayReceive: (run: ServerRunId, now: Milliseconds) => boolean;
@@ -84,6 +91,8 @@
     let byRun = new Map<ServerRunId, BackendServer>();
     const sheddingUntil = new LRUCache<ServerRunId, Milliseconds>({ max: maximumAnnouncingRuns });
     const leavingRuns = new LRUCache<ServerRunId, true>({ max: maximumAnnouncingRuns });
+    let evacuated: ReadonlySet<FailureDomainId> = new Set();
+    let withheld = new Set<string>();
     // `undefined` while the store is reachable
     let storeFailedAt: Milliseconds | undefined;
     // last return after an outage in which entries can have lapsed
@@ -94,7 +103,9 @@
     const findReturn = (now: Milliseconds): Milliseconds =>
         storeFailedAt !== undefined && now - answeredReadAt >= shortestLapsingOutage ? now : storeReturnedAt;
     const isLeaving = (run: ServerRunId): boolean => leavingRuns.has(run);
-    const isUsable = (server: BackendServer): boolean => !server.isDraining && !isLeaving(formatServerRunId(server));
+    const isEvacuated: ServerList["isEvacuated"] = ({ failureDomain }) => evacuated.has(failureDomain);
+    const isStaying = (server: BackendServer): boolean => !server.isDraining && !isLeaving(formatServerRunId(server));
+    const isUsable = (server: BackendServer): boolean => isStaying(server) && !isEvacuated(server);
     const isServing = (run: ServerRunId): boolean => {
         const server = byRun.get(run);
         return server !== undefined && isUsable(server);
@@ -108,6 +119,9 @@
                 service => [service, usable.filter(server => server.service === service)],
             ),
         );
+        withheld = new Set(
+            all.filter(isEvacuated).map(({ service }) => service).filter(service => !byService.has(service)),
+        );
     };
     const put = (server: BackendServer): ServerListChange => {
         const previous = servers.get(server.id);
@@ -135,7 +149,8 @@
     const remove = (id: string, now: Milliseconds): ServerListChange => {
         const server = servers.get(id);
         const dueAt = findReturn(now) + entryGraceMilliseconds;
-        if (!server || !isUsable(server) || dueAt <= now) {
+        // an evacuated server gets requests again when the evacuation is withdrawn
+        if (!server || !isStaying(server) || dueAt <= now) {
             return removeEntry(id);
         }
         if (!removalDueAt.has(id)) {
@@ -146,6 +161,12 @@
     return {
         listUsable: service => byService.get(service) ?? [],
         listAll: () => all,
+        setEvacuated: domains => {
+            evacuated = domains;
+            refreshIndexes();
+        },
+        isEvacuated,
+        isWithheld: service => withheld.has(service),
         isServing,
         mayReceive: (run, now) => isServing(run) && (sheddingUntil.get(run) ?? 0) <= now,
         markShedding: (run, until) =>
