feat(forwarding): attempts with homes go through instances in the homes or the own region only

An instance that reaches no server sends attempts, and with them the bodies of requests, through any instance that helps. The body of a request with homes may be at instances of its homes and of the region of its client's instance only; an instance without a known region is in none.

Verified: homes, forwardedAttempt, forwardedMemory, heldRest, reach, slowReader and checkServer tests.

--- a/src/forwarding/forwardingConnections.ts
+++ b/src/forwarding/forwardingConnections.ts
@@ -6,6 +6,7 @@
  */
 import type { PeerNetwork } from "../peers/index.js";
 import type { AnswerMemory } from "../serving/answerMemory.js";
+import type { Homes } from "../serving/homes.js";
 import { findRequestFault } from "../serving/requestCheck.js";
 import type {
     Attempt,
@@ -46,6 +47,7 @@
     /** Connections that lead to the servers directly. */
     readonly direct: ServerConnections;
     readonly listCandidates: () => readonly HelperCandidate[];
+    /** Servers that may receive something; none of them is in an evacuated failure domain. */
     readonly listServers: () => readonly BackendServer[];
     readonly findServer: (run: ServerRunId) => BackendServer | undefined;
     readonly probe: (server: BackendServer) => Promise<boolean>;
@@ -53,6 +55,8 @@
     readonly onLeaving: (server: BackendServer) => void;
     /** Whether this instance stops and begins no attempts of others. */
     readonly isStopping: () => boolean;
+    /** Whether an instance of a failure domain may have the body of a request with these homes. @default all may */
+    readonly mayCarry?: (domain: FailureDomainId, homes: Homes) => boolean;
     /** Memory of all answers of this instance. @default one for the attempts of others alone */
     readonly answerMemory?: Pick<AnswerMemory, "open">;
     /** Counts an attempt that is sent through another instance. */
@@ -164,9 +168,15 @@
         }).finally(() => pendingRound = undefined);
         return pendingRound;
     };
-    const pickHelper = (): InstanceId | undefined => {
+    const isAllowed = (id: InstanceId, homes: Homes): boolean => {
+        const candidate = options.listCandidates().find(other => other.id === id);
+        return candidate !== undefined && options.mayCarry?.(candidate.failureDomain, homes) !== false;
+    };
+    const pickHelper = ({ homes }: AttemptRequest): InstanceId | undefined => {
         const now = clock.now();
-        const usable = [...helpers].filter(([, until]) => until > now).map(([id]) => id);
+        const usable = [...helpers]
+            .filter(([id, until]) => until > now && (homes === undefined || isAllowed(id, homes)))
+            .map(([id]) => id);
         return usable[Math.floor(random.next() * usable.length)];
     };
     const sendDirectly = (request: AttemptRequest, handlers: AttemptHandlers): Attempt => {
@@ -241,7 +251,7 @@
             const isSmall = (request.body?.length ?? 0) <= maximumBodyBytes;
             // what can't be sent is a fault of the request, not of a helper that would refuse it
             const isSendable = findRequestFault(request) === undefined;
-            const helper = isCutOff && isSmall && isSendable ? pickHelper() : undefined;
+            const helper = isCutOff && isSmall && isSendable ? pickHelper(request) : undefined;
             return helper === undefined ? sendDirectly(request, handlers) : sendThrough(helper, request, handlers);
         },
         remove: run => {
--- a/src/serving/serverConnections.ts
+++ b/src/serving/serverConnections.ts
@@ -7,6 +7,7 @@
 import { Pool } from "undici";
 import type { Milliseconds } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
+import type { Homes } from "./homes.js";
 import type { LoopGate } from "./loopDelay.js";
 import type { ReadTurns } from "./readTurns.js";
 import { findRequestFault } from "./requestCheck.js";
@@ -88,6 +89,8 @@
     readonly wasRefused?: boolean;
     /** Asked again when a connection is ready: whether the answer can be expected before this instance stops. @default it can */
     readonly mayBegin?: () => boolean;
+    /** Regions whose instances may have the body, beside the own one. @default all */
+    readonly homes?: Homes;
     /** Time after which nobody waits for the answer. @default somebody waits until the attempt is aborted */
     readonly deadlineAt?: Milliseconds;
 }
