feat(adapters): holders follow evacuations and the regions of requests

Engines of an evacuated domain were left out of new places only: requests that waited for a slot or a load there waited on, and the engines were not used again. Waiting requests now look for another engine at once, the adapters of all evacuated engines are requested elsewhere by rank, no report is read meanwhile, and reports are read again after the withdrawal. A load that ends as its engine may not be used doesn't count as a failure. Holders grant places in the regions that a request names, and a client that is given a place which it may not use asks again without that engine, as its holder may know less or be of a build that knows no regions.

--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -191,6 +191,31 @@
         expect(asked.length).to.be.at.most(30);
     });
 
+    // guards against places of a holder that doesn't know of an evacuation yet, or is of a build that knows no homes
+    it("is asked anew without an engine that the request may not use, and without word that it leaves", async () => {
+        const [first, second] = servers;
+        const allowed = servers.filter(server => server !== first);
+        const { acquire, asked, ended, told } = await createClient((holder, shard, request) =>
+            createPlaced(request.excluded.includes(formatServerRunId(first!)) ? second! : first!)
+        );
+        const acquired = await acquire({ listServers: () => allowed, regions: ["eu"] });
+        expect([acquired!.server, asked.length, told]).to.deep.equal([second, 2, []]);
+        expect(ended).to.deep.equal([`${asked[0]} unknown`]);
+    });
+
+    // guards against requests that wait for their whole time while an evacuation or their homes leave them no engine
+    it("isn't waited for once no engine can become usable, also at a holder that works on the request", async () => {
+        for (const answer of [{ kind: "waiting" }, { kind: "unavailable" }] as const) {
+            let usable = servers;
+            const { acquire, readTime } = await createClient(() => {
+                usable = [];
+                return answer;
+            });
+            expect(await acquire({ listServers: () => usable, canWait: () => usable.length > 0 })).to.equal(undefined);
+            expect(readTime()).to.be.below(200);
+        }
+    });
+
     it("is the adapter's last engine while its holder is silent", async () => {
         let isSilent = false;
         const { acquire } = await createClient(() => isSilent ? undefined : createPlaced(ranked[0]!.engine));
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -28,6 +28,7 @@
 import { createInstancePermits } from "./instancePermits.js";
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
 import {
+    type AdapterKey,
     type AdapterMessage,
     formatAdapterKey,
     parseAdapterKey,
@@ -70,6 +71,13 @@
     readonly mayReceive: (run: ServerRunId) => boolean;
     /** Whether a run of a server has announced that it is about to stop. */
     readonly isLeaving: (run: ServerRunId) => boolean;
+    /** Whether nothing may be sent to a server, as its failure domain is evacuated. @default none is */
+    readonly isEvacuated?: (server: BackendServer) => boolean;
+    /** Filters the engines in some regions. @default none is in a region */
+    readonly filterByRegions?: (
+        engines: readonly BackendServer[],
+        regions: readonly string[],
+    ) => readonly BackendServer[];
     /** Called when an engine's response to an order or a report, or another instance, tells that a server leaves. */
     readonly onLeaving: (run: ServerRunId, learnedFrom: LeavingSource) => void;
     readonly findLimits: (service: string) => EngineLimits | undefined;
@@ -97,6 +105,11 @@
      * the holder of the server's shard is told where `learnedFrom` is a response.
      */
     readonly handleLeaving: (run: ServerRunId, learnedFrom: LeavingSource) => void;
+    /**
+     * Records that evacuations have begun or ended: requests that wait for engines look for others, and engines whose
+     * evacuation has ended are used again, with what their reports say.
+     */
+    readonly handleEvacuation: () => void;
     readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
     readonly handleShardGained: (shard: number) => void;
     readonly handleShardLost: (shard: number, generation: number) => void;
@@ -179,6 +192,7 @@
             ),
         isOrderAllowed,
         ensure: (run, request) => managers.get(run)?.ensure(request),
+        ...options.filterByRegions && { filterByRegions: options.filterByRegions },
         readMeanLoad: service => holderLoads.readMeanLoad(service),
     });
     const places = createEnginePlaces(records, {
@@ -263,7 +277,12 @@
         });
         managers.set(manager.run, manager);
         heldEngines.clear();
-        startTask("report of an engine", manager.refresh);
+        if (options.isEvacuated?.(server)) {
+            withdrawn.add(manager.run);
+        }
+        else {
+            startTask("report of an engine", manager.refresh);
+        }
     };
     const openManagers = (servers: readonly BackendServer[]): void =>
         servers
@@ -335,14 +354,29 @@
     });
     // runs that take no more requests, whose loads were dropped and whose adapters were moved
     const withdrawn = new Set<ServerRunId>();
-    const withdrawEngine = (run: ServerRunId): void => {
-        const manager = managers.get(run);
-        if (manager && !withdrawn.has(run)) {
-            withdrawn.add(run);
+    const withdrawEngines = (runs: readonly ServerRunId[]): void => {
+        const left = runs.filter(run => !withdrawn.has(run)).flatMap(run => managers.get(run) ?? []);
+        left.forEach(manager => {
+            withdrawn.add(manager.run);
             manager.dropWaitingLoads();
-            adapterMover.move(manager.service, manager.listBusiest());
+        });
+        for (const service of new Set(left.map(manager => manager.service))) {
+            const ofService = left.filter(manager => manager.service === service);
+            adapterMover.move(service, mergeBusiest(ofService.map(manager => manager.listBusiest())));
+        }
+    };
+    // what an engine holds may have changed while it got no orders
+    const restoreEngine = (run: ServerRunId): void => {
+        const manager = managers.get(run);
+        withdrawn.delete(run);
+        if (manager) {
+            startTask("report of an engine", manager.refresh);
         }
     };
+    const checkEngines = (): void => {
+        withdrawEngines([...managers.keys()].filter(run => !options.isServing(run)));
+        [...withdrawn].filter(options.isServing).forEach(restoreEngine);
+    };
     const replaceOutdatedAdapters = (): void => {
         const newest = versions.listNewest();
         for (const manager of managers.values()) {
@@ -360,7 +394,7 @@
         }
         missingModelsCheckedAt = clock.now();
         for (const manager of managers.values()) {
-            if (!manager.hasModel()) {
+            if (!manager.hasModel() && !withdrawn.has(manager.run)) {
                 startTask("report of an engine", manager.refresh);
             }
         }
@@ -415,12 +449,16 @@
             }
         },
         handleLeaving: (run, learnedFrom) => {
-            withdrawEngine(run);
+            withdrawEngines([run]);
             const holder = holders.find(findShard(parseServerId(run)));
             if (learnedFrom === "response" && holder !== undefined && holder !== self) {
                 sendLeaving(holder, run);
             }
         },
+        handleEvacuation: () => {
+            checkEngines();
+            finder.markEnginesChanged();
+        },
         handleServers: (added, removed) => {
             removed.map(formatServerRunId).forEach(permits.remove);
             removed.forEach(closeManager);
@@ -439,7 +477,7 @@
         handleMessage,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
-            [...managers.keys()].filter(run => !options.isServing(run)).forEach(withdrawEngine);
+            checkEngines();
             placeService.expire(clock.now());
             replaceOutdatedAdapters();
             loadScheduler.expire(clock.now());
@@ -449,6 +487,13 @@
     };
 }
 
+// the busiest of each engine first, as the demands of different engines aren't compared
+function mergeBusiest(lists: readonly (readonly AdapterKey[])[]): readonly AdapterKey[] {
+    const length = Math.max(0, ...lists.map(list => list.length));
+    const ranks = Array.from({ length }, (unused, rank) => lists.flatMap(list => list[rank] ?? []));
+    return [...new Set(ranks.flat())];
+}
+
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
     return ["placed", "waiting", "busy", "unavailable", "notHolder"].includes(message.kind);
 }
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -34,6 +34,11 @@
     readonly isOrderAllowed: (server: BackendServer) => boolean;
     /** Makes an adapter resident on an engine; `undefined` when the engine isn't managed here. */
     readonly ensure: (run: ServerRunId, request: EnsureRequest) => Promise<EnsureResult> | undefined;
+    /** Filters the engines in some regions. @default none is in a region */
+    readonly filterByRegions?: (
+        engines: readonly BackendServer[],
+        regions: readonly string[],
+    ) => readonly BackendServer[];
     /** Mean load over all engines of a service, as far as it is known; 1 is a full engine. */
     readonly readMeanLoad: (service: string) => number;
 }
@@ -55,6 +60,8 @@
     readonly markFree: (run: ServerRunId) => void;
     /** Records that an adapter is resident now; wakes the requests that wait for it. */
     readonly markResident: (key: AdapterKey) => void;
+    /** Records that engines may be used again, or not any more; wakes all requests, which look for others. */
+    readonly markEnginesChanged: () => void;
     /** Records that an engine has refused a request because it doesn't hold the adapter that the request names. */
     readonly markDenied: (run: ServerRunId, model: string, adapter: string) => void;
 }
@@ -90,7 +97,8 @@
     });
     const listUsable = (request: PlaceRequest): readonly BackendServer[] => {
         const { allowed, softwareVersion } = request;
-        const engines = options.listEngines(request.service);
+        const all = options.listEngines(request.service);
+        const engines = request.regions ? options.filterByRegions?.(all, request.regions) ?? [] : all;
         const inAllowed = allowed ? engines.filter(server => allowed.includes(formatServerRunId(server))) : engines;
         return softwareVersion === undefined
             ? inAllowed
@@ -123,8 +131,9 @@
     };
     const describeBusy = (request: PlaceRequest, key: AdapterKey): FoundEngine => {
         const usable = listUsable(request);
-        // a stream that is bound to a version says nothing of the engines of others
-        if (request.softwareVersion === undefined && residency.listEngines(key).size === 0) {
+        // a request that is bound to a version or to regions says nothing of the engines of others
+        const isBound = request.softwareVersion !== undefined || request.regions !== undefined;
+        if (!isBound && residency.listEngines(key).size === 0) {
             divertedUntil.set(key, clock.now() + divertedMilliseconds);
         }
         return { kind: "busy", load: computeLowestLoad(usable, records, clock.now()) };
@@ -163,7 +172,8 @@
             };
             startTask("try a full engine again", waitAndFree, () => markFree(run));
         }
-        if (outcome === "unreachable") {
+        // an engine that may not be used any more hasn't failed
+        if (outcome === "unreachable" && isListed(request, server)) {
             records.markFailure(run, true, clock.now());
         }
         return outcome;
@@ -224,6 +234,7 @@
         },
         markFree,
         markResident: slotQueue.wakeAll,
+        markEnginesChanged: () => slotQueue.wakeAll(),
         markDenied: (run, model, adapter) => {
             denied.add(formatDenial(run, formatAdapterKey(model, adapter)));
             residency.apply({ run, model, adapter, version: undefined });
--- a/src/adapters/engineManager.ts
+++ b/src/adapters/engineManager.ts
@@ -6,6 +6,7 @@
  */
 import { formatServerRunId, type ServerRunId } from "../serving/types.js";
 import type { Milliseconds } from "../shared/index.js";
+import { waitForAbort } from "../supervision/index.js";
 import { type AdapterLoad, createEngineOrders, type EngineOrdersOptions } from "./engineOrders.js";
 import type { LoadRequest, LoadScheduler, ScheduledLoad } from "./loadScheduler.js";
 import {
@@ -48,7 +49,10 @@
     readonly hasModel: () => boolean;
     /** Resident adapters that were used lately, most demanded first. */
     readonly listBusiest: () => readonly AdapterKey[];
-    /** Drops the loads that have not been ordered, as the engine takes no more orders. */
+    /**
+     * Drops the loads that have not been ordered, as the engine takes no more orders. No request waits for those that have
+     * been ordered any more, as the engine takes no requests either.
+     */
     readonly dropWaitingLoads: () => void;
     /** Time at which the last order was sent; negative infinity when none was. */
     readonly readLastOrderAt: () => Milliseconds;
@@ -58,6 +62,8 @@
 /** A load that requests wait for. */
 interface PendingLoad {
     readonly result: Promise<EnsureResult>;
+    /** Ends the wait of all requests; the load itself goes on. */
+    readonly endWaits: () => void;
     /** Number of requests that wait. */
     requests: number;
 }
@@ -204,13 +210,32 @@
         waitingLoads.get(key)?.extend(createLoadRequest(request));
         let pending = loads.get(key);
         if (!pending) {
-            const result = load(request, request.adapter, key).finally(() => loads.delete(key));
-            pending = { result, requests: 0 };
+            pending = startLoad(request, request.adapter, key);
             loads.set(key, pending);
         }
         joinLoad(key, pending, request.signal);
         return pending.result;
     };
+    const startLoad = (request: EnsureRequest, adapter: string, key: AdapterKey): PendingLoad => {
+        const abandoned = new AbortController();
+        const end = waitForAbort(abandoned.signal).then((): EnsureResult => ({
+            outcome: "expired",
+            version: undefined,
+        }));
+        const remove = (): void => {
+            if (loads.get(key) === pending) {
+                loads.delete(key);
+            }
+        };
+        const endWaits = (): void => {
+            // a request that comes later causes a load of its own
+            remove();
+            abandoned.abort();
+        };
+        const result = Promise.race([load(request, adapter, key).finally(remove), end]);
+        const pending: PendingLoad = { result, endWaits, requests: 0 };
+        return pending;
+    };
     // a load that hasn't started is dropped when nobody waits for it any more
     const joinLoad = (key: AdapterKey, pending: PendingLoad, signal: AbortSignal | undefined): void => {
         const abort = (): void => {
@@ -247,7 +272,10 @@
                 .map(([key]) => key),
         hasModel: () => orders.slotTable.models.size > 0,
         listBusiest: () => listBusiest(orders.slotTable, clock.now()),
-        dropWaitingLoads: () => [...waitingLoads.values()].forEach(load => load.drop()),
+        dropWaitingLoads: () => {
+            [...waitingLoads.values()].forEach(load => load.drop());
+            [...loads.values()].forEach(pending => pending.endWaits());
+        },
         readLastOrderAt: orders.readLastOrderAt,
         stop: orders.stop,
     };
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -49,6 +49,8 @@
     readonly usefulUntil: Milliseconds;
     /** End of the latency objective; missing where it isn't known. */
     readonly objectiveAt?: Milliseconds | undefined;
+    /** Whether an engine may become usable while none is; the request ends at once where it can't. @default it may */
+    readonly canWait?: () => boolean;
     /** Aborted when the request may not begin any more. */
     readonly signal: AbortSignal;
 }
@@ -96,7 +98,7 @@
 
 /** Number of shards that are tried for one request before the emptiest of them is used. */
 const triedShardCount = 3;
-/** Times that a holder is asked again at once which gave a place on an engine that is about to stop. */
+/** Times that a holder is asked again at once which gave a place on an engine that can't be used. */
 const maximumAsks = 2;
 /** Pause before all shards are tried again, when no engine could be used or no holder responded. */
 const retryIntervalMilliseconds = 150;
@@ -152,9 +154,10 @@
     };
     // engines of another version don't help a stream that is bound to one, so that it needn't wait for them
     const hasUsableEngine = (request: AcquireRequest): boolean =>
-        request.softwareVersion === undefined ||
+        (request.softwareVersion === undefined && request.canWait?.() !== false) ||
         request.listServers().some(server => !request.excluded.has(formatServerRunId(server)));
     const isWithinTime = (request: AcquireRequest): boolean => !request.signal.aborted && clock.now() < request.until;
+    const isOpen = (request: AcquireRequest): boolean => isWithinTime(request) && hasUsableEngine(request);
     const requestUntilDecided = async (
         request: AcquireRequest,
         holder: InstanceId,
@@ -166,7 +169,7 @@
             if (response?.kind !== "waiting" && !request.signal.aborted) {
                 return response;
             }
-            if (!isWithinTime(request)) {
+            if (!isOpen(request)) {
                 options.end(holder, message.id, "unknown");
                 return { kind: "unavailable" };
             }
@@ -194,11 +197,16 @@
                 }
                 options.end(holder, id, "unknown");
                 const run = formatServerRunId(response.server);
-                if (!options.isLeaving(run) || asksLeft === 0 || !isWithinTime(request)) {
+                if (asksLeft === 0 || !isOpen(request)) {
                     return { kind: "unavailable" };
                 }
-                options.reportLeaving(holder, run);
-                return requestPlace(request, shard, isLoadIgnored, asksLeft - 1);
+                if (options.isLeaving(run)) {
+                    options.reportLeaving(holder, run);
+                    return requestPlace(request, shard, isLoadIgnored, asksLeft - 1);
+                }
+                // its holder may not know of an evacuation yet, or be of a build that knows no homes
+                const excluded = new Set([...request.excluded, run]);
+                return requestPlace({ ...request, excluded }, shard, isLoadIgnored, asksLeft - 1);
             }
             case "busy":
             case "unavailable":
@@ -268,12 +276,14 @@
     const findPlace = async (request: AcquireRequest): Promise<AcquiredEngine | undefined> => {
         const key = formatAdapterKey(request.choice.model, request.choice.adapter ?? "");
         const guessed = new Set<ServerRunId>(request.excluded);
-        while (isWithinTime(request) && hasUsableEngine(request)) {
+        while (isOpen(request)) {
             const engine = await tryShards(request, key, guessed);
             if (engine) {
                 return engine;
             }
-            await clock.sleep(retryIntervalMilliseconds, request.signal);
+            if (isOpen(request)) {
+                await clock.sleep(retryIntervalMilliseconds, request.signal);
+            }
         }
         return undefined;
     };
--- a/src/adapters/slotQueue.ts
+++ b/src/adapters/slotQueue.ts
@@ -25,8 +25,8 @@
     readonly wait: (request: SlotWait, signal: AbortSignal) => Promise<void>;
     /** Wakes the most urgent request: one that can be in time before others, then by priority, then by its time. */
     readonly wakeNext: (now: Milliseconds) => void;
-    /** Wakes all requests for an adapter that has become resident. */
-    readonly wakeAll: (key: AdapterKey) => void;
+    /** Wakes all requests for an adapter that has become resident; without a key those for all adapters. */
+    readonly wakeAll: (key?: AdapterKey) => void;
 }
 
 interface WaitingRequest extends SlotWait {
@@ -69,7 +69,8 @@
             }
             first?.wake();
         },
-        wakeAll: key => [...waiting].filter(entry => entry.key === key).forEach(entry => entry.wake()),
+        wakeAll: key =>
+            [...waiting].filter(entry => key === undefined || entry.key === key).forEach(entry => entry.wake()),
     };
 }
 
