feat(serving): requests follow evacuations and homes

Attempts, repeats and resumed streams are sent to servers in the homes of route and account only, places are asked for with the homes, and a request for which an evacuation or its homes leave no server is refused at once with a Retry-After of at least a second. Homes without a region of the deployment and a bound on evacuations that the reads can't keep are logged; oriolehatch_evacuated shows evacuated domains and servers.

--- a/src/serving/__tests__/evacuations.test.ts
+++ b/src/serving/__tests__/evacuations.test.ts
@@ -227,14 +227,16 @@
     });
 
     // guards against homes that are misspelt and refuse all requests without a word
-    it("that name no region of the deployment are listed", () => {
+    it("that name no region of the deployment are logged when their configuration is applied", () => {
+        const lines: unknown[] = [];
+        const { writeHomeless } = createRegions(new Map([["a", "eu"]]), "eu", (...line) => lines.push(line));
         const routes = [{ name: "r1", allowedRegions: ["ue"] }, { name: "r2", allowedRegions: ["ue", "eu"] }, {
             name: "r3",
         }];
-        const accounts = [{ name: "acme", allowedRegions: ["su"] }];
-        expect(regions.listHomeless({ routes, accounts } as never)).to.deep.equal({
-            routes: ["r1"],
-            accounts: ["acme"],
-        });
+        writeHomeless({ routes, accounts: [{ name: "acme", allowedRegions: ["su"] }] } as never);
+        writeHomeless({ routes: routes.slice(1), accounts: undefined } as never);
+        expect(lines).to.deep.equal([
+            ["homes without a region", { routes: ["r1"], routeCount: 1, accounts: ["acme"], accountCount: 1 }],
+        ]);
     });
 });
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -7,15 +7,23 @@
 import { createAnswerTimes } from "../answerTimes.js";
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
+import { createRegions } from "../homes.js";
 import type { QuotaDecision } from "../quotaMessages.js";
 import type { ClientResponse, RequestReport } from "../requestState.js";
 import { createRetryBudget } from "../retryBudget.js";
 import { runRequest } from "../runRequest.js";
 import type { AttemptHandlers, AttemptRequest } from "../serverConnections.js";
-import { createServerList } from "../serverList.js";
+import { createServerList, type ServerList } from "../serverList.js";
 import { createServerRecords } from "../serverRecords.js";
 import { createShutdown, type Shutdown } from "../shutdown.js";
-import type { ClientRequest, HeaderCodec, ServerResponseHead, ServingRoute } from "../types.js";
+import type {
+    BackendServer,
+    ClientRequest,
+    HeaderCodec,
+    ServerResponseHead,
+    ServingAccount,
+    ServingRoute,
+} from "../types.js";
 
 type AttemptScript = (handlers: AttemptHandlers, request: AttemptRequest) => void;
 
@@ -43,6 +51,9 @@
     readonly isQuarantined?: boolean;
     /** What throws: the request for a permit, or the sending of its attempt. */
     readonly failsAt?: "permit" | "send";
+    /** Changes the list of servers, which are three in the failure domain a. */
+    readonly updateServers?: (servers: ServerList) => void;
+    readonly account?: Partial<ServingAccount>;
     /** What is never decided: what began its stream, its quota, the delay of its quota, its trial or its permit. */
     readonly undecided?: "origin" | "quota" | "delay" | "trial" | "permit";
 }
@@ -105,6 +116,18 @@
     };
 }
 
+const createServer = (id: string, failureDomain: string): BackendServer => ({
+    id,
+    startedAt: 1,
+    service: "s",
+    address: "10.0.0.1:1",
+    failureDomain,
+    isDraining: false,
+    softwareVersion: "v1",
+    slots: 4,
+    models: [],
+});
+
 async function runCase(requestCase: RequestCase): Promise<CaseResult> {
     const route: ServingRoute = {
         name: "r",
@@ -141,7 +164,7 @@
         version: 1,
         routes: [route],
         services: new Map([["s", { name: "s", connectionLimit: 1, engine: undefined }]]),
-        accounts: [{ name: "acme", keys: ["k"], priority: undefined, quota }],
+        accounts: [{ name: "acme", keys: ["k"], priority: undefined, quota, ...requestCase.account }],
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
     });
     if (!requestCase.isStale) {
@@ -162,6 +185,7 @@
             models: [],
         });
     }
+    requestCase.updateServers?.(servers);
     const sent: AttemptRequest[] = [];
     let aborted = 0;
     const records = createServerRecords();
@@ -213,6 +237,7 @@
             },
             failureDomain: "a",
             servers,
+            regions: createRegions(new Map([["a", "eu"], ["b", "us"]])),
             records: {
                 ...records,
                 markFailure: (...failure) => {
@@ -460,6 +485,56 @@
         expect(servers.size).to.equal(3);
     });
 
+    // guards against attempts, repeats and bodies outside the homes of a route or an account
+    it("is sent, and repeated, in its homes only, of which attempts tell", async () => {
+        const eu = { allowedRegions: ["eu"] };
+        const us = { allowedRegions: ["us"] };
+        const attempts = [refuseNotRun, refuseNotRun, refuseNotRun, sendComplete("x")];
+        const listIds = ({ sent }: CaseResult): readonly string[] => sent.map(({ server }) => server.id);
+        const updateServers = (servers: ServerList): void =>
+            ["b", "x"].forEach((domain, index) => servers.put(createServer(`i-${index + 2}`, domain)));
+        const ofRoute = await runCase({ route: { attemptLimit: 4, ...eu }, attempts, updateServers });
+        expect([new Set(listIds(ofRoute)), ofRoute.status]).to.deep.equal([new Set(["i-1"]), 503]);
+        expect(ofRoute.sent[0]!.homes).to.deep.equal(["eu"]);
+        const ofAccount = await runCase({ route: { attemptLimit: 4 }, account: us, attempts, updateServers });
+        expect([new Set(listIds(ofAccount)), ofAccount.status]).to.deep.equal([new Set(["i-2"]), 503]);
+        const disjoint = await runCase({ route: eu, account: us, attempts, updateServers });
+        expect([listIds(disjoint), disjoint.status, disjoint.report.reason]).to.deep.equal([
+            [],
+            503,
+            "no server in the allowed regions",
+        ]);
+        expect(disjoint.report.by).to.equal("noServer");
+    });
+
+    // guards against a repeat at a server whose failure domain was evacuated meanwhile, and against one that waits for it
+    it("is repeated outside a failure domain that was evacuated meanwhile, and refused where no other is left", async () => {
+        let list: ServerList | undefined;
+        const withdrawAttempt: AttemptScript = handlers => {
+            list!.setEvacuated(new Set(["a"]));
+            handlers.onFault({ kind: "withdrawn", detail: "" });
+        };
+        const moved = await runCase({
+            attempts: [withdrawAttempt, sendComplete("x")],
+            updateServers: servers => {
+                list = servers;
+                servers.put(createServer("i-2", "b"));
+                servers.setEvacuated(new Set(["b"]));
+            },
+        });
+        expect(moved).to.deep.include({ status: 200, body: "x" });
+        expect(moved.sent[1]!.server.id).to.equal("i-2");
+        const none = await runCase({
+            attempts: [],
+            updateServers: servers => servers.setEvacuated(new Set(["a"])),
+        });
+        expect([none.status, none.sent.length, none.report.reason]).to.deep.equal([
+            503,
+            0,
+            "no server outside evacuated domains",
+        ]);
+    });
+
     it("is refused with 503 when no server has run it", async () => {
         const outcome = await runCase({ route: { ...once, attemptLimit: 1 }, attempts: [refuseNotRun] });
         expect(outcome.status).to.equal(503);
--- a/src/serving/evacuations.ts
+++ b/src/serving/evacuations.ts
@@ -3,7 +3,8 @@
  *
  * @packageDocumentation
  */
-import { createLogger, type FailureDomainId, type WriteLogLine } from "../shared/index.js";
+import { createLogger, type FailureDomainId, type Milliseconds, type WriteLogLine } from "../shared/index.js";
+import { promiseBoundMilliseconds } from "./readTiming.js";
 import type { ServerList } from "./serverList.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "./types.js";
 
@@ -31,6 +32,8 @@
 /** Options of the evacuations. */
 export interface EvacuationsOptions {
     readonly servers: Pick<ServerList, "setEvacuated" | "listAll">;
+    /** Time after which an evacuation must be followed. @default 5000 */
+    readonly bound?: Milliseconds | undefined;
     /** Called after a change with the runs to which nothing more is sent. */
     readonly onChange: (evacuated: readonly ServerRunId[]) => void;
     /** Writes one line of the log. @default that of the instance */
@@ -44,6 +47,10 @@
     readonly readCounts: () => { readonly domains: number; readonly servers: number; };
 }
 
+/** As `ServingOptions` says. */
+const defaultBoundMilliseconds: Milliseconds = 5_000;
+const log = createLogger("serving");
+
 /**
  * Decides which failure domains are evacuated.
  *
@@ -78,7 +85,12 @@
  * @returns the evacuations, of which an instance needs one object
  */
 export function createEvacuations(options: EvacuationsOptions): Evacuations {
-    const { servers, writeLine = createLogger("serving").info } = options;
+    const { servers, bound = defaultBoundMilliseconds, writeLine = log.info } = options;
+    // the reads of the operators' topic may take longer than a shorter bound
+    const longest = promiseBoundMilliseconds.configuration;
+    if (bound < longest) {
+        writeLine("bound on evacuations can't be kept", { bound, longest });
+    }
     let inForce: ReadonlySet<FailureDomainId> = new Set();
     const listServers = (domains: ReadonlySet<FailureDomainId>): readonly BackendServer[] =>
         servers.listAll().filter(({ failureDomain }) => domains.has(failureDomain));
--- a/src/serving/homes.ts
+++ b/src/serving/homes.ts
@@ -3,7 +3,7 @@
  *
  * @packageDocumentation
  */
-import type { FailureDomainId } from "../shared/index.js";
+import { createLogger, type FailureDomainId, type WriteLogLine } from "../shared/index.js";
 import type { BackendServer, ServingAccount, ServingConfig, ServingRoute } from "./types.js";
 
 /** Regions whose servers may receive a request; `undefined` for all. An empty list allows none. */
@@ -17,28 +17,27 @@
     readonly mayCarry: (domain: FailureDomainId, homes: Homes) => boolean;
     /** Whether the settings name a failure domain. */
     readonly isKnownDomain: (domain: FailureDomainId) => boolean;
-    /** Lists the routes and accounts whose homes name no region of the deployment. */
-    readonly listHomeless: (config: Pick<ServingConfig, "routes" | "accounts">) => HomelessNames;
+    /** Writes a line of the log with the routes and accounts whose homes name no region of the deployment. */
+    readonly writeHomeless: (config: Pick<ServingConfig, "routes" | "accounts">) => void;
 }
 
-/** Names of routes and accounts. */
-export interface HomelessNames {
-    readonly routes: readonly string[];
-    readonly accounts: readonly string[];
-}
+/** Names in a line of the log; the counts tell of more. */
+const maximumNames = 20;
 
 /**
  * Creates the regions.
  *
  * @param regionsByDomain - region of each failure domain; others are in none
  * @param ownRegion - region of this instance; `undefined` for none
+ * @param writeLine - writes one line of the log
  * @returns the regions, of which an instance needs one object
  */
 export function createRegions(
     regionsByDomain: ReadonlyMap<FailureDomainId, string> = new Map(),
     ownRegion?: string,
+    writeLine: WriteLogLine = createLogger("serving").warn,
 ): Regions {
-    const names = new Set(regionsByDomain.values());
+    const regionNames = new Set(regionsByDomain.values());
     // the hashes of a list are kept for the list itself (`engineShards`), so that a request must not get a new one
     const filtered = new WeakMap<readonly BackendServer[], Map<string, readonly BackendServer[]>>();
     const isIn = (domain: FailureDomainId, homes: readonly string[]): boolean => {
@@ -46,7 +45,7 @@
         return region !== undefined && homes.includes(region);
     };
     const isHomeless = ({ allowedRegions }: Pick<ServingRoute, "allowedRegions">): boolean =>
-        allowedRegions !== undefined && !allowedRegions.some(region => names.has(region));
+        allowedRegions !== undefined && !allowedRegions.some(region => regionNames.has(region));
     return {
         filterServers: (servers, homes) => {
             if (!homes) {
@@ -62,10 +61,18 @@
         mayCarry: (domain, homes) =>
             homes === undefined || isIn(domain, homes) || (ownRegion !== undefined && isIn(domain, [ownRegion])),
         isKnownDomain: domain => regionsByDomain.has(domain),
-        listHomeless: ({ routes, accounts = [] }) => ({
-            routes: routes.filter(isHomeless).map(({ name }) => name),
-            accounts: accounts.filter(isHomeless).map(({ name }) => name),
-        }),
+        writeHomeless: ({ routes, accounts = [] }) => {
+            const names = routes.filter(isHomeless).map(({ name }) => name);
+            const accountNames = accounts.filter(isHomeless).map(({ name }) => name);
+            if (names.length + accountNames.length > 0) {
+                writeLine("homes without a region", {
+                    routes: names.slice(0, maximumNames),
+                    routeCount: names.length,
+                    accounts: accountNames.slice(0, maximumNames),
+                    accountCount: accountNames.length,
+                });
+            }
+        },
     };
 }
 
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -15,6 +15,7 @@
 import type { AnswerTimes } from "./answerTimes.js";
 import type { ClientAnswer } from "./clientAnswer.js";
 import type { EventId } from "./eventIds.js";
+import type { Regions } from "./homes.js";
 import type { LeavingReport, RequestStages } from "./requestStages.js";
 import type { ServerConnections } from "./serverConnections.js";
 import type { ServerList } from "./serverList.js";
@@ -48,6 +49,7 @@
     readonly random: SeededRandom;
     readonly failureDomain: FailureDomainId;
     readonly servers: ServerList;
+    readonly regions: Pick<Regions, "filterServers">;
     readonly records: ServerRecords;
     readonly connections: ServerConnections;
     readonly headers: HeaderCodec;
--- a/src/serving/runAttempt.ts
+++ b/src/serving/runAttempt.ts
@@ -11,6 +11,7 @@
 import { markSound, recordFault } from "./attemptFaults.js";
 import { type ByteStore, createByteStore } from "./byteStore.js";
 import { createEventSplitter, type EventSplitter, type SplitEvents } from "./eventSplitter.js";
+import { mergeHomes } from "./homes.js";
 import { decideNextStep, isRetryable, type NextStep, type RequestProgress } from "./outcomePolicy.js";
 import { endRequest, type RequestEnd } from "./requestEnds.js";
 import type { RequestParts, RequestState, SelectedServer } from "./requestState.js";
@@ -308,6 +309,7 @@
         }),
         body,
         wasRefused: refusedBy.has(formatServerRunId(server)),
+        homes: mergeHomes(admission),
         mayBegin: () => parts.shutdown.mayBegin({ route: admission.route, deadlineAt }),
         deadlineAt,
     };
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -12,6 +12,7 @@
 import { describeGuarded } from "./attemptFaults.js";
 import { createClientAnswer } from "./clientAnswer.js";
 import { computeEngineWaitLimits } from "./engineWaitLimits.js";
+import { mergeHomes } from "./homes.js";
 import { acceptRequest } from "./requestAdmission.js";
 import {
     createReport,
@@ -34,6 +35,11 @@
 
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
+/**
+ * Time after which the client of a request without a server may come back, where an evacuation or the homes of the request leave
+ * none: neither changes within the few tenths of a second in which a server that restarts is back.
+ */
+const withheldReturnMilliseconds = 1_000;
 
 /**
  * Runs a request and responds to the client.
@@ -242,7 +248,8 @@
         endRequest(parts, state, { by: "deadline", reason: "timeout", returnsIn: state.returnAt - now });
     }
     else if (found.kind === "selected" && !found.selected) {
-        endRequest(parts, state, { by: "noServer", reason: "no server", returnsIn: state.returnAt - now });
+        const { reason, lasts } = describeMissingServer(parts, state.admission);
+        endRequest(parts, state, { by: "noServer", reason, returnsIn: Math.max(state.returnAt - now, lasts) });
     }
     else {
         refuseQuarantined(parts, state);
@@ -274,7 +281,9 @@
     // a request that has reached the limit of its route is only sent again to servers that it was already sent to
     const allowed = state.triedServers.size < route.attemptLimit ? undefined : state.triedServers;
     const { origin } = state;
-    const listServers = (): readonly BackendServer[] => filterByOrigin(parts.servers.listUsable(service), origin);
+    const homes = mergeHomes(state.admission);
+    const listServers = (): readonly BackendServer[] =>
+        filterByOrigin(listServersInHomes(parts, state.admission), origin);
     const now = parts.clock.now();
     const shedding = parts.servers.listShedding(now);
     const excluded = new Set([...state.excludedServers, ...shedding.keys()]);
@@ -313,6 +322,8 @@
             tokens: state.request.tokens,
             parts: state.request.promptSizes,
             objectiveAt: state.objectiveAt,
+            regions: homes,
+            canWait: () => homes === undefined && !parts.servers.isWithheld(service),
             ...waitLimits,
         });
         state.placeWait += parts.clock.now() - now;
@@ -337,6 +348,28 @@
     }
 }
 
+function listServersInHomes(
+    parts: Pick<RequestParts, "servers" | "regions">,
+    admission: RequestState["admission"],
+): readonly BackendServer[] {
+    const homes = mergeHomes(admission);
+    const servers = parts.servers.listUsable(admission.service);
+    return homes ? parts.regions.filterServers(servers, homes) : servers;
+}
+
+// why no server takes a request, and how long that lasts at least
+function describeMissingServer(
+    parts: Pick<RequestParts, "servers" | "regions">,
+    admission: RequestState["admission"],
+): { readonly reason: string; readonly lasts: Milliseconds; } {
+    if (parts.servers.isWithheld(admission.service)) {
+        return { reason: "no server outside evacuated domains", lasts: withheldReturnMilliseconds };
+    }
+    return mergeHomes(admission) && listServersInHomes(parts, admission).length === 0
+        ? { reason: "no server in the allowed regions", lasts: withheldReturnMilliseconds }
+        : { reason: "no server", lasts: 0 };
+}
+
 // a stream that is bound to a version may go on at a server that broke it off, where no other one is left
 function restoreServers(
     state: RequestState,
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -19,9 +19,12 @@
 import { createAnswerTimes } from "./answerTimes.js";
 import { createClientServer, type ReceivedRequest } from "./clientServer.js";
 import { createConfigurationState } from "./configurationState.js";
+import { computeConnectionLimit } from "./connectionLimit.js";
 import { drainInstance } from "./drain.js";
+import { createEvacuations } from "./evacuations.js";
 import { createFollowers } from "./followers.js";
 import { readClocks } from "./freshness.js";
+import { createRegions } from "./homes.js";
 import { createInstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
 import { createGuardedParts, createMaintenanceTask, createRegistrationTask, waitForEnd } from "./instanceTasks.js";
 import { createLoopDelay, type LoopGate } from "./loopDelay.js";
@@ -57,8 +60,6 @@
 const readinessAgeRatio = 0.7;
 /** Time after which an idle connection to a server isn't used again. */
 const serverIdleTimeoutMilliseconds = 1_500;
-/** Ratio of a server's connection limit that all instances together use. */
-const connectionLimitRatio = 0.8;
 const tickMilliseconds = 300;
 /** Loads that wait for the weight store become late, of which the other holders are told. */
 const holderTickMilliseconds = 100;
@@ -66,8 +67,6 @@
 const heartbeatsUntilLapse = 3;
 /** Instances that may hold shards, per shard, so that some of them may fail. */
 const membersPerShard = 2;
-/** Maximum of connections that one instance opens to a server, also where the server has no limit. */
-const maximumConnectionsPerServer = 64;
 /**
  * Time that the platform needs to notice that an instance isn't ready; a drain keeps the client port open for that
  * time.
@@ -105,6 +104,15 @@
     const servers = createServerList({
         shortestLapsingOutage: options.serverHeartbeat * (heartbeatsUntilLapse - 1),
     });
+    const regions = createRegions(options.regionsByDomain, options.region);
+    const evacuations = createEvacuations({
+        servers,
+        bound: options.evacuationBound,
+        onChange: runs => {
+            runs.forEach(run => forwarding.remove(run));
+            adapters.handleEvacuation();
+        },
+    });
     const records = createServerRecords();
     const directory = createInstanceDirectory(self);
     const retryBudget = createRetryBudget(options.retry);
@@ -123,6 +131,7 @@
     const metrics = createServingMetrics(
         () => adapters.readLoadStatus(),
         dependencies.listUndecodedHeaders ?? (() => []),
+        evacuations.readCounts,
     );
     const random = createSeededRandom(startUnixTime % 2 ** 31);
     const answerMemory = createAnswerMemory();
@@ -158,6 +167,8 @@
         isServing: servers.isServing,
         mayReceive: run => servers.mayReceive(run, clock.now()),
         isLeaving: servers.isLeaving,
+        isEvacuated: servers.isEvacuated,
+        filterByRegions: regions.filterServers,
         onLeaving: (run, learnedFrom) => handleLeaving(run, learnedFrom),
         findLimits: service => findService(service)?.engine,
         get versionGracePeriod() {
@@ -217,15 +228,8 @@
         giveBack: quotas.giveBack,
     });
     adapters.setShardTask(shards);
-    const findConnectionLimit = (server: BackendServer): number => {
-        const limit = findService(server.service)?.connectionLimit ?? maximumConnectionsPerServer;
-        return Math.max(
-            1,
-            Math.floor(
-                Math.min(limit * connectionLimitRatio / directory.countInstances(), maximumConnectionsPerServer),
-            ),
-        );
-    };
+    const findConnectionLimit = (server: BackendServer): number =>
+        computeConnectionLimit(findService(server.service)?.connectionLimit, directory.countInstances());
     const connections = createServerConnections({
         headers: dependencies.headers,
         findConnectionLimit,
@@ -243,11 +247,12 @@
         network: peers.network,
         direct: connections,
         listCandidates: directory.listOthers,
-        listServers: servers.listAll,
+        listServers: () => servers.listAll().filter(server => !servers.isEvacuated(server)),
         findServer: servers.find,
         probe: checkServer,
         onLeaving: server => handleLeaving(formatServerRunId(server), "response"),
         isStopping: shutdown.hasBegun,
+        mayCarry: regions.mayCarry,
         onForwarded: metrics.countForwardedAttempt,
     });
     const handleLeaving = (run: ServerRunId, learnedFrom: LeavingSource): void => {
@@ -317,6 +322,7 @@
         clock,
         failureDomain: options.failureDomain,
         servers,
+        regions,
         records,
         connections: forwarding,
         headers: dependencies.headers,
@@ -397,6 +403,7 @@
             quotaHolder.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
             origins.handleRoutes(config);
+            regions.writeHomeless(config);
             // servers are recognized as engines by their service, which may be new in this configuration
             adapters.handleServers(servers.listAll(), []);
             log.info("configuration", {
@@ -406,6 +413,8 @@
             });
         },
         onAdapterVersion: adapters.recordVersion,
+        isKnownDomain: regions.isKnownDomain,
+        onEvacuation: evacuations.handle,
     });
     const runParts = createGuardedParts({
         "expiry of servers": () => applyServerChange(servers.expire(clock.now())),
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -59,11 +59,13 @@
  *
  * @param readLoads - returns the present number of adapter loads; called for each scrape
  * @param listUndecodedHeaders - returns the headers that nobody decodes; called for each scrape
+ * @param readEvacuated - returns the numbers of evacuated failure domains and of their servers; called for each scrape
  * @returns the metrics, all at zero
  */
 export function createServingMetrics(
     readLoads: () => LoadStatus,
     listUndecodedHeaders: () => readonly UndecodedHeader[] = () => [],
+    readEvacuated: () => { readonly domains: number; readonly servers: number; } = () => ({ domains: 0, servers: 0 }),
 ): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
@@ -180,6 +182,15 @@
             Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
         },
     });
+    new Gauge({
+        name: "oriolehatch_evacuated",
+        help: "Evacuated failure domains, and listed servers in them, which receive nothing",
+        labelNames: ["what"],
+        registers,
+        collect() {
+            Object.entries(readEvacuated()).forEach(([what, count]) => this.set({ what }, count));
+        },
+    });
     new Counter({
         name: "oriolehatch_task_failures_total",
         help: "Exceptions in tasks of this process, by task",
