--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -67,12 +67,14 @@
  * @param readLoads - returns the present number of adapter loads; called for each scrape
  * @param listUndecodedHeaders - returns the headers that nobody decodes; called for each scrape
  * @param readCold - returns the present number of cold servers and the permits for them; called for each scrape
+ * @param readEvacuated - returns the numbers of evacuated failure domains and of their servers; called for each scrape
  * @returns the metrics, all at zero
  */
 export function createServingMetrics(
     readLoads: () => LoadStatus,
     listUndecodedHeaders: () => readonly UndecodedHeader[] = () => [],
     readCold: () => ColdCounts = () => ({ servers: 0, permits: { granted: 0, refused: 0, returned: 0 } }),
+    readEvacuated: () => { readonly domains: number; readonly servers: number; } = () => ({ domains: 0, servers: 0 }),
 ): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
@@ -208,6 +210,15 @@
             Object.entries(readCold().permits).forEach(([result, count]) => this.inc({ result }, count));
         },
     });
+    new Gauge({
+        name: "oriolehatch_evacuated",
+        help: "Evacuated failure domains, and listed servers in them, which receive nothing",
+        labelNames: ["what"],
+        registers,
+        collect() {
+            Object.entries(readEvacuated()).forEach(([what, count]) => this.set({ what }, count));
+        },
+    });
     new Counter({
         name: "oriolehatch_task_failures_total",
         help: "Exceptions in tasks of this process, by task",
