feat(routing): load of one engine by requests, prompt tokens, memory and speed

An engine's load was requests per slot, so that a slow engine looked as good as a fast one and a long prompt counted as a short one. The new functions follow one engine's state from the events that its holder sees, and answer whether a request fits now, when its first event is expected, and when there is room. No decision uses them yet.

--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -3,5 +3,6 @@
  *
  * @packageDocumentation
  */
+export * from "./engineLoad.js";
 export * from "./engineScore.js";
 export * from "./requestAge.js";
