feat(platform): decode the slowness of a server's machine, and the load of an engine's report

The fourth figure of the load header and the requests and memory of a report were ignored. They become typed fields; a figure that can't be read is left out and costs nothing else of its message.

--- a/src/adapters/types.ts
+++ b/src/adapters/types.ts
@@ -75,6 +75,17 @@
     readonly models: readonly LoadedModel[];
     /** Adapters that are being loaded. */
     readonly pending: readonly { readonly model: string; readonly adapter: string; readonly version: number; }[];
+    /** What runs on the engine; missing where the report doesn't say all of it. */
+    readonly load?: EngineReportLoad | undefined;
+}
+
+/** Requests and memory that an engine reports. */
+export interface EngineReportLoad {
+    readonly running: number;
+    readonly queued: number;
+    /** Memory for requests and cached parts of prompts that is in use, and all of it, in tokens. */
+    readonly usedTokens: number;
+    readonly totalTokens: number;
 }
 
 /** Reason for a missing report. */
--- a/src/platform/__tests__/decodedRanges.test.ts
+++ b/src/platform/__tests__/decodedRanges.test.ts
@@ -157,6 +157,19 @@
         expect(pending.ok && pending.value.pending).to.deep.equal([{ model: "base", adapter: "a", version: 1 }]);
     });
 
+    // guards against a figure that can't be read, which would cost the adapters that the same report states
+    it("leave out the load of an engine's report that is out of them", () => {
+        const load = { running_requests: 3, queued_requests: 1, kv_cache_used: 500, kv_cache_total: 900 };
+        const decode = (change: object): unknown => {
+            const decoded = decodeEngineReport(200, JSON.stringify({ ...report, ...load, ...change }));
+            return decoded.ok && decoded.value.load;
+        };
+        expect(decode({})).to.deep.equal({ running: 3, queued: 1, usedTokens: 500, totalTokens: 900 });
+        for (const change of [{ running_requests: -1 }, { kv_cache_used: "x" }, { kv_cache_total: 0 }]) {
+            expect(decode(change), JSON.stringify(change)).to.equal(undefined);
+        }
+    });
+
     it("bound the numbers of headers", () => {
         const codec = createPlatformHeaderCodec(() => undefined);
         const request = codec.decodeRequest("POST", "/a", [
--- a/src/platform/__tests__/headers.test.ts
+++ b/src/platform/__tests__/headers.test.ts
@@ -226,6 +226,16 @@
         ]);
     });
 
+    // guards against a figure that can't be read, which would cost the load beside it or make a server look infinitely fast
+    it("decodes how long work takes on a server's machine", () => {
+        const decode = (value: string) =>
+            platformHeaderCodec.decodeResponseHead(200, ["X-Oriolehatch-Server-Load", value]).load;
+        expect(decode("3,1,8,250")).to.deep.equal({ running: 3, waiting: 1, slots: 8, slowness: 2.5 });
+        for (const value of ["3,1,8,0", "3,1,8,-5", "3,1,8,x", "3,1,8,99999", "3,1,8,"]) {
+            expect(decode(value), value).to.deep.equal({ running: 3, waiting: 1, slots: 8 });
+        }
+    });
+
     // guards against a server that is overloaded further while it has asked for a pause; absurd values hold nobody back
     it("recognizes how long a server that turns requests away wants no more", () => {
         const decode = (status: number, value: string) =>
--- a/src/platform/engineControlClient.ts
+++ b/src/platform/engineControlClient.ts
@@ -11,12 +11,14 @@
     EngineNotice,
     EngineOrder,
     EngineReport,
+    EngineReportLoad,
     OrderOutcome,
     ReportError,
 } from "../adapters/types.js";
 import { createServerSockets } from "../serving/serverSockets.js";
 import type { BackendServer } from "../serving/types.js";
 import {
+    countSchema,
     createListSchema,
     describeInputError,
     nameSchema,
@@ -48,6 +50,11 @@
     models: loadedModelsSchema.default([]),
     // adapters that are being loaded, as MODEL/ADAPTER@VERSION
     pending: createListSchema(nameSchema).default([]),
+    // a figure that can't be used must not cost the whole report
+    running_requests: countSchema.optional().catch(undefined),
+    queued_requests: countSchema.optional().catch(undefined),
+    kv_cache_used: countSchema.optional().catch(undefined),
+    kv_cache_total: countSchema.optional().catch(undefined),
 });
 
 /**
@@ -163,6 +170,7 @@
             sequence: report.sequence,
             models: report.models,
             pending: report.pending.filter(text => text.includes("/")).map(decodePendingLoad),
+            load: decodeReportLoad(report),
         });
     }
     catch (error) {
@@ -170,6 +178,15 @@
     }
 }
 
+function decodeReportLoad(report: z.infer<typeof reportSchema>): EngineReportLoad | undefined {
+    const { running_requests: running, queued_requests: queued, kv_cache_used: usedTokens } = report;
+    const totalTokens = report.kv_cache_total;
+    // an engine without memory could run nothing
+    return running === undefined || queued === undefined || usedTokens === undefined || !totalTokens
+        ? undefined
+        : { running, queued, usedTokens, totalTokens };
+}
+
 function decodePendingLoad(text: string): EngineReport["pending"][number] {
     const slash = text.indexOf("/");
     const { name, version } = decodeLoadedAdapter(text.slice(slash + 1));
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -36,7 +36,7 @@
     account: "x-oriolehatch-tenant",
     // id of the backend server that must run the request; "instance" means a backend server in this name
     expectedServer: "x-oriolehatch-expect-instance",
-    // RUNNING,WAITING,SLOTS
+    // RUNNING,WAITING,SLOTS or RUNNING,WAITING,SLOTS,SLOWNESS, where the last is in percent and 100 is usual
     load: "x-oriolehatch-server-load",
     // requests a second from all instances together
     requestLimit: "server-limit",
@@ -126,6 +126,9 @@
 const maximumPromptParts = 16;
 const promptPartPattern = /^([0-9a-f]{1,64}):(\d+)$/i;
 
+const usualSlownessPercent = 100;
+/** No server that takes longer than this for its work still answers in time. */
+const maximumSlownessPercent = 10_000;
 /** Attempt ids that are longer than this, or hold other characters, name no attempt. */
 const attemptIdPattern = /^[\x21-\x7e]{1,128}$/;
 
@@ -357,11 +360,18 @@
 }
 
 function decodeServerLoad(text: string | undefined): ServerLoad | undefined {
-    const [running, waiting, slots] = (text ?? "").split(",").map(part => decodeWholeNumber(part));
+    const [running, waiting, slots, slowness] = (text ?? "").split(",").map(part => decodeWholeNumber(part));
     if (running === undefined || waiting === undefined || slots === undefined) {
         return undefined;
     }
     // no server has so many; such a load says nothing
     const isPossible = Math.max(running, waiting) <= maximumCount && slots <= maximumServerSlots;
-    return isPossible ? { running, waiting, slots } : undefined;
+    return isPossible ? { running, waiting, slots, ...decodeSlowness(slowness) } : undefined;
+}
+
+// 0 and values beyond the range say nothing of the machine
+function decodeSlowness(percent: number | undefined): Pick<ServerLoad, "slowness"> {
+    return percent !== undefined && percent > 0 && percent <= maximumSlownessPercent
+        ? { slowness: percent / usualSlownessPercent }
+        : {};
 }
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -249,6 +249,8 @@
     /** Requests in the server's queue. */
     readonly waiting: number;
     readonly slots: number;
+    /** How long work takes on the server's machine now, where 1 is usual; missing where the server doesn't say. */
+    readonly slowness?: number;
 }
 
 /** Status and decoded headers of a server's response. */
