--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -104,6 +104,7 @@
             }
             return response;
         },
+        begin: () => undefined,
         end: (holder: string, id: string, outcome: PlaceOutcome) => ended.push(`${holder} ${outcome}`),
     });
     return {
--- a/src/routing/index.ts
+++ b/src/routing/index.ts
@@ -4,5 +4,7 @@
  * @packageDocumentation
  */
 export * from "./coldServer.js";
+export * from "./engineLoad.js";
 export * from "./engineScore.js";
+export * from "./promptCache.js";
 export * from "./requestAge.js";
