refactor(fairness): the fair queue takes classes of any name, and a rank in place of the order of classes

Cause: requests that wait for an engine are ordered by priority and objective, and the queue knew interactive and overnight requests only. A second queue beside it would keep counts of its own. Change: classes are a type parameter; with a rank, the lowest goes first, equal ones in the order of their accounts' counters. The queue counts what goes before an entry, and requests that were served without it.

--- a/src/fairness/fairQueue.ts
+++ b/src/fairness/fairQueue.ts
@@ -1,34 +1,35 @@
 /**
- * Fair queue. Interactive requests go before overnight requests, which are guaranteed a minimum share of the tokens.
- * Within a class, the client account that was served the fewest tokens relative to its weight goes first.
+ * Fair queue. Interactive requests go before overnight requests, which are guaranteed a minimum share of the tokens, or
+ * all requests go by a rank that the caller computes. Within a class or rank, the client account that was served the
+ * fewest tokens relative to its weight goes first.
  *
  * @packageDocumentation
  */
 import Denque from "denque";
 import type { RequestClass } from "../config/index.js";
 import type { ClientAccountId, Milliseconds, RequestId } from "../shared/index.js";
-import type { FairQueue, FairQueueOptions, QueueEntry } from "./types.js";
+import type { FairQueue, FairQueueOptions, QueueEntry, RankEntry } from "./types.js";
 import { createVirtualTokenCounters, type FlowKey, formatFlowKey } from "./virtualTokenCounters.js";
 
 /** An entry and the item that the caller queued with it. */
-interface QueuedItem<Item> {
-    readonly entry: QueueEntry;
+interface QueuedItem<Item, Class extends string> {
+    readonly entry: QueueEntry<Class>;
     readonly item: Item;
 }
 
 /** Queued requests of one client account and class. */
-interface Flow<Item> {
+interface Flow<Item, Class extends string> {
     readonly key: FlowKey;
     readonly account: ClientAccountId;
-    readonly requestClass: RequestClass;
+    readonly requestClass: Class;
     /** In order of arrival, never empty. */
-    readonly waiting: Denque<QueuedItem<Item>>;
+    readonly waiting: Denque<QueuedItem<Item, Class>>;
     /** Sum of the estimated tokens of the queued entries. */
     tokens: number;
 }
 
-interface EntryPosition<Item> {
-    readonly flow: Flow<Item>;
+interface EntryPosition<Item, Class extends string> {
+    readonly flow: Flow<Item, Class>;
     readonly index: number;
 }
 
@@ -43,15 +44,18 @@
  * @param options - the instance to which the queue belongs, and the minimum share of overnight requests
  * @returns the queue; its owner calls `expire` regularly, as the queue has no timer
  */
-export function createFairQueue<Item>(options: FairQueueOptions): FairQueue<Item> {
+export function createFairQueue<Item, Class extends string = RequestClass>(
+    options: FairQueueOptions<Item, Class>,
+): FairQueue<Item, Class> {
+    const { rank } = options;
     const minimumOvernightShare = options.minimumOvernightShare ?? defaultMinimumOvernightShare;
     const counters = createVirtualTokenCounters(options.self);
-    const flows = new Map<FlowKey, Flow<Item>>();
-    const flowsByRequest = new Map<RequestId, Flow<Item>>();
+    const flows = new Map<FlowKey, Flow<Item, Class>>();
+    const flowsByRequest = new Map<RequestId, Flow<Item, Class>>();
     // estimated tokens of overnight requests that may now go before interactive ones, to reach the minimum share
     let overnightCreditTokens = 0;
 
-    const getOrCreateFlow = (entry: QueueEntry): Flow<Item> => {
+    const getOrCreateFlow = (entry: QueueEntry<Class>): Flow<Item, Class> => {
         const key = formatFlowKey(entry.account, entry.requestClass);
         let flow = flows.get(key);
         if (!flow) {
@@ -62,7 +66,7 @@
         }
         return flow;
     };
-    const removeEntryAt = (flow: Flow<Item>, index: number): QueuedItem<Item> => {
+    const removeEntryAt = (flow: Flow<Item, Class>, index: number): QueuedItem<Item, Class> => {
         const [removed] = flow.waiting.remove(index, 1);
         flow.tokens -= removed!.entry.tokens;
         flowsByRequest.delete(removed!.entry.requestId);
@@ -71,13 +75,13 @@
         }
         return removed!;
     };
-    const listFlowsByCounter = (requestClass: RequestClass): readonly Flow<Item>[] =>
+    const listFlowsByCounter = (requestClass: string): readonly Flow<Item, Class>[] =>
         [...flows.values()]
             .filter(flow => flow.requestClass === requestClass)
             .sort((left, right) => counters.read(left.key) - counters.read(right.key));
     const findEligibleIndex = (
-        flow: Flow<Item>,
-        isEligible: (entry: QueueEntry, item: Item) => boolean,
+        flow: Flow<Item, Class>,
+        isEligible: (entry: QueueEntry<Class>, item: Item) => boolean,
     ): number | undefined => {
         const count = Math.min(flow.waiting.length, maximumScannedEntries);
         for (let index = 0; index < count; index++) {
@@ -89,9 +93,9 @@
         return undefined;
     };
     const findNextInClass = (
-        requestClass: RequestClass,
-        isEligible: (entry: QueueEntry, item: Item) => boolean,
-    ): EntryPosition<Item> | undefined => {
+        requestClass: string,
+        isEligible: (entry: QueueEntry<Class>, item: Item) => boolean,
+    ): EntryPosition<Item, Class> | undefined => {
         for (const flow of listFlowsByCounter(requestClass)) {
             const index = findEligibleIndex(flow, isEligible);
             if (index !== undefined) {
@@ -100,9 +104,30 @@
         }
         return undefined;
     };
-    const hasQueuedRequests = (requestClass: RequestClass): boolean =>
+    // equal ranks go by the counter of their flow, and within a flow by their time
+    const findNextByRank = (
+        rankEntry: RankEntry<Item, Class>,
+        now: Milliseconds,
+        isEligible: (entry: QueueEntry<Class>, item: Item) => boolean,
+    ): EntryPosition<Item, Class> | undefined => {
+        let best: EntryPosition<Item, Class> | undefined;
+        let lowest: readonly [rank: number, served: number, dueAt: Milliseconds] | undefined;
+        for (const flow of flows.values()) {
+            const served = counters.read(flow.key);
+            for (let index = 0; index < flow.waiting.length; index++) {
+                const { entry, item } = flow.waiting.peekAt(index)!;
+                const key = [rankEntry(entry, item, now), served, entry.dueAt ?? entry.arrivedAt] as const;
+                if ((!lowest || isLower(key, lowest)) && isEligible(entry, item)) {
+                    best = { flow, index };
+                    lowest = key;
+                }
+            }
+        }
+        return best;
+    };
+    const hasQueuedRequests = (requestClass: string): boolean =>
         [...flows.values()].some(flow => flow.requestClass === requestClass);
-    const updateOvernightCredit = (taken: QueueEntry): void => {
+    const updateOvernightCredit = (taken: QueueEntry<Class>): void => {
         if (taken.requestClass === "overnight") {
             overnightCreditTokens = Math.max(0, overnightCreditTokens - taken.tokens);
         }
@@ -118,10 +143,14 @@
 
     const findNext = (
         now: Milliseconds,
-        isEligible: (entry: QueueEntry, item: Item) => boolean,
-    ): EntryPosition<Item> | undefined => {
-        const isRunnable = (entry: QueueEntry, item: Item): boolean => entry.deadline > now && isEligible(entry, item);
-        const order: readonly [RequestClass, RequestClass] = overnightCreditTokens >= readFirstOvernightTokens()
+        isEligible: (entry: QueueEntry<Class>, item: Item) => boolean,
+    ): EntryPosition<Item, Class> | undefined => {
+        const isRunnable = (entry: QueueEntry<Class>, item: Item): boolean =>
+            entry.deadline > now && isEligible(entry, item);
+        if (rank) {
+            return findNextByRank(rank, now, isRunnable);
+        }
+        const order: readonly [string, string] = overnightCreditTokens >= readFirstOvernightTokens()
             ? ["overnight", "interactive"]
             : ["interactive", "overnight"];
         return findNextInClass(order[0], isRunnable) ?? findNextInClass(order[1], isRunnable);
@@ -141,8 +170,8 @@
         if (account === undefined) {
             return undefined;
         }
-        const flow = flows.get(formatFlowKey(account, "overnight")) ??
-            flows.get(formatFlowKey(account, "interactive"))!;
+        const ofAccount = [...flows.values()].filter(flow => flow.account === account);
+        const flow = ofAccount.find(({ requestClass }) => requestClass === "overnight") ?? ofAccount[0]!;
         return removeEntryAt(flow, flow.waiting.length - 1).item;
     };
     const sumQueuedTokens = (): number => [...flows.values()].reduce((sum, flow) => sum + flow.tokens, 0);
@@ -172,6 +201,37 @@
             const next = findNext(now, isEligible);
             return next && { requestClass: next.flow.requestClass, servedTokens: counters.read(next.flow.key) };
         },
+        countAhead: (entry, item, now) => {
+            if (!rank) {
+                return flowsByRequest.size;
+            }
+            const own = rank(entry, item, now);
+            const equals = new Map<ClientAccountId, number>();
+            let count = 0;
+            for (const flow of flows.values()) {
+                for (let index = 0; index < flow.waiting.length; index++) {
+                    const queued = flow.waiting.peekAt(index)!;
+                    const other = rank(queued.entry, queued.item, now);
+                    count += other < own ? 1 : 0;
+                    if (other === own) {
+                        equals.set(flow.account, (equals.get(flow.account) ?? 0) + 1);
+                    }
+                }
+            }
+            const ownCount = equals.get(entry.account) ?? 0;
+            for (const equal of equals.values()) {
+                count += Math.min(equal, ownCount + 1);
+            }
+            return count;
+        },
+        listItems: () => [...flows.values()].flatMap(flow => flow.waiting.toArray().map(({ item }) => item)),
+        record: (entry, now) => {
+            const key = formatFlowKey(entry.account, entry.requestClass);
+            // one that was idle gets no credit for the time before
+            counters.activate(key, entry.requestClass);
+            counters.advanceVirtualTime(key, entry.requestClass, now);
+            counters.add(key, entry.tokens / entry.weight);
+        },
         remove: requestId => {
             const flow = flowsByRequest.get(requestId);
             if (!flow) {
@@ -211,3 +271,8 @@
         },
     };
 }
+
+function isLower(left: readonly number[], right: readonly number[]): boolean {
+    const position = left.findIndex((value, index) => value !== right[index]);
+    return position >= 0 && left[position]! < right[position]!;
+}
--- a/src/fairness/virtualTokenCounters.ts
+++ b/src/fairness/virtualTokenCounters.ts
@@ -1,11 +1,10 @@
 /**
  * Virtual token counters: the tokens divided by weight that all instances together have served to each flow. A flow is
- * a client account and a request class.
+ * a client account and a class of requests.
  *
  * @packageDocumentation
  */
 import { LRUCache } from "lru-cache";
-import type { RequestClass } from "../config/index.js";
 import type { ClientAccountId, InstanceId, Milliseconds } from "../shared/index.js";
 import type { ServedTokenCounters } from "./types.js";
 
@@ -22,9 +21,9 @@
      * Raises the counter of a flow that was idle to the previous virtual time of its class, so that idle time earns
      * little credit.
      */
-    readonly activate: (key: FlowKey, requestClass: RequestClass) => void;
+    readonly activate: (key: FlowKey, requestClass: string) => void;
     /** Advances the virtual time of the class to the counter of the flow that is served now. */
-    readonly advanceVirtualTime: (key: FlowKey, requestClass: RequestClass, now: Milliseconds) => void;
+    readonly advanceVirtualTime: (key: FlowKey, requestClass: string, now: Milliseconds) => void;
     /** Returns counters that have changed, those with the most tokens first, and marks them as sent. */
     readonly takeChanges: () => ServedTokenCounters;
     /** Adds what another instance served since its last message; ignores late and repeated messages. */
@@ -51,6 +50,7 @@
 // credit the account would have to wait for the length of that delay
 const idleCreditMilliseconds = 1_000;
 const maximumFlows = 20_000;
+const maximumClasses = 256;
 const maximumInstances = 4_096;
 const maximumChangesPerMessage = 64;
 
@@ -61,10 +61,15 @@
  * @param requestClass - class of the account's requests
  * @returns the class and the account with a slash between them
  */
-export function formatFlowKey(account: ClientAccountId, requestClass: RequestClass): FlowKey {
+export function formatFlowKey(account: ClientAccountId, requestClass: string): FlowKey {
     return `${requestClass}/${account}`;
 }
 
+// names of classes have no slash
+function parseClass(key: FlowKey): string {
+    return key.slice(0, key.indexOf("/"));
+}
+
 function createVirtualTime(): VirtualTime {
     return { current: 0, previous: 0, rotatedAt: 0 };
 }
@@ -82,14 +87,15 @@
     const served = new LRUCache<FlowKey, number>({ max: maximumFlows });
     const receivedByInstance = new LRUCache<InstanceId, ReceivedCounters>({ max: maximumInstances });
     const changed = new Set<FlowKey>();
-    const virtualTimes: Record<RequestClass, VirtualTime> = {
-        interactive: createVirtualTime(),
-        overnight: createVirtualTime(),
-    };
+    const virtualTimes = new LRUCache<string, VirtualTime>({ max: maximumClasses });
     let sequence = 0;
 
-    const parseClass = (key: FlowKey): RequestClass => key.startsWith("overnight/") ? "overnight" : "interactive";
-    const read = (key: FlowKey): number => counts.get(key) ?? virtualTimes[parseClass(key)].previous;
+    const getVirtualTime = (requestClass: string): VirtualTime => {
+        const time = virtualTimes.get(requestClass) ?? createVirtualTime();
+        virtualTimes.set(requestClass, time);
+        return time;
+    };
+    const read = (key: FlowKey): number => counts.get(key) ?? getVirtualTime(parseClass(key)).previous;
     const listMostServedChanges = (): readonly FlowKey[] => {
         const keys = [...changed].sort((left, right) => (served.get(right) ?? 0) - (served.get(left) ?? 0));
         return keys.slice(0, maximumChangesPerMessage);
@@ -114,10 +120,10 @@
             changed.add(key);
         },
         activate: (key, requestClass) => {
-            counts.set(key, Math.max(read(key), virtualTimes[requestClass].previous));
+            counts.set(key, Math.max(read(key), getVirtualTime(requestClass).previous));
         },
         advanceVirtualTime: (key, requestClass, now) => {
-            const time = virtualTimes[requestClass];
+            const time = getVirtualTime(requestClass);
             if (now - time.rotatedAt >= idleCreditMilliseconds) {
                 time.previous = time.current;
                 time.rotatedAt = now;
