--- /dev/null
+++ b/src/fairness/urgentReserve.ts
@@ -0,0 +1,80 @@
+/**
+ * Keeps places for requests that are more urgent than others, as many as these need at the rate at which they have
+ * arrived lately and no more than they don't use already.
+ *
+ * @packageDocumentation
+ */
+import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
+
+/** Places of a pool and what becomes of them. */
+export interface ReserveState {
+    readonly slots: number;
+    readonly meanDuration: Milliseconds;
+    /** Running requests that are more urgent than the one in question. */
+    readonly urgentRunning: number;
+    /** Requests a second that are more urgent than the one in question. */
+    readonly urgentPerSecond: number;
+}
+
+/** Rates at which requests of each priority arrive. */
+export interface ArrivalRates {
+    readonly record: (priority: number, now: Milliseconds) => void;
+    /** Requests a second of all priorities below a number, which are the more urgent ones. */
+    readonly readBelow: (priority: number, now: Milliseconds) => number;
+}
+
+/** Largest part of the places that is kept, so that less urgent requests never stand still. */
+const maximumReservedRatio = 0.5;
+/** Half-life of the rates: surges last 4 to 7 s, and places must not be kept for long after one. */
+const rateHalfLifeMilliseconds = 1_000;
+const priorityCount = 16;
+
+/**
+ * Limits a priority to those that are told apart.
+ *
+ * @param priority - priority of a request
+ * @returns a whole number from 0 on
+ */
+export function limitPriority(priority: number): number {
+    return Math.min(priorityCount - 1, Math.max(0, Math.floor(priority)));
+}
+
+/**
+ * Computes the free places that are kept for more urgent requests.
+ *
+ * @param state - places and the more urgent requests
+ * @returns whole number of places
+ */
+export function computeUrgentReserve(state: ReserveState): number {
+    const needed = state.urgentPerSecond * state.meanDuration / millisecondsPerSecond;
+    const share = Math.min(needed, state.slots * maximumReservedRatio);
+    return Math.max(0, Math.floor(share - state.urgentRunning));
+}
+
+/**
+ * Creates rates of zero.
+ *
+ * @returns the rates, owned by the caller
+ */
+export function createArrivalRates(): ArrivalRates {
+    const counts = new Float64Array(priorityCount);
+    let countedAt = Number.NEGATIVE_INFINITY;
+    const reduceByAge = (now: Milliseconds): void => {
+        const factor = 0.5 ** (Math.max(0, now - countedAt) / rateHalfLifeMilliseconds);
+        counts.forEach((count, priority) => {
+            counts[priority] = count * factor;
+        });
+        countedAt = now;
+    };
+    return {
+        record: (priority, now) => {
+            reduceByAge(now);
+            counts[limitPriority(priority)]!++;
+        },
+        readBelow: (priority, now) => {
+            reduceByAge(now);
+            const sum = counts.subarray(0, limitPriority(priority)).reduce((total, count) => total + count, 0);
+            return sum * Math.LN2 * millisecondsPerSecond / rateHalfLifeMilliseconds;
+        },
+    };
+}
