--- a/src/fairness/__tests__/scarceRoom.test.ts
+++ b/src/fairness/__tests__/scarceRoom.test.ts
@@ -65,12 +65,13 @@
     it("follows their recent rate, less the places that they have", () => {
         const rates = createArrivalRates();
         for (let now = 0; now < 5_000; now += 100) {
-            rates.record(0, now);
+            rates.record(0, 400, now);
         }
-        const reserve = (now: number, urgentRunning: number): number =>
+        const reserve = (now: number, urgentRunning: number, urgentSlack = 0): number =>
             computeUrgentReserve({
                 slots: 40,
                 meanDuration: 1_000,
+                urgentSlack,
                 urgentRunning,
                 urgentPerSecond: rates.readBelow(2, now),
             });
@@ -78,7 +79,10 @@
         expect(reserve(4_900, 0)).to.be.within(8, 11);
         expect(reserve(4_900, 10)).to.equal(0);
         expect(reserve(4_900, 5)).to.be.within(3, 6);
+        // four places become free in half of 200 ms
+        expect(reserve(4_900, 0) - reserve(4_900, 0, 200)).to.equal(4);
         expect(reserve(10_000, 0)).to.equal(0);
+        expect([rates.readSlackBelow(1), rates.readSlackBelow(0)]).to.deep.equal([400, Number.POSITIVE_INFINITY]);
     });
 });
 
@@ -106,8 +110,8 @@
 describe("time until there is room", () => {
     it("follows from slots, the mean duration, the queue and what arrives before", () => {
         const full = { slots: 4, running: 4, meanDuration: 1_000 };
-        expect(slotRoomEstimator.fitsNow({ ...full, running: 3 }, undefined, 0)).to.equal(true);
-        expect(slotRoomEstimator.estimateRoom(full, undefined, 0)).to.equal(250);
+        expect(slotRoomEstimator.fitsNow({ ...full, running: 3 }, { firstEvent: 0 }, 0)).to.equal(true);
+        expect(slotRoomEstimator.estimateRoom(full, { firstEvent: 0 }, 0)).to.equal(250);
         expect(mergeRoomEstimates([250, 250])).to.equal(125);
         expect(estimateQueueWait(3, 100, 0)).to.equal(400);
         expect(estimateQueueWait(3, 100, 5)).to.equal(800);
@@ -120,6 +124,6 @@
         const refuse = (priority: number, deadline = 6_000): number =>
             times.assign({ priority, wait: 100, interval: 50, deadline }, 1_000);
         expect([refuse(1), refuse(1), refuse(2), refuse(0), refuse(1)]).to.deep.equal([100, 150, 200, 100, 200]);
-        expect([refuse(1, 100), refuse(1)]).to.deep.equal([250, 250]);
+        expect([refuse(1, 100), refuse(1, 100), refuse(1)]).to.deep.equal([250, 260, 250]);
     });
 });
--- a/src/fairness/returnTimes.ts
+++ b/src/fairness/returnTimes.ts
@@ -37,6 +37,7 @@
 export function createReturnTimes(): ReturnTimes {
     /** Last time given to each priority. */
     const lastTimes: Milliseconds[] = [];
+    let lastBeyond: Milliseconds = Number.NEGATIVE_INFINITY;
     return {
         assign: ({ priority, wait, interval, deadline }, now) => {
             const limited = limitPriority(priority);
@@ -44,8 +45,10 @@
             const at = Math.max(now + wait, given + Math.max(interval, resolutionMilliseconds));
             if (at - now <= deadline * honouredRatio) {
                 lastTimes[limited] = at;
+                return at - now;
             }
-            return at - now;
+            lastBeyond = Math.max(at, lastBeyond + resolutionMilliseconds);
+            return lastBeyond - now;
         },
     };
 }
--- a/src/fairness/roomEstimate.ts
+++ b/src/fairness/roomEstimate.ts
@@ -24,18 +24,19 @@
     readonly meanDuration: Milliseconds;
 }
 
-/**
- * Part of a request's time that passes before its first event, where nothing is known of its prompt and the engine. It is
- * the part of the objective that `serving/engineWaitLimits.ts` keeps for the engine.
- */
-const firstEventRatio = 0.15;
+/** A request of which only the time is known that its sender keeps for the engine. */
+export interface SlotDemand {
+    /** Part of the objective that is kept from the start on the engine to the first event. */
+    readonly firstEvent: Milliseconds;
+}
+
 /** Part of the pace that is counted for a request even if more urgent ones arrive faster than places become free. */
 const minimumRemainingPace = 0.05;
 
 /** Estimates by requests per slot and the mean duration of a request. */
-export const slotRoomEstimator: RoomEstimator<SlotState, unknown> = {
+export const slotRoomEstimator: RoomEstimator<SlotState, SlotDemand> = {
     fitsNow: ({ slots, running }) => running < slots,
-    estimateFirstEvent: ({ meanDuration }) => meanDuration * firstEventRatio,
+    estimateFirstEvent: (state, { firstEvent }) => firstEvent,
     estimateRoom: ({ slots, running, meanDuration }) =>
         running < slots ? 0 : meanDuration * (Math.floor(running - slots) + 1) / Math.max(1, slots),
 };
