fix(serving): the time for a load counts from the client's first attempt

Cause: a client that came back after a refusal had its whole objective again, and went before those that could be on time. Change: the useful end of a load follows from the end of the objective where it is known.

--- a/src/serving/__tests__/engineWaitLimits.test.ts
+++ b/src/serving/__tests__/engineWaitLimits.test.ts
@@ -17,6 +17,12 @@
         });
     });
 
+    // guards against a client that came back and gets the place of one that can still be on time
+    it("count the objective from the client's first attempt", () => {
+        const returned = { ...wait, objectiveAt: 1_100 };
+        expect(computeEngineWaitLimits(returned, 1_000)).to.deep.equal({ until: 2_800, usefulUntil: 1_010 });
+    });
+
     it("end at the deadline of the request", () => {
         expect(computeEngineWaitLimits({ ...wait, deadlineAt: 2_000 }, 1_200).until).to.equal(2_000);
     });
--- a/src/serving/engineWaitLimits.ts
+++ b/src/serving/engineWaitLimits.ts
@@ -14,6 +14,8 @@
     readonly hasResponseStarted: boolean;
     /** Latency objective of the route, from the start of the request to the first event. */
     readonly targetLatency: Milliseconds;
+    /** End of the latency objective, counted from the client's first attempt. @default counted from the start */
+    readonly objectiveAt?: Milliseconds;
 }
 
 /** Points in time that limit the wait. */
@@ -43,6 +45,7 @@
     // a stream that broke may pause as long as a request without a response, counted from now
     const until = Math.min(wait.deadlineAt, (wait.hasResponseStarted ? now : wait.startedAt) + patience);
     // resuming a stream that broke justifies a load however late it completes
-    const usefulUntil = wait.hasResponseStarted ? until : wait.startedAt + wait.targetLatency * (1 - firstEventRatio);
+    const objectiveAt = wait.objectiveAt ?? wait.startedAt + wait.targetLatency;
+    const usefulUntil = wait.hasResponseStarted ? until : objectiveAt - wait.targetLatency * firstEventRatio;
     return { until, usefulUntil };
 }
