feat(adapters): holders queue requests by urgency and account while there is no room, and refuse the rest at once

Cause: without room a holder answered busy three times and then placed the request on a full engine, in order of arrival. Urgent requests paid for a surge of those that can wait. Change: a request that names its route and finds its engines full waits at the holder with the shorter queue. Places that become free go by owed share, being on time, priority, end of the objective and account. Those that can't be served in time get the new answer refused, with a time of their own. Requests without a route, and all while the pace isn't known, are placed as before.

--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -1,11 +1,12 @@
 import { expect } from "chai";
 import { type BackendServer, formatServerRunId, type PlaceOutcome } from "../../serving/types.js";
-import { type Clock, createSeededRandom } from "../../shared/index.js";
+import { createSeededRandom } from "../../shared/index.js";
 import { createAdapterVersions } from "../adapterVersions.js";
 import { createEngineShards } from "../engineShards.js";
 import type { PlaceRequest, PlaceResponse } from "../messages.js";
 import { type AcquireRequest, createPlaceClient, type PlaceClient } from "../placeClient.js";
 import { createShardHolders } from "../shardHolders.js";
+import { createRunningClock } from "./runningClock.js";
 import { createTestServer } from "./testEngine.js";
 
 const shardCount = 4;
@@ -32,41 +33,6 @@
 /** As that of the instance. */
 const holderTimeoutMilliseconds = 350;
 
-// goes on to the end of the next sleep whenever nothing else is to be done
-function createRunningClock(): Clock {
-    let now = 0;
-    let isRunning = false;
-    const sleeps = new Map<() => void, number>();
-    const runOn = (): void => {
-        const [next] = [...sleeps].sort(([, left], [, right]) => left - right);
-        isRunning = next !== undefined;
-        if (next) {
-            now = Math.max(now, next[1]);
-            next[0]();
-            setImmediate(runOn);
-        }
-    };
-    return {
-        now: () => now,
-        sleep: (duration, signal) =>
-            new Promise(resolve => {
-                const finish = (): void => {
-                    sleeps.delete(finish);
-                    resolve();
-                };
-                sleeps.set(finish, now + duration);
-                signal?.addEventListener("abort", finish, { once: true });
-                if (signal?.aborted) {
-                    finish();
-                }
-                if (!isRunning) {
-                    isRunning = true;
-                    setImmediate(runOn);
-                }
-            }),
-    };
-}
-
 async function createClient(answer: Answer, leaving: ReadonlySet<string> = new Set()): Promise<TestClient> {
     const asked: string[] = [];
     const ended: string[] = [];
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -22,6 +22,7 @@
 import { createEngineFinder } from "./engineFinder.js";
 import { createEngineManager, type EngineManager } from "./engineManager.js";
 import { createEnginePlaces } from "./enginePlaces.js";
+import { createEngineRoom } from "./engineRoom.js";
 import { createEngineShards } from "./engineShards.js";
 import { createHolderLoads } from "./holderLoads.js";
 import { createHolderQuestion, decodeAnswer, holderTimeoutMilliseconds } from "./holderQuestions.js";
@@ -39,6 +40,7 @@
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient } from "./placeClient.js";
 import { createPlaceService } from "./placeService.js";
 import { createResidencyIndex } from "./residencyIndex.js";
+import type { RoomDecision } from "./roomPool.js";
 import { createServerPermits } from "./serverPermits.js";
 import { createShardHolders, type ShardHolder, type ShardHolders } from "./shardHolders.js";
 import type { ShardTask } from "./shardTask.js";
@@ -73,6 +75,8 @@
     /** Called when an engine's response to an order or a report, or another instance, tells that a server leaves. */
     readonly onLeaving: (run: ServerRunId, learnedFrom: LeavingSource) => void;
     readonly findLimits: (service: string) => EngineLimits | undefined;
+    /** Called with each decision on a request for a place here. @default nothing is called */
+    readonly onRoomDecision?: (decision: RoomDecision) => void;
     /** Time from a version's announcement during which requests may still start on older ones. */
     readonly versionGracePeriod: Milliseconds;
 }
@@ -167,25 +171,39 @@
         send: (to, load) =>
             network.send(to, "adapters", { kind: "loads", ...load, engines: load.engines.map(entry => [...entry]) }),
     });
+    const listPermitted = (service: string): readonly BackendServer[] =>
+        listHeldEngines(service).filter(server =>
+            serverPermits.measureWait(formatServerRunId(server), clock.now()) === 0
+        );
+    const room = createEngineRoom({
+        clock,
+        records,
+        listEngines: listPermitted,
+        onDecision: options.onRoomDecision,
+    });
     const finder = createEngineFinder({
         clock,
         failureDomain: options.failureDomain,
         records,
         residency,
         versions,
-        listEngines: service =>
-            listHeldEngines(service).filter(server =>
-                serverPermits.measureWait(formatServerRunId(server), clock.now()) === 0
-            ),
+        listEngines: listPermitted,
+        room,
         isOrderAllowed,
         ensure: (run, request) => managers.get(run)?.ensure(request),
         readMeanLoad: service => holderLoads.readMeanLoad(service),
     });
     const places = createEnginePlaces(records, {
-        onTaken: ({ run, choice }) =>
-            choice.adapter !== undefined &&
-            managers.get(run)?.markUseStarted(formatAdapterKey(choice.model, choice.adapter)),
-        onFreed: ({ run, choice }) => {
+        onTaken: place => {
+            const { run, choice } = place;
+            room.markTaken(place);
+            if (choice.adapter !== undefined) {
+                managers.get(run)?.markUseStarted(formatAdapterKey(choice.model, choice.adapter));
+            }
+        },
+        onFreed: place => {
+            const { run, choice } = place;
+            room.markFreed(place);
             if (choice.adapter !== undefined) {
                 managers.get(run)?.markUseEnded(formatAdapterKey(choice.model, choice.adapter));
             }
@@ -197,6 +215,7 @@
         finder,
         places,
         records,
+        room,
         takePermit: run => serverPermits.take(run, clock.now()),
     });
     const holders = createShardHolders({
@@ -396,6 +415,7 @@
             case "placed":
             case "waiting":
             case "busy":
+            case "refused":
             case "unavailable":
             case "notHolder":
             case "holders":
@@ -441,6 +461,7 @@
         tick: () => {
             [...managers.keys()].filter(run => !options.isServing(run)).forEach(withdrawEngine);
             placeService.expire(clock.now());
+            room.tick();
             replaceOutdatedAdapters();
             loadScheduler.expire(clock.now());
             holderLoads.tick();
@@ -450,5 +471,5 @@
 }
 
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
-    return ["placed", "waiting", "busy", "unavailable", "notHolder"].includes(message.kind);
+    return ["placed", "waiting", "busy", "refused", "unavailable", "notHolder"].includes(message.kind);
 }
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -9,6 +9,7 @@
 import { type Clock, createLogger, type FailureDomainId, type Milliseconds } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import type { AdapterVersions } from "./adapterVersions.js";
+import type { EngineRoom } from "./engineRoom.js";
 import { computeLowestLoad, type EngineSelection, selectEngine } from "./engineSelection.js";
 import {
     type AdapterKey,
@@ -19,6 +20,7 @@
     type PlaceRequest,
 } from "./messages.js";
 import type { ResidencyIndex } from "./residencyIndex.js";
+import type { WeighedRequest } from "./roomPool.js";
 import { createSlotQueue } from "./slotQueue.js";
 
 /** Dependencies of the finder, and this instance's failure domain. */
@@ -36,6 +38,11 @@
     readonly ensure: (run: ServerRunId, request: EnsureRequest) => Promise<EnsureResult> | undefined;
     /** Mean load over all engines of a service, as far as it is known; 1 is a full engine. */
     readonly readMeanLoad: (service: string) => number;
+    /** Decides who gets free places. */
+    readonly room: Pick<
+        EngineRoom,
+        "isFull" | "tryReserve" | "wait" | "release" | "countLoading" | "readQueueLoad" | "wake"
+    >;
 }
 
 /** Result of a search. */
@@ -44,12 +51,17 @@
     | { readonly kind: "found"; readonly server: BackendServer; readonly version: number | undefined; }
     /** All engines are fuller than others; `load` is that of the emptiest. */
     | { readonly kind: "busy"; readonly load: number; }
+    /** There is no room in time; `wait` is the time until there is. */
+    | { readonly kind: "refused"; readonly wait: Milliseconds; }
     /** No engine can be used, or the time for waiting is over. */
     | { readonly kind: "unavailable"; };
 
 /** Finder of engines for requests. */
 export interface EngineFinder {
-    /** Finds an engine; `signal` is aborted when the request doesn't wait any longer. */
+    /**
+     * Finds an engine; `signal` is aborted when the request doesn't wait any longer. The caller ends the place that is kept
+     * there by `room.release`, when it has taken the place or doesn't need it.
+     */
     readonly find: (request: PlaceRequest, signal: AbortSignal) => Promise<FoundEngine>;
     /** Records that an engine may have a free slot; wakes a request that waits for one. */
     readonly markFree: (run: ServerRunId) => void;
@@ -72,7 +84,7 @@
  * @returns the finder, owned by the caller
  */
 export function createEngineFinder(options: EngineFinderOptions): EngineFinder {
-    const { clock, records, residency, versions } = options;
+    const { clock, records, residency, versions, room } = options;
     const slotQueue = createSlotQueue(clock);
     const fullEngines = new Set<ServerRunId>();
     const divertedUntil = new Map<AdapterKey, Milliseconds>();
@@ -121,13 +133,15 @@
             isDiverted: !request.isLoadIgnored && isDiverted(key),
         });
     };
+    // the shorter of two queues is the better choice when no holder has room
+    const computeBusyLoad = (request: PlaceRequest): number =>
+        computeLowestLoad(listUsable(request), records, clock.now()) + room.readQueueLoad(request.service);
     const describeBusy = (request: PlaceRequest, key: AdapterKey): FoundEngine => {
-        const usable = listUsable(request);
         // a stream that is bound to a version says nothing of the engines of others
         if (request.softwareVersion === undefined && residency.listEngines(key).size === 0) {
             divertedUntil.set(key, clock.now() + divertedMilliseconds);
         }
-        return { kind: "busy", load: computeLowestLoad(usable, records, clock.now()) };
+        return { kind: "busy", load: computeBusyLoad(request) };
     };
     const loadOnto = async (
         server: BackendServer,
@@ -169,6 +183,7 @@
         return outcome;
     };
     const markFree = (run: ServerRunId): void => {
+        room.wake();
         if (fullEngines.delete(run)) {
             slotQueue.wakeNext(clock.now());
         }
@@ -177,6 +192,64 @@
         const run = formatServerRunId(server);
         return listUsable(request).some(listed => formatServerRunId(listed) === run);
     };
+    // waits until an engine has room; `undefined` when another one is to be selected
+    const waitForRoom = async (
+        request: WeighedRequest,
+        key: AdapterKey,
+        startedAt: Milliseconds,
+        signal: AbortSignal,
+    ): Promise<FoundEngine | undefined> => {
+        const now = clock.now();
+        const oldest = versions.findOldestAllowed(key, now) ?? 0;
+        const { allowed, excluded, softwareVersion } = request;
+        const turn = await room.wait({
+            request,
+            until: startedAt + request.patience,
+            isUsable: server => {
+                const run = formatServerRunId(server);
+                return (!allowed || allowed.includes(run)) && !excluded.includes(run) &&
+                    (softwareVersion === undefined || server.softwareVersion === softwareVersion) &&
+                    residency.hasModel(run, request.model);
+            },
+            isResident: server =>
+                request.adapter === undefined ||
+                (residency.findVersion(formatServerRunId(server), key) ?? -1) >= oldest,
+            isLoadable: server => options.isOrderAllowed(server) && !fullEngines.has(formatServerRunId(server)),
+            signal,
+        });
+        switch (turn.kind) {
+            case "refused":
+                return turn;
+            case "left":
+                return { kind: "unavailable" };
+            case "granted": {
+                if (turn.isResident && isListed(request, turn.server)) {
+                    return describeFound(turn.server, key);
+                }
+                const outcome = turn.isResident
+                    ? undefined
+                    : await loadOnto(turn.server, request, key, startedAt, signal);
+                if (outcome === "resident" && isListed(request, turn.server)) {
+                    return describeFound(turn.server, key);
+                }
+                room.release(request.id);
+                return undefined;
+            }
+        }
+    };
+    const settleFound = async (
+        request: PlaceRequest,
+        key: AdapterKey,
+        server: BackendServer,
+        wait: { readonly startedAt: Milliseconds; readonly signal: AbortSignal; readonly isFinal: boolean; },
+    ): Promise<FoundEngine | undefined> => {
+        if (!isWeighed(request) || room.tryReserve(request, server)) {
+            return describeFound(server, key);
+        }
+        return wait.isFinal
+            ? waitForRoom(request, key, wait.startedAt, wait.signal)
+            : { kind: "busy", load: computeBusyLoad(request) };
+    };
     const findEngine = async (request: PlaceRequest, signal: AbortSignal): Promise<FoundEngine> => {
         const key = formatAdapterKey(request.model, request.adapter ?? "");
         const startedAt = clock.now();
@@ -185,8 +258,14 @@
         while (clock.now() < until && !signal.aborted) {
             const selection = select(request, key, unavailable);
             switch (selection.kind) {
-                case "resident":
-                    return describeFound(selection.server, key);
+                case "resident": {
+                    const wait = { startedAt, signal, isFinal: request.isLoadIgnored };
+                    const settled = await settleFound(request, key, selection.server, wait);
+                    if (settled) {
+                        return settled;
+                    }
+                    break;
+                }
                 case "busy":
                     return describeBusy(request, key);
                 case "none":
@@ -201,9 +280,28 @@
                     }, signal);
                     break;
                 case "load": {
-                    const outcome = await loadOnto(selection.server, request, key, startedAt, signal);
+                    // an adapter that is resident nowhere is loaded while the request waits for the place of another
+                    const isFull = isWeighed(request) && room.isFull(request, selection.server);
+                    if (isFull && !request.isLoadIgnored) {
+                        return describeBusy(request, key);
+                    }
+                    if (isFull && residency.listEngines(key).size > 0) {
+                        const settled = await waitForRoom(request, key, startedAt, signal);
+                        if (settled) {
+                            return settled;
+                        }
+                        break;
+                    }
+                    const endLoading = room.countLoading(request.service);
+                    const outcome = await loadOnto(selection.server, request, key, startedAt, signal)
+                        .finally(endLoading);
                     if (outcome === "resident" && isListed(request, selection.server)) {
-                        return describeFound(selection.server, key);
+                        // the adapter was loaded for this request, which doesn't go to another holder any more
+                        const wait = { startedAt, signal, isFinal: true };
+                        const settled = await settleFound(request, key, selection.server, wait);
+                        if (settled) {
+                            return settled;
+                        }
                     }
                     // an expired load was dropped when others stopped waiting; this request tries the same engine again
                     if (outcome !== "resident" && outcome !== "expired") {
@@ -223,10 +321,17 @@
             return found;
         },
         markFree,
-        markResident: slotQueue.wakeAll,
+        markResident: key => {
+            slotQueue.wakeAll(key);
+            room.wake();
+        },
         markDenied: (run, model, adapter) => {
             denied.add(formatDenial(run, formatAdapterKey(model, adapter)));
             residency.apply({ run, model, adapter, version: undefined });
         },
     };
 }
+
+function isWeighed(request: PlaceRequest): request is WeighedRequest {
+    return request.route !== undefined;
+}
--- a/src/adapters/enginePlaces.ts
+++ b/src/adapters/enginePlaces.ts
@@ -14,6 +14,11 @@
     readonly choice: ModelChoice;
     /** Time after which the place is free even without a report. */
     readonly expiresAt: Milliseconds;
+    /** Service and priority of a request that names its route. @default the place isn't counted by priority */
+    readonly service?: string | undefined;
+    readonly priority?: number | undefined;
+    /** @default the duration of the request isn't measured */
+    readonly takenAt?: Milliseconds;
 }
 
 /** All places given by this instance. */
--- a/src/adapters/messages.ts
+++ b/src/adapters/messages.ts
@@ -127,6 +127,11 @@
     | { readonly kind: "waiting"; }
     /** All engines of the holder are fuller than others; `load` is that of the emptiest, where 1 is full. */
     | { readonly kind: "busy"; readonly load: number; }
+    /**
+     * There is no room in time for the request, which must not be sent elsewhere; `wait` is the time until there is, of
+     * its own for each request. Only requests that name a route get this answer, as older instances don't know it.
+     */
+    | { readonly kind: "refused"; readonly wait: Milliseconds; }
     /** None of the holder's engines can be used, or the time for waiting is over. */
     | { readonly kind: "unavailable"; }
     | { readonly kind: "notHolder"; };
@@ -177,6 +182,7 @@
     z.object({ kind: z.literal("waiting") }),
     z.object({ kind: z.literal("busy"), load: amountSchema }),
     z.object({ kind: z.literal("unavailable") }),
+    z.object({ kind: z.literal("refused"), wait: waitSchema }),
     z.object({ kind: z.literal("notHolder") }),
     // the request with this id has ended, or gave up waiting for a place
     z.object({ kind: z.literal("ended"), id: nameSchema, outcome: placeOutcomeSchema }),
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -49,6 +49,8 @@
     readonly usefulUntil: Milliseconds;
     /** End of the latency objective; missing where it isn't known. */
     readonly objectiveAt?: Milliseconds | undefined;
+    /** Called when a holder has no room in time, before `acquire` resolves; `wait` is the time until there is. */
+    readonly onRefused?: (wait: Milliseconds) => void;
     /** Aborted when the request may not begin any more. */
     readonly signal: AbortSignal;
 }
@@ -91,6 +93,7 @@
 type AskedPlace =
     | { readonly kind: "acquired"; readonly engine: AcquiredEngine; }
     | { readonly kind: "busy"; readonly load: number; }
+    | { readonly kind: "refused"; readonly wait: Milliseconds; }
     | { readonly kind: "unavailable"; }
     | { readonly kind: "noHolder"; };
 
@@ -201,6 +204,7 @@
                 return requestPlace(request, shard, isLoadIgnored, asksLeft - 1);
             }
             case "busy":
+            case "refused":
             case "unavailable":
                 return response;
             case "notHolder":
@@ -242,7 +246,7 @@
         request: AcquireRequest,
         key: AdapterKey,
         guessed: Set<ServerRunId>,
-    ): Promise<AcquiredEngine | undefined> => {
+    ): Promise<AcquiredEngine | "refused" | undefined> => {
         const ranked = options.shards.rank(request.listServers(), key, triedShardCount);
         let emptiest: { readonly shard: number; readonly load: number; } | undefined;
         for (const candidate of ranked) {
@@ -254,6 +258,10 @@
             if (asked.kind === "busy" && asked.load < (emptiest?.load ?? Number.POSITIVE_INFINITY)) {
                 emptiest = { shard: candidate.shard, load: asked.load };
             }
+            if (asked.kind === "refused") {
+                request.onRefused?.(asked.wait);
+                return "refused";
+            }
             const engine = asked.kind === "noHolder" ? findLastEngine(request, key, guessed) : undefined;
             if (engine) {
                 return engine;
@@ -263,6 +271,10 @@
             }
         }
         const asked = emptiest && await requestPlace(request, emptiest.shard, true);
+        if (asked?.kind === "refused") {
+            request.onRefused?.(asked.wait);
+            return "refused";
+        }
         return asked?.kind === "acquired" ? asked.engine : undefined;
     };
     const findPlace = async (request: AcquireRequest): Promise<AcquiredEngine | undefined> => {
@@ -271,7 +283,7 @@
         while (isWithinTime(request) && hasUsableEngine(request)) {
             const engine = await tryShards(request, key, guessed);
             if (engine) {
-                return engine;
+                return engine === "refused" ? undefined : engine;
             }
             await clock.sleep(retryIntervalMilliseconds, request.signal);
         }
--- a/src/adapters/placeService.ts
+++ b/src/adapters/placeService.ts
@@ -9,6 +9,7 @@
 import type { Clock, Milliseconds } from "../shared/index.js";
 import type { EngineFinder, FoundEngine } from "./engineFinder.js";
 import type { EnginePlace, EnginePlaces } from "./enginePlaces.js";
+import type { EngineRoom } from "./engineRoom.js";
 import type { PlaceRequest, PlaceResponse } from "./messages.js";
 
 /** Service for places. */
@@ -27,6 +28,7 @@
     readonly finder: EngineFinder;
     readonly places: EnginePlaces;
     readonly records: ServerRecords;
+    readonly room: Pick<EngineRoom, "release" | "recordDuration">;
     /** Takes a permit for a request to a server, and returns whether its limit has room for it. */
     readonly takePermit: (run: ServerRunId) => boolean;
 }
@@ -49,7 +51,7 @@
  * @returns the service
  */
 export function createPlaceService(options: PlaceServiceOptions): PlaceService {
-    const { clock, finder, places, records } = options;
+    const { clock, finder, places, records, room } = options;
     const requests = new Map<string, UndecidedRequest>();
     const takePlace = (request: PlaceRequest, found: FoundEngine, entry: UndecidedRequest): PlaceResponse => {
         if (found.kind !== "found") {
@@ -67,6 +69,8 @@
             run: formatServerRunId(found.server),
             choice: { model: request.model, adapter: request.adapter },
             expiresAt: clock.now() + request.deadline,
+            takenAt: clock.now(),
+            ...request.route === undefined ? {} : { service: request.service, priority: request.priority },
         });
         return { kind: "placed", server: { id, startedAt, address }, version: found.version };
     };
@@ -94,7 +98,9 @@
             cancel: new AbortController(),
             response: Promise.resolve<PlaceResponse>({ kind: "unavailable" }),
         };
-        entry.response = finder.find(request, entry.cancel.signal).then(found => takePlace(request, found, entry));
+        entry.response = finder.find(request, entry.cancel.signal)
+            .then(found => takePlace(request, found, entry))
+            .finally(() => room.release(request.id));
         requests.set(request.id, entry);
         return entry;
     };
@@ -124,6 +130,10 @@
             const place = places.free(id);
             if (place) {
                 recordOutcome(place, outcome);
+                // failures end early and would make the engines look fast
+                if (outcome === "answered" && place.service !== undefined && place.takenAt !== undefined) {
+                    room.recordDuration(place.service, clock.now() - place.takenAt);
+                }
             }
         },
         expire: now => {
