feat(serving): clients that a holder refused return at the time it gave them; places by route and account are counted

Cause: a refusal for want of room ended as 'no server' with a random Retry-After. Verified: runRequest.test, servingMetrics.test, sheddingServer.test pass; tsc, eslint.

--- a/src/serving/requestEnds.ts
+++ b/src/serving/requestEnds.ts
@@ -34,6 +34,8 @@
  * that they don't all retry at the same time.
  */
 export const retryAfterSeconds = { minimum: 0.2, jitter: 0.4 };
+/** Shortest time in which a place that becomes free is seen by the holder. */
+const shortestReturnMilliseconds = 20;
 /** The same for clients of an instance that stops, as others have room. */
 const stoppingRetryAfterSeconds = { minimum: 0.05, jitter: 0.1 };
 
@@ -57,6 +59,8 @@
     readonly reason: string;
     /** Time until the client may come back, at least, if no server has run the request. @default 200 */
     readonly returnsIn?: Milliseconds;
+    /** Whether `returnsIn` was given to this client alone, so that nothing is added to it. @default false */
+    readonly isReturnExact?: boolean;
     /** Whether the client's connection is closed. @default false */
     readonly isGone?: boolean;
 }
@@ -167,10 +171,13 @@
     return by === "client" ? badRequestStatus : serviceUnavailableStatus;
 }
 
-function drawRetryAfter(parts: RequestParts, { by, returnsIn = 0 }: RequestEnd): number {
+function drawRetryAfter(parts: RequestParts, { by, returnsIn = 0, isReturnExact = false }: RequestEnd): number {
     if (by === "stop") {
         return drawStoppingRetryAfter(parts);
     }
+    if (isReturnExact) {
+        return Math.max(returnsIn, shortestReturnMilliseconds) / millisecondsPerSecond;
+    }
     const { minimum, jitter } = retryAfterSeconds;
     return Math.max(returnsIn / millisecondsPerSecond, minimum) + jitter * parts.random.next();
 }
--- a/src/serving/requestState.ts
+++ b/src/serving/requestState.ts
@@ -146,6 +146,8 @@
     placeOutcome: PlaceOutcome;
     /** Time before which no server wants the request; in the past where nothing is known of it. */
     returnAt: Milliseconds;
+    /** Whether a holder refused the request for want of room; `returnAt` is then a time of its own. */
+    isRefusedForRoom: boolean;
     /** Description of the last failure for the log; empty when there was none. */
     lastFault: string;
     /** Time of the last byte of the present server's answer, or at which the attempt was sent; `undefined` before the first. */
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -173,6 +173,7 @@
         lastFault: "",
         returnAt: startedAt,
         heardAt: undefined,
+        isRefusedForRoom: false,
         isHeldBack: false,
         end: undefined,
     };
@@ -241,6 +242,10 @@
     else if (now >= deadlineAt) {
         endRequest(parts, state, { by: "deadline", reason: "timeout", returnsIn: state.returnAt - now });
     }
+    else if (found.kind === "selected" && !found.selected && state.isRefusedForRoom) {
+        const returnsIn = state.returnAt - now;
+        endRequest(parts, state, { by: "noServer", reason: "no room", returnsIn, isReturnExact: true });
+    }
     else if (found.kind === "selected" && !found.selected) {
         endRequest(parts, state, { by: "noServer", reason: "no server", returnsIn: state.returnAt - now });
     }
@@ -297,6 +302,7 @@
             deadlineAt: state.deadlineAt,
             hasResponseStarted: state.answer.hasBegun(),
             targetLatency: route.targetLatency,
+            objectiveAt: state.objectiveAt,
         }, now);
         const selected = await parts.adapters.acquire({
             service,
@@ -308,11 +314,16 @@
             deadlineAt: state.deadlineAt,
             signal,
             priority: state.admission.account?.priority ?? route.priority,
-            route: route.name,
+            // a holder refuses only requests that name their route, and a stream that has begun can't be refused
+            route: state.answer.hasBegun() ? undefined : route.name,
             account: state.admission.account?.name,
             tokens: state.request.tokens,
             parts: state.request.promptSizes,
             objectiveAt: state.objectiveAt,
+            onRefused: wait => {
+                state.returnAt = parts.clock.now() + wait;
+                state.isRefusedForRoom = true;
+            },
             ...waitLimits,
         });
         state.placeWait += parts.clock.now() - now;
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -160,6 +160,7 @@
         isLeaving: servers.isLeaving,
         onLeaving: (run, learnedFrom) => handleLeaving(run, learnedFrom),
         findLimits: service => findService(service)?.engine,
+        onRoomDecision: metrics.countRoomDecision,
         get versionGracePeriod() {
             return options.versionBound;
         },
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -6,6 +6,7 @@
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { LoadStatus } from "../adapters/loadScheduler.js";
+import type { RoomDecision } from "../adapters/roomPool.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
@@ -27,6 +28,8 @@
     readonly countLeavingServer: () => void;
     /** Counts a request whose client had disconnected when it was read. */
     readonly countUnreadRequest: () => void;
+    /** Counts a decision of this holder on a request for a place. */
+    readonly countRoomDecision: (decision: RoomDecision) => void;
     /** Observes by how much a timer was late. */
     readonly observeLoopDelay: (delay: Milliseconds) => void;
     /** Returns all metrics in the text format of Prometheus. */
@@ -50,8 +53,8 @@
 
 /** Upper bounds of the histogram buckets, in seconds. */
 const latencyBuckets = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10];
-/** Client accounts beyond this number share the label `other`, which limits the number of time series. */
-const accountLabelLimit = 50;
+/** Client accounts and routes beyond this number share the label `other`, which limits the number of time series. */
+const labelLimit = 50;
 const notFoundStatus = 404;
 
 /**
@@ -68,6 +71,7 @@
     const registry = new Registry();
     const registers = [registry];
     const accounts = new Set<string>();
+    const routes = new Set<string>();
     const requests = new Counter({
         name: "oriolehatch_requests_total",
         help: "Requests by outcome and status",
@@ -166,6 +170,18 @@
         help: "Requests whose client had disconnected when they were read, and that were not handled",
         registers,
     });
+    const roomByRoute = new Counter({
+        name: "oriolehatch_places_by_route_total",
+        help: "Requests for places on this holder's engines, by route and result",
+        labelNames: ["route", "result"],
+        registers,
+    });
+    const roomByAccount = new Counter({
+        name: "oriolehatch_places_by_account_total",
+        help: "Requests for places on this holder's engines, by client account and result",
+        labelNames: ["account", "result"],
+        registers,
+    });
     const leavingServers = new Counter({
         name: "oriolehatch_leaving_servers_total",
         help: "Servers that announced in a response that they are about to stop",
@@ -199,16 +215,17 @@
             listUndecodedHeaders().forEach(({ source, name, count }) => this.set({ source, name }, count));
         },
     });
-    const limitAccountLabel = (name: string | undefined): string => {
+    const limitLabel = (known: Set<string>, name: string | undefined): string => {
         if (name === undefined) {
             return "none";
         }
-        if (!accounts.has(name) && accounts.size >= accountLabelLimit) {
+        if (!known.has(name) && known.size >= labelLimit) {
             return "other";
         }
-        accounts.add(name);
+        known.add(name);
         return name;
     };
+    const limitAccountLabel = (name: string | undefined): string => limitLabel(accounts, name);
     const countEnd = ({ by, outcome, sinceStop, silence }: RequestReport): void => {
         answerEnds.inc({ by, outcome });
         if (sinceStop !== undefined) {
@@ -242,6 +259,10 @@
         countForwardedAttempt: () => forwardedAttempts.inc(),
         countLeavingServer: () => leavingServers.inc(),
         countUnreadRequest: () => unreadRequests.inc(),
+        countRoomDecision: ({ route, account, result }) => {
+            roomByRoute.inc({ route: limitLabel(routes, route), result });
+            roomByAccount.inc({ account: limitAccountLabel(account), result });
+        },
         observeLoopDelay: delay => loopDelaySeconds.observe(delay / millisecondsPerSecond),
         render: () => registry.metrics(),
     };
