--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -23,6 +23,7 @@
 import { createEngineLoads, type EngineLoads } from "./engineLoads.js";
 import { createEngineManager, type EngineManager } from "./engineManager.js";
 import { createEnginePlaces } from "./enginePlaces.js";
+import { createEngineRoom } from "./engineRoom.js";
 import { createEngineShards } from "./engineShards.js";
 import { createHolderLoads } from "./holderLoads.js";
 import { createHolderQuestion, decodeAnswer, holderTimeoutMilliseconds } from "./holderQuestions.js";
@@ -41,6 +42,7 @@
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient, type PlaceClientOptions } from "./placeClient.js";
 import { createPlaceService } from "./placeService.js";
 import { createResidencyIndex } from "./residencyIndex.js";
+import type { RoomDecision } from "./roomPool.js";
 import { createServerPermits, type PacedPermitCounts } from "./serverPermits.js";
 import { createShardHolders, type ShardHolder, type ShardHolders } from "./shardHolders.js";
 import type { ShardTask } from "./shardTask.js";
@@ -82,6 +84,8 @@
     /** Called when an engine's response to an order or a report, or another instance, tells that a server leaves. */
     readonly onLeaving: (run: ServerRunId, learnedFrom: LeavingSource) => void;
     readonly findLimits: (service: string) => EngineLimits | undefined;
+    /** Called with each decision on a request for a place here. @default nothing is called */
+    readonly onRoomDecision?: (decision: RoomDecision) => void;
     /** Time from a version's announcement during which requests may still start on older ones. */
     readonly versionGracePeriod: Milliseconds;
     /** Coldness of the servers. @default none is ever cold */
@@ -208,16 +212,24 @@
         send: (to, load) =>
             network.send(to, "adapters", { kind: "loads", ...load, engines: load.engines.map(entry => [...entry]) }),
     });
+    const listPermitted = (service: string): readonly BackendServer[] =>
+        listHeldEngines(service).filter(server =>
+            serverPermits.measureWait(formatServerRunId(server), clock.now()) === 0
+        );
+    const room = createEngineRoom({
+        clock,
+        records,
+        listEngines: listPermitted,
+        onDecision: options.onRoomDecision,
+    });
     const finder = createEngineFinder({
         clock,
         failureDomain: options.failureDomain,
         records,
         residency,
         versions,
-        listEngines: service =>
-            listHeldEngines(service).filter(server =>
-                serverPermits.measureWait(formatServerRunId(server), clock.now()) === 0
-            ),
+        listEngines: listPermitted,
+        room,
         isOrderAllowed,
         ensure: (run, request) => managers.get(run)?.ensure(request),
         ...options.filterByRegions && { filterByRegions: options.filterByRegions },
@@ -226,10 +238,16 @@
     });
     const engineLoads = createEngineLoads(clock, records);
     const places = createEnginePlaces(records, engineLoads, {
-        onTaken: ({ run, choice }) =>
-            choice.adapter !== undefined &&
-            managers.get(run)?.markUseStarted(formatAdapterKey(choice.model, choice.adapter)),
-        onFreed: ({ run, choice }) => {
+        onTaken: place => {
+            const { run, choice } = place;
+            room.markTaken(place);
+            if (choice.adapter !== undefined) {
+                managers.get(run)?.markUseStarted(formatAdapterKey(choice.model, choice.adapter));
+            }
+        },
+        onFreed: place => {
+            const { run, choice } = place;
+            room.markFreed(place);
             if (choice.adapter !== undefined) {
                 managers.get(run)?.markUseEnded(formatAdapterKey(choice.model, choice.adapter));
             }
@@ -248,6 +266,7 @@
         },
         returnPermit: run => serverPermits.giveBack(run, clock.now()),
         recordReached: cold.recordReached,
+        room,
     });
     const holders = createShardHolders({
         self,
@@ -495,6 +514,7 @@
             case "placed":
             case "waiting":
             case "busy":
+            case "refused":
             case "unavailable":
             case "notHolder":
             case "holders":
@@ -549,6 +569,7 @@
         tick: () => {
             checkEngines();
             placeService.expire(clock.now());
+            room.tick();
             replaceOutdatedAdapters();
             loadScheduler.expire(clock.now());
             holderLoads.tick();
@@ -565,5 +586,5 @@
 }
 
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
-    return ["placed", "waiting", "busy", "unavailable", "notHolder"].includes(message.kind);
+    return ["placed", "waiting", "busy", "refused", "unavailable", "notHolder"].includes(message.kind);
 }
--- a/src/adapters/enginePlaces.ts
+++ b/src/adapters/enginePlaces.ts
@@ -18,6 +18,11 @@
     readonly expiresAt: Milliseconds;
     /** Whether it took one of the few permits of a cold engine. */
     readonly isPaced: boolean;
+    /** Service and priority of a request that names its route. @default the place isn't counted by priority */
+    readonly service?: string | undefined;
+    readonly priority?: number | undefined;
+    /** @default the duration of the request isn't measured */
+    readonly takenAt?: Milliseconds;
 }
 
 /** All places given by this instance. */
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -55,6 +55,8 @@
     readonly objectiveAt?: Milliseconds | undefined;
     /** Whether an engine may become usable while none is; the request ends at once where it can't. @default it may */
     readonly canWait?: () => boolean;
+    /** Called when a holder has no room in time, before `acquire` resolves; `wait` is the time until there is. */
+    readonly onRefused?: (wait: Milliseconds) => void;
     /** Aborted when the request may not begin any more. */
     readonly signal: AbortSignal;
 }
@@ -114,6 +116,7 @@
 type AskedPlace =
     | { readonly kind: "acquired"; readonly engine: AcquiredEngine; }
     | { readonly kind: "busy"; readonly load: number; }
+    | { readonly kind: "refused"; readonly wait: Milliseconds; }
     | { readonly kind: "unavailable"; }
     | { readonly kind: "noHolder"; };
 
@@ -237,6 +240,7 @@
                 return requestPlace({ ...request, excluded }, shard, isLoadIgnored, asksLeft - 1);
             }
             case "busy":
+            case "refused":
             case "unavailable":
                 return response;
             case "notHolder":
@@ -279,7 +283,7 @@
         request: AcquireRequest,
         key: AdapterKey,
         guessed: Set<ServerRunId>,
-    ): Promise<AcquiredEngine | undefined> => {
+    ): Promise<AcquiredEngine | "refused" | undefined> => {
         const ranked = options.shards.rank(request.listServers(), key, triedShardCount);
         let emptiest: { readonly shard: number; readonly load: number; } | undefined;
         for (const candidate of ranked) {
@@ -291,6 +295,10 @@
             if (asked.kind === "busy" && asked.load < (emptiest?.load ?? Number.POSITIVE_INFINITY)) {
                 emptiest = { shard: candidate.shard, load: asked.load };
             }
+            if (asked.kind === "refused") {
+                request.onRefused?.(asked.wait);
+                return "refused";
+            }
             const engine = asked.kind === "noHolder" ? findLastEngine(request, key, guessed) : undefined;
             if (engine) {
                 return engine;
@@ -300,6 +308,10 @@
             }
         }
         const asked = emptiest && await requestPlace(request, emptiest.shard, true);
+        if (asked?.kind === "refused") {
+            request.onRefused?.(asked.wait);
+            return "refused";
+        }
         return asked?.kind === "acquired" ? asked.engine : undefined;
     };
     const findPlace = async (request: AcquireRequest): Promise<AcquiredEngine | undefined> => {
@@ -308,7 +320,7 @@
         while (isOpen(request)) {
             const engine = await tryShards(request, key, guessed);
             if (engine) {
-                return engine;
+                return engine === "refused" ? undefined : engine;
             }
             if (isOpen(request)) {
                 await clock.sleep(retryIntervalMilliseconds, request.signal);
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -179,6 +179,7 @@
         filterByRegions: regions.filterServers,
         onLeaving: (run, learnedFrom) => handleLeaving(run, learnedFrom),
         findLimits: service => findService(service)?.engine,
+        onRoomDecision: metrics.countRoomDecision,
         get versionGracePeriod() {
             return options.versionBound;
         },
