--- a/src/adapters/engineRoom.ts
+++ b/src/adapters/engineRoom.ts
@@ -157,7 +157,15 @@
         state.kept.set(priority, kept);
         return state.free > kept;
     };
+    // kept for a moment, as each request that waits or is refused asks for it
     const measureInterval = (pool: Pool): Milliseconds => {
+        const now = clock.now();
+        if (now - pool.interval.readAt >= watchIntervalMilliseconds) {
+            pool.interval = { value: computeInterval(pool), readAt: now };
+        }
+        return pool.interval.value;
+    };
+    const computeInterval = (pool: Pool): Milliseconds => {
         const estimates = listHealthy(pool).map(server => {
             const state = describeEngine(pool, server);
             return estimator.estimateRoom({ ...state, running: state.slots }, { firstEvent: 0 }, clock.now());
--- a/src/adapters/roomPool.ts
+++ b/src/adapters/roomPool.ts
@@ -108,6 +108,8 @@
     readonly running: number[];
     /** Time for which requests have had their places. */
     readonly durations: { mean: Milliseconds; count: number; recordedAt: Milliseconds; };
+    /** Mean time between two places that become free, as it was read last. */
+    interval: { readonly value: Milliseconds; readonly readAt: Milliseconds; };
     /** Requests that wait for a load. */
     loading: number;
     /** Adapters that are loaded for a request which has a place kept, and that request. */
@@ -142,6 +144,7 @@
         returns: createReturnTimes(),
         running: new Array<number>(priorityCount).fill(0),
         durations: { mean: 0, count: 0, recordedAt: Number.NEGATIVE_INFINITY },
+        interval: { value: 0, readAt: Number.NEGATIVE_INFINITY },
         loading: 0,
         loadingKeys: new Map(),
         shortage: undefined,
--- a/src/fairness/fairQueue.ts
+++ b/src/fairness/fairQueue.ts
@@ -111,15 +111,21 @@
         isEligible: (entry: QueueEntry<Class>, item: Item) => boolean,
     ): EntryPosition<Item, Class> | undefined => {
         let best: EntryPosition<Item, Class> | undefined;
-        let lowest: readonly [rank: number, served: number, dueAt: Milliseconds] | undefined;
+        let lowestRank = Number.POSITIVE_INFINITY;
+        let lowestServed = Number.POSITIVE_INFINITY;
+        let earliest = Number.POSITIVE_INFINITY;
         for (const flow of flows.values()) {
             const served = counters.read(flow.key);
             for (let index = 0; index < flow.waiting.length; index++) {
                 const { entry, item } = flow.waiting.peekAt(index)!;
-                const key = [rankEntry(entry, item, now), served, entry.dueAt ?? entry.arrivedAt] as const;
-                if ((!lowest || isLower(key, lowest)) && isEligible(entry, item)) {
+                const entryRank = rankEntry(entry, item, now);
+                const dueAt = entry.dueAt ?? entry.arrivedAt;
+                const difference = entryRank - lowestRank || served - lowestServed || dueAt - earliest;
+                if ((!best || difference < 0) && isEligible(entry, item)) {
                     best = { flow, index };
-                    lowest = key;
+                    lowestRank = entryRank;
+                    lowestServed = served;
+                    earliest = dueAt;
                 }
             }
         }
@@ -209,14 +215,14 @@
             const equals = new Map<ClientAccountId, number>();
             let count = 0;
             for (const flow of flows.values()) {
+                let equal = equals.get(flow.account) ?? 0;
                 for (let index = 0; index < flow.waiting.length; index++) {
                     const queued = flow.waiting.peekAt(index)!;
                     const other = rank(queued.entry, queued.item, now);
                     count += other < own ? 1 : 0;
-                    if (other === own) {
-                        equals.set(flow.account, (equals.get(flow.account) ?? 0) + 1);
-                    }
+                    equal += other === own ? 1 : 0;
                 }
+                equals.set(flow.account, equal);
             }
             const ownCount = equals.get(entry.account) ?? 0;
             for (const equal of equals.values()) {
@@ -271,8 +277,3 @@
         },
     };
 }
-
-function isLower(left: readonly number[], right: readonly number[]): boolean {
-    const position = left.findIndex((value, index) => value !== right[index]);
-    return position >= 0 && left[position]! < right[position]!;
-}
