--- a/src/adapters/__tests__/placeFleet.ts
+++ b/src/adapters/__tests__/placeFleet.ts
@@ -126,8 +126,12 @@
                 await clock.sleep(isDone ? 1 : 250);
                 return { kind: isDone ? "done" : "accepted" };
             },
-            report: server =>
-                Promise.resolve(wrapValue({ startedAt: 1, sequence: 0, models: server.models, pending: [] })),
+            report: server => {
+                const load = { running: 0, queued: 0, usedTokens: 0, totalTokens: testLimits.kvCacheTokens };
+                const report = { startedAt: 1, sequence: 0, models: server.models, pending: [] };
+                // engines that have just started; what a later holder reads is the load that it takes over
+                return Promise.resolve(wrapValue(clock.now() > 0 ? report : { ...report, load }));
+            },
         },
         clock,
         random: createSeededRandom(1),
--- a/src/adapters/engineLoads.ts
+++ b/src/adapters/engineLoads.ts
@@ -122,8 +122,9 @@
             const now = clock.now();
             const load = createEngineLoad(server.slots, memoryTokens, now);
             services.set(run, server.service);
+            // the report that is read now lags behind, and must replace the assumption
             records.getRecord(run).engine = {
-                load: isNew ? load : markUnknown(load, unknownFraction, now),
+                load: isNew ? load : markUnknown(load, unknownFraction, now - reportAgeMilliseconds),
                 cache: createPromptCache(memoryTokens),
             };
         },
