fix(serving): a cut-off instance suspects no server, and a new holder is told of coldness before it gives places

Change: while the instance is cut off its failures say nothing of the servers. A place without a permit on an engine that is stated to be cold is given back once, and the holder is told. The end of coldness by its time is logged too. Verified: coldServer tests of src/routing and src/serving, coldServers, placeClient, adapterCoordinator and instancePermits tests.

--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -71,6 +71,7 @@
     answer: Answer,
     leaving: ReadonlySet<string> = new Set(),
     isStatedCold: (run: string) => boolean = () => false,
+    confirmColdness: (holder: string) => boolean = () => true,
 ): Promise<TestClient> {
     const asked: string[] = [];
     const ended: string[] = [];
@@ -93,6 +94,7 @@
         versions: createAdapterVersions(() => 5_000),
         isLimited: isStatedCold,
         isStatedCold,
+        confirmColdness,
         isLeaving: run => leaving.has(run),
         reportLeaving: holder => told.push(holder),
         ask: async (holder, shard, request) => {
@@ -274,6 +276,19 @@
         expect(untils).to.deep.equal([150, undefined]);
     });
 
+    // guards against the burst of a holder that has just gained the shard and hasn't heard of the coldness yet
+    it("is given back to a holder that doesn't know of the coldness, which is told of it once", async () => {
+        const told: string[] = [];
+        const { acquire, ended } = await createClient(
+            () => ({ ...createPlaced(ranked[0]!.engine), permit: { isPaced: false, age: 0 } }),
+            new Set(),
+            other => other === run,
+            holder => told.push(holder) > 1,
+        );
+        expect((await acquire({ ...request, until: 1_000 }))!.server).to.equal(ranked[0]!.engine);
+        expect([ended, told]).to.deep.equal([[`${preferred[0]} unknown`], [preferred[0], preferred[0]]]);
+    });
+
     // guards against a request that goes to the adapter's last engine without a permit, as its holder can't be reached
     it("isn't taken without a holder, though the adapter was there last", async () => {
         let isCold = false;
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -94,7 +94,7 @@
      */
     readonly acquire: (request: AcquireRequest) => Promise<AcquiredEngine | undefined>;
     /** Limits that servers have named, and permits for servers without places. */
-    readonly permits: Omit<PermitClient, "isLimited" | "remove">;
+    readonly permits: Omit<PermitClient, "isLimited" | "isToldCold" | "remove">;
     /** Permits for cold servers that this instance has given. */
     readonly readPermitCounts: () => PacedPermitCounts;
     /** Records a version of an adapter; `announcedAt` is the earliest time of its announcement. */
@@ -355,6 +355,14 @@
         versions,
         isLimited: run => permits.client.isLimited(run) || cold.needsPermit(run),
         isStatedCold: cold.isStatedCold,
+        confirmColdness: (holder, server) => {
+            const run = formatServerRunId(server);
+            const isTold = holder === self || permits.client.isToldCold(holder, run);
+            if (!isTold) {
+                permits.client.recordCold(server, cold.measureRemaining(run));
+            }
+            return isTold;
+        },
         isLeaving: options.isLeaving,
         reportLeaving: sendLeaving,
         ask: requestPlace,
--- a/src/adapters/permitClient.ts
+++ b/src/adapters/permitClient.ts
@@ -54,6 +54,8 @@
     readonly isLimited: (run: ServerRunId) => boolean;
     /** Tells the holder what a response stated of the server's coldness. */
     readonly recordCold: (server: BackendServer, coldFor: Milliseconds) => void;
+    /** Whether a holder was told last that a server is cold. */
+    readonly isToldCold: (holder: InstanceId, run: ServerRunId) => boolean;
     /** Takes a permit for a request; one for a server that is neither limited nor cold is always there. */
     readonly acquirePermit: (server: BackendServer) => Promise<SendPermit | undefined>;
     /** Returns the permit of a request that the server has not taken. */
@@ -129,6 +131,10 @@
                 options.tell(holder, server, { requestsPerSecond: limits.get(run)?.requestsPerSecond, coldFor });
             }
         },
+        isToldCold: (holder, run) => {
+            const told = toldColdness.get(run);
+            return told?.to === holder && told.isCold;
+        },
         acquirePermit: async server => {
             const run = formatServerRunId(server);
             const limit = limits.get(run);
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -82,6 +82,11 @@
      * give. @default none is
      */
     readonly isStatedCold?: (run: ServerRunId) => boolean;
+    /**
+     * Makes sure that a holder which gives places without permits knows that an engine is cold; returns whether it had
+     * been told before, so that it has decided otherwise since. @default it knows
+     */
+    readonly confirmColdness?: (holder: InstanceId, server: BackendServer) => boolean;
     /** Whether an engine has announced that it is about to stop; its holder may not know yet. */
     readonly isLeaving: (run: ServerRunId) => boolean;
     /** Tells a holder that an engine is about to stop. */
@@ -130,6 +135,14 @@
     const { clock, holders } = options;
     const lastEngines = new LRUCache<AdapterKey, ServerRunId>({ max: rememberedAdapterCount });
     let lastRequest = 0;
+    // a new holder may not know yet what responses have told
+    const isPermitted = (holder: InstanceId, server: BackendServer, permit: SendPermit | undefined): boolean => {
+        if (permit?.until !== undefined) {
+            return clock.now() <= permit.until;
+        }
+        const isCold = options.isStatedCold?.(formatServerRunId(server)) ?? false;
+        return !isCold || (permit !== undefined && (options.confirmColdness?.(holder, server) ?? true));
+    };
     const describePlace = (
         request: AcquireRequest,
         holder: InstanceId,
@@ -139,9 +152,8 @@
     ): AcquiredEngine | undefined => {
         const run = formatServerRunId(response.server);
         const permit = describePermit(response.permit, askedAt);
-        const isPermitted = permit ? clock.now() <= (permit.until ?? clock.now()) : !options.isStatedCold?.(run);
         const server = request.listServers().find(listed => formatServerRunId(listed) === run);
-        return !server || !isPermitted ? undefined : {
+        return !server || !isPermitted(holder, server, permit) ? undefined : {
             server,
             permit,
             requiredVersion: response.version,
--- a/src/routing/__tests__/coldServer.test.ts
+++ b/src/routing/__tests__/coldServer.test.ts
@@ -53,6 +53,16 @@
         expect(applyAll([0, list(20_000)], [5_000, { kind: "reached" }], [10_000, { kind: "asked" }]).coldUntil)
             .to.be.below(0);
     });
+
+    // guards against an instance without a network that holds all servers for cold, which others reach
+    it("suspects no run when only this instance is cut off, but goes on believing statements", () => {
+        const unreached = applyAll([0, list(20_000)], [100, { kind: "unreached" }], [1_200, { kind: "unreached" }]);
+        const excused = updateColdState(unreached, { kind: "cutOff" }, coldStart, 1_300);
+        expect(excused.coldUntil).to.be.below(0);
+        expect(updateColdState(excused, { kind: "asked" }, coldStart, 3_000).coldUntil).to.be.below(0);
+        const stated = applyAll([0, list(20_000)], [100, createStatement("entry", 5_000)], [200, { kind: "cutOff" }]);
+        expect(stated.coldUntil).to.equal(5_100);
+    });
 });
 
 describe("rates of a cold server", () => {
--- a/src/routing/coldServer.ts
+++ b/src/routing/coldServer.ts
@@ -34,6 +34,8 @@
     | { readonly kind: "reached"; }
     /** An attempt could not be sent. */
     | { readonly kind: "unreached"; }
+    /** This instance is cut off from servers that others reach, so that its failures say nothing of them. */
+    | { readonly kind: "cutOff"; }
     /** A request is about to be sent. */
     | { readonly kind: "asked"; };
 
@@ -126,6 +128,10 @@
                 ? mergeCold({ ...state, failedSince }, "unreached", now + coldStart)
                 : { ...state, failedSince };
         }
+        case "cutOff": {
+            const coldUntil = state.reason === "unreached" ? Number.NEGATIVE_INFINITY : state.coldUntil;
+            return { ...state, coldUntil, heardAt: now, failedSince: undefined };
+        }
         case "asked": {
             const isLong = now - state.heardAt >= idleMilliseconds ||
                 (state.failedSince !== undefined && now - state.failedSince >= unreachedMilliseconds);
--- a/src/serving/__tests__/coldServer.test.ts
+++ b/src/serving/__tests__/coldServer.test.ts
@@ -138,6 +138,19 @@
         expect(servedShare).to.be.at.least(0.97);
     });
 
+    // guards against requests that reach a cold server through another instance, when their permits are long void
+    it("gets nothing from an instance that reaches no server itself, whose requests others carry elsewhere", async () => {
+        const { most, byInstance, servedShare } = await runFleet(3, async ({ fleet, setCold }) => {
+            await fleet.setCut(1, "refused");
+            await pause(1_500);
+            setCold(1, ["response", "entry"]);
+            await pause(3_000);
+        });
+        expect(most).to.be.at.most(allowed).and.at.least(3);
+        expect(byInstance[1]).to.equal(0);
+        expect(servedShare).to.be.at.least(0.9);
+    });
+
     // guards against permits that a killed holder gave, together with those of the one that follows it
     it("keeps its bound when an instance that may be its holder stops, and others take over", async () => {
         const results = await Promise.all([0, 1, 2].map(instance =>
--- a/src/serving/coldServers.ts
+++ b/src/serving/coldServers.ts
@@ -30,6 +30,8 @@
     /** Present Unix time, from which the age of a run follows. @default that of the process */
     readonly readUnixTime?: () => Milliseconds;
     readonly findService: (name: string) => ServingService | undefined;
+    /** Whether this instance is cut off from servers that other instances reach. @default it isn't */
+    readonly isCutOff?: () => boolean;
     /** Factor and number of requests by which a cold server may get more than it tolerates. */
     readonly readBounds: () => { readonly over: number; readonly slack: number; };
 }
@@ -83,6 +85,8 @@
     /** Last statement of the entry, which may be read before the configuration. */
     entry: { readonly coldFor: Milliseconds; readonly at: Milliseconds; } | undefined;
     isListed: boolean;
+    /** Whether the run was cold when it was last looked at. */
+    wasCold: boolean;
     /** Whether an unreadable statement was logged. */
     isLogged: boolean;
 }
@@ -118,11 +122,13 @@
         if (!known || findTolerated(known) === 0) {
             return;
         }
-        const wasCold = isCold(known);
         const { coldStart = 0 } = findService(known.service)!;
         known.state = updateColdState(known.state ?? openState(known), event, coldStart, clock.now());
-        if (isCold(known) !== wasCold) {
+        // also notices coldness that has ended with its time
+        if (isCold(known) !== known.wasCold) {
             const { coldUntil, reason } = known.state;
+            const { wasCold } = known;
+            known.wasCold = !wasCold;
             log.info(wasCold ? "server no longer cold" : "server cold", {
                 run,
                 reason,
@@ -134,7 +140,7 @@
         const run = formatServerRunId(server);
         const { service, startedAt } = server;
         const known: KnownRun = runs.get(run) ??
-            { service, startedAt, state: undefined, entry: undefined, isListed: true, isLogged: false };
+            { service, startedAt, state: undefined, entry: undefined, isListed: true, wasCold: false, isLogged: false };
         runs.set(run, known);
         return known;
     };
@@ -166,9 +172,12 @@
             known.isListed = false;
         }
     };
+    const chooseOwnEvent = (kind: "unreached" | "asked"): ColdEvent => ({
+        kind: options.isCutOff?.() ? "cutOff" : kind,
+    });
     // the state of a run whose servers can be cold; one that was left alone for long is suspected from now on
     const checkState = (run: ServerRunId): ColdState | undefined => {
-        apply(run, { kind: "asked" });
+        apply(run, chooseOwnEvent("asked"));
         const known = runs.get(run);
         return findTolerated(known) > 0 ? known?.state : undefined;
     };
@@ -191,7 +200,7 @@
             apply(run, { kind: "reached" });
             applyStatement(run, "header", coldFor);
         },
-        recordReached: (run, isReached) => apply(run, { kind: isReached ? "reached" : "unreached" }),
+        recordReached: (run, isReached) => apply(run, isReached ? { kind: "reached" } : chooseOwnEvent("unreached")),
         recordTold: (run, remaining) => apply(run, { kind: "stated", by: "instance", remaining }),
         measureRemaining: run => Math.max(0, (checkState(run)?.coldUntil ?? 0) - clock.now()),
         needsPermit: run => {
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -141,6 +141,7 @@
     const cold = createColdServers({
         clock,
         findService,
+        isCutOff: () => forwarding.isCutOff(),
         readBounds: () => options.cold ?? { over: 1, slack: 0 },
     });
     const readHolders = async (): Promise<readonly ShardHolder[] | undefined> => {
