--- a/src/serving/__tests__/coldServers.test.ts
+++ b/src/serving/__tests__/coldServers.test.ts
@@ -80,6 +80,15 @@
         }
     });
 
+    // guards against a new server that looks old, as the clock of its machine is behind
+    it("is supposed of a run that appears after the first snapshot, but not of the runs in it", () => {
+        const { cold, wait } = createTable();
+        cold.readEntries([entry], true);
+        wait(1_000);
+        cold.readEntries([{ ...entry, startedAt: 5 }], false);
+        expect([run, formatServerRunId({ ...entry, startedAt: 5 })].map(cold.needsPermit)).to.deep.equal([false, true]);
+    });
+
     // guards against negative or unreadable times that make a server cold or warm
     it("isn't changed by a statement that can't be read", () => {
         const { cold } = createTable();
--- a/src/serving/coldServers.ts
+++ b/src/serving/coldServers.ts
@@ -105,6 +105,7 @@
     const { clock, findService, readUnixTime = Date.now } = options;
     const runs = new LRUCache<ServerRunId, KnownRun>({ max: maximumRuns });
     const listed = new Map<string, ServerRunId>();
+    let hasSnapshot = false;
     const findTolerated = (known: KnownRun | undefined): number =>
         known === undefined ? 0 : findService(known.service)?.coldPerSecond ?? 0;
     const isCold = (known: KnownRun): boolean => (known.state?.coldUntil ?? 0) > clock.now();
@@ -156,8 +157,11 @@
     };
     const readEntry = (server: BackendServer): void => {
         const run = formatServerRunId(server);
+        const isNew = !runs.has(run);
         const known = getRun(server);
-        if (!known.isListed) {
+        apply(run, { kind: "asked" });
+        // a run that appears is new or comes back, whatever its start says, as clocks may differ
+        if (!known.isListed || (isNew && hasSnapshot && !isCold(known))) {
             apply(run, { kind: "returned" });
         }
         known.isListed = true;
@@ -192,6 +196,7 @@
                 [...listed.keys()].filter(id => !present.has(id)).forEach(markEntryGone);
             }
             entries.forEach(readEntry);
+            hasSnapshot ||= isSnapshot;
         },
         markEntryGone,
         recordResponse: (server, coldFor) => {
