--- a/src/serving/coldServers.ts
+++ b/src/serving/coldServers.ts
@@ -30,6 +30,8 @@
     /** Present Unix time, from which the age of a run follows. @default that of the process */
     readonly readUnixTime?: () => Milliseconds;
     readonly findService: (name: string) => ServingService | undefined;
+    /** Whether this instance is cut off from servers that other instances reach. @default it isn't */
+    readonly isCutOff?: () => boolean;
     /** Factor and number of requests by which a cold server may get more than it tolerates. */
     readonly readBounds: () => { readonly over: number; readonly slack: number; };
 }
@@ -83,6 +85,8 @@
     /** Last statement of the entry, which may be read before the configuration. */
     entry: { readonly coldFor: Milliseconds; readonly at: Milliseconds; } | undefined;
     isListed: boolean;
+    /** Whether the run was cold when it was last looked at. */
+    wasCold: boolean;
     /** Whether an unreadable statement was logged. */
     isLogged: boolean;
 }
@@ -101,6 +105,7 @@
     const { clock, findService, readUnixTime = Date.now } = options;
     const runs = new LRUCache<ServerRunId, KnownRun>({ max: maximumRuns });
     const listed = new Map<string, ServerRunId>();
+    let hasSnapshot = false;
     const findTolerated = (known: KnownRun | undefined): number =>
         known === undefined ? 0 : findService(known.service)?.coldPerSecond ?? 0;
     const isCold = (known: KnownRun): boolean => (known.state?.coldUntil ?? 0) > clock.now();
@@ -118,11 +123,13 @@
         if (!known || findTolerated(known) === 0) {
             return;
         }
-        const wasCold = isCold(known);
         const { coldStart = 0 } = findService(known.service)!;
         known.state = updateColdState(known.state ?? openState(known), event, coldStart, clock.now());
-        if (isCold(known) !== wasCold) {
+        // also notices coldness that has ended with its time
+        if (isCold(known) !== known.wasCold) {
             const { coldUntil, reason } = known.state;
+            const { wasCold } = known;
+            known.wasCold = !wasCold;
             log.info(wasCold ? "server no longer cold" : "server cold", {
                 run,
                 reason,
@@ -134,7 +141,7 @@
         const run = formatServerRunId(server);
         const { service, startedAt } = server;
         const known: KnownRun = runs.get(run) ??
-            { service, startedAt, state: undefined, entry: undefined, isListed: true, isLogged: false };
+            { service, startedAt, state: undefined, entry: undefined, isListed: true, wasCold: false, isLogged: false };
         runs.set(run, known);
         return known;
     };
@@ -150,8 +157,11 @@
     };
     const readEntry = (server: BackendServer): void => {
         const run = formatServerRunId(server);
+        const isNew = !runs.has(run);
         const known = getRun(server);
-        if (!known.isListed) {
+        apply(run, { kind: "asked" });
+        // a run that appears is new or comes back, whatever its start says, as clocks may differ
+        if (!known.isListed || (isNew && hasSnapshot && !isCold(known))) {
             apply(run, { kind: "returned" });
         }
         known.isListed = true;
@@ -166,9 +176,12 @@
             known.isListed = false;
         }
     };
+    const chooseOwnEvent = (kind: "unreached" | "asked"): ColdEvent => ({
+        kind: options.isCutOff?.() ? "cutOff" : kind,
+    });
     // the state of a run whose servers can be cold; one that was left alone for long is suspected from now on
     const checkState = (run: ServerRunId): ColdState | undefined => {
-        apply(run, { kind: "asked" });
+        apply(run, chooseOwnEvent("asked"));
         const known = runs.get(run);
         return findTolerated(known) > 0 ? known?.state : undefined;
     };
@@ -183,6 +196,7 @@
                 [...listed.keys()].filter(id => !present.has(id)).forEach(markEntryGone);
             }
             entries.forEach(readEntry);
+            hasSnapshot ||= isSnapshot;
         },
         markEntryGone,
         recordResponse: (server, coldFor) => {
@@ -191,7 +205,7 @@
             apply(run, { kind: "reached" });
             applyStatement(run, "header", coldFor);
         },
-        recordReached: (run, isReached) => apply(run, { kind: isReached ? "reached" : "unreached" }),
+        recordReached: (run, isReached) => apply(run, isReached ? { kind: "reached" } : chooseOwnEvent("unreached")),
         recordTold: (run, remaining) => apply(run, { kind: "stated", by: "instance", remaining }),
         measureRemaining: run => Math.max(0, (checkState(run)?.coldUntil ?? 0) - clock.now()),
         needsPermit: run => {
