feat(serving): requests that wait are refused at once where an evacuation or their homes leave no server

The place client asked up to three holders in turn although no engine could be had any more. It looks after each answer. The tests over whole instances can list servers in other failure domains and evacuate them.

--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -266,7 +266,7 @@
             if (engine) {
                 return engine;
             }
-            if (request.signal.aborted) {
+            if (request.signal.aborted || !hasUsableEngine(request)) {
                 return undefined;
             }
         }
--- a/src/serving/__tests__/requestWaits.test.ts
+++ b/src/serving/__tests__/requestWaits.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import type { ServerList } from "../serverList.js";
 import { requestWaits, runWaitingRequest } from "./waitingRequest.js";
 
 /** Time-outs of calls that are waited for must not be seen in the ends of the requests, so that several are tried. */
@@ -48,6 +49,41 @@
         });
     }
 
+    // guards against requests that wait for the whole time of their route for servers of their home, which have all left, or
+    // for those of an evacuated failure domain, while their clients could ask again
+    for (const wait of ["busyHolder", "silentHolder"] as const) {
+        it(`ends soon when an evacuation, or its home, leaves it no server while it waits for: ${wait}`, async () => {
+            const home = { allowedRegions: ["eu"] };
+            const withdrawAll = (servers: ServerList): void =>
+                servers.listAll().forEach(server => servers.put({ ...server, isDraining: true }));
+            const drainHome = (servers: ServerList): void => {
+                const [first] = servers.listAll();
+                withdrawAll(servers);
+                servers.put({ ...first!, id: "other", failureDomain: "b" });
+            };
+            const closeDomain = (servers: ServerList): void => servers.setEvacuated(new Set(["a"]));
+            const cases = [
+                [home, withdrawAll, "no server in the allowed regions"],
+                [home, drainHome, "no server in the allowed regions"],
+                [home, closeDomain, "no server outside evacuated domains"],
+                [{}, closeDomain, "no server outside evacuated domains"],
+            ] as const;
+            for (const [change, run, expected] of cases) {
+                for (const at of [0, 410]) {
+                    const result = await runWaitingRequest({
+                        waits: [wait],
+                        timeout: longTimeout,
+                        ...change,
+                        update: { at, run },
+                    });
+                    expect([result.status, result.by, result.reason]).to.deep.equal([503, "noServer", expected]);
+                    // the call to a holder is waited for, as it may have granted a place
+                    expect(result.endedAt).to.be.within(at, at + 400);
+                }
+            }
+        });
+    }
+
     // guards against a place, a permit or a trial that is asked for on behalf of a client that left while it waited (GONE)
     for (const next of ["trial", "silentHolder", "permit"] as const) {
         it(`isn't followed by a wait for another thing once its client has left: ${next}`, async () => {
--- a/src/serving/__tests__/testFleet.ts
+++ b/src/serving/__tests__/testFleet.ts
@@ -51,6 +51,8 @@
     readonly setPeersCut: (instances: readonly number[], isCut: boolean) => Promise<void>;
     /** Publishes a configuration with some fields changed, which has a higher version. */
     readonly changeConfiguration: (change: Partial<ServingConfig>) => void;
+    /** Requests the evacuation of a failure domain, or withdraws it. */
+    readonly setEvacuated: (domain: string, isEvacuated: boolean) => void;
     /** Stops an instance for good; resolves when all its connections are closed. */
     readonly stopInstance: (instance: number) => Promise<void>;
     /** Gives each shard another holder. */
@@ -121,6 +123,8 @@
         crashes,
         servers,
         changeConfiguration: change => putTestConfiguration(store, change),
+        setEvacuated: (domain, isEvacuated) =>
+            store.put("configuration", `evacuate/${domain}`, isEvacuated ? Buffer.from("{}") : undefined),
         moveShards: store.moveShards,
         setStoreAway: store.setAway,
         restartInstances: async () => {
--- a/src/serving/__tests__/testInstance.ts
+++ b/src/serving/__tests__/testInstance.ts
@@ -2,6 +2,7 @@
  * One whole instance on local ports, with the store in memory.
  */
 import type { EngineControl } from "../../adapters/types.js";
+import { decodeOperatorDeletion, decodeOperatorRecord } from "../../platform/operatorRecords.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createServingInstance } from "../servingInstance.js";
 import type { BackendServer, HeaderCodec, RecordCodec, ServingConfig } from "../types.js";
@@ -62,6 +63,8 @@
         instanceName: name,
         host: options.host ?? testHost,
         failureDomain: "a",
+        region: "eu",
+        regionsByDomain: new Map([["a", "eu"], ["b", "us"]]),
         cores: 1,
         clientPort: clientPort!,
         readyPort: readyPort!,
@@ -89,7 +92,11 @@
         }),
         headers: faults.wrap("headers", options.headers ?? testCodec),
         records: faults.wrap<RecordCodec>("records", {
+            decodeOperatorDeletion,
             decodeOperatorRecord: (key, value) => {
+                if (key !== "config") {
+                    return decodeOperatorRecord(key, value);
+                }
                 const change = JSON.parse(Buffer.from(value).toString()) as Partial<ServingConfig>;
                 const config = options.readConfig?.() ?? { ...testConfig, ...change };
                 return wrapValue({ kind: "configuration", config });
--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -51,6 +51,8 @@
     readonly readHeadDelay?: () => number;
     /** Seconds for which a server, counted from 0, wants no more requests; it turns requests away meanwhile. */
     readonly readShedding?: (server: number) => number | undefined;
+    /** Failure domain that a server, counted from 0, states in its entry. @default "a" for all */
+    readonly readDomain?: (server: number) => string;
     /** Whether a server, counted from 0, says in its responses that it leaves. */
     readonly isLeaving?: (server: number) => boolean;
 }
@@ -209,7 +211,7 @@
             startedAt: run,
             service: testService,
             address: formatServerAddress(index),
-            failureDomain: "a",
+            failureDomain: options.readDomain?.(index) ?? "a",
             isDraining: false,
             softwareVersion: version,
             slots: 32,
--- a/src/serving/__tests__/waitingRequest.ts
+++ b/src/serving/__tests__/waitingRequest.ts
@@ -13,10 +13,11 @@
 import { createAnswerTimes } from "../answerTimes.js";
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
+import { createRegions } from "../homes.js";
 import type { ClientResponse, RequestParts, RequestReport } from "../requestState.js";
 import { createRetryBudget } from "../retryBudget.js";
 import { runRequest } from "../runRequest.js";
-import { createServerList } from "../serverList.js";
+import { createServerList, type ServerList } from "../serverList.js";
 import { createServerRecords } from "../serverRecords.js";
 import { createShutdown, type Shutdown } from "../shutdown.js";
 import type { ClientRequest, HeaderCodec, ServingConfig, ServingRoute } from "../types.js";
@@ -46,6 +47,10 @@
     readonly timeout: number;
     /** @default never */
     readonly leavesAt?: number;
+    /** Regions whose servers may receive it; all servers are in "eu". @default all */
+    readonly allowedRegions?: readonly string[];
+    /** Changes the list of servers at some time. @default nothing changes it */
+    readonly update?: { readonly at: number; readonly run: (servers: ServerList) => void; };
     /** Time of the signal to stop. @default never */
     readonly stopsAt?: number;
 }
@@ -92,6 +97,7 @@
     const countCall = (wait: RequestWait): void => void (calls[wait] = (calls[wait] ?? 0) + 1);
     let units = 0;
     const shutdown = createTestShutdown(history);
+    const servers = createServers();
     const waitFor = <Value>(wait: RequestWait, value: Value): Promise<Value> => {
         countCall(wait);
         return isLast(wait) ? never : Promise.resolve(value);
@@ -112,7 +118,8 @@
         maximumConfigAge: 4_000,
         clock,
         failureDomain: "a",
-        servers: createServers(),
+        servers,
+        regions: createRegions(new Map([["a", "eu"], ["b", "us"]])),
         records: createServerRecords(),
         connections: {
             send: () => {
@@ -149,6 +156,10 @@
         result.endedAt = clock.now();
     };
     startDetached(run());
+    const { update } = waiting;
+    if (update) {
+        history.schedule(update.at, () => update.run(servers));
+    }
     if (waiting.leavesAt !== undefined) {
         history.schedule(waiting.leavesAt, () => leaving.abort());
     }
@@ -175,7 +186,7 @@
     });
 }
 
-function createConfiguration({ waits, timeout }: WaitingRequest): RequestParts["configuration"] {
+function createConfiguration({ waits, timeout, allowedRegions }: WaitingRequest): RequestParts["configuration"] {
     const configuration = createConfigurationState();
     const route: ServingRoute = {
         name: "r",
@@ -190,6 +201,7 @@
         priority: 0,
         isPublic: false,
         canResume: true,
+        ...allowedRegions && { allowedRegions },
     };
     const quota = { unit: "requests", ratePerSecond: 1, burst: 1, defaultTokens: 1 } as const;
     const hasEngines = waits.includes("silentHolder") || waits.includes("busyHolder");
