fix(adapters): no outdated adapter is replaced on an engine that takes no orders

At each tick a load was scheduled for each outdated adapter of an evacuated engine, which took turns at the weight store for orders that are never sent.

Verified: adapterCoordinator (the extended test saw these orders before), engineManager tests.

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -163,10 +163,12 @@
         let usable: readonly BackendServer[] = [evacuated, later];
         const loads: string[] = [];
         const reports: string[] = [];
+        const orders: string[] = [];
         const coordinator = await createCoordinator(servers, {
             listUsable: () => usable,
             isEvacuated: server => !usable.includes(server) && server !== staying,
             onLoad: (server, adapter) => loads.push(`${server.id} ${adapter}`),
+            onOrder: server => orders.push(server.id),
             onReport: server => reports.push(server.id),
         });
         const pause = (): Promise<void> => new Promise(resolve => setTimeout(resolve, 50));
@@ -176,9 +178,12 @@
         usable = [staying];
         loads.length = 0;
         reports.length = 0;
+        orders.length = 0;
         coordinator.handleEvacuation();
+        coordinator.recordVersion("base", "a1", 2, 0);
         coordinator.tick();
         await pause();
+        expect(new Set(orders)).to.deep.equal(new Set(["i-1"]));
         expect([loads, reports]).to.deep.equal([["i-1 a1"], []]);
         const moved = await coordinator.acquire(createRequest(() => usable));
         expect(moved!.server).to.equal(staying);
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -379,7 +379,8 @@
     };
     const replaceOutdatedAdapters = (): void => {
         const newest = versions.listNewest();
-        for (const manager of managers.values()) {
+        // an engine that takes no orders would only use turns at the weight store
+        for (const manager of [...managers.values()].filter(({ run }) => !withdrawn.has(run))) {
             for (const key of manager.listOutdated(newest)) {
                 const version = newest.get(key);
                 const parameters = { ...parseAdapterKey(key), version, wasDenied: false, ...replacementLoadParameters };
