--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -57,6 +57,8 @@
      * @default they state nothing
      */
     readonly readCold?: (server: number, by: "response" | "entry") => number | undefined;
+    /** Failure domain that a server, counted from 0, states in its entry. @default "a" for all */
+    readonly readDomain?: (server: number) => string;
     /** Whether a server, counted from 0, says in its responses that it leaves. */
     readonly isLeaving?: (server: number) => boolean;
 }
@@ -219,7 +221,7 @@
             startedAt: run,
             service: testService,
             address: formatServerAddress(index),
-            failureDomain: "a",
+            failureDomain: options.readDomain?.(index) ?? "a",
             isDraining: false,
             softwareVersion: version,
             slots: 32,
