--- a/src/routing/engineLoad.ts
+++ b/src/routing/engineLoad.ts
@@ -29,6 +29,8 @@
     readonly requests: number;
     readonly memoryTokens: number;
     readonly at: Milliseconds;
+    /** Whether they were assumed, so that any stated load replaces them. */
+    readonly isAssumed: boolean;
 }
 
 /** State of one engine. */
@@ -171,7 +173,7 @@
         placedTokens: 0,
         readTokens: 0,
         readAt: now,
-        foreign: { requests: 0, memoryTokens: 0, at: now },
+        foreign: { requests: 0, memoryTokens: 0, at: now, isAssumed: false },
         work: createWorkRatio(now),
         toldSlowness: 1,
         toldAt: now,
@@ -335,8 +337,9 @@
             ? 0
             : Math.min(Math.max(0, excessMemory), requests * state.memoryTokens / state.slots),
         at: now - told.age,
+        isAssumed: false,
     };
-    const isForeignNewer = foreign.at >= state.foreign.at;
+    const isForeignNewer = state.foreign.isAssumed || foreign.at >= state.foreign.at;
     const toldSlowness = told.slowness === undefined
         ? state.toldSlowness
         : computeToldSlowness(state, now) * (1 - toldWeight) + told.slowness * toldWeight;
@@ -358,7 +361,7 @@
  */
 export function markUnknown(state: EngineLoadState, fraction: number, now: Milliseconds): EngineLoadState {
     const memoryTokens = Number.isFinite(state.memoryTokens) ? state.memoryTokens * fraction : 0;
-    return { ...state, foreign: { requests: state.slots * fraction, memoryTokens, at: now } };
+    return { ...state, foreign: { requests: state.slots * fraction, memoryTokens, at: now, isAssumed: true } };
 }
 
 /**
@@ -446,8 +449,9 @@
  */
 export function computeLastingLoad(state: EngineLoadState, now: Milliseconds): number {
     const requests = countRequests(state, now) / state.slots;
-    const tokensPerMillisecond = computeRecentTokens(state, now) * Math.LN2 / recentHalfLifeMilliseconds;
-    const reading = tokensPerMillisecond * usualWork.readPerToken * state.timeScale;
+    const timePerToken = usualWork.readPerToken * state.timeScale * Math.LN2 / recentHalfLifeMilliseconds;
+    // the sum without its decay is an upper bound, which spares the decay for most engines
+    const reading = state.recentTokens * timePerToken <= requests ? 0 : computeRecentTokens(state, now) * timePerToken;
     return Math.max(requests, reading) * computeSlowness(state, now);
 }
 
