--- a/src/adapters/__tests__/engineLoads.test.ts
+++ b/src/adapters/__tests__/engineLoads.test.ts
@@ -116,8 +116,9 @@
             .to.equal(false);
         setTime(100);
         places.begin("2", { firstEventAfter: 100 });
-        expect(loads.list()[0]!.unreadTokens).to.be.at.most(500);
+        expect(loads.readStatus().engines[0]!.unreadTokens).to.be.at.most(500);
         places.begin("unknown", { firstEventAfter: 100 });
+        expect([...loads.readStatus().placements]).to.deep.equal([["short", 1], ["long", 1], ["cached", 1]]);
     });
 
     // guards against a surge in which the holder that counts tokens is replaced, and the next one finds all engines empty
@@ -141,7 +142,7 @@
         loads.remove(runs[0]!);
         records.remove(runs[0]!);
         expect(places.free("1", "answered", { firstEventAfter: 100 })).to.equal(undefined);
-        expect(loads.list()).to.have.length(1);
+        expect(loads.readStatus().engines).to.have.length(1);
     });
 
     // guards against an instance of the previous build, whose messages lack the new fields, or a figure that is none
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -19,7 +19,7 @@
 import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
 import { createEngineFinder } from "./engineFinder.js";
-import { createEngineLoads, type EngineLoads } from "./engineLoads.js";
+import { createEngineLoads, type EngineLoadStatus } from "./engineLoads.js";
 import { createEngineManager, type EngineManager } from "./engineManager.js";
 import { createEnginePlaces } from "./enginePlaces.js";
 import { createEngineShards } from "./engineShards.js";
@@ -107,8 +107,8 @@
     ) => AdapterMessage | undefined | Promise<AdapterMessage>;
     /** Load counts of this instance, and the estimated capacity of the weight store. */
     readonly readLoadStatus: () => LoadStatus;
-    /** Slowness and unread prompt tokens of each engine whose shard this instance holds. */
-    readonly listEngineLoads: EngineLoads["list"];
+    /** State of the engines whose shards this instance holds. */
+    readonly readEngineStatus: () => EngineLoadStatus;
     /** Does what is due; must be called regularly. */
     readonly tick: () => void;
 }
@@ -457,7 +457,7 @@
         },
         handleMembershipChange: () => startTask("holders of shards", holders.reload),
         handleMessage,
-        listEngineLoads: engineLoads.list,
+        readEngineStatus: engineLoads.readStatus,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
             [...managers.keys()].filter(run => !options.isServing(run)).forEach(withdrawEngine);
--- a/src/adapters/engineLoads.ts
+++ b/src/adapters/engineLoads.ts
@@ -31,7 +31,7 @@
     type PlaceOutcome,
     type ServerRunId,
 } from "../serving/types.js";
-import type { Clock, Milliseconds } from "../shared/index.js";
+import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import { formatAdapterKey, type PlaceDemand } from "./messages.js";
 import type { EngineReportLoad } from "./types.js";
 
@@ -42,6 +42,19 @@
     readonly isLongPrompt: boolean;
 }
 
+/**
+ * Why a place counts as it does on its engine: it has many tokens to read (`long`), or few as the beginning of its prompt
+ * is `cached` there or the prompt is `short`; `unknown` where the request names no tokens.
+ */
+export type PlacementReason = "cached" | "long" | "short" | "unknown";
+
+/** State of the engines whose shards this instance holds. */
+export interface EngineLoadStatus {
+    readonly engines: readonly { readonly slowness: number; readonly unreadTokens: number; }[];
+    /** Places that were given since the start, by reason. */
+    readonly placements: ReadonlyMap<PlacementReason, number>;
+}
+
 /** Loads of engines. */
 export interface EngineLoads {
     /** Begins to count an engine; `isNew` when it has just started, so that no earlier holder can have used it. */
@@ -54,8 +67,8 @@
     readonly end: (run: ServerRunId, place: PlaceLoad, outcome: PlaceOutcome, report: AnswerReport) => void;
     /** Records what an engine's own report says; its age is the time by which reports lag at most. */
     readonly handleReport: (run: ServerRunId, load: EngineReportLoad) => void;
-    /** Slowness and unread prompt tokens of each engine. */
-    readonly list: () => readonly { readonly slowness: number; readonly unreadTokens: number; }[];
+    /** State of the engines, for metrics. */
+    readonly readStatus: () => EngineLoadStatus;
     readonly remove: (run: ServerRunId) => void;
 }
 
@@ -65,6 +78,10 @@
 const unknownFraction = 0.5;
 /** Time by which an engine's report lags behind its state. */
 const reportAgeMilliseconds = 250;
+/** Slowness from which on an engine is logged as slow, and below which it is logged as slow no longer. */
+const slowSlowness = 1.75;
+const usualSlowness = 1.3;
+const log = createLogger("adapters");
 
 /**
  * Describes what a request asks of an engine.
@@ -93,6 +110,7 @@
  */
 export function createEngineLoads(clock: Clock, records: ServerRecords): EngineLoads {
     const services = new Map<ServerRunId, string>();
+    const placements = new Map<PlacementReason, number>();
     const usualSpeeds = new Map<string, UsualSpeed>();
     const update = (run: ServerRunId, apply: (state: EngineLoadState, now: Milliseconds) => EngineLoadState): void => {
         const { engine } = records.getRecord(run);
@@ -100,11 +118,27 @@
             engine.load = apply(engine.load, clock.now());
         }
     };
+    const slowEngines = new Set<ServerRunId>();
+    const trackSlowness = (run: ServerRunId, slowness: number): void => {
+        const wasSlow = slowEngines.has(run);
+        const isSlow = slowness >= (wasSlow ? usualSlowness : slowSlowness);
+        if (isSlow === wasSlow) {
+            return;
+        }
+        if (isSlow) {
+            slowEngines.add(run);
+        }
+        else {
+            slowEngines.delete(run);
+        }
+        log.info(isSlow ? "engine slow" : "engine no longer slow", { run, slowness });
+    };
     const recordSpeed = (run: ServerRunId, place: PlaceLoad, observation: AnswerObservation): void =>
         update(run, (state, now) => {
             const usual = usualSpeeds.get(place.service) ?? createUsualSpeed(now);
             const recorded = recordObservation(state, usual, place, observation, now);
             usualSpeeds.set(place.service, recorded.usual);
+            trackSlowness(run, recorded.state.slowness);
             return recorded.state;
         });
     const recordReport = (run: ServerRunId, place: PlaceLoad, report: AnswerReport): void => {
@@ -135,11 +169,14 @@
             }
             const demand = describeEngineDemand(engine, choice, request);
             const { state, placed } = addPlaced(engine.load, demand, clock.now());
+            const isLongPrompt = demand.promptTokens - demand.cachedTokens >= longPromptTokens;
+            const reason = describeReason(demand, isLongPrompt);
             engine.load = state;
+            placements.set(reason, (placements.get(reason) ?? 0) + 1);
             if (request.parts) {
                 engine.cache.add(formatAdapterKey(choice.model, choice.adapter ?? ""), request.parts);
             }
-            return { ...placed, service, isLongPrompt: demand.promptTokens - demand.cachedTokens >= longPromptTokens };
+            return { ...placed, service, isLongPrompt };
         },
         begin: (run, place, report) => {
             update(run, (state, now) => markBegan(state, place, now));
@@ -156,14 +193,26 @@
                     { running, waiting: queued, memoryTokens: usedTokens, age: reportAgeMilliseconds },
                     now,
                 )),
-        list: () =>
-            [...services.keys()].flatMap(run => {
+        readStatus: () => {
+            const now = clock.now();
+            const engines = [...services.keys()].flatMap(run => {
                 const load = records.getRecord(run).engine?.load;
-                const now = clock.now();
                 return load
                     ? [{ slowness: computeSlowness(load, now), unreadTokens: countUnreadTokens(load, now) }]
                     : [];
-            }),
-        remove: run => void services.delete(run),
+            });
+            return { engines, placements };
+        },
+        remove: run => {
+            services.delete(run);
+            slowEngines.delete(run);
+        },
     };
 }
+
+function describeReason({ promptTokens, cachedTokens }: EngineDemand, isLongPrompt: boolean): PlacementReason {
+    if (promptTokens === 0) {
+        return "unknown";
+    }
+    return isLongPrompt ? "long" : cachedTokens > 0 ? "cached" : "short";
+}
--- a/src/serving/__tests__/servingMetrics.test.ts
+++ b/src/serving/__tests__/servingMetrics.test.ts
@@ -33,6 +33,20 @@
         expect(text).to.contain('oriolehatch_adapter_loads{state="capacity"} 8');
     });
 
+    // guards against a series per engine, whose number grows with the site, and against sums that grow with each scrape
+    it("show the engines of this holder as histograms at the time of the scrape", async () => {
+        const metrics = createServingMetrics(() => ({ running: 0, waiting: 0, capacity: 8 }), () => [], () => ({
+            engines: [{ slowness: 2.5, unreadTokens: 600 }, { slowness: 1, unreadTokens: 0 }],
+            placements: new Map([["long", 3]]),
+        }));
+        await metrics.render();
+        const text = await metrics.render();
+        expect(text).to.contain('oriolehatch_engine_unread_tokens_bucket{le="0"} 1');
+        expect(text).to.contain("oriolehatch_engine_unread_tokens_count 2");
+        expect(text).to.contain("oriolehatch_engine_slowness_sum 3.5");
+        expect(text).to.contain('oriolehatch_engine_placements_total{reason="long"} 3');
+    });
+
     // guards against a stop after which only the log of single requests says by whose hand answers ended
     it("count ends of answers by hand, with the time since the stop and the silence of those that aren't whole", async () => {
         const metrics = createServingMetrics(() => ({ running: 0, waiting: 0, capacity: 8 }));
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -123,6 +123,7 @@
     const metrics = createServingMetrics(
         () => adapters.readLoadStatus(),
         dependencies.listUndecodedHeaders ?? (() => []),
+        () => adapters.readEngineStatus(),
     );
     const random = createSeededRandom(startUnixTime % 2 ** 31);
     const answerMemory = createAnswerMemory();
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { EngineLoadStatus } from "../adapters/engineLoads.js";
 import type { LoadStatus } from "../adapters/loadScheduler.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
@@ -50,6 +51,9 @@
 
 /** Upper bounds of the histogram buckets, in seconds. */
 const latencyBuckets = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10];
+/** Upper bounds of the buckets for prompt tokens that an engine has still to read, and for its slowness. */
+const unreadTokenBuckets = [0, 500, 1_000, 2_000, 4_000, 8_000, 16_000];
+const slownessBuckets = [0.6, 0.8, 1, 1.25, 1.5, 2, 3];
 /** Client accounts beyond this number share the label `other`, which limits the number of time series. */
 const accountLabelLimit = 50;
 const notFoundStatus = 404;
@@ -59,11 +63,13 @@
  *
  * @param readLoads - returns the present number of adapter loads; called for each scrape
  * @param listUndecodedHeaders - returns the headers that nobody decodes; called for each scrape
+ * @param readEngines - returns the state of the engines whose shards this instance holds; called for each scrape
  * @returns the metrics, all at zero
  */
 export function createServingMetrics(
     readLoads: () => LoadStatus,
     listUndecodedHeaders: () => readonly UndecodedHeader[] = () => [],
+    readEngines: () => EngineLoadStatus = () => ({ engines: [], placements: new Map() }),
 ): ServingMetrics {
     const registry = new Registry();
     const registers = [registry];
@@ -180,6 +186,37 @@
             Object.entries(readLoads()).forEach(([state, count]) => this.set({ state }, count));
         },
     });
+    new Histogram({
+        name: "oriolehatch_engine_unread_tokens",
+        help:
+            "Prompt tokens that engines have still to read, over the engines of this holder at the time of the scrape",
+        buckets: unreadTokenBuckets,
+        registers,
+        collect() {
+            this.reset();
+            readEngines().engines.forEach(({ unreadTokens }) => this.observe(unreadTokens));
+        },
+    });
+    new Histogram({
+        name: "oriolehatch_engine_slowness",
+        help: "Time that work takes against a usual engine, over the engines of this holder at the time of the scrape",
+        buckets: slownessBuckets,
+        registers,
+        collect() {
+            this.reset();
+            readEngines().engines.forEach(({ slowness }) => this.observe(slowness));
+        },
+    });
+    new Counter({
+        name: "oriolehatch_engine_placements_total",
+        help: "Places that this holder gave on its engines, by reason of their share of the load",
+        labelNames: ["reason"],
+        registers,
+        collect() {
+            this.reset();
+            readEngines().placements.forEach((count, reason) => this.inc({ reason }, count));
+        },
+    });
     new Counter({
         name: "oriolehatch_task_failures_total",
         help: "Exceptions in tasks of this process, by task",
