feat(serving): the urgent requests of an account over its quota go first

An account at six times its usual rate got its quota in order of arrival, so that its urgent kind was refused as often as the kind that surged, and the jitter of Retry-After had refused clients return in any order.

The holder keeps the demand of each kind of request of an account. From the first refusal on, and while more is asked for than the rate, a request leaves units to more urgent kinds (priority, then objective), to kinds that have not had their part of their share by demand, and to requests that were told to return now. A request that can't be on time leaves units to all new ones. Each refused request is told a time of its own. Messages get optional fields; requests without them are decided as before. Units given and refused are counted by route and account, and a log line tells begin and end.

--- a/src/fairness/index.ts
+++ b/src/fairness/index.ts
@@ -5,4 +5,5 @@
  */
 export * from "./batchSlotReserve.js";
 export * from "./fairQueue.js";
+export * from "./quotaOrder.js";
 export * from "./types.js";
--- a/src/serving/__tests__/quotaFleet.ts
+++ b/src/serving/__tests__/quotaFleet.ts
@@ -17,7 +17,7 @@
 import { type AccountLimits, createAccountLimits } from "../accountLimits.js";
 import { createAccountShards, createQuotaClient, type QuotaClient } from "../quotaClient.js";
 import { createQuotaHolder } from "../quotaHolder.js";
-import { quotaMessageSchema } from "../quotaMessages.js";
+import { type QuotaDecision, quotaMessageSchema, type QuotaUrgency } from "../quotaMessages.js";
 import type { QuotaBounds } from "../startAllowance.js";
 import type { ServingAccount } from "../types.js";
 import { createQuotaStore, type QuotaStore } from "./quotaStore.js";
@@ -55,6 +55,12 @@
     readonly kill: (name: InstanceId) => void;
     readonly isRunning: (name: InstanceId) => boolean;
     readonly cut: (left: ReadonlySet<InstanceId>, duration: Milliseconds) => void;
+    /** Takes units at any instance that clients are sent to; `undefined` where it ends meanwhile. */
+    readonly take: (
+        account: ServingAccount,
+        units: number,
+        urgency?: QuotaUrgency,
+    ) => Promise<QuotaDecision | undefined>;
     /** Sends requests of all accounts, each at the given multiple of its rate. */
     readonly send: (multiple: () => number, unitsAt: number, until: Milliseconds) => void;
 }
@@ -220,6 +226,19 @@
         processes.set(name, createProcess(name, startMilliseconds));
         registered.add(name);
     };
+    const take: QuotaFleet["take"] = async (account, units, urgency) => {
+        const listed = [...rotation];
+        const instance = listed[random.between(0, listed.length - 1)];
+        const taker = processes.get(instance ?? "");
+        const decision = await taker?.limits.take(account, units, false, urgency);
+        if (decision?.kind === "admitted") {
+            admitted.get(account.name)!.push({ at: history.now() + decision.delay, units });
+        }
+        if (decision?.kind === "exceeded") {
+            refused.push({ at: history.now(), instance: instance! });
+        }
+        return decision;
+    };
     const request = async (account: ServingAccount, instance: InstanceId, units: number): Promise<void> => {
         const decision = await processes.get(instance)?.limits.take(account, units);
         switch (decision?.kind) {
@@ -269,6 +288,7 @@
             separated = left;
             separatedUntil = history.now() + duration;
         },
+        take,
         send: (multiple, unitsAt, until) => accounts.forEach(account => sendOne(account, multiple, unitsAt, until)),
     };
 }
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -6,14 +6,19 @@
  * @packageDocumentation
  */
 import { type ClientAccountId, type Milliseconds, millisecondsPerSecond, type SeededRandom } from "../shared/index.js";
-import type { QuotaDecision, QuotaRequest } from "./quotaMessages.js";
+import type { QuotaDecision, QuotaRequest, QuotaUrgency } from "./quotaMessages.js";
 import { computeStartAllowance, type QuotaBounds } from "./startAllowance.js";
 import type { AccountQuota, ClientRequest, ServingAccount } from "./types.js";
 
 /** Quotas of all client accounts. */
 export interface AccountLimits {
     /** Admits a request of `units` or returns how long to wait. An account without a quota has no limit. */
-    readonly take: (account: ServingAccount, units: number, isResumed?: boolean) => Promise<QuotaDecision>;
+    readonly take: (
+        account: ServingAccount,
+        units: number,
+        isResumed?: boolean,
+        urgency?: QuotaUrgency,
+    ) => Promise<QuotaDecision>;
     /** Gives the units of an admitted request back that no server has run. */
     readonly giveBack: (account: ServingAccount, units: number) => void;
 }
@@ -110,7 +115,7 @@
         return { kind: "admitted", delay: 0 };
     };
     return {
-        take: async (account, units, isResumed = false) => {
+        take: async (account, units, isResumed = false, urgency = undefined) => {
             const { quota } = account;
             if (!quota) {
                 return { kind: "admitted", delay: 0 };
@@ -120,7 +125,14 @@
             // requests that are decided at the same time must not pass the same units on twice
             state.admittedAlone = 0;
             state.allowance = state.allowance === undefined ? undefined : 0;
-            const decision = await options.ask({ account: account.name, units, admittedAlone, allowance, isResumed });
+            const decision = await options.ask({
+                account: account.name,
+                units,
+                admittedAlone,
+                allowance,
+                isResumed,
+                ...(urgency && { urgency }),
+            });
             if (!decision) {
                 state.admittedAlone += admittedAlone;
                 state.allowance = state.allowance === undefined ? undefined : state.allowance + allowance;
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -12,6 +12,7 @@
 import type { AnswerEnder } from "./answerEnds.js";
 import type { ConfigurationState } from "./configurationState.js";
 import { readClocks } from "./freshness.js";
+import type { QuotaDecision, QuotaUrgency } from "./quotaMessages.js";
 import type { RetryBudget } from "./retryBudget.js";
 import { chooseService } from "./routeTable.js";
 import type { ClientRequest, ServingAccount, ServingRoute } from "./types.js";
@@ -24,6 +25,23 @@
     readonly random: SeededRandom;
     /** Age of the configuration up to which keys are accepted; an older one may miss a revocation. */
     readonly maximumConfigAge: Milliseconds;
+    /** Counts the units of a request that were given or refused. @default nothing */
+    readonly onQuotaDecision?: (decided: DecidedUnits) => void;
+}
+
+/** Units of a quota that a request got, or was refused. */
+export interface DecidedUnits {
+    readonly account: string;
+    readonly route: string;
+    readonly units: number;
+    readonly outcome: QuotaDecision["kind"];
+}
+
+/** Times of a request that say how urgent it is. */
+export interface RequestTimes {
+    readonly deadlineAt: Milliseconds;
+    /** End of its latency objective, which counts from the first attempt of its client. */
+    readonly objectiveAt: Milliseconds;
 }
 
 /** Decision on a request; `retryAfter` is in seconds, `route` and `account` are set where they are known. */
@@ -107,6 +125,7 @@
  * @param parts - account limits, clock and random numbers
  * @param admitted - admission by route and key
  * @param request - the request
+ * @param times - times of the request
  * @param signal - aborted when the client disconnects
  * @returns the admission, or the refusal of a request beyond the quota
  */
@@ -114,6 +133,7 @@
     parts: AdmissionParts & { readonly clock: Clock; },
     admitted: Extract<Admission, { readonly kind: "admitted"; }>,
     request: ClientRequest,
+    times: RequestTimes,
     signal: AbortSignal,
 ): Promise<Admission> {
     const { account, route } = admitted;
@@ -121,7 +141,9 @@
         return admitted;
     }
     const isResumed = admitted.origin !== undefined;
-    const taken = parts.limits.take(account, computeRequestCost(account, request), isResumed);
+    const units = computeRequestCost(account, request);
+    const urgency = describeUrgency(route, account, times, parts.clock.now());
+    const taken = parts.limits.take(account, units, isResumed, urgency);
     const decision = await waitUnlessAborted(taken, signal);
     if (!decision) {
         startTask("units of a client that left", async () => {
@@ -131,6 +153,7 @@
         });
         return { kind: "clientLeft", route: route.name, account: account.name };
     }
+    parts.onQuotaDecision?.({ account: account.name, route: route.name, units, outcome: decision.kind });
     switch (decision.kind) {
         case "admitted":
             if (decision.delay > 0) {
@@ -138,7 +161,8 @@
             }
             return admitted;
         case "exceeded": {
-            const jitterFactor = 1 + retryJitterRatio * parts.random.next();
+            // a random time would change the order in which the holder has units for those that it refused
+            const jitterFactor = decision.isOrdered ? 1 : 1 + retryJitterRatio * parts.random.next();
             const retryAfter = decision.wait / millisecondsPerSecond * jitterFactor;
             return {
                 ...refuse("limit", tooManyRequestsStatus, "over the rate", retryAfter, route),
@@ -165,6 +189,21 @@
     }
 }
 
+function describeUrgency(
+    route: ServingRoute,
+    account: ServingAccount,
+    times: RequestTimes,
+    now: Milliseconds,
+): QuotaUrgency {
+    return {
+        kind: route.name,
+        priority: account.priority ?? route.priority,
+        objectiveLeft: Math.max(0, times.objectiveAt - now),
+        waited: Math.max(0, now + route.targetLatency - times.objectiveAt),
+        timeLeft: Math.max(0, times.deadlineAt - now),
+    };
+}
+
 function refuse(
     by: AnswerEnder,
     status: number,
--- a/src/serving/quotaBucket.ts
+++ b/src/serving/quotaBucket.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+import type { QuotaSupply } from "../fairness/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import type { QuotaDecision } from "./quotaMessages.js";
 import type { AccountQuota } from "./types.js";
@@ -11,9 +12,12 @@
 export interface QuotaBucket {
     /**
      * Takes `amount` units if the bucket has them, or has them soon. A full bucket admits any amount, and its level may
-     * then fall below zero. A resumed stream may wait longer for its units than others, so that it goes before them.
+     * then fall below zero. A resumed stream may wait longer for its units than others, so that it goes before them. One
+     * that has to leave a reserve for others takes only what is beyond that.
      */
-    readonly take: (amount: number, now: Milliseconds, isResumed?: boolean) => QuotaDecision;
+    readonly take: (amount: number, now: Milliseconds, isResumed?: boolean, reserve?: number) => QuotaDecision;
+    /** What it has now, and what it gets. */
+    readonly measureSupply: (now: Milliseconds) => QuotaSupply;
     /** Adds units that may be used in addition to the rate. */
     readonly grant: (amount: number) => void;
     /** Adds units that were taken and not used. */
@@ -64,19 +68,31 @@
         }
     };
     return {
-        take: (amount, present, isResumed = false) => {
+        take: (amount, present, isResumed = false, reserve = 0) => {
             fillLevel(present);
             // a full bucket admits a request larger than the burst, which could otherwise never run; one without a share isn't full
-            const needed = share > 0 ? Math.min(amount, computeCapacity()) : amount;
-            const rate = Math.max(1, limits.ratePerSecond * share);
-            const wait = Math.max(0, (needed - level - allowance) / rate * millisecondsPerSecond);
+            const measureWait = (units: number): Milliseconds => {
+                const needed = share > 0 ? Math.min(units, computeCapacity()) : units;
+                const rate = Math.max(1, limits.ratePerSecond * share);
+                return Math.max(0, (needed - level - allowance) / rate * millisecondsPerSecond);
+            };
+            const wait = measureWait(amount + reserve);
             if (wait > (isResumed ? resumedDelayLimitMilliseconds : delayLimitMilliseconds)) {
                 return { kind: "exceeded", wait };
             }
+            const delay = reserve > 0 ? measureWait(amount) : wait;
             const granted = Math.min(allowance, amount);
             allowance -= granted;
             level -= amount - granted;
-            return { kind: "admitted", delay: wait };
+            return { kind: "admitted", delay };
+        },
+        measureSupply: present => {
+            fillLevel(present);
+            return {
+                level: level + allowance,
+                ratePerSecond: limits.ratePerSecond * share,
+                capacity: computeCapacity(),
+            };
         },
         grant: amount => {
             allowance += amount;
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -104,7 +104,7 @@
         const decision = quotaHolder.take(from, request, clock.now());
         // what this bucket lacks the next holder may have
         return decision.kind === "exceeded" && handover.isInterim(findShard(request.account))
-            ? { ...decision, wait: Math.min(decision.wait, interimWaitMilliseconds) }
+            ? { kind: "exceeded", wait: Math.min(decision.wait, interimWaitMilliseconds) }
             : decision;
     };
     const decide = (from: InstanceId, request: QuotaRequest): QuotaDecision | Promise<QuotaDecision> => {
@@ -317,7 +317,7 @@
             }
         },
         tick: () => {
-            quotaHolder.keepOnly(isDecidedHere);
+            quotaHolder.keepOnly(isDecidedHere, clock.now());
             const shardsByHolder = groupShards();
             const isDue = clock.now() - toldAt >= presenceIntervalMilliseconds;
             if (isDue) {
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -5,6 +5,15 @@
  *
  * @packageDocumentation
  */
+import {
+    computeReserve,
+    createQuotaOrder,
+    isInRush,
+    type QuotaOrder,
+    recordAsk,
+    recordGiven,
+    recordRefused,
+} from "../fairness/index.js";
 import type { ClientAccountId, InstanceId, Milliseconds } from "../shared/index.js";
 import { createQuotaBucket, type QuotaBucket } from "./quotaBucket.js";
 import type { HandedQuotas, QuotaDecision, QuotaRequest } from "./quotaMessages.js";
@@ -20,8 +29,8 @@
     readonly update: (accounts: readonly ServingAccount[], now: Milliseconds) => void;
     /** Records the shards for whose accounts an instance asks here; it must be told again and again. */
     readonly markPresent: (from: InstanceId, shards: readonly number[], now: Milliseconds) => void;
-    /** Forgets the levels of accounts that another instance holds now. */
-    readonly keepOnly: (isHeld: (account: ClientAccountId) => boolean) => void;
+    /** Forgets the levels of accounts that another instance holds now, and reports what has ended by `now`. */
+    readonly keepOnly: (isHeld: (account: ClientAccountId) => boolean, now?: Milliseconds) => void;
     /** Goes on deciding for the accounts of a shard with what their buckets have, and nothing more. */
     readonly pause: (shard: number, now: Milliseconds) => void;
     readonly resume: (shard: number, now: Milliseconds) => void;
@@ -44,6 +53,28 @@
     readonly isCounted?: (instance: InstanceId) => boolean;
     /** Shard that an account's quota belongs to. */
     readonly findShard: (account: ClientAccountId) => number;
+    /** Called when an account begins to ask for more than its quota, and when that ends. @default nothing */
+    readonly onRush?: (rush: QuotaRush) => void;
+}
+
+/** Begin or end of a time in which an account asks for more than its quota. */
+export interface QuotaRush {
+    readonly account: ClientAccountId;
+    readonly state: "begun" | "ended";
+    /** Units given and refused since it began, by kind of request. */
+    readonly kinds: Readonly<Record<string, RushFigures>>;
+}
+
+/** Figures of one kind of request. */
+export interface RushFigures {
+    readonly given: number;
+    readonly refused: number;
+}
+
+interface AccountOrder {
+    order: QuotaOrder;
+    /** `undefined` while the account is within its quota. */
+    rush: Map<string, RushFigures> | undefined;
 }
 
 interface Presence {
@@ -58,6 +89,8 @@
 const shareUpdateMilliseconds = 100;
 /** Time in which the instances that asked the previous holder say that they ask here. */
 const handedShareMilliseconds = 1_000;
+/** Kinds of request with figures of their own in the report of a rush. */
+const maximumReportedKinds = 16;
 
 /**
  * Creates the holder without accounts.
@@ -69,6 +102,7 @@
     const { isCounted = () => true } = options;
     const quotas = new Map<ClientAccountId, AccountQuota>();
     const buckets = new Map<ClientAccountId, QuotaBucket>();
+    const orders = new Map<ClientAccountId, AccountOrder>();
     const present = new Map<InstanceId, Presence>();
     const handedShares = new Map<number, { readonly share: number; readonly until: Milliseconds; }>();
     const pausedShards = new Set<number>();
@@ -116,6 +150,66 @@
     const markPresent = (from: InstanceId, shards: readonly number[], now: Milliseconds): void => {
         present.set(from, { at: now, shards });
     };
+    const endRush = (account: ClientAccountId, known: AccountOrder): void => {
+        const kinds = Object.fromEntries(known.rush ?? []);
+        known.rush = undefined;
+        options.onRush?.({ account, state: "ended", kinds });
+    };
+    const recordRush = (
+        { account, units, urgency }: QuotaRequest,
+        known: AccountOrder,
+        isGiven: boolean,
+        now: Milliseconds,
+    ): void => {
+        const isRush = isInRush(known.order, now);
+        if (isRush && !known.rush) {
+            known.rush = new Map();
+            options.onRush?.({ account, state: "begun", kinds: {} });
+        }
+        if (!isRush && known.rush) {
+            endRush(account, known);
+        }
+        if (known.rush && urgency) {
+            const kind = known.rush.has(urgency.kind) || known.rush.size < maximumReportedKinds
+                ? urgency.kind
+                : "other";
+            const { given, refused } = known.rush.get(kind) ?? { given: 0, refused: 0 };
+            known.rush.set(kind, {
+                given: given + (isGiven ? units : 0),
+                refused: refused + (isGiven ? 0 : units),
+            });
+        }
+    };
+    // the urgent requests of an account go first while it asks for more than its quota
+    const takeInOrder = (bucket: QuotaBucket, request: QuotaRequest, now: Milliseconds): QuotaDecision => {
+        const { account, units, urgency, isResumed } = request;
+        if (!urgency) {
+            return bucket.take(units, now, isResumed);
+        }
+        const known = orders.get(account) ?? { order: createQuotaOrder(now), rush: undefined };
+        orders.set(account, known);
+        const ask = { ...urgency, units };
+        const supply = bucket.measureSupply(now);
+        const order = recordAsk(known.order, ask, supply, now);
+        const decision = bucket.take(units, now, isResumed, isResumed ? 0 : computeReserve(order, ask, supply, now));
+        if (decision.kind === "admitted") {
+            known.order = recordGiven(order, ask, now);
+            recordRush(request, known, true, now);
+            return decision;
+        }
+        const refused = recordRefused(order, ask, supply, now);
+        known.order = refused.order;
+        recordRush(request, known, false, now);
+        return { kind: "exceeded", wait: refused.wait, isOrdered: true };
+    };
+    const forget = (account: ClientAccountId): void => {
+        const known = orders.get(account);
+        if (known?.rush) {
+            endRush(account, known);
+        }
+        buckets.delete(account);
+        orders.delete(account);
+    };
     return {
         take: (from, request, now) => {
             const quota = quotas.get(request.account);
@@ -131,7 +225,7 @@
             const bucket = getBucket(request.account, quota, now);
             bucket.grant(request.allowance);
             bucket.charge(request.admittedAlone, now);
-            return bucket.take(request.units, now, request.isResumed);
+            return takeInOrder(bucket, request, now);
         },
         giveBack: (account, units, now) => buckets.get(account)?.giveBack(units, now),
         update: (accounts, now) => {
@@ -142,11 +236,16 @@
                     buckets.get(account.name)?.update(account.quota, now);
                 }
             }
-            [...buckets.keys()].filter(name => !quotas.has(name)).forEach(name => buckets.delete(name));
+            [...buckets.keys()].filter(name => !quotas.has(name)).forEach(forget);
         },
         markPresent,
-        keepOnly: isHeld => {
-            [...buckets.keys()].filter(name => !isHeld(name)).forEach(name => buckets.delete(name));
+        keepOnly: (isHeld, now) => {
+            [...buckets.keys()].filter(name => !isHeld(name)).forEach(forget);
+            orders.forEach((known, account) => {
+                if (known.rush && now !== undefined && !isInRush(known.order, now)) {
+                    endRush(account, known);
+                }
+            });
         },
         pause: (shard, now) => {
             // one that stood still knows of instances that have asked another holder since
@@ -164,12 +263,13 @@
         handOver: (shard, now) => {
             const share = computeShares(now).get(shard) ?? 0;
             const handed = listBuckets(shard);
-            handed.forEach(([account]) => buckets.delete(account));
+            const levels = handed.map(([account, bucket]) => [account, bucket.measureLevel(now)] as const);
+            handed.forEach(([account]) => forget(account));
             handedShares.delete(shard);
             present.forEach(({ at, shards }, instance) =>
                 present.set(instance, { at, shards: shards.filter(other => other !== shard) })
             );
-            return { share, levels: handed.map(([account, bucket]) => [account, bucket.measureLevel(now)] as const) };
+            return { share, levels };
         },
         takeOver: (shard, { share, levels }, now) => {
             const known = handedShares.get(shard);
--- a/src/serving/quotaMessages.ts
+++ b/src/serving/quotaMessages.ts
@@ -4,9 +4,11 @@
  * @packageDocumentation
  */
 import * as z from "zod";
+import type { QuotaAsk } from "../fairness/index.js";
 import {
     type ClientAccountId,
     createListSchema,
+    maximumCount,
     maximumQuotaUnits,
     type Milliseconds,
     nameSchema,
@@ -24,14 +26,24 @@
     readonly allowance: number;
     /** Whether the request takes up a stream of which its client already has a part. */
     readonly isResumed?: boolean;
+    /** Instances of the build before don't say so; their requests are decided in order of arrival. */
+    readonly urgency?: QuotaUrgency;
 }
 
+/** How urgent a request is among those of its account. */
+export type QuotaUrgency = Omit<QuotaAsk, "units">;
+
 /** Decision on a request for units. */
 export type QuotaDecision =
     /** The request may go on after `delay`, so that it keeps to the rate. */
     | { readonly kind: "admitted"; readonly delay: Milliseconds; }
     /** `wait` is the time until the quota has enough units. */
-    | { readonly kind: "exceeded"; readonly wait: Milliseconds; };
+    | {
+        readonly kind: "exceeded";
+        readonly wait: Milliseconds;
+        /** Whether each refused request is told another time, so that no random time is added. */
+        readonly isOrdered?: boolean;
+    };
 
 /** What the previous holder of a shard hands to the next one. */
 export interface HandedQuotas {
@@ -53,9 +65,16 @@
         admittedAlone: units,
         allowance: units,
         isResumed: z.boolean().optional(),
+        urgency: z.object({
+            kind: nameSchema,
+            priority: z.number().min(0).max(maximumCount),
+            objectiveLeft: waitSchema,
+            waited: waitSchema,
+            timeLeft: waitSchema,
+        }).optional(),
     }),
     z.object({ kind: z.literal("admitted"), delay: waitSchema }),
-    z.object({ kind: z.literal("exceeded"), wait: waitSchema }),
+    z.object({ kind: z.literal("exceeded"), wait: waitSchema, isOrdered: z.boolean().optional() }),
     // `holder` is the one to which the shard has moved, where the sender knows it
     z.object({ kind: z.literal("notHolder"), holder: nameSchema.optional() }),
     // units of a request that was admitted, and that no server has run
--- a/src/serving/requestAdmission.ts
+++ b/src/serving/requestAdmission.ts
@@ -6,7 +6,7 @@
  */
 import type { RequestDigest } from "../quarantine/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
-import { type Admission, applyQuota, decideAdmission } from "./admission.js";
+import { type Admission, applyQuota, decideAdmission, type RequestTimes } from "./admission.js";
 import {
     drawStoppingRetryAfter,
     quarantineReasons,
@@ -64,7 +64,7 @@
         deadlineAt,
     );
     const admission = decided.kind === "admitted"
-        ? await waitForAdmission(parts, decided, request, deadlineAt, signal)
+        ? await waitForAdmission(parts, decided, request, { deadlineAt, objectiveAt }, signal)
         : decided;
     return { admission, digest, deadlineAt, objectiveAt };
 }
@@ -74,15 +74,16 @@
     parts: RequestParts,
     decided: Extract<Admission, { readonly kind: "admitted"; }>,
     request: ClientRequest,
-    deadlineAt: Milliseconds,
+    times: RequestTimes,
     signal: AbortSignal,
 ): Promise<Admission> {
+    const { deadlineAt } = times;
     const { route, account } = decided;
     const wait = limitRequestWait(parts, { route, deadlineAt }, signal);
     try {
         const located = await applyStreamOrigin(parts.origins, decided, request, wait.signal);
         const admission = located.kind === "admitted"
-            ? await applyQuota(parts, located, request, wait.signal)
+            ? await applyQuota(parts, located, request, times, wait.signal)
             : located;
         if (admission.kind !== "clientLeft" || signal.aborted) {
             return admission;
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -197,6 +197,8 @@
         countInstances,
         isCounted: instance => instance === self.id || directory.findAddress(instance) !== undefined,
         findShard: findAccountShard,
+        onRush: ({ state, ...rush }) =>
+            log.info(state === "begun" ? "account over its quota" : "account within its quota", { ...rush }),
     });
     const quotas = createQuotaClient({
         self: self.id,
@@ -329,6 +331,7 @@
         requestAges: createRequestAges(),
         shutdown,
         onBroken: metrics.countBrokenAnswer,
+        onQuotaDecision: metrics.countQuotaUnits,
         onResumed: metrics.countResumedStream,
     };
     const handleRequest = async (received: ReceivedRequest): Promise<void> => {
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -8,6 +8,7 @@
 import type { LoadStatus } from "../adapters/loadScheduler.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
+import type { DecidedUnits } from "./admission.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
 
 /** Metrics of an instance. */
@@ -23,6 +24,8 @@
     readonly countResumedStream: (by: StreamResumer) => void;
     /** Counts an attempt that was sent through another instance, as this one reached no server. */
     readonly countForwardedAttempt: () => void;
+    /** Counts the units of a client account's quota that a request got or was refused. */
+    readonly countQuotaUnits: (decided: DecidedUnits) => void;
     /** Counts a server whose responses announce that it is about to stop. */
     readonly countLeavingServer: () => void;
     /** Counts a request whose client had disconnected when it was read. */
@@ -52,6 +55,8 @@
 const latencyBuckets = [0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2.5, 5, 10];
 /** Client accounts beyond this number share the label `other`, which limits the number of time series. */
 const accountLabelLimit = 50;
+/** Routes beyond this number share the label `other` in series that have an account too. */
+const routeLabelLimit = 10;
 const notFoundStatus = 404;
 
 /**
@@ -68,6 +73,7 @@
     const registry = new Registry();
     const registers = [registry];
     const accounts = new Set<string>();
+    const routes = new Set<string>();
     const requests = new Counter({
         name: "oriolehatch_requests_total",
         help: "Requests by outcome and status",
@@ -199,6 +205,19 @@
             listUndecodedHeaders().forEach(({ source, name, count }) => this.set({ source, name }, count));
         },
     });
+    const quotaUnits = new Counter({
+        name: "oriolehatch_quota_units_total",
+        help: "Units of quotas that requests got or were refused, by kind of request",
+        labelNames: ["outcome", "route", "account"],
+        registers,
+    });
+    const limitRouteLabel = (name: string): string => {
+        if (!routes.has(name) && routes.size >= routeLabelLimit) {
+            return "other";
+        }
+        routes.add(name);
+        return name;
+    };
     const limitAccountLabel = (name: string | undefined): string => {
         if (name === undefined) {
             return "none";
@@ -240,6 +259,8 @@
         countBrokenAnswer: () => brokenAnswers.inc(),
         countResumedStream: by => resumedStreams.inc({ by }),
         countForwardedAttempt: () => forwardedAttempts.inc(),
+        countQuotaUnits: ({ account, route, units, outcome }) =>
+            quotaUnits.inc({ outcome, route: limitRouteLabel(route), account: limitAccountLabel(account) }, units),
         countLeavingServer: () => leavingServers.inc(),
         countUnreadRequest: () => unreadRequests.inc(),
         observeLoopDelay: delay => loopDelaySeconds.observe(delay / millisecondsPerSecond),
