fix(serving): quotas are given through the loss of their holder and from the start on

The bucket of a new holder begins empty. An instance that had used a part of its start allowance alone lost the rest of it when a holder answered, and a request that overtook the one with the allowance was refused, within the quota.

Instances report the time in which the process of their holder had ended, once for each account, and the next holder adds their part of what the rate gave then. Instances whose account was over its quota spread what they may admit alone over its 1.2 s. The rest of a start allowance is passed on, and who is refused while it is on its way asks again.

--- a/src/serving/__tests__/quotaRush.test.ts
+++ b/src/serving/__tests__/quotaRush.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import fc from "fast-check";
 import {
     type CallerKind,
     type CallerRequest,
@@ -7,6 +8,7 @@
     sumCallerUnits,
 } from "../../bench/limits/quotaCallers.js";
 import type { Milliseconds } from "../../shared/index.js";
+import { createAccountShards } from "../quotaClient.js";
 import type { ServingAccount } from "../types.js";
 import { createQuotaFleet, findLargestWindow, type QuotaFleet } from "./quotaFleet.js";
 
@@ -16,6 +18,8 @@
 const surgeMilliseconds = 16_000;
 const peak = settleMilliseconds + 5_000;
 const end = settleMilliseconds + surgeMilliseconds;
+/** Time from a kill until its process has started again, and until clients are sent there. */
+const restartMilliseconds = 700;
 const usualRatio = 0.6;
 const requiredShare = 0.97;
 
@@ -103,6 +107,15 @@
     }
 }
 
+function endHolder(fleet: QuotaFleet, account: string, downtime: Milliseconds): void {
+    const owner = fleet.store.findOwner(createAccountShards(4)(account));
+    if (owner !== undefined && fleet.isRunning(owner)) {
+        fleet.kill(owner);
+        fleet.history.schedule(downtime, () => fleet.start(owner));
+        fleet.history.schedule(downtime + restartMilliseconds, () => fleet.rotation.add(owner));
+    }
+}
+
 describe("quota of an account whose least urgent kind surges to six times its usual rate", function() {
     this.timeout(120_000);
 
@@ -142,6 +155,31 @@
         expect(measureLeastGiven(played, played.accounts[0]!)).to.be.at.least(requiredShare);
     });
 
+    // guards against tokens that nobody gets between two holders
+    for (const downtime of [700, 2_500, 60_000]) {
+        it(`is given through the loss of its holder at the peak, back after ${downtime} ms`, async () => {
+            for (const seed of [1, 2, 3]) {
+                const applyFault = (fleet: QuotaFleet): void => endHolder(fleet, "account-0", downtime);
+                const played = await runRush({ seed, multiple: 6, applyFault });
+                expect(measureLeastGiven(played, played.accounts[0]!), `seed ${seed}`).to.be.at.least(requiredShare);
+                const [urgent] = measureOnTime(played, "account-0");
+                expect(urgent, `seed ${seed}`).to.be.above(0.85);
+                expectQuotaKept(played);
+            }
+        });
+    }
+
+    it("is given through a planned stop of its holder at the peak", async () => {
+        const played = await runRush({
+            seed: 1,
+            multiple: 6,
+            applyFault: fleet => fleet.stop(fleet.store.findOwner(createAccountShards(4)("account-0"))!),
+        });
+        expect(measureLeastGiven(played, played.accounts[0]!)).to.be.at.least(requiredShare);
+        expect(measureOnTime(played, "account-0")[0]).to.be.above(0.9);
+        expectQuotaKept(played);
+    });
+
     it("is given while the store says nothing to any instance throughout the surge", async () => {
         const load: Load = {
             seed: 1,
@@ -156,11 +194,40 @@
         }
         expectQuotaKept(played);
     });
+
+    // guards against units that are made up for twice: rates, sizes and holders lost one after the other
+    it("is kept as holders are killed again and again", async () => {
+        const scenario = fc.record({
+            seed: fc.integer({ min: 1, max: 1_000_000 }),
+            size: fc.constantFrom(3, 8, 40),
+            rate: fc.constantFrom(4_200, 20_000, 100_000),
+            downtime: fc.constantFrom(100, 700, 3_000),
+            pause: fc.integer({ min: 500, max: 4_000 }),
+        });
+        await fc.assert(
+            fc.asyncProperty(scenario, async ({ downtime, pause, ...load }) => {
+                const applyFault = (fleet: QuotaFleet): void =>
+                    [0, 1, 2].forEach(turn =>
+                        fleet.history.schedule(turn * pause, () => endHolder(fleet, "account-0", downtime))
+                    );
+                expectQuotaKept(await runRush({ ...load, multiple: 6, applyFault }));
+            }),
+            { seed: 5, numRuns: Number(process.env.QUOTA_RUNS ?? 10), endOnFailure: true },
+        );
+    });
 });
 
 describe("quota of an account that stays within it", function() {
     this.timeout(120_000);
 
+    // guards against 429 within the quota in the first seconds after a start
+    for (const size of [3, 20, 60]) {
+        it(`refuses nothing from the start of ${size} instances on`, async () => {
+            const { fleet } = await runRush({ seed: size, size, multiple: 1 });
+            expect(fleet.refused).to.deep.equal([]);
+        });
+    }
+
     it("gives the same with and without the order", async () => {
         const [ordered, before] = await Promise.all([true, false].map(async isOrdered => {
             const { fleet } = await runRush({ seed: 9, multiple: 1.4, isOrdered });
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -45,15 +45,24 @@
     admittedAlone: number;
     /** `undefined` until the number of instances is known, among which it is divided. */
     allowance: number | undefined;
+    /** Resolves when the request has been decided with which the allowance is on its way to the holder. */
+    pendingAllowance: Promise<void> | undefined;
     /** Units that may still be admitted without a holder; `undefined` while one responds. */
     ownUnits: number | undefined;
     ownUnitsAt: Milliseconds;
+    /** Units that become `ownUnits` as time passes, and how many of them in a millisecond. */
+    pacedUnits: number;
+    pace: number;
+    /** Time at which the holder last refused a request. */
+    refusedAt: Milliseconds;
 }
 
 /** Time over which the units that this instance admits are averaged. */
 const averagingMilliseconds = 10_000;
 /** Time for which an instance goes on admitting its average units when its holder falls silent. */
 const ownAdmissionMilliseconds = 1_200;
+/** Time after a refusal in which an account counts as over its quota. */
+const rushMilliseconds = 1_000;
 /** Part of this instance's equal share of the rate that it admits on its own from then on. */
 const ownRateRatio = 0.25;
 /** Wait told to the client when this instance has used up what it may admit on its own. */
@@ -74,8 +83,12 @@
                 admitted: [],
                 admittedAlone: 0,
                 allowance: undefined,
+                pendingAllowance: undefined,
                 ownUnits: undefined,
                 ownUnitsAt: 0,
+                pacedUnits: 0,
+                pace: 0,
+                refusedAt: Number.NEGATIVE_INFINITY,
             };
             states.set(account, state);
         }
@@ -95,25 +108,64 @@
         state.admitted
             .filter(entry => now - entry.at <= averagingMilliseconds)
             .reduce((sum, entry) => sum + entry.units, 0);
+    // an account over its quota would use up all of it at once, and have nothing until the next holder decides
+    const startAlone = (state: AccountState, now: Milliseconds): void => {
+        state.pace = sumAdmitted(state, now) / averagingMilliseconds;
+        const units = state.pace * ownAdmissionMilliseconds;
+        const isPaced = now - state.refusedAt < rushMilliseconds;
+        state.ownUnits = isPaced ? 0 : units;
+        state.pacedUnits = isPaced ? units : 0;
+    };
     const takeAlone = (state: AccountState, quota: AccountQuota, units: number): QuotaDecision => {
         const now = options.now();
         const instances = options.countInstances() ?? Number.POSITIVE_INFINITY;
         const share = quota.ratePerSecond * ownRateRatio / instances / millisecondsPerSecond;
-        state.ownUnits = state.ownUnits === undefined
-            ? sumAdmitted(state, now) * ownAdmissionMilliseconds / averagingMilliseconds
-            : state.ownUnits + share * (now - state.ownUnitsAt);
-        state.ownUnits += state.allowance ?? 0;
-        state.allowance = state.allowance === undefined ? undefined : 0;
+        const elapsed = now - state.ownUnitsAt;
+        const paced = Math.min(state.pacedUnits, state.pace * elapsed);
+        if (state.ownUnits === undefined) {
+            startAlone(state, now);
+        }
+        else {
+            state.pacedUnits -= paced;
+            state.ownUnits += paced + share * elapsed;
+        }
+        state.ownUnits ??= 0;
         state.ownUnitsAt = now;
         // few units, less than a request needs, admit one with a probability that gives the same mean
-        const isAdmitted = options.random.next() * units < state.ownUnits;
-        state.ownUnits = Math.max(0, state.ownUnits - units);
+        const isAdmitted = options.random.next() * units < state.ownUnits + (state.allowance ?? 0);
+        // what is left of the allowance is passed on to the next holder
+        const allowed = Math.min(units, state.allowance ?? 0);
+        state.allowance = state.allowance === undefined ? undefined : state.allowance - allowed;
+        state.ownUnits = Math.max(0, state.ownUnits - (units - allowed));
         if (!isAdmitted) {
             return { kind: "exceeded", wait: ownWaitMilliseconds };
         }
-        state.admittedAlone += units;
+        state.admittedAlone += units - allowed;
         return { kind: "admitted", delay: 0 };
     };
+    const requestUnits = async (
+        state: AccountState,
+        request: Omit<QuotaRequest, "admittedAlone" | "allowance">,
+    ): Promise<QuotaDecision | undefined> => {
+        const { admittedAlone, allowance = 0 } = state;
+        // requests that are decided at the same time must not pass the same units on twice
+        state.admittedAlone = 0;
+        state.allowance = state.allowance === undefined ? undefined : 0;
+        const asked = options.ask({ ...request, admittedAlone, allowance }).then(decision => {
+            if (!decision) {
+                state.admittedAlone += admittedAlone;
+                state.allowance = state.allowance === undefined ? undefined : state.allowance + allowance;
+            }
+            return decision;
+        });
+        if (allowance > 0) {
+            const pending = asked.then(() => {
+                state.pendingAllowance = state.pendingAllowance === pending ? undefined : state.pendingAllowance;
+            });
+            state.pendingAllowance = pending;
+        }
+        return asked;
+    };
     return {
         take: async (account, units, isResumed = false, urgency = undefined) => {
             const { quota } = account;
@@ -121,27 +173,23 @@
                 return { kind: "admitted", delay: 0 };
             }
             const state = getState(account.name, quota);
-            const { admittedAlone, allowance = 0 } = state;
-            // requests that are decided at the same time must not pass the same units on twice
-            state.admittedAlone = 0;
-            state.allowance = state.allowance === undefined ? undefined : 0;
-            const decision = await options.ask({
-                account: account.name,
-                units,
-                admittedAlone,
-                allowance,
-                isResumed,
-                ...(urgency && { urgency }),
-            });
+            const request = { account: account.name, units, isResumed, ...(urgency && { urgency }) };
+            let decision = await requestUnits(state, request);
+            // the start allowance may be on its way with another request, which this one has overtaken
+            if (decision?.kind !== "admitted" && state.pendingAllowance) {
+                await state.pendingAllowance;
+                decision = await requestUnits(state, request);
+            }
             if (!decision) {
-                state.admittedAlone += admittedAlone;
-                state.allowance = state.allowance === undefined ? undefined : state.allowance + allowance;
                 return takeAlone(state, quota, units);
             }
             state.ownUnits = undefined;
             if (decision.kind === "admitted") {
                 recordAdmitted(state, units, options.now());
             }
+            else {
+                state.refusedAt = options.now();
+            }
             return decision;
         },
         giveBack: (account, units) => {
--- a/src/serving/quotaClient.ts
+++ b/src/serving/quotaClient.ts
@@ -9,6 +9,7 @@
 import { type ClientAccountId, type Clock, hashForRendezvous, type InstanceId } from "../shared/index.js";
 import { runTask, startTask } from "../supervision/index.js";
 import { createQuotaDeciders } from "./quotaDeciders.js";
+import { claimQuotaGap, endQuotaGap, openQuotaGap, type QuotaGap, withdrawQuotaGap } from "./quotaGaps.js";
 import { createQuotaHandover } from "./quotaHandover.js";
 import type { QuotaHolder } from "./quotaHolder.js";
 import { type QuotaDecision, type QuotaMessage, quotaMessageSchema, type QuotaRequest } from "./quotaMessages.js";
@@ -100,6 +101,22 @@
     const deciders = createQuotaDeciders(options);
     const handover = createQuotaHandover({ ...options, deciders });
     const isDecidedHere = (account: ClientAccountId): boolean => handover.mayDecide(findShard(account));
+    const gaps = new Map<number, QuotaGap>();
+    const setGap = (shard: number, gap: QuotaGap | undefined): void => {
+        if (gap) {
+            gaps.set(shard, gap);
+        }
+        else {
+            gaps.delete(shard);
+        }
+    };
+    // requests that are decided at the same time must not report the same gap twice
+    const addGap = (request: QuotaRequest): QuotaRequest => {
+        const shard = findShard(request.account);
+        const { duration, gap } = claimQuotaGap(gaps.get(shard), request.account, clock.now());
+        setGap(shard, gap);
+        return duration > 0 ? { ...request, gap: duration } : request;
+    };
     const decideNow = (from: InstanceId, request: QuotaRequest): QuotaDecision => {
         const decision = quotaHolder.take(from, request, clock.now());
         // what this bucket lacks the next holder may have
@@ -111,6 +128,12 @@
         const pending = handover.findPending(findShard(request.account));
         return pending === undefined ? decideNow(from, request) : pending.then(() => decideNow(from, request));
     };
+    const decideOwn = (request: QuotaRequest): QuotaDecision | Promise<QuotaDecision> => {
+        const shard = findShard(request.account);
+        const reported = addGap(request);
+        setGap(shard, endQuotaGap(gaps.get(shard), clock.now()));
+        return decide(self, reported);
+    };
     // who is asked counts this instance, and is told by the next tick if it isn't the one that is asked from now on
     const recordAsked = (holder: InstanceId, shard: number): void => {
         const told = toldShards.get(holder) ?? [];
@@ -162,15 +185,25 @@
         let isGone = deciders.listLikely(shard).some(holders.isSilent);
         for (let next = findNext(); next !== undefined && asked.size < maximumAskedHolders; next = findNext()) {
             asked.add(next);
-            const answer = await requestUnits(next, request);
+            const reported = addGap(request);
+            const isLikely = deciders.listLikely(shard)[0] === next;
+            const answer = await requestUnits(next, reported);
+            const isReceived = answer?.kind !== "gone" && answer?.kind !== "notHolder";
+            if (reported !== request && !isReceived) {
+                setGap(shard, withdrawQuotaGap(gaps.get(shard), request.account));
+            }
             switch (answer?.kind) {
                 case undefined:
                     return undefined;
                 case "admitted":
                 case "exceeded":
+                    setGap(shard, endQuotaGap(gaps.get(shard), clock.now()));
                     deciders.markDecided(shard, next);
                     return answer;
                 case "gone":
+                    if (isLikely) {
+                        setGap(shard, openQuotaGap(gaps.get(shard), clock.now()));
+                    }
                     deciders.markWrong(shard, next);
                     isGone = true;
                     break;
@@ -239,7 +272,7 @@
     return {
         ask: async request => {
             if (isDecidedHere(request.account)) {
-                return decide(self, request);
+                return decideOwn(request);
             }
             const shard = findShard(request.account);
             if (deciders.listLikely(shard).length === 0) {
@@ -261,7 +294,7 @@
             }
             // the shard may have come here meanwhile
             if (isDecidedHere(request.account)) {
-                return decide(self, request);
+                return decideOwn(request);
             }
             const second = await requestInTurn(request);
             return second?.kind === "admitted" || second?.kind === "exceeded" ? second : undefined;
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -14,8 +14,9 @@
     recordGiven,
     recordRefused,
 } from "../fairness/index.js";
-import type { ClientAccountId, InstanceId, Milliseconds } from "../shared/index.js";
+import { type ClientAccountId, type InstanceId, type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { createQuotaBucket, type QuotaBucket } from "./quotaBucket.js";
+import { longestGapMilliseconds } from "./quotaGaps.js";
 import type { HandedQuotas, QuotaDecision, QuotaRequest } from "./quotaMessages.js";
 import type { AccountQuota, ServingAccount } from "./types.js";
 
@@ -89,6 +90,10 @@
 const shareUpdateMilliseconds = 100;
 /** Time in which the instances that asked the previous holder say that they ask here. */
 const handedShareMilliseconds = 1_000;
+/** Time in which the share of a new holder grows, as the instances ask it one after the other. */
+const gapMarginMilliseconds = 150;
+/** A shorter gap is that of an instance whose map was old: the holder's share had grown before. */
+const marginGapMilliseconds = 300;
 /** Kinds of request with figures of their own in the report of a rush. */
 const maximumReportedKinds = 16;
 
@@ -225,6 +230,8 @@
             const bucket = getBucket(request.account, quota, now);
             bucket.grant(request.allowance);
             bucket.charge(request.admittedAlone, now);
+            // the sender's part of what the rate gave while there was no holder, and of which it has used `admittedAlone`
+            bucket.giveBack(computeGapUnits(quota, request.gap ?? 0, options.countInstances()), now);
             return takeInOrder(bucket, request, now);
         },
         giveBack: (account, units, now) => buckets.get(account)?.giveBack(units, now),
@@ -286,3 +293,9 @@
         },
     };
 }
+
+function computeGapUnits(quota: AccountQuota, gap: Milliseconds, instances: number | undefined): number {
+    const margin = gap >= marginGapMilliseconds ? gapMarginMilliseconds : 0;
+    const duration = Math.min(gap, longestGapMilliseconds) + margin;
+    return quota.ratePerSecond * duration / millisecondsPerSecond / (instances ?? Number.POSITIVE_INFINITY);
+}
--- a/src/serving/quotaMessages.ts
+++ b/src/serving/quotaMessages.ts
@@ -26,6 +26,8 @@
     readonly allowance: number;
     /** Whether the request takes up a stream of which its client already has a part. */
     readonly isResumed?: boolean;
+    /** Time in which nobody decided for the sender's requests of this account, as the process of its holder had ended. */
+    readonly gap?: Milliseconds;
     /** Instances of the build before don't say so; their requests are decided in order of arrival. */
     readonly urgency?: QuotaUrgency;
 }
@@ -65,6 +67,7 @@
         admittedAlone: units,
         allowance: units,
         isResumed: z.boolean().optional(),
+        gap: waitSchema.optional(),
         urgency: z.object({
             kind: nameSchema,
             priority: z.number().min(0).max(maximumCount),
