--- a/src/bench/limits.ts
+++ b/src/bench/limits.ts
@@ -7,6 +7,7 @@
 import type { Bench, BenchLine, BenchRun } from "./harness.js";
 import { type Baseline, createCentralBucket, createEqualSplit, createSyncedBuckets } from "./limits/baselines.js";
 import { measureCost } from "./limits/cost.js";
+import { runQuotaRush, rushKinds } from "./limits/quotaRush.js";
 import {
     type AccountFigures,
     runBaselineScenario,
@@ -39,6 +40,7 @@
         ...measureReservation(run.seed),
         ...measureSlopes(run.seed),
         ...measureSliceSizes(run.seed),
+        ...(await measureRush(run.seed)),
         ...(run.wallClock ? listCosts() : []),
     ];
 }
@@ -337,6 +339,30 @@
     });
 }
 
+// the baseline is the order of arrival, in which requests of builds before are decided
+async function measureRush(seed: number): Promise<readonly BenchLine[]> {
+    const [ours, arrival] = await Promise.all([runQuotaRush(seed, true), runQuotaRush(seed, false)]);
+    const source = "docs/design/overload.md, part 5";
+    return [
+        ...rushKinds.map(({ name }) =>
+            buildLine(
+                `quota in a rush: ${name} kind given in time`,
+                "%",
+                ours.onTime.get(name)! * 100,
+                undefined,
+                arrival.onTime.get(name)! * 100,
+            )
+        ),
+        buildLine(
+            "quota in a rush: least part given in a window",
+            "% of quota",
+            ours.given * 100,
+            { kind: "atLeast", value: 97, source },
+            arrival.given * 100,
+        ),
+    ];
+}
+
 const sliceInstances = 64;
 
 // what a request costs depends on how many requests a slice holds
