--- a/src/serving/__tests__/servingMetrics.test.ts
+++ b/src/serving/__tests__/servingMetrics.test.ts
@@ -48,4 +48,18 @@
             'oriolehatch_end_silence_seconds_count{by="stop"} 1',
         ]);
     });
+
+    // guards against a number of series that grows with the routes and accounts of a deployment
+    it("count units of quotas by route and account in a bounded number of series", async () => {
+        const metrics = createServingMetrics(() => ({ running: 0, waiting: 0, capacity: 8 }));
+        for (let index = 0; index < 20_000; index++) {
+            const names = { account: `a${index % 200}`, route: `r${Math.floor(index / 200)}` };
+            metrics.countQuotaUnits({ ...names, units: 3, outcome: "exceeded" });
+        }
+        const lines = (await metrics.render()).split("\n").filter(line =>
+            line.startsWith("oriolehatch_quota_units_total{")
+        );
+        expect(lines.length).to.be.within(100, 51 * 11);
+        expect(lines).to.include('oriolehatch_quota_units_total{outcome="exceeded",route="r0",account="a0"} 3');
+    });
 });
