--- a/src/fairness/index.ts
+++ b/src/fairness/index.ts
@@ -6,6 +6,7 @@
 export * from "./batchSlotReserve.js";
 export * from "./fairQueue.js";
 export * from "./placeOrder.js";
+export * from "./quotaOrder.js";
 export * from "./returnTimes.js";
 export * from "./roomEstimate.js";
 export * from "./shareLedger.js";
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -11,6 +11,7 @@
 import type { PacedPermitCounts } from "../adapters/serverPermits.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
+import type { DecidedUnits } from "./admission.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
 
 /** Metrics of an instance. */
@@ -26,6 +27,8 @@
     readonly countResumedStream: (by: StreamResumer) => void;
     /** Counts an attempt that was sent through another instance, as this one reached no server. */
     readonly countForwardedAttempt: () => void;
+    /** Counts the units of a client account's quota that a request got or was refused. */
+    readonly countQuotaUnits: (decided: DecidedUnits) => void;
     /** Counts a server whose responses announce that it is about to stop. */
     readonly countLeavingServer: () => void;
     /** Counts a request whose client had disconnected when it was read. */
@@ -66,6 +69,8 @@
 /** Upper bounds of the buckets for prompt tokens that an engine has still to read, and for its slowness. */
 const unreadTokenBuckets = [0, 500, 1_000, 2_000, 4_000, 8_000, 16_000];
 const slownessBuckets = [0.6, 0.8, 1, 1.25, 1.5, 2, 3];
+/** Routes beyond this number share the label `other` in series that have an account too. */
+const routeLabelLimit = 10;
 const notFoundStatus = 404;
 
 /** States that are read for each scrape. */
@@ -100,6 +105,7 @@
     const registers = [registry];
     const accounts = new Set<string>();
     const routes = new Set<string>();
+    const quotaRoutes = new Set<string>();
     const requests = new Counter({
         name: "oriolehatch_requests_total",
         help: "Requests by outcome and status",
@@ -302,11 +308,17 @@
             listUndecodedHeaders().forEach(({ source, name, count }) => this.set({ source, name }, count));
         },
     });
-    const limitLabel = (known: Set<string>, name: string | undefined): string => {
+    const quotaUnits = new Counter({
+        name: "oriolehatch_quota_units_total",
+        help: "Units of quotas that requests got or were refused, by kind of request",
+        labelNames: ["outcome", "route", "account"],
+        registers,
+    });
+    const limitLabel = (known: Set<string>, name: string | undefined, limit = labelLimit): string => {
         if (name === undefined) {
             return "none";
         }
-        if (!known.has(name) && known.size >= labelLimit) {
+        if (!known.has(name) && known.size >= limit) {
             return "other";
         }
         known.add(name);
@@ -344,6 +356,12 @@
         countBrokenAnswer: () => brokenAnswers.inc(),
         countResumedStream: by => resumedStreams.inc({ by }),
         countForwardedAttempt: () => forwardedAttempts.inc(),
+        countQuotaUnits: ({ account, route, units, outcome }) =>
+            quotaUnits.inc({
+                outcome,
+                route: limitLabel(quotaRoutes, route, routeLabelLimit),
+                account: limitAccountLabel(account),
+            }, units),
         countLeavingServer: () => leavingServers.inc(),
         countUnreadRequest: () => unreadRequests.inc(),
         countRoomDecision: ({ route, account, result }) => {
