feat(serving): a request waits for its turn at cold servers within its objective

Cause: where all servers of a service are cold, requests that they would have taken a moment later were refused (served share 0.90 at 4 requests a second over two cold servers). Change: such a request for a plain server waits for the turn that the holder gave, if that is within its objective, else Retry-After is the turn. Of turns that were asked for at the same time the first one counts. Verified: coldServer (failed before), runRequest, requestWaits, leavingClients and instancePermits tests.

--- a/src/adapters/permitClient.ts
+++ b/src/adapters/permitClient.ts
@@ -151,7 +151,10 @@
             const rate = limit?.requestsPerSecond ?? options.cold.findRate(run, false, true) ?? 0;
             const answer = await options.ask(holder, server, rate, coldFor);
             const wait = answer?.wait ?? unansweredWaitMilliseconds;
-            waitUntil.set(run, clock.now() + wait);
+            // of the turns that requests asked for at the same time, the first one
+            const known = waitUntil.get(run) ?? 0;
+            const turnAt = clock.now() + wait;
+            waitUntil.set(run, known > clock.now() ? Math.min(known, turnAt) : turnAt);
             if (wait > 0) {
                 return undefined;
             }
--- a/src/serving/__tests__/coldServer.test.ts
+++ b/src/serving/__tests__/coldServer.test.ts
@@ -5,7 +5,7 @@
 
 const coldMilliseconds = 60_000;
 const allowed = 15.5;
-const requestIntervalMilliseconds = 12;
+const usualIntervalMilliseconds = 12;
 const instances = 3;
 /** Time in which what an instance has learned from a response reaches the holder, and what is under way arrives. */
 const noticeMilliseconds = 400;
@@ -28,6 +28,7 @@
 async function runFleet(
     servers: number,
     disturb: (run: ColdRun) => Promise<void>,
+    requestInterval = usualIntervalMilliseconds,
 ): Promise<ColdResult> {
     let coldServers = 0;
     let statedBy: readonly string[] = [];
@@ -53,7 +54,7 @@
         const instance = count % instances;
         const request = { id: `${instance}-${count}`, parts: ["first", `own-${count}`], key: "acme-key" };
         answers.push(fleet.send(instance, request).then(({ status }) => void (served += status === 200 ? 1 : 0)));
-    }, requestIntervalMilliseconds);
+    }, requestInterval);
     await pause(300);
     await disturb({
         fleet,
@@ -167,6 +168,20 @@
     });
 });
 
+describe("servers that are all cold", function() {
+    this.timeout(30_000);
+
+    // guards against requests that are refused though the servers would take them a moment later
+    it("serve as many requests as they tolerate, which wait for a permit within their objective", async () => {
+        const { most, servedShare } = await runFleet(2, async ({ setCold }) => {
+            setCold(2, ["response", "entry"]);
+            await pause(5_000);
+        }, 250);
+        expect(most).to.be.at.most(allowed);
+        expect(servedShare).to.be.at.least(0.95);
+    });
+});
+
 describe("servers that return cold together after they were out of reach", function() {
     this.timeout(30_000);
 
--- a/src/serving/runRequest.ts
+++ b/src/serving/runRequest.ts
@@ -32,6 +32,8 @@
 import { chooseServer } from "./serverChoice.js";
 import { type BackendServer, type ClientRequest, formatServerRunId, type ServerRunId } from "./types.js";
 
+/** Shortest wait before a holder is asked again for a permit for a cold server. */
+const minimumTurnMilliseconds = 50;
 /** Maximum number of attempts of one request, including those that no server has received or run. */
 const maximumAttempts = 5;
 
@@ -331,8 +333,14 @@
             return undefined;
         }
         if (!server && unpermitted.length > 0) {
-            const waits = unpermitted.map(parts.permits.measureWait);
-            state.returnAt = Math.max(state.returnAt, parts.clock.now() + Math.min(...waits));
+            const wait = Math.max(minimumTurnMilliseconds, Math.min(...unpermitted.map(parts.permits.measureWait)));
+            const turnAt = parts.clock.now() + wait;
+            state.returnAt = Math.max(state.returnAt, turnAt);
+            if (turnAt < Math.min(state.objectiveAt, state.deadlineAt)) {
+                await parts.clock.sleep(wait, signal);
+                unpermitted.splice(0).forEach(run => excluded.delete(run));
+                continue;
+            }
         }
         if (!server || permit) {
             return server && { server, requiredVersion: undefined, permit, release: undefined };
