test: evacuations at engines with outdated adapters, in metrics, and their wire names

The gauge of evacuated domains, the log line on a short bound, and the wire names of homes and of the bound outside of src/platform have tests.

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -20,6 +20,8 @@
     /** Called with each report that is read. */
     readonly onReport?: (server: BackendServer) => void;
     readonly isEvacuated?: (server: BackendServer) => boolean;
+    /** Returns the time that has passed beside the sleeps. */
+    readonly readSkipped?: () => number;
     /** Called with each order that loads an adapter. */
     readonly onLoad?: (server: BackendServer, adapter: string) => void;
 }
@@ -61,7 +63,7 @@
             },
         },
         clock: {
-            now: () => now,
+            now: () => now + (hooks.readSkipped?.() ?? 0),
             // sleeps that can be cancelled are time limits, which don't pass here
             sleep: (duration, signal) => {
                 now += signal ? 0 : duration;
@@ -164,8 +166,10 @@
         const loads: string[] = [];
         const reports: string[] = [];
         const orders: string[] = [];
+        let skipped = 0;
         const coordinator = await createCoordinator(servers, {
             listUsable: () => usable,
+            readSkipped: () => skipped,
             isEvacuated: server => !usable.includes(server) && server !== staying,
             onLoad: (server, adapter) => loads.push(`${server.id} ${adapter}`),
             onOrder: server => orders.push(server.id),
@@ -180,6 +184,9 @@
         reports.length = 0;
         orders.length = 0;
         coordinator.handleEvacuation();
+        held.release("answered");
+        // an adapter that was in use a moment ago isn't replaced
+        skipped = 2_000;
         coordinator.recordVersion("base", "a1", 2, 0);
         coordinator.tick();
         await pause();
@@ -197,7 +204,6 @@
         coordinator.handleEvacuation();
         await pause();
         expect(reports).to.have.members(["i-2", "i-3"]);
-        held.release("answered");
     });
 
     // guards against a request that waits for a full engine for its whole time, though the engine is evacuated meanwhile
--- a/src/platform/__tests__/wireNames.test.ts
+++ b/src/platform/__tests__/wireNames.test.ts
@@ -13,7 +13,7 @@
     /\bkeyed\./,
     /\/log-(read|append|newest|join|leave|owners|trim|commit)/,
     /\/(kv-move|hold-take|kv-list|kv-events)\b/,
-    /\b(fencing_token|path_prefix|adapter_slots|cold_remaining_ms|can_resume|rate_per_s|end_offset|member_id)\b/,
+    /\b(fencing_token|path_prefix|adapter_slots|cold_remaining_ms|allowed_regions|evacuation_ms|can_resume|rate_per_s|end_offset|member_id)\b/,
 ];
 
 function listSources(folder: string): string[] {
--- a/src/serving/__tests__/evacuations.test.ts
+++ b/src/serving/__tests__/evacuations.test.ts
@@ -154,6 +154,16 @@
             expect(hops.reduce((sum, { duration }) => sum + duration, 0)).to.be.at.most(5_000);
         }
         expect(computeOwnAgeLimit("configuration")).to.be.below(5_000);
+        const lines: string[] = [];
+        for (const bound of [2_000, 1_999]) {
+            createEvacuations({
+                servers: createList(),
+                bound,
+                onChange: () => undefined,
+                writeLine: event => lines.push(event),
+            });
+        }
+        expect(lines).to.deep.equal(["bound on evacuations can't be kept"]);
     });
 });
 
--- a/src/serving/__tests__/servingMetrics.test.ts
+++ b/src/serving/__tests__/servingMetrics.test.ts
@@ -33,6 +33,15 @@
         expect(text).to.contain('oriolehatch_adapter_loads{state="capacity"} 8');
     });
 
+    // guards against an evacuation that only the log of its beginning shows
+    it("show evacuated failure domains and their servers at the time of the scrape", async () => {
+        const readEvacuated = () => ({ domains: 1, servers: 7 });
+        const metrics = createServingMetrics(() => ({ running: 0, waiting: 0, capacity: 8 }), undefined, readEvacuated);
+        const text = await metrics.render();
+        expect(text).to.contain('oriolehatch_evacuated{what="domains"} 1');
+        expect(text).to.contain('oriolehatch_evacuated{what="servers"} 7');
+    });
+
     // guards against a stop after which only the log of single requests says by whose hand answers ended
     it("count ends of answers by hand, with the time since the stop and the silence of those that aren't whole", async () => {
         const metrics = createServingMetrics(() => ({ running: 0, waiting: 0, capacity: 8 }));
