--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -1,6 +1,6 @@
 import { expect } from "chai";
 import { testLimits } from "../../adapters/__tests__/testEngine.js";
-import type { PlaceClient } from "../../adapters/placeClient.js";
+import type { AcquiredEngine, PlaceClient } from "../../adapters/placeClient.js";
 import type { QuarantineDecision } from "../../quarantine/index.js";
 import { createRequestAges } from "../../routing/index.js";
 import { createSeededRandom, createSystemClock } from "../../shared/index.js";
@@ -11,7 +11,7 @@
 import { readClocks } from "../freshness.js";
 import { createRegions } from "../homes.js";
 import type { QuotaDecision } from "../quotaMessages.js";
-import type { ClientResponse, RequestReport } from "../requestState.js";
+import type { ClientResponse, RequestReport, SelectedServer } from "../requestState.js";
 import { createRetryBudget } from "../retryBudget.js";
 import { runRequest } from "../runRequest.js";
 import type { AttemptHandlers, AttemptRequest } from "../serverConnections.js";
@@ -19,6 +19,7 @@
 import { createServerRecords } from "../serverRecords.js";
 import { createShutdown, type Shutdown } from "../shutdown.js";
 import type {
+    AnswerReport,
     BackendServer,
     ClientRequest,
     HeaderCodec,
@@ -53,6 +54,8 @@
     readonly onAnswerTime?: () => void;
     /** Whether the request's prompt is quarantined. */
     readonly isQuarantined?: boolean;
+    /** What is done with the place on an engine that the request gets. @default the service has no engines */
+    readonly place?: Pick<AcquiredEngine, "begin" | "release">;
     /** What throws: the request for a permit, or the sending of its attempt. */
     readonly failsAt?: "permit" | "send";
     /** Changes the list of servers, which are three in the failure domain a. */
@@ -169,7 +172,11 @@
     configuration.apply({
         version: 1,
         routes: [route],
-        services: new Map([["s", { name: "s", connectionLimit: 1, engine: requestCase.acquire && testLimits }]]),
+        services: new Map([["s", {
+            name: "s",
+            connectionLimit: 1,
+            engine: (requestCase.acquire ?? requestCase.place) && testLimits,
+        }]]),
         accounts: [{ name: "acme", keys: ["k"], priority: undefined, quota, ...requestCase.account }],
         limits: { headerBytes: 1, bodyBytes: 1, headerTimeout: 1, idleTimeout: 1 },
     });
@@ -219,13 +226,18 @@
         host: "h",
         key: requestCase.key ?? "k",
         deadline: 1_000,
-        choice: requestCase.acquire && { model: "base", adapter: "a1" },
+        choice: (requestCase.acquire ?? requestCase.place) && { model: "base", adapter: "a1" },
         tokens: undefined,
         prompt: undefined,
         lastEventId: undefined,
         resumed: undecided === "origin" ? { firstAttemptId: "0" } : undefined,
         passedHeaders: [],
     };
+    const acquirePlace: PlaceClient["acquire"] = () =>
+        Promise.resolve(
+            requestCase.place &&
+                { server: servers.listAll()[0]!, requiredVersion: undefined, permit: undefined, ...requestCase.place },
+        );
     const leaving = new AbortController();
     const running = runRequest(
         {
@@ -273,7 +285,7 @@
                 close: () => undefined,
             },
             headers,
-            adapters: { acquire: requestCase.acquire ?? (() => Promise.resolve(undefined)) },
+            adapters: { acquire: requestCase.acquire ?? acquirePlace },
             permits: {
                 recordLimit: () => undefined,
                 acquirePermit: () => {
@@ -404,6 +416,32 @@
         expect(routes).to.deep.equal(["r", undefined]);
     });
 
+    // guards against a holder that can't tell slow engines from fast ones, as it sees no answers
+    it("tells the holder of its place when the first event came, how fast events came, and the engine's load", async () => {
+        const load = { running: 3, waiting: 1, slots: 8, slowness: 1.5 };
+        const sendEvents: AttemptScript = handlers => {
+            handlers.onHead(createHead({ isEventStream: true, load }));
+            handlers.onData(Buffer.from("id: 1\ndata: a\n\n"));
+            handlers.onData(Buffer.from("id: 2\ndata: b\n\n"));
+            handlers.onEnd();
+        };
+        const begun: AnswerReport[] = [];
+        const ended: (AnswerReport | undefined)[] = [];
+        const release: SelectedServer["release"] = (outcome, report) => void ended.push(report);
+        await runCase({ route: resumable, attempts: [sendEvents], place: { release } });
+        expect(ended[0]).to.have.keys("firstEventAfter", "eventGap", "load");
+        expect(ended[0]!.firstEventAfter).to.be.at.least(0);
+        expect(ended[0]!.eventGap).to.be.at.least(0);
+        expect(ended[0]!.load).to.deep.include({ running: 3, waiting: 1 });
+        const begin = (report: AnswerReport): void => void begun.push(report);
+        await runCase({ route: resumable, attempts: [sendEvents], place: { release, begin } });
+        expect(begun).to.have.length(1);
+        expect(begun[0]!.firstEventAfter).to.be.at.least(0);
+        expect(ended[1]!.firstEventAfter).to.equal(undefined);
+        await runCase({ attempts: [failConnection, failConnection], place: { release } });
+        expect(ended[2]).to.deep.include({ firstEventAfter: undefined, eventGap: undefined });
+    });
+
     // guards against sound answers that are lost for want of memory, and against an event that takes all of it
     it("is delivered as it arrives, or goes on elsewhere, when answers hold too much", async () => {
         const sendInPieces: AttemptScript = handlers => {
