fix(adapters): places of instances that ended don't make their engines full until the deadlines of their requests

Cause: a place whose instance was killed is free only at its request's deadline, up to 20 s later; a holder that refuses for want of room would refuse while its engines are idle. Change: places that were taken over four mean durations ago, and over 2 s, aren't counted for room. Verified: engineRoom.test (new, 3 pass; the first failed before), scarcePlaces, adapterCoordinator, placeClient tests pass.

--- a/src/adapters/engineRoom.ts
+++ b/src/adapters/engineRoom.ts
@@ -85,6 +85,12 @@
 const durationLifetimeMilliseconds = 30_000;
 /** Weight of the newest request in the mean duration. */
 const durationWeight = 0.05;
+/**
+ * Multiple of the mean duration after which a place counts as lost with its instance. A request that takes longer than
+ * this is one more on its engine than slots, which the engine queues.
+ */
+const lostDurationFactor = 4;
+const shortestLossMilliseconds = 2_000;
 /** Usual time of a load. An adapter is loaded on one more engine only where its engines have no room for longer. */
 const loadMilliseconds = 300;
 /** Longest time that a refusal names; an estimate that is longer says little. */
@@ -102,6 +108,8 @@
     const estimator = options.estimator ?? slotRoomEstimator;
     const reservations = new Map<string, ServerRunId>();
     const reservedCounts = new Map<ServerRunId, number>();
+    /** In the order in which they were taken. */
+    const takenPlaces = new Map<ServerRunId, Set<EnginePlace>>();
     const pools = new Map<string, Pool>();
     const getPool = (service: string): Pool => {
         const pool = pools.get(service) ?? createPool(service);
@@ -114,11 +122,24 @@
     };
     const isPaceKnown = ({ durations }: Pool): boolean =>
         durations.count >= minimumDurations && clock.now() - durations.recordedAt < durationLifetimeMilliseconds;
+    // places of instances that ended are free only at the deadlines of their requests
+    const countLost = (pool: Pool, run: ServerRunId): number => {
+        const latest = clock.now() - Math.max(shortestLossMilliseconds, pool.durations.mean * lostDurationFactor);
+        let count = 0;
+        for (const { takenAt = latest } of takenPlaces.get(run) ?? []) {
+            if (takenAt >= latest) {
+                break;
+            }
+            count++;
+        }
+        return count;
+    };
     const describeEngine = (pool: Pool, server: BackendServer): SlotState => {
         const run = formatServerRunId(server);
         const slots = Math.max(1, server.slots);
         const requests = computeLoad(server, records.getRecord(run), clock.now()) * slots;
-        return { slots, running: requests + (reservedCounts.get(run) ?? 0), meanDuration: pool.durations.mean };
+        const running = Math.max(0, requests - countLost(pool, run)) + (reservedCounts.get(run) ?? 0);
+        return { slots, running, meanDuration: pool.durations.mean };
     };
     // an engine that is avoided is no room unless all are
     const listHealthy = (pool: Pool): readonly BackendServer[] => {
@@ -429,12 +450,20 @@
                 pool.loading--;
             };
         },
-        markTaken: ({ service, priority }) => {
+        markTaken: place => {
+            const { run, service, priority } = place;
+            takenPlaces.set(run, (takenPlaces.get(run) ?? new Set()).add(place));
             if (service !== undefined) {
                 getPool(service).running[limitPriority(priority ?? 0)]!++;
             }
         },
-        markFreed: ({ service, priority }) => {
+        markFreed: place => {
+            const { run, service, priority } = place;
+            const taken = takenPlaces.get(run);
+            taken?.delete(place);
+            if (taken?.size === 0) {
+                takenPlaces.delete(run);
+            }
             if (service !== undefined) {
                 getPool(service).running[limitPriority(priority ?? 0)]!--;
             }
