fix(adapters): requests that wait for a load, or whose adapter's engines alone are full, don't queue while there is room

Change: a request keeps the room that it had found when its load began; outside a shortage a request is placed on the engine of its adapter beyond its slots, as before.

--- a/src/adapters/__tests__/engineRoom.test.ts
+++ b/src/adapters/__tests__/engineRoom.test.ts
@@ -25,6 +25,7 @@
     }
     const wait: Omit<RoomWait, "request"> = {
         until: 1_000,
+        selected: undefined,
         isUsable: () => true,
         isResident: () => true,
         isLoadable: () => false,
--- a/src/adapters/__tests__/placeFleet.ts
+++ b/src/adapters/__tests__/placeFleet.ts
@@ -46,6 +46,8 @@
     readonly lasts: number;
     /** @default 7 */
     readonly seed?: number;
+    /** Adapters that are resident on no engine at the start. @default 4, which are resident on all */
+    readonly coldAdapters?: number;
     /** Whether requests name their route; instances of the previous build don't. @default true */
     readonly isRouteNamed?: boolean;
     /** Time at which the holder of shard 1 ends. @default never */
@@ -69,7 +71,7 @@
 /** Mean time for which an engine runs a request, and the part of it before the first event. */
 const runMilliseconds = 800;
 const firstEventRatio = 0.1;
-const adapterCount = 4;
+const residentAdapterCount = 4;
 const shardMoveMilliseconds = 1_500;
 const names = ["a", "b", "c"] as const;
 const honouredRatio = 1 / 3;
@@ -139,7 +141,7 @@
         isServing: () => true,
         isLeaving: () => false,
         onLeaving: () => undefined,
-        findLimits: () => ({ ...testLimits, adapterSlots: adapterCount }),
+        findLimits: () => ({ ...testLimits, adapterSlots: residentAdapterCount }),
         onRoomDecision: decision => fleet.decisions.push(decision),
         versionGracePeriod: 5_000,
     });
@@ -161,7 +163,12 @@
     const clock = createRunningClock();
     const random = createSeededRandom(options.seed ?? 7);
     // all adapters are resident everywhere, so that nothing but room decides
-    const adapters = Array.from({ length: adapterCount }, (unused, index) => ({ name: `x${index}`, version: 1 }));
+    const isCold = options.coldAdapters !== undefined;
+    const adapterCount = options.coldAdapters ?? residentAdapterCount;
+    const adapters = Array.from(
+        { length: isCold ? 0 : adapterCount },
+        (unused, index) => ({ name: `x${index}`, version: 1 }),
+    );
     const servers = Array.from({ length: options.engines }, (unused, index) => ({
         ...createTestServer(`i-${index}`),
         models: [{ name: "base", version: 1, adapters }],
--- a/src/adapters/__tests__/scarcePlaces.test.ts
+++ b/src/adapters/__tests__/scarcePlaces.test.ts
@@ -36,6 +36,20 @@
         }
     });
 
+    // guards against requests that are refused, or wait longer than before, as their adapter is being loaded
+    it("are not refused to requests that wait for a load, of 24 adapters that are resident nowhere", async () => {
+        const loads = usual.map(load => ({ ...load, perSecond: load.perSecond * 0.65 }));
+        const cold = { loads, coldAdapters: 24, lasts: 16_000 };
+        const result = await run(cold);
+        const before = await run({ ...cold, isRouteNamed: false });
+        for (const route of ["chat", "batch"]) {
+            const { refused, unplaced } = result.find(route);
+            expect([refused, unplaced]).to.deep.equal([0, 0]);
+            expect(computeOnTime(result.find(route))).to.be.above(computeOnTime(before.find(route)) - 0.1);
+        }
+        expect(new Set(result.decisions.map(decision => decision.result))).to.deep.equal(new Set(["given"]));
+    });
+
     // guards against urgent requests that pay for a surge of requests which can wait
     it("go to the urgent kind in a surge of the least urgent one by two accounts, and to accounts in proportion", async () => {
         let asked = 0;
--- a/src/adapters/engineFinder.ts
+++ b/src/adapters/engineFinder.ts
@@ -41,7 +41,7 @@
     /** Decides who gets free places. */
     readonly room: Pick<
         EngineRoom,
-        "isFull" | "tryReserve" | "wait" | "release" | "countLoading" | "readQueueLoad" | "wake"
+        "isFull" | "reserve" | "tryReserve" | "wait" | "release" | "countLoading" | "readQueueLoad" | "wake"
     >;
 }
 
@@ -71,6 +71,12 @@
     readonly markDenied: (run: ServerRunId, model: string, adapter: string) => void;
 }
 
+/** A search that may wait. */
+interface WaitingSearch {
+    readonly startedAt: Milliseconds;
+    readonly signal: AbortSignal;
+}
+
 /** Time after which an engine that was full is tried again even if no slot was seen to become free. */
 const fullRetryMilliseconds = 400;
 /** Time for which an adapter that was sent to another holder isn't loaded on the engines of this one. */
@@ -196,8 +202,7 @@
     const waitForRoom = async (
         request: WeighedRequest,
         key: AdapterKey,
-        startedAt: Milliseconds,
-        signal: AbortSignal,
+        { startedAt, signal, selected }: WaitingSearch & { readonly selected: BackendServer | undefined; },
     ): Promise<FoundEngine | undefined> => {
         const now = clock.now();
         const oldest = versions.findOldestAllowed(key, now) ?? 0;
@@ -205,6 +210,7 @@
         const turn = await room.wait({
             request,
             until: startedAt + request.patience,
+            selected,
             isUsable: server => {
                 const run = formatServerRunId(server);
                 return (!allowed || allowed.includes(run)) && !excluded.includes(run) &&
@@ -241,13 +247,13 @@
         request: PlaceRequest,
         key: AdapterKey,
         server: BackendServer,
-        wait: { readonly startedAt: Milliseconds; readonly signal: AbortSignal; readonly isFinal: boolean; },
+        wait: WaitingSearch & { readonly isFinal: boolean; },
     ): Promise<FoundEngine | undefined> => {
         if (!isWeighed(request) || room.tryReserve(request, server)) {
             return describeFound(server, key);
         }
         return wait.isFinal
-            ? waitForRoom(request, key, wait.startedAt, wait.signal)
+            ? waitForRoom(request, key, { ...wait, selected: server })
             : { kind: "busy", load: computeBusyLoad(request) };
     };
     const findEngine = async (request: PlaceRequest, signal: AbortSignal): Promise<FoundEngine> => {
@@ -286,7 +292,7 @@
                         return describeBusy(request, key);
                     }
                     if (isFull && residency.listEngines(key).size > 0) {
-                        const settled = await waitForRoom(request, key, startedAt, signal);
+                        const settled = await waitForRoom(request, key, { startedAt, signal, selected: undefined });
                         if (settled) {
                             return settled;
                         }
@@ -296,7 +302,11 @@
                     const outcome = await loadOnto(selection.server, request, key, startedAt, signal)
                         .finally(endLoading);
                     if (outcome === "resident" && isListed(request, selection.server)) {
-                        // the adapter was loaded for this request, which doesn't go to another holder any more
+                        // a request that waits for a load isn't in a shortage: it keeps the room that it had found
+                        if (isWeighed(request) && !isFull) {
+                            room.reserve(request, selection.server);
+                            return describeFound(selection.server, key);
+                        }
                         const wait = { startedAt, signal, isFinal: true };
                         const settled = await settleFound(request, key, selection.server, wait);
                         if (settled) {
--- a/src/adapters/engineRoom.ts
+++ b/src/adapters/engineRoom.ts
@@ -26,11 +26,14 @@
     createPool,
     describeDemand,
     describeEntry,
+    describeShortage,
     type EngineState,
     findEmptiest,
+    isPaceKnown,
     listGroups,
     type Pool,
     type PoolState,
+    recordDuration,
     type RoomDecision,
     type RoomResult,
     type RoomTurn,
@@ -55,6 +58,8 @@
 export interface EngineRoom {
     /** Keeps a place for a request on an engine until `release`; returns `false` when others go before it or it is full. */
     readonly tryReserve: (request: WeighedRequest, server: BackendServer) => boolean;
+    /** Keeps a place also on a full engine, for a request whose adapter was loaded there when it had room. */
+    readonly reserve: (request: WeighedRequest, server: BackendServer) => void;
     /** Whether an engine is known to have no room for a request. */
     readonly isFull: (request: WeighedRequest, server: BackendServer) => boolean;
     /** Waits until there is room. */
@@ -79,12 +84,6 @@
 const watchIntervalMilliseconds = 25;
 /** Time without a request that waits after which a shortage is over, so that one surge is one shortage. */
 const shortageEndMilliseconds = 1_000;
-/** Ended requests from which the mean duration of a request is known; before, requests are placed as without a queue. */
-const minimumDurations = 8;
-/** Age from which the mean duration counts as unknown again. */
-const durationLifetimeMilliseconds = 30_000;
-/** Weight of the newest request in the mean duration. */
-const durationWeight = 0.05;
 /**
  * Multiple of the mean duration after which a place counts as lost with its instance. A request that takes longer than
  * this is one more on its engine than slots, which the engine queues.
@@ -120,8 +119,6 @@
         reservations.set(id, run);
         reservedCounts.set(run, (reservedCounts.get(run) ?? 0) + 1);
     };
-    const isPaceKnown = ({ durations }: Pool): boolean =>
-        durations.count >= minimumDurations && clock.now() - durations.recordedAt < durationLifetimeMilliseconds;
     // places of instances that ended are free only at the deadlines of their requests
     const countLost = (pool: Pool, run: ServerRunId): number => {
         const latest = clock.now() - Math.max(shortestLossMilliseconds, pool.durations.mean * lostDurationFactor);
@@ -393,28 +390,34 @@
     };
     const wake = (): void => pools.forEach(serveQueue);
     const isFull = (pool: Pool, request: WeighedRequest, server: BackendServer): boolean =>
-        isPaceKnown(pool) && !hasRoom({ server, state: describeEngine(pool, server) }, describeDemand(request));
+        isPaceKnown(pool, clock.now()) &&
+        !hasRoom({ server, state: describeEngine(pool, server) }, describeDemand(request));
+    const serveAtOnce = (pool: Pool, request: WeighedRequest, server: BackendServer): void => {
+        const groups = listGroups(request);
+        const now = clock.now();
+        reserve(request.id, formatServerRunId(server));
+        pool.rates.record(request.priority, measureSlack(pool, request), now);
+        pool.ledger.recordAsked(groups, now);
+        pool.ledger.recordServed(groups, now);
+        pool.queue.record(describeEntry(request, now), now);
+        countDecision(pool, request, "given");
+    };
     return {
         isFull: (request, server) => isFull(getPool(request.service), request, server),
         tryReserve: (request, server) => {
             const pool = getPool(request.service);
             const groups = listGroups(request);
-            const now = clock.now();
             // requests that wait for this engine would have got the place already
             const isKept = (): boolean =>
-                pool.shortage !== undefined && isPaceKnown(pool) &&
+                pool.shortage !== undefined && isPaceKnown(pool, clock.now()) &&
                 !isAboveReserve(pool, readPool(pool), request, groups);
             if (isFull(pool, request, server) || isKept()) {
                 return false;
             }
-            reserve(request.id, formatServerRunId(server));
-            pool.rates.record(request.priority, measureSlack(pool, request), now);
-            pool.ledger.recordAsked(groups, now);
-            pool.ledger.recordServed(groups, now);
-            pool.queue.record(describeEntry(request, now), now);
-            countDecision(pool, request, "given");
+            serveAtOnce(pool, request, server);
             return true;
         },
+        reserve: (request, server) => serveAtOnce(getPool(request.service), request, server),
         wait: wait =>
             new Promise(resolve => {
                 const { request, signal } = wait;
@@ -434,6 +437,13 @@
                     return;
                 }
                 checkShortage(pool);
+                if (!pool.shortage && wait.selected) {
+                    // there is room, but not for this adapter: the engine's own queue is as short as one here
+                    reserve(request.id, formatServerRunId(wait.selected));
+                    pool.ledger.recordServed(waiting.groups, now);
+                    waiting.finish({ kind: "granted", server: wait.selected, isResident: true }, "given");
+                    return;
+                }
                 const refusal = estimateRefusal(pool, waiting);
                 if (refusal !== undefined) {
                     waiting.finish({ kind: "refused", wait: computeReturn(pool, waiting, refusal) }, "refused");
@@ -473,16 +483,7 @@
             const slots = options.listEngines(service).reduce((sum, server) => sum + server.slots, 0);
             return queued / Math.max(1, slots);
         },
-        recordDuration: (service, duration) => {
-            const { durations } = getPool(service);
-            durations.count = clock.now() - durations.recordedAt < durationLifetimeMilliseconds
-                ? durations.count + 1
-                : 1;
-            // a plain mean at first, which the weight of the newest one would distort
-            const weight = Math.max(durationWeight, 1 / durations.count);
-            durations.mean += (duration - durations.mean) * weight;
-            durations.recordedAt = clock.now();
-        },
+        recordDuration: (service, duration) => recordDuration(getPool(service), duration, clock.now()),
         wake,
         tick: () => {
             const now = clock.now();
@@ -490,13 +491,7 @@
                 if (
                     pool.shortage && pool.queue.countEntries() === 0 && now - pool.scarceAt >= shortageEndMilliseconds
                 ) {
-                    const { startedAt, waited, refused } = pool.shortage;
-                    log.info("shortage of places ended", {
-                        service: pool.service,
-                        took: Math.round(pool.scarceAt - startedAt),
-                        waited,
-                        refused,
-                    });
+                    log.info("shortage of places ended", describeShortage(pool, pool.shortage));
                     pool.shortage = undefined;
                 }
             }
--- a/src/adapters/roomPool.ts
+++ b/src/adapters/roomPool.ts
@@ -31,6 +31,8 @@
     readonly request: WeighedRequest;
     /** Time at which the request stops waiting. */
     readonly until: Milliseconds;
+    /** Engine that it gets beyond its slots while others have room; `undefined` where its adapter isn't resident there. */
+    readonly selected: BackendServer | undefined;
     readonly isUsable: (server: BackendServer) => boolean;
     /** Whether its adapter, or its model alone, is resident there. */
     readonly isResident: (server: BackendServer) => boolean;
@@ -93,6 +95,12 @@
     refused: number;
 }
 
+/** Ended requests from which the mean duration of a request is known; before, requests are placed as without a queue. */
+const minimumDurations = 8;
+/** Age from which the mean duration counts as unknown again. */
+const durationLifetimeMilliseconds = 30_000;
+/** Weight of the newest request in the mean duration. */
+const durationWeight = 0.05;
 /** Cost of a request that names no tokens. */
 const defaultTokens = 500;
 const noAccount = "";
@@ -153,6 +161,45 @@
     };
 }
 
+/**
+ * Records how long a request had its place.
+ *
+ * @param pool - places of its service, which are updated
+ * @param duration - the time
+ * @param now - current time
+ */
+export function recordDuration({ durations }: Pool, duration: Milliseconds, now: Milliseconds): void {
+    durations.count = now - durations.recordedAt < durationLifetimeMilliseconds ? durations.count + 1 : 1;
+    // a plain mean at first, which the weight of the newest one would distort
+    durations.mean += (duration - durations.mean) * Math.max(durationWeight, 1 / durations.count);
+    durations.recordedAt = now;
+}
+
+/**
+ * Checks whether the mean duration of requests is known.
+ *
+ * @param pool - places of a service
+ * @param now - current time
+ * @returns whether enough requests have ended, and one of them not long ago
+ */
+export function isPaceKnown({ durations }: Pool, now: Milliseconds): boolean {
+    return durations.count >= minimumDurations && now - durations.recordedAt < durationLifetimeMilliseconds;
+}
+
+/**
+ * Describes a shortage that has ended, for the log.
+ *
+ * @param pool - places of its service
+ * @param shortage - the shortage
+ * @returns fields of the line
+ */
+export function describeShortage(
+    { service, scarceAt }: Pool,
+    { startedAt, waited, refused }: Shortage,
+): Readonly<Record<string, unknown>> {
+    return { service, took: Math.round(scarceAt - startedAt), waited, refused };
+}
+
 /**
  * Finds the engine with the fewest requests per slot.
  *
