fix(adapters): a holder that has lost a shard forgets the requests that waited there

Cause: the asking instance goes on when its question is answered notHolder; the former holder could still give the request a place on another shard, which nobody takes and which is free only at the deadline. Change: the asking instance ends such a request, one message for each that had waited.

--- a/src/adapters/__tests__/placeClient.test.ts
+++ b/src/adapters/__tests__/placeClient.test.ts
@@ -105,6 +105,28 @@
         expect(ended).to.deep.equal([`${preferred[0]} answered`]);
     });
 
+    // guards against a place that is given, on another shard, to a request that has gone on as its shard moved
+    it("is told to be forgotten to a holder that has lost the shard while the request waited there", async () => {
+        let asks = 0;
+        const { acquire, ended } = await createClient(holder => {
+            if (holder !== preferred[0]) {
+                return createPlaced(ranked[1]!.engine);
+            }
+            asks++;
+            return { kind: asks === 1 ? "waiting" : "notHolder" };
+        });
+        expect((await acquire())!.server).to.equal(ranked[1]!.engine);
+        expect(ended).to.deep.equal([`${preferred[0]} unknown`]);
+    });
+
+    // guards against refused requests that are asked for again, or placed on a full engine all the same
+    it("is asked for no more once a holder has refused it, whose time is told", async () => {
+        const waits: number[] = [];
+        const { acquire, asked } = await createClient(() => ({ kind: "refused", wait: 700 }));
+        expect(await acquire({ route: "r", onRefused: wait => waits.push(wait) })).to.equal(undefined);
+        expect([asked, waits]).to.deep.equal([[preferred[0]], [700]]);
+    });
+
     it("is taken at the holder with the emptiest engine when all are busy", async () => {
         const loads = new Map(preferred.map((holder, index) => [holder, index === 1 ? 0.8 : 1.2]));
         const { acquire, asked } = await createClient((holder, shard, request) =>
--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -164,8 +164,14 @@
         shard: number,
         message: PlaceRequest,
     ): Promise<PlaceResponse | undefined> => {
+        let hasWaited = false;
         for (;;) {
             const response = await waitUnlessAborted(options.ask(holder, shard, message), request.signal);
+            // one that has lost the shard may still give the request a place on another
+            if (hasWaited && response?.kind === "notHolder") {
+                options.end(holder, message.id, "unknown");
+            }
+            hasWaited = true;
             if (response?.kind !== "waiting" && !request.signal.aborted) {
                 return response;
             }
