--- a/src/adapters/placeClient.ts
+++ b/src/adapters/placeClient.ts
@@ -205,9 +205,15 @@
         shard: number,
         message: PlaceRequest,
     ): Promise<AskedHolder> => {
+        let hasWaited = false;
         for (;;) {
             const askedAt = clock.now();
             const response = await waitUnlessAborted(options.ask(holder, shard, message), request.signal);
+            // one that has lost the shard may still give the request a place on another
+            if (hasWaited && response?.kind === "notHolder") {
+                options.end(holder, message.id, "unknown");
+            }
+            hasWaited = true;
             if (response?.kind !== "waiting" && !request.signal.aborted) {
                 return { response, askedAt };
             }
