fix(serving): an instance alone doesn't spend more than its account's rate in a rush

The even pace of an instance whose holder had ended came on top of a quarter of its share, 1.15 of the rate together. The larger of the two counts now.

--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -127,7 +127,8 @@
         }
         else {
             state.pacedUnits -= paced;
-            state.ownUnits += paced + share * elapsed;
+            // both together would be more than the rate, which the next holder takes back after it
+            state.ownUnits += Math.max(paced, share * elapsed);
         }
         state.ownUnits ??= 0;
         state.ownUnitsAt = now;
