--- a/src/serving/responseRecords.ts
+++ b/src/serving/responseRecords.ts
@@ -94,12 +94,15 @@
     { sentAt, beganAt, pace }: Pick<RequestState, "sentAt" | "beganAt" | "pace">,
     { server }: SelectedServer,
 ): AnswerReport {
-    const { firstAt: firstEventAt, lastAt, gaps, wasHeldBack } = pace;
+    const { firstAt: firstEventAt, lastAt, gaps, wasHeldBack, isFirstReported } = pace;
     const firstAt = firstEventAt ?? beganAt;
+    const hasPace = firstEventAt !== undefined && gaps > 0 && !wasHeldBack;
+    const load = describeLoad(parts, server);
+    // fields without a value would be sent
     return {
-        firstEventAfter: firstAt === undefined || pace.isFirstReported ? undefined : firstAt - sentAt,
-        eventGap: firstEventAt !== undefined && gaps > 0 && !wasHeldBack ? (lastAt - firstEventAt) / gaps : undefined,
-        load: describeLoad(parts, server),
+        ...firstAt !== undefined && !isFirstReported && { firstEventAfter: Math.round(firstAt - sentAt) },
+        ...hasPace && { eventGap: Math.round((lastAt - firstEventAt) / gaps) },
+        ...load && { load },
     };
 }
 
@@ -108,7 +111,7 @@
     server: BackendServer,
 ): ReportedLoad | undefined {
     const { load, loadReceivedAt, slowness } = records.getRecord(formatServerRunId(server));
-    const age = Math.max(0, clock.now() - loadReceivedAt);
+    const age = Math.round(Math.max(0, clock.now() - loadReceivedAt));
     return load && age <= reportedLoadLifetimeMilliseconds
         ? { running: load.running, waiting: load.waiting, age, ...load.slowness !== undefined && { slowness } }
         : undefined;
