--- a/src/routing/__tests__/engineLoad.test.ts
+++ b/src/routing/__tests__/engineLoad.test.ts
@@ -203,6 +203,9 @@
         }
         expect(computeSlowness(state, 2_000)).to.be.within(2, 3);
         expect(computeSlowness(state, 12_000)).to.be.within(0.99, 1.01);
+        // guards against an engine that one absurd figure keeps from all requests
+        const absurd = recordToldLoad(createState(), { running: 0, waiting: 0, age: 0, slowness: 1e9 }, 0);
+        expect(computeSlowness(absurd, 5_000)).to.be.lessThan(1.2);
     });
 });
 
--- a/src/routing/engineLoad.ts
+++ b/src/routing/engineLoad.ts
@@ -125,6 +125,8 @@
 const observationRange: RatioRange = { lowest: 0.25, highest: 6 };
 /** Range of an observation's ratio to the expectation of this file, which is a guess until engines are measured. */
 const usualRange: RatioRange = { lowest: 0.05, highest: 20 };
+/** Range of one stated slowness, so that one absurd figure doesn't outweigh all others for long. */
+const toldRange: RatioRange = { lowest: 0.1, highest: 10 };
 /** Range of the slowness that decisions use: beyond the differences seen (0.6 to 2.5 times) it is an error of measurement. */
 const slownessRange = { lowest: 0.4, highest: 4 } as const;
 /** Change of the estimated slowness, as a fraction, from which on decisions use the new value. */
@@ -342,7 +344,7 @@
     const isForeignNewer = state.foreign.isAssumed || foreign.at >= state.foreign.at;
     const toldSlowness = told.slowness === undefined
         ? state.toldSlowness
-        : computeToldSlowness(state, now) * (1 - toldWeight) + told.slowness * toldWeight;
+        : computeToldSlowness(state, now) * (1 - toldWeight) + limitToldSlowness(told.slowness) * toldWeight;
     return refreshSlowness({
         ...state,
         foreign: isForeignNewer ? foreign : state.foreign,
@@ -563,6 +565,10 @@
         : 1 + (state.toldSlowness - 1) * computeDecay(now - state.toldAt, toldHalfLifeMilliseconds);
 }
 
+function limitToldSlowness(slowness: number): number {
+    return Math.min(Math.max(slowness, toldRange.lowest), toldRange.highest);
+}
+
 function createWorkRatio(now: Milliseconds): WorkRatio {
     return { observed: 0, expected: 0, at: now };
 }
--- a/src/serving/__tests__/messageRanges.test.ts
+++ b/src/serving/__tests__/messageRanges.test.ts
@@ -75,6 +75,25 @@
             { server: { id: "i-1", startedAt: 17, address: "10.0.0.1:99999" } },
         ],
     },
+    {
+        name: "ends of requests",
+        schema: adapterMessageSchema,
+        valid: {
+            kind: "ended",
+            id: "1",
+            outcome: "answered",
+            firstEventAfter: 120,
+            eventGap: 60,
+            load: { running: 3, waiting: 1, age: 40, slowness: 1.2 },
+        },
+        changes: [
+            { firstEventAfter: -1 },
+            { eventGap: 1e308 },
+            { load: { running: -1, waiting: 1, age: 40 } },
+            { load: { running: 3, waiting: 1, age: -1 } },
+            { load: { running: 3, waiting: 1, age: 40, slowness: 1e308 } },
+        ],
+    },
     {
         name: "loads",
         schema: adapterMessageSchema,
