--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -5,94 +5,36 @@
  *
  * @packageDocumentation
  */
-import type { PeerNetwork } from "../peers/index.js";
-import { type ColdServers, createColdServers } from "../serving/coldServers.js";
+import { createColdServers } from "../serving/coldServers.js";
 import { createServerRecords } from "../serving/serverRecords.js";
-import {
-    type BackendServer,
-    type EngineLimits,
-    formatServerRunId,
-    parseServerId,
-    type ServerRunId,
-} from "../serving/types.js";
-import type { Clock, FailureDomainId, InstanceId, Milliseconds, SeededRandom } from "../shared/index.js";
+import { type BackendServer, formatServerRunId, parseServerId, type ServerRunId } from "../serving/types.js";
+import type { InstanceId, Milliseconds } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import { createAdapterMover } from "./adapterMover.js";
 import { createAdapterVersions } from "./adapterVersions.js";
+import type { AdapterCoordinatorOptions, LeavingSource } from "./coordinatorOptions.js";
 import { createEngineFinder } from "./engineFinder.js";
 import { createEngineLoads, type EngineLoadStatus } from "./engineLoads.js";
 import { createEngineManager, type EngineManager } from "./engineManager.js";
 import { createEnginePlaces } from "./enginePlaces.js";
 import { createEngineRoom } from "./engineRoom.js";
 import { createEngineShards } from "./engineShards.js";
+import { createEngineUpkeep } from "./engineUpkeep.js";
 import { createHolderLoads } from "./holderLoads.js";
 import { createHolderQuestion, decodeAnswer, holderTimeoutMilliseconds } from "./holderQuestions.js";
 import { createInstancePermits } from "./instancePermits.js";
 import { createLoadScheduler, type LoadStatus } from "./loadScheduler.js";
-import {
-    type AdapterKey,
-    type AdapterMessage,
-    formatAdapterKey,
-    parseAdapterKey,
-    type PlaceRequest,
-    type PlaceResponse,
-} from "./messages.js";
+import { type AdapterMessage, formatAdapterKey, type PlaceRequest, type PlaceResponse } from "./messages.js";
 import { createModelLoadLimiter } from "./modelLoadLimiter.js";
 import type { PermitClient } from "./permitClient.js";
 import { type AcquiredEngine, type AcquireRequest, createPlaceClient, type PlaceClientOptions } from "./placeClient.js";
 import { createPlaceService } from "./placeService.js";
 import { createResidencyIndex } from "./residencyIndex.js";
-import type { RoomDecision } from "./roomPool.js";
 import { createServerPermits, type PacedPermitCounts } from "./serverPermits.js";
-import { createShardHolders, type ShardHolder, type ShardHolders } from "./shardHolders.js";
+import { createShardHolders, type ShardHolders } from "./shardHolders.js";
 import type { ShardTask } from "./shardTask.js";
-import type { EngineControl } from "./types.js";
 
-/** Where an instance learned that a server is about to stop. */
-export type LeavingSource = "response" | "engine" | "instance";
-
-/** Options of the adapter coordinator. */
-export interface AdapterCoordinatorOptions {
-    readonly self: InstanceId;
-    /** Identifies one run of the process, so that requests of an earlier run can't be taken for those of this one. */
-    readonly runId: string;
-    readonly failureDomain: FailureDomainId;
-    readonly shardCount: number;
-    readonly control: EngineControl;
-    readonly clock: Clock;
-    readonly random: SeededRandom;
-    readonly network: PeerNetwork;
-    /** Reads the holders of all shards from the store; `undefined` when that fails. */
-    readonly readHolders: () => Promise<readonly ShardHolder[] | undefined>;
-    /** All engines in the list of servers, also draining ones. */
-    readonly listEngines: () => readonly BackendServer[];
-    /** Engines of a service that accept requests. */
-    readonly listUsable: (service: string) => readonly BackendServer[];
-    /** Whether a run of a server takes requests: it is listed, and neither draining nor leaving. */
-    readonly isServing: (run: ServerRunId) => boolean;
-    /** Whether a run of a server may receive requests and orders now. */
-    readonly mayReceive: (run: ServerRunId) => boolean;
-    /** Whether a run of a server has announced that it is about to stop. */
-    readonly isLeaving: (run: ServerRunId) => boolean;
-    /** Whether nothing may be sent to a server, as its failure domain is evacuated. @default none is */
-    readonly isEvacuated?: (server: BackendServer) => boolean;
-    /** Filters the engines in some regions. @default none is in a region */
-    readonly filterByRegions?: (
-        engines: readonly BackendServer[],
-        regions: readonly string[],
-    ) => readonly BackendServer[];
-    /** Called when an engine's response to an order or a report, or another instance, tells that a server leaves. */
-    readonly onLeaving: (run: ServerRunId, learnedFrom: LeavingSource) => void;
-    readonly findLimits: (service: string) => EngineLimits | undefined;
-    /** Called with each decision on a request for a place here. @default nothing is called */
-    readonly onRoomDecision?: (decision: RoomDecision) => void;
-    /** Time from a version's announcement during which requests may still start on older ones. */
-    readonly versionGracePeriod: Milliseconds;
-    /** Coldness of the servers. @default none is ever cold */
-    readonly cold?: ColdServers;
-    /** Time after which the store reassigns the shards of an instance that is silent. @default 0 */
-    readonly shardTtl?: Milliseconds;
-}
+export type { AdapterCoordinatorOptions, LeavingSource } from "./coordinatorOptions.js";
 
 /** Coordinator of adapters on engines. */
 export interface AdapterCoordinator {
@@ -142,10 +84,6 @@
     readonly held: readonly BackendServer[];
 }
 
-/** Lowest priority, so that outdated versions are replaced only after the loads that client requests wait for. */
-const replacementLoadParameters = { priority: 10, usefulFor: 0, patience: 1_000 };
-/** Interval between report fetches from engines that have no base model loaded. */
-const missingModelCheckIntervalMilliseconds = 500;
 /**
  * Time beyond the lifetime of a membership after which the previous holder of a shard gives permits for cold servers at
  * the lower rate, or none: then no window of a second and the delay of permits has the full rate of both.
@@ -183,7 +121,6 @@
     const { findShard } = engineShards;
     const releasedAt = new Map<number, { readonly generation: number; readonly lastOrderAt: Milliseconds; }>();
     let shards: ShardTask | undefined;
-    let missingModelsCheckedAt = Number.NEGATIVE_INFINITY;
 
     const isOrderAllowed = (server: BackendServer): boolean => {
         const held = shards?.find(findShard(server.id));
@@ -338,7 +275,7 @@
         managers.set(manager.run, manager);
         heldEngines.clear();
         if (options.isEvacuated?.(server)) {
-            withdrawn.add(manager.run);
+            upkeep.markWithdrawn(manager.run);
         }
         else {
             startTask("report of an engine", manager.refresh);
@@ -354,7 +291,7 @@
         const manager = managers.get(run);
         manager?.stop();
         managers.delete(run);
-        withdrawn.delete(run);
+        upkeep.remove(run);
         heldEngines.clear();
         places.removeEngine(run);
         residency.remove(run);
@@ -431,54 +368,13 @@
         findHolder: holders.find,
         send: (holder, message) => network.send(holder, "adapters", message),
     });
-    // runs that take no more requests, whose loads were dropped and whose adapters were moved
-    const withdrawn = new Set<ServerRunId>();
-    const withdrawEngines = (runs: readonly ServerRunId[]): void => {
-        const left = runs.filter(run => !withdrawn.has(run)).flatMap(run => managers.get(run) ?? []);
-        left.forEach(manager => {
-            withdrawn.add(manager.run);
-            manager.dropWaitingLoads();
-        });
-        for (const service of new Set(left.map(manager => manager.service))) {
-            const ofService = left.filter(manager => manager.service === service);
-            adapterMover.move(service, mergeBusiest(ofService.map(manager => manager.listBusiest())));
-        }
-    };
-    // what an engine holds may have changed while it got no orders
-    const restoreEngine = (run: ServerRunId): void => {
-        const manager = managers.get(run);
-        withdrawn.delete(run);
-        if (manager) {
-            startTask("report of an engine", manager.refresh);
-        }
-    };
-    const checkEngines = (): void => {
-        withdrawEngines([...managers.keys()].filter(run => !options.isServing(run)));
-        [...withdrawn].filter(options.isServing).forEach(restoreEngine);
-    };
-    const replaceOutdatedAdapters = (): void => {
-        const newest = versions.listNewest();
-        // an engine that takes no orders would only use turns at the weight store
-        for (const manager of [...managers.values()].filter(({ run }) => !withdrawn.has(run))) {
-            for (const key of manager.listOutdated(newest)) {
-                const version = newest.get(key);
-                const parameters = { ...parseAdapterKey(key), version, wasDenied: false, ...replacementLoadParameters };
-                startTask("replace an adapter", () => manager.ensure(parameters));
-            }
-        }
-    };
-    // fetches reports of engines without a model, to see whether they have one now
-    const refreshEnginesWithoutModel = (): void => {
-        if (clock.now() - missingModelsCheckedAt < missingModelCheckIntervalMilliseconds) {
-            return;
-        }
-        missingModelsCheckedAt = clock.now();
-        for (const manager of managers.values()) {
-            if (!manager.hasModel() && !withdrawn.has(manager.run)) {
-                startTask("report of an engine", manager.refresh);
-            }
-        }
-    };
+    const upkeep = createEngineUpkeep({
+        clock,
+        managers,
+        versions,
+        isServing: options.isServing,
+        moveAdapters: adapterMover.move,
+    });
     const handleMessage: AdapterCoordinator["handleMessage"] = (from, message) => {
         holders.markResponsive(from);
         switch (message.kind) {
@@ -540,18 +436,18 @@
         readPermitCounts: serverPermits.readCounts,
         recordVersion: (model, adapter, version, announcedAt) => {
             if (versions.record(formatAdapterKey(model, adapter), version, announcedAt)) {
-                replaceOutdatedAdapters();
+                upkeep.replaceOutdated();
             }
         },
         handleLeaving: (run, learnedFrom) => {
-            withdrawEngines([run]);
+            upkeep.withdraw([run]);
             const holder = holders.find(findShard(parseServerId(run)));
             if (learnedFrom === "response" && holder !== undefined && holder !== self) {
                 sendLeaving(holder, run);
             }
         },
         handleEvacuation: () => {
-            checkEngines();
+            upkeep.check();
             finder.markEnginesChanged();
         },
         handleServers: (added, removed) => {
@@ -576,24 +472,17 @@
         readEngineStatus: engineLoads.readStatus,
         readLoadStatus: () => loadScheduler.readStatus(clock.now()),
         tick: () => {
-            checkEngines();
+            upkeep.check();
             placeService.expire(clock.now());
             room.tick();
-            replaceOutdatedAdapters();
+            upkeep.replaceOutdated();
             loadScheduler.expire(clock.now());
             holderLoads.tick();
-            refreshEnginesWithoutModel();
+            upkeep.refreshEmpty();
         },
     };
 }
 
-// the busiest of each engine first, as the demands of different engines aren't compared
-function mergeBusiest(lists: readonly (readonly AdapterKey[])[]): readonly AdapterKey[] {
-    const length = Math.max(0, ...lists.map(list => list.length));
-    const ranks = Array.from({ length }, (unused, rank) => lists.flatMap(list => list[rank] ?? []));
-    return [...new Set(ranks.flat())];
-}
-
 function isPlaceResponse(message: AdapterMessage): message is AdapterMessage & PlaceResponse {
     return ["placed", "waiting", "busy", "refused", "unavailable", "notHolder"].includes(message.kind);
 }
--- a/src/adapters/engineRoom.ts
+++ b/src/adapters/engineRoom.ts
@@ -460,9 +460,7 @@
         countLoading: service => {
             const pool = getPool(service);
             pool.loading++;
-            return () => {
-                pool.loading--;
-            };
+            return () => void pool.loading--;
         },
         markTaken: place => {
             const { run, service, priority } = place;
