--- a/src/adapters/engineSelection.ts
+++ b/src/adapters/engineSelection.ts
@@ -177,8 +177,8 @@
 }
 
 /**
- * Sums the load of engines, as the number of requests that would cause it on engines of usual speed. Avoided ones don't count unless all are avoided: they get no requests, and their
- * low load would make the others look full.
+ * Sums the load of engines, as the number of requests that would cause it on engines of usual speed. Avoided ones don't
+ * count unless all are avoided: they get no requests, and their low load would make the others look full.
  *
  * @param servers - the engines
  * @param records - their requests
--- a/src/adapters/serverPermits.ts
+++ b/src/adapters/serverPermits.ts
@@ -1,6 +1,6 @@
 /**
- * Permits for requests to servers that have named a limit. The instance that holds a server's shard gives them to the
- * requests of all instances, so that the limit holds for all together.
+ * Permits for requests to servers that have named a limit, or that are cold. The instance that holds a server's shard
+ * gives them to the requests of all instances, so that the limit holds for all together.
  *
  * @packageDocumentation
  */
--- a/src/routing/coldServer.ts
+++ b/src/routing/coldServer.ts
@@ -6,7 +6,7 @@
  */
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 
-/** Why a run is treated as cold. The last two are suspicions, which only this instance has. */
+/** Why a run is treated as cold. The last three are suspicions, which only this instance has. */
 export type ColdReason = "started" | "stated" | "returned" | "unreached" | "idle";
 
 /** What an instance knows of one run. */
