fix(serving): the order of requests within a quota has an effect only where demand is over 1.5 times the rate

Cause: an account over its quota by little refused clients with times of the order, up to a third of their time, although the bucket had units for them within a second.

--- a/src/fairness/quotaOrder.ts
+++ b/src/fairness/quotaOrder.ts
@@ -75,6 +75,8 @@
 const reserveMilliseconds = 50;
 /** Part of the bucket that may be kept for others, so that requests as large as the burst can run. */
 const reserveLimitRatio = 0.5;
+/** Demand, as a multiple of the rate, from which on it counts as a surge. */
+const surgeDemandRatio = 1.5;
 /** Time without a refusal after which the order has no effect. */
 const rushMilliseconds = 1_000;
 /** Time after the first attempt from which on a request counts as a returning one; ages are known to 50 ms. */
@@ -123,6 +125,18 @@
     return now < order.rushUntil;
 }
 
+/**
+ * Tells whether an account asks for so much more than its rate that the order of its requests matters. One that is over its
+ * quota by little has units for each request a moment later, and an order would only keep its clients waiting.
+ *
+ * @param order - order of the account
+ * @param supply - what the bucket has
+ * @returns whether the demand surges
+ */
+export function isSurge({ kinds }: Pick<QuotaOrder, "kinds">, { ratePerSecond }: QuotaSupply): boolean {
+    return sumDemand(kinds) > ratePerSecond * surgeDemandRatio;
+}
+
 /**
  * Records that a request asks for units.
  *
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -9,6 +9,7 @@
     computeReserve,
     createQuotaOrder,
     isInRush,
+    isSurge,
     type QuotaOrder,
     recordAsk,
     recordGiven,
@@ -196,16 +197,18 @@
         const ask = { ...urgency, units };
         const supply = bucket.measureSupply(now);
         const order = recordAsk(known.order, ask, supply, now);
-        const decision = bucket.take(units, now, isResumed, isResumed ? 0 : computeReserve(order, ask, supply, now));
+        const hasOrder = isSurge(order, supply);
+        const reserve = hasOrder && !isResumed ? computeReserve(order, ask, supply, now) : 0;
+        const decision = bucket.take(units, now, isResumed, reserve);
         if (decision.kind === "admitted") {
             known.order = recordGiven(order, ask, now);
             recordRush(request, known, true, now);
             return decision;
         }
         const refused = recordRefused(order, ask, supply, now);
-        known.order = refused.order;
+        known.order = hasOrder ? refused.order : { ...order, rushUntil: refused.order.rushUntil };
         recordRush(request, known, false, now);
-        return { kind: "exceeded", wait: refused.wait, isOrdered: true };
+        return hasOrder ? { kind: "exceeded", wait: refused.wait, isOrdered: true } : decision;
     };
     const forget = (account: ClientAccountId): void => {
         const known = orders.get(account);
