--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -7,6 +7,7 @@
 import { setLogLevel } from "../shared/index.js";
 import { readKnownRed } from "../testing/knownRed.js";
 import { configBench } from "./config.js";
+import { engineLoadBench } from "./engineLoad.js";
 import { fleetBench } from "./fleet.js";
 import { type Bench, type BenchLine, checkBenchLine, formatBenchLines } from "./harness.js";
 import { limitsBench } from "./limits.js";
@@ -19,6 +20,7 @@
 const knownRed = readKnownRed("bench");
 const benches: readonly Bench[] = [
     configBench,
+    engineLoadBench,
     fleetBench,
     limitsBench,
     peersBench,
--- a/src/routing/engineLoad.ts
+++ b/src/routing/engineLoad.ts
@@ -149,9 +149,8 @@
 const durationWeight = 0.05;
 /** Time in which the tokens ahead should be read, which is a usual limit for a pause between two events. */
 const readWindowMilliseconds = 300;
-/** Weights of the wait for the tokens ahead and of the pauses of others, against requests per slot. */
-const waitWeight = 0.5;
-const pauseWeight = 0.5;
+/** Weights of requests beyond the slots, of the wait for the tokens ahead and of others' pauses, against requests per slot. */
+const weights = { queue: 4, wait: 1, pause: 1.5 } as const;
 /** Time in which the sum of tokens placed lately halves; adapters are moved only for differences that last as long. */
 const recentHalfLifeMilliseconds = 5_000;
 
@@ -468,7 +467,9 @@
     const readPerToken = usualWork.readPerToken * state.timeScale / readWindowMilliseconds;
     const wait = (countUnreadTokens(state, now) + own) * readPerToken;
     const pauses = Math.min(1, requests / state.slots) * own * readPerToken;
-    return (batch + wait * waitWeight + pauses * pauseWeight) * computeSlowness(state, now);
+    const queued = Math.max(0, requests + 1 - state.slots) / state.slots;
+    return (batch + queued * weights.queue + wait * weights.wait + pauses * weights.pause) *
+        computeSlowness(state, now);
 }
 
 /**
