--- a/review/lib-2/machines.mjs
+++ b/review/lib-2/machines.mjs
@@ -4,8 +4,9 @@
 import { request as sendHttp } from "node:http";
 import { createServer } from "node:net";
 import { join } from "node:path";
+import { fileURLToPath } from "node:url";
 
-const root = new URL("../../", import.meta.url).pathname;
+const root = fileURLToPath(new URL("../../", import.meta.url));
 const restartMilliseconds = 500;
 const startLimitMilliseconds = 15_000;
 // the bounds of the small deployments
--- a/review/lib-2/play.mjs
+++ b/review/lib-2/play.mjs
@@ -3,9 +3,10 @@
 import { request as sendHttp } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { fileURLToPath } from "node:url";
 import { readCommand, sleep } from "./machines.mjs";
 
-const root = new URL("../../", import.meta.url).pathname;
+const root = fileURLToPath(new URL("../../", import.meta.url));
 const limitMilliseconds = 118_000;
 
 /** Whether the run has its disruption. */
