--- a/review/lib-2/engines.mjs
+++ b/review/lib-2/engines.mjs
@@ -6,7 +6,7 @@
 const loadMilliseconds = 250;
 
 /** Starts an engine that holds a base model; `onRun` is called when it begins a request, `onOrder` with each order. */
-export async function startEngine({ store, service, id, model, slots = 32, adapterSlots = 18, events = 8, gap = 20, onRun, onOrder, link }) {
+export async function startEngine({ store, service, id, model, slots = 32, adapterSlots = 18, events = 8, gap = 20, onRun, onOrder }) {
     const born = Date.now();
     const resident = new Map();
     const pending = new Map();
@@ -130,11 +130,10 @@
     });
     server.keepAliveTimeout = 30_000;
     await new Promise(resolve => server.listen(0, host, resolve));
-    const wire = await link?.(server.address().port);
     const writeEntry = () =>
         store.put("keyed.servers", id, JSON.stringify({
             service,
-            address: wire?.address ?? `${host}:${server.address().port}`,
+            address: `${host}:${server.address().port}`,
             zone: "a",
             version: "v1",
             slots,
@@ -149,10 +148,7 @@
     const timer = setInterval(writeEntry, heartbeatMilliseconds);
     return {
         id,
-        link: wire,
-        countResident: () => resident.size,
         close: () => {
-            wire?.close();
             clearInterval(timer);
             server.close();
             server.closeAllConnections();
