--- a/review/lib-2/play.mjs
+++ b/review/lib-2/play.mjs
@@ -14,11 +14,11 @@
 
 /**
  * Runs a case and ends the process: 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. `play` gets the
- * folder, `note` for the record, and `atEnd` for what must be ended; it returns whether the rule was broken.
+ * folder, `note` for the record, which is written to `recordFile`, and `atEnd` for what must be ended; it returns whether the rule was broken.
  */
-export async function runCase(caseFolder, play) {
+export async function runCase(recordFile, play) {
     const folder = mkdtempSync(join(tmpdir(), "review-2-"));
-    const record = createWriteStream(join(caseFolder, "record.txt"));
+    const record = createWriteStream(recordFile);
     const startedAt = performance.now();
     const note = text => record.write(`${((performance.now() - startedAt) / 1_000).toFixed(3)} ${text}\n`);
     const ends = [];
@@ -50,15 +50,16 @@
     }
 }
 
-/** The platform's balancer: it asks each machine once a second, and takes it out after two misses. */
+/** The platform's balancer: it asks each machine of the list once a second, and takes it out after two misses. */
 export function createBalancer(machines) {
-    const misses = new Map(machines.map(machine => [machine, 0]));
+    const misses = new Map();
+    const countMisses = machine => misses.get(machine) ?? 0;
     let isOver = false;
     let next = 0;
     const ask = async () => {
         while (!isOver) {
             await Promise.all(machines.map(async machine =>
-                misses.set(machine, await machine.isReady() ? 0 : misses.get(machine) + 1)
+                misses.set(machine, await machine.isReady() ? 0 : countMisses(machine) + 1)
             ));
             await sleep(1_000);
         }
@@ -66,7 +67,7 @@
     void ask();
     return {
         pick: except => {
-            const ready = machines.filter(machine => misses.get(machine) < 2);
+            const ready = machines.filter(machine => countMisses(machine) < 2);
             const rotation = ready.length * 2 < machines.length ? machines : ready;
             const others = rotation.filter(machine => machine !== except);
             const among = others.length > 0 ? others : rotation;
@@ -78,11 +79,20 @@
 
 /**
  * Sends one attempt of a client on a connection of its own and resolves with what the client saw. `rate` is the speed of
- * its link in bytes a second.
+ * its link in bytes a second; the client leaves after `gap` without a byte of the answer.
  */
-export function sendAttempt({ machine, id, method, path, host, body, deadline, rate, headers = {}, patience = deadline }) {
+export function sendAttempt({ machine, id, method, path, host, body, deadline, rate, headers = {}, gap }) {
     return new Promise(resolve => {
-        const seen = { id, status: undefined, retryAfter: undefined, isWhole: false, hasSentAll: false, error: undefined };
+        const seen = { id, status: undefined, bytes: 0, isWhole: false, hasSentAll: false, error: undefined };
+        let silence;
+        const expectBytes = () => {
+            clearTimeout(silence);
+            silence = gap && setTimeout(() => leave("a gap in the answer"), gap);
+        };
+        const leave = reason => {
+            seen.error = reason;
+            sent.destroy();
+        };
         const sentAt = performance.now();
         const sent = sendHttp({
             host: machine.host,
@@ -101,18 +111,21 @@
             seen.status = response.statusCode;
             seen.retryAfter = response.headers["retry-after"];
             seen.signature = response.headers["x-oriolehatch-response-signature"];
-            response.on("data", () => undefined);
+            expectBytes();
+            response.on("data", chunk => {
+                seen.bytes += chunk.length;
+                expectBytes();
+            });
             response.once("end", () => seen.isWhole = response.complete);
             response.on("error", () => undefined);
         });
-        const timer = setTimeout(() => {
-            seen.error = "no answer in time";
-            sent.destroy();
-        }, patience);
+        const timer = setTimeout(() => leave("no answer in time"), deadline);
+        expectBytes();
         sent.on("error", error => seen.error ??= error.code ?? String(error));
         sent.once("finish", () => seen.hasSentAll = true);
         sent.once("close", () => {
             clearTimeout(timer);
+            clearTimeout(silence);
             resolve({ ...seen, took: performance.now() - sentAt });
         });
         if (!body || !rate) {
