feat(serving): logs and metrics tell the store's era, and why a shard was lost

Callers saw orders of two holders with one number and answers of an older configuration; the logs could not tell whether the group's generation had gone back with the store or two members held a shard of one generation, nor whether a version was missed or never read.

Now: the era of each answer of the store (header Store-Era) is decoded; lines `store era`, `newest records read` (era, offset, number), `shards` with the era and the reason of each loss, losses by a refusal or a stop too, `engine order` with the shard; metrics of the era and of the version in force. Nothing is decided by it yet.

--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -253,7 +253,8 @@
             mayReceive: () => options.mayReceive(formatServerRunId(server)),
             onLeaving: () => options.onLeaving(formatServerRunId(server), "engine"),
             findFencingNumber: () => isOrderAllowed(server) ? shards?.find(shard)?.fencingNumber : undefined,
-            onFenced: () => shards?.markFenced(),
+            onFenced: () => shards?.markFenced(formatServerRunId(server)),
+            shard,
             loadScheduler,
             tryAcquireModelLoad: modelLoadLimiter.tryAcquire,
             onChange: change => {
--- a/src/adapters/engineOrders.ts
+++ b/src/adapters/engineOrders.ts
@@ -30,6 +30,8 @@
     readonly clock: Clock;
     /** Name of this instance, sent with each order. */
     readonly holder: string;
+    /** Shard of the engine, for the log. */
+    readonly shard?: number;
     /** Whether the engine takes orders: it is listed, and not about to stop. */
     readonly mayReceive: () => boolean;
     /** Called with each response in which the engine announces that it is about to stop. */
@@ -163,6 +165,7 @@
         const outcome = await options.control.order(server, order);
         log.info("engine order", {
             run,
+            shard: options.shard,
             action,
             model,
             adapter,
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -4,6 +4,8 @@
  *
  * @packageDocumentation
  */
+import type { StoreEra } from "../serving/storeEras.js";
+import type { ServerRunId } from "../serving/types.js";
 import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import { type Task, waitForAbort } from "../supervision/index.js";
 import type { ShardGroup, ShardMembership } from "./types.js";
@@ -52,7 +54,7 @@
     /** Records when the previous holder sent its last order, so that this instance may send orders earlier. */
     readonly markReleased: (shard: number, generation: number, lastOrderAt: Milliseconds) => void;
     /** Releases all shards after an engine has refused an outdated fencing number. */
-    readonly markFenced: () => void;
+    readonly markFenced: (run: ServerRunId) => void;
     /**
      * Whether the store has confirmed the membership so recently that it can't have assigned the held shards to another
      * member.
@@ -62,6 +64,9 @@
     readonly leave: () => Promise<void>;
 }
 
+/** Why an instance gives up all its shards. */
+type ReleaseReason = "instance stops" | "no member any more" | "refused by an engine";
+
 const joinsPerTtl = 3;
 /** Interval between joins after a start or a change, until the assignment has settled. */
 const settlingJoinIntervalMilliseconds = 80;
@@ -77,6 +82,7 @@
 export function createShardTask(options: ShardTaskOptions): ShardTask {
     const { clock } = options;
     const held = new Map<number, HeldShard>();
+    let era: StoreEra = 0;
     let generation = 0;
     let hasLastJoinFailed = false;
     let isLeaving = false;
@@ -93,11 +99,19 @@
         held.delete(shard);
         options.onShardLost(shard, generation);
     };
+    const removeAll = (reason: ReleaseReason, run?: ServerRunId): void => {
+        const lost = [...held.keys()];
+        if (lost.length > 0) {
+            log.info("shards", { era, generation, shards: [], gained: [], lost, reason, run });
+        }
+        lost.forEach(removeShard);
+    };
     const applyMembership = (membership: ShardMembership, now: Milliseconds): boolean => {
         const listed = new Set(membership.shards);
         const lost = [...held.keys()].filter(shard => !listed.has(shard));
         const gained = membership.shards.filter(shard => !held.has(shard));
         const hasChanged = membership.generation !== generation || lost.length + gained.length > 0;
+        era = membership.era ?? 0;
         generation = membership.generation;
         lost.forEach(removeShard);
         for (const [shard, known] of held) {
@@ -115,14 +129,15 @@
             }
         }
         if (hasChanged) {
-            log.info("shards", { generation, shards: membership.shards, gained, lost });
+            const reason = lost.length > 0 ? "dealt to others" : undefined;
+            log.info("shards", { era, generation, shards: membership.shards, gained, lost, reason });
             options.onMembershipChange();
         }
         return hasChanged;
     };
     const withdraw = async (): Promise<void> => {
         hasJoined = false;
-        [...held.keys()].forEach(removeShard);
+        removeAll(isLeaving ? "instance stops" : "no member any more");
         const answer = await options.group.leave(options.member);
         if (!answer.ok) {
             log.warn("leaving the shard group failed", { ...answer.error });
@@ -171,9 +186,7 @@
                 held.set(shard, { ...known, activeAt: Math.min(known.activeAt, lastOrderAt + options.orderLease) });
             }
         },
-        markFenced: () => {
-            [...held.keys()].forEach(removeShard);
-        },
+        markFenced: run => removeAll("refused by an engine", run),
         isConfirmed: () => clock.now() - confirmedAt < options.ttl,
         leave: async () => {
             isLeaving = true;
--- a/src/adapters/types.ts
+++ b/src/adapters/types.ts
@@ -4,11 +4,14 @@
  *
  * @packageDocumentation
  */
+import type { StoreEra } from "../serving/storeEras.js";
 import type { BackendServer, LoadedModel, StoreError } from "../serving/types.js";
 import type { Milliseconds, Result } from "../shared/index.js";
 
 /** Shards that the store has assigned to a member. */
 export interface ShardMembership {
+    /** Era of the store in which the generation holds. @default 0 */
+    readonly era?: StoreEra;
     /** Increases with each change of the group; orders for these shards carry it as their fencing number. */
     readonly generation: number;
     readonly shards: readonly number[];
--- a/src/platform/__tests__/store.test.ts
+++ b/src/platform/__tests__/store.test.ts
@@ -47,6 +47,7 @@
                     { key: "b", value: Buffer.from("2"), offset: 9 },
                 ],
                 endOffset: 10,
+                era: 0,
             },
         });
     });
--- a/src/platform/headers.ts
+++ b/src/platform/headers.ts
@@ -22,6 +22,7 @@
     maximumServerSlots,
     millisecondsPerSecond,
 } from "../shared/index.js";
+import { storeEraHeader } from "./storeEra.js";
 
 /** Names of headers on the wire. */
 const names = {
@@ -144,6 +145,7 @@
 
 /** Headers of responses that this program decodes, or passes on to the client without a use for them. */
 export const decodedResponseHeaders: readonly string[] = [
+    storeEraHeader,
     ...Object.values(names),
     // version of the model weights that answered
     "x-oriolehatch-weight-versions",
--- a/src/platform/main.ts
+++ b/src/platform/main.ts
@@ -9,6 +9,7 @@
 import { readFile } from "node:fs/promises";
 import { parseArgs } from "node:util";
 import { createServingInstance } from "../serving/servingInstance.js";
+import { createStoreEras } from "../serving/storeEras.js";
 import { createLogger, createSystemClock, sendLogsToStandardOutput, setLogLevel } from "../shared/index.js";
 import { describeProcessEnd, startTask } from "../supervision/index.js";
 import { createEngineControlClient } from "./engineControlClient.js";
@@ -73,7 +74,8 @@
     const headerTrace = createHeaderTrace(decodedResponseHeaders);
     const checkHeaders = (source: ResponseSource) => (names: Iterable<string>): void =>
         headerTrace.check(source, names);
-    const store = createPlatformStore(file.storeAddress, checkHeaders("store"));
+    const eras = createStoreEras();
+    const store = createPlatformStore(file.storeAddress, checkHeaders("store"), eras);
     const shutdown = new AbortController();
     // kept for good: without a listener a second signal ends the process with all its requests
     process.on("SIGTERM", () => shutdown.abort());
@@ -91,6 +93,7 @@
     setInterval(checkSettings, settingsIntervalMilliseconds).unref();
     const serving = createServingInstance(createInstanceOptions(file, () => bounds, metricsPort, createSystemClock()), {
         log: store,
+        eras,
         shards: store.shards,
         streams: store.streams,
         control: createEngineControlClient(checkHeaders("engine")),
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -7,6 +7,7 @@
 import * as z from "zod";
 import type { ShardGroup, ShardMembership, ShardOwner } from "../adapters/types.js";
 import { createServerSockets } from "../serving/serverSockets.js";
+import { createStoreEras, type StoreEra, type StoreEras } from "../serving/storeEras.js";
 import type { ExpiringLog, KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../serving/types.js";
 import {
     createListSchema,
@@ -29,6 +30,7 @@
     encodeRecord,
     maximumKeyBytes,
 } from "./logRecords.js";
+import { decodeStoreEra } from "./storeEra.js";
 import { createTopicReads, type TopicRead, type TopicReads } from "./topicReads.js";
 
 /** Client of the store. */
@@ -87,11 +89,13 @@
  *
  * @param address - IP and port of the store
  * @param onHeaders - called with the names of the headers of each response
+ * @param eras - told of the era of each answer
  * @returns the client; it connects on the first call, and its owner closes it
  */
 export function createPlatformStore(
     address: string,
     onHeaders: (names: Iterable<string>) => void,
+    eras: Pick<StoreEras, "read" | "observe"> = createStoreEras(),
 ): PlatformStore {
     const sockets = createServerSockets(connectTimeoutMilliseconds);
     const pool = new Pool(`http://${address}`, {
@@ -103,8 +107,12 @@
         headersTimeout: 0,
         bodyTimeout: 0,
     });
-    const sendRequest = (httpRequest: HttpRequest): Promise<Result<Buffer, StoreError>> =>
-        readResponse(sendHttpRequest(pool, { ...httpRequest, onHeaders }, sockets));
+    const sendRequest: StoreRequestSender = async httpRequest => {
+        const answer = await sendHttpRequest(pool, { ...httpRequest, onHeaders }, sockets);
+        return answer.ok
+            ? checkAnswer(answer.value, eras)
+            : wrapError({ kind: "unreachable", detail: answer.error.detail });
+    };
     const reads = createTopicReads();
     return {
         readNewest: topic =>
@@ -115,12 +123,15 @@
             if (!answer.ok) {
                 return answer;
             }
+            const { body, era } = answer.value;
             const decoded = decodeKeyedReadResponse(
-                answer.value,
+                body,
                 offset,
                 refused => log.warn("record shorter than its key", { topic, offset: refused }),
             );
-            return decoded.ok ? decoded : wrapError({ kind: "unreachable", detail: decoded.error.detail });
+            return decoded.ok
+                ? wrapValue({ ...decoded.value, era })
+                : wrapError({ kind: "unreachable", detail: decoded.error.detail });
         },
         append: async (topic, key, value) => {
             if (Buffer.byteLength(key) > maximumKeyBytes) {
@@ -157,20 +168,21 @@
     }
 }
 
-type StoreRequestSender = (httpRequest: HttpRequest) => Promise<Result<Buffer, StoreError>>;
-
-async function readResponse(answered: ReturnType<typeof sendHttpRequest>): Promise<Result<Buffer, StoreError>> {
-    const answer = await answered;
-    if (!answer.ok) {
-        return wrapError({ kind: "unreachable", detail: answer.error.detail });
-    }
-    return checkResponseStatus(answer.value);
+/** Body of a successful answer, and the era of the store that made it. */
+interface StoreAnswer {
+    readonly body: Buffer;
+    readonly era: StoreEra;
 }
 
-function checkResponseStatus(answer: HttpResponse): Result<Buffer, StoreError> {
+type StoreRequestSender = (httpRequest: HttpRequest) => Promise<Result<StoreAnswer, StoreError>>;
+
+function checkAnswer(answer: HttpResponse, eras: Pick<StoreEras, "read" | "observe">): Result<StoreAnswer, StoreError> {
+    const named = decodeStoreEra(answer.headers);
+    const era = typeof named === "number" ? named : eras.read();
+    eras.observe(era);
     switch (answer.status) {
         case 200:
-            return wrapValue(answer.body);
+            return wrapValue({ body: answer.body, era });
         case recordsExpiredStatus:
             return wrapError({ kind: "expired", firstOffset: decodeFirstOffset(answer.body) });
         case 429:
@@ -187,7 +199,7 @@
 }
 
 function createExpiringLog(sendRequest: StoreRequestSender, topic: string, reads: TopicReads): ExpiringLog {
-    const readPage = (offset: number): Promise<Result<Buffer, StoreError>> =>
+    const readPage = (offset: number): Promise<Result<StoreAnswer, StoreError>> =>
         sendRequest({
             method: "GET",
             path: `/log-read?topic=${topic}&part=0&from=${offset}&wait_ms=0`,
@@ -203,12 +215,12 @@
             if (!answer.ok) {
                 return answer;
             }
-            const page = decodeReadResponse(answer.value);
+            const page = decodeReadResponse(answer.value.body);
             if (!page.ok) {
                 return wrapError({ kind: "unreachable", detail: page.error.detail });
             }
             const excess = read.addPage(
-                { bytes: answer.value.length, records: page.value.records.length },
+                { bytes: answer.value.body.length, records: page.value.records.length },
                 performance.now(),
             );
             if (excess !== undefined) {
@@ -257,12 +269,13 @@
         if (!answer.ok) {
             return answer;
         }
-        const page = decodeLatestRecordsPage(answer.value);
+        const { body, era } = answer.value;
+        const page = decodeLatestRecordsPage(body);
         if (!page.ok) {
             return page;
         }
         const excess = read.addPage(
-            { bytes: answer.value.length, records: page.value.records.length },
+            { bytes: body.length, records: page.value.records.length },
             performance.now(),
         );
         if (excess !== undefined) {
@@ -271,7 +284,7 @@
         records.push(...page.value.records);
         endOffset ??= page.value.endOffset;
         if (!page.value.hasMore || page.value.lastKey === undefined) {
-            return wrapValue({ records, endOffset });
+            return wrapValue({ records, endOffset, era });
         }
         after = page.value.lastKey;
     }
@@ -313,7 +326,7 @@
 }
 
 function createShardGroup(sendRequest: StoreRequestSender): ShardGroup {
-    const sendGroupRequest = (path: string, body: unknown): Promise<Result<Buffer, StoreError>> =>
+    const sendGroupRequest = (path: string, body: unknown): Promise<Result<StoreAnswer, StoreError>> =>
         sendRequest({
             method: "POST",
             path,
@@ -339,7 +352,7 @@
         listOwners: async () => {
             const path = `/log-owners?group=${engineShardGroup}`;
             const answer = await sendRequest({ method: "GET", path, timeout: requestTimeoutMilliseconds });
-            return answer.ok ? decodeOwners(answer.value) : answer;
+            return answer.ok ? decodeOwners(answer.value.body) : answer;
         },
     };
 }
@@ -351,10 +364,10 @@
         : parsed;
 }
 
-function decodeMembership(body: Buffer): Result<ShardMembership, StoreError> {
+function decodeMembership({ body, era }: StoreAnswer): Result<ShardMembership, StoreError> {
     const parsed = decodeJson(groupMembershipSchema, body, maximumGroupAnswerBytes);
     return parsed.ok
-        ? wrapValue({ generation: parsed.value.generation, shards: parsed.value.parts.map(row => row[1]) })
+        ? wrapValue({ era, generation: parsed.value.generation, shards: parsed.value.parts.map(row => row[1]) })
         : parsed;
 }
 
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -139,6 +139,8 @@
 ): readonly KeyedRecord[] {
     let untaken: readonly KeyedRecord[] = [];
     if (isSnapshot) {
+        const { records, endOffset, era, age } = read;
+        log.info("newest records read", { topic: options.topic, era, endOffset, records: records.length, age });
         untaken = deliverSnapshot(options, read.records);
         options.cache?.replaceAll(read.records, read.endOffset);
     }
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -50,7 +50,6 @@
 import { computeStreamLifetime } from "./resumedStreams.js";
 import { createRetryBudget } from "./retryBudget.js";
 import { describeStoppingRefusal, runRequest } from "./runRequest.js";
-import { isSameServerValue } from "./sameServerValue.js";
 import { createServerConnections } from "./serverConnections.js";
 import { createServerList, type ServerListChange } from "./serverList.js";
 import { createServerListCheck } from "./serverListCheck.js";
@@ -58,8 +57,9 @@
 import { createMetricsServer, createServingMetrics } from "./servingMetrics.js";
 import type { ServingDependencies, ServingInstance, ServingOptions } from "./servingOptions.js";
 import { createShutdown } from "./shutdown.js";
+import { createStoreEras } from "./storeEras.js";
 import { createStreamLifetime } from "./streamLifetime.js";
-import { createTopicCache } from "./topicCache.js";
+import { createTopicCaches } from "./topicCaches.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "./types.js";
 
 /** Requests with keys are refused while the configuration is older than this ratio of the revocation bound. */
@@ -107,6 +107,7 @@
     const startUnixTime = Date.now();
     const self = describeInstance(options);
     const configuration = createConfigurationState();
+    const eras = dependencies.eras ?? createStoreEras();
     const servers = createServerList({
         shortestLapsingOutage: options.serverHeartbeat * (heartbeatsUntilLapse - 1),
     });
@@ -140,6 +141,7 @@
         readCold: () => ({ servers: cold.countCold(), permits: adapters.readPermitCounts() }),
         readEvacuated: () => evacuations.readCounts(),
         readEngines: () => adapters.readEngineStatus(),
+        readStore: () => ({ era: eras.read(), configuration: configuration.read()?.config.version ?? 0 }),
     });
     const random = createSeededRandom(startUnixTime % 2 ** 31);
     const answerMemory = createAnswerMemory();
@@ -374,12 +376,7 @@
             !shutdown.hasBegun() && isServerListRead &&
             configuration.measureAge(readClocks()) < options.revocationBound * readinessAgeRatio,
     });
-    const caches = {
-        configuration: createTopicCache(),
-        servers: createTopicCache({ isSameValue: (...entry) => isSameServerValue(dependencies.records, ...entry) }),
-        instances: createTopicCache(),
-        quarantines: createTopicCache(),
-    };
+    const caches = createTopicCaches(dependencies.records);
     const relayed = createRelayedLog({
         clock,
         store: dependencies.log,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -83,6 +83,8 @@
     readonly readCold?: () => ColdCounts;
     /** Numbers of evacuated failure domains and of their servers. @default none */
     readonly readEvacuated?: () => { readonly domains: number; readonly servers: number; };
+    /** Era of the store, and version of the configuration, that are in force here. @default 0 */
+    readonly readStore?: () => { readonly era: number; readonly configuration: number; };
     /** State of the engines whose shards this instance holds. @default it holds none */
     readonly readEngines?: () => EngineLoadStatus;
 }
@@ -100,6 +102,7 @@
         readCold = () => ({ servers: 0, permits: { granted: 0, refused: 0, returned: 0 } }),
         readEvacuated = () => ({ domains: 0, servers: 0 }),
         readEngines = () => ({ engines: [], placements: new Map() }),
+        readStore = () => ({ era: 0, configuration: 0 }),
     } = sources;
     const registry = new Registry();
     const registers = [registry];
@@ -269,6 +272,22 @@
             readEngines().engines.forEach(({ unreadTokens }) => this.observe(unreadTokens));
         },
     });
+    new Gauge({
+        name: "oriolehatch_store_era",
+        help: "Newest era of the store that this instance knows; 0 where the store names none",
+        registers,
+        collect() {
+            this.set(readStore().era);
+        },
+    });
+    new Gauge({
+        name: "oriolehatch_configuration_version",
+        help: "Version of the configuration in force; 0 before the first one",
+        registers,
+        collect() {
+            this.set(readStore().configuration);
+        },
+    });
     new Histogram({
         name: "oriolehatch_engine_slowness",
         help: "Time that work takes against a usual engine, over the engines of this holder at the time of the scrape",
--- a/src/serving/servingOptions.ts
+++ b/src/serving/servingOptions.ts
@@ -7,12 +7,15 @@
 import type { Clock, FailureDomainId, Milliseconds } from "../shared/index.js";
 import type { UndecodedHeader } from "./servingMetrics.js";
 import type { QuotaBounds } from "./startAllowance.js";
+import type { StoreEras } from "./storeEras.js";
 import type { ExpiringLog, HeaderCodec, KeyedLog, RecordCodec } from "./types.js";
 
 /** Clients and codecs for the systems that an instance depends on. */
 export interface ServingDependencies {
     /** Keyed topics of the platform's store. */
     readonly log: KeyedLog;
+    /** Eras of the store, of which its client learns. @default the store names none */
+    readonly eras?: StoreEras;
     /** Log of what began streams. */
     readonly streams: ExpiringLog;
     /** Group in which the store assigns shards of engines to instances. */
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -6,6 +6,7 @@
  */
 import type { BackendServerId, ClientAccountId, FailureDomainId, Milliseconds, Result } from "../shared/index.js";
 import type { EventId } from "./eventIds.js";
+import type { StoreEra } from "./storeEras.js";
 
 /**
  * Whether a request may run more than once: `idempotent` requests may, `once` requests never do, and `stream` requests
@@ -361,6 +362,8 @@
     readonly records: readonly KeyedRecord[];
     /** Offset from which the next read continues. */
     readonly endOffset: number;
+    /** Era of the store in which the offsets hold. @default 0 */
+    readonly era?: StoreEra;
     /** Age of the data when the read was sent, where it did not come from the store itself. @default 0 */
     readonly age?: Milliseconds;
 }
