test(platform): the stand-in store comes back from an older copy in the next era

Cause: the stand-in forgot nothing and dealt the same shards to the same members, so that no fault of a restore could show. Change: it can go away and come back as it was some time ago, with its topics, groups, generations and owners; names its era in all answers where one is set; answers 410 beyond its end; resets the calls that wait; deals shards by seeded chance where asked; lets an append of before arrive once more. Without these options it is as before.

--- a/src/platform/__tests__/delivered/wireStore.ts
+++ b/src/platform/__tests__/delivered/wireStore.ts
@@ -2,8 +2,10 @@
  * Stand-in of the platform's store at the wire: topics, keyed topics and groups, in memory.
  */
 import { createServer, type IncomingMessage, type ServerResponse } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
+import { resetSocket } from "../../../shared/index.js";
 import { encodeKeyedRecord, encodeRecord } from "../../logRecords.js";
+import { createSteadyDealer, createWireGroups, type GroupCall, type PartDealer } from "./wireGroups.js";
 
 /** A running store. */
 export interface WireStore {
@@ -15,57 +17,70 @@
     readonly append: (topic: string, content: Uint8Array) => void;
     /** Set by a test that has the store fail: called with each call, returns whether it has dealt with it. */
     intercept: ((request: IncomingMessage, response: ServerResponse) => boolean) | undefined;
+    /** Goes away, dropping what is written meanwhile, and resolves once the store is back from an older copy. */
+    readonly restore: (restore: StoreRestore) => Promise<void>;
+    readonly isAway: () => boolean;
+    /** Reassigns the partitions of all groups without any request. */
+    readonly resetGroups: () => void;
     readonly close: () => void;
 }
 
-interface Partition {
-    readonly contents: Buffer[];
-    readonly waiting: Set<() => void>;
+/** What a store is like beyond its calls. */
+export interface WireStoreOptions {
+    /** Partitions of topics without keys. @default 12 */
+    readonly partCount?: number;
+    /** Era at the start, named in all answers and raised by each restore. @default none is named */
+    readonly era?: number;
+    /** Decides which member of a group gets which partition. @default the same members get the same ones */
+    readonly splitParts?: PartDealer;
 }
 
-interface GroupMember {
-    at: number;
-    ttl: number;
-    generation: number;
+/** Return of a store from an older copy. Times are in milliseconds. */
+export interface StoreRestore {
+    /** Age of the copy when the store goes away. */
+    readonly age: number;
+    /** Time for which the store is away. */
+    readonly away: number;
+    /** Whether the newest append of a machine arrives once more, soon after the return. @default false */
+    readonly repeatsAppend?: boolean;
 }
 
-interface Group {
-    generation: number;
-    readonly topic: string;
-    readonly members: Map<string, GroupMember>;
-    readonly owners: Map<number, string | undefined>;
-    readonly targets: Map<number, string | undefined>;
-}
-
-interface GroupCall {
-    readonly group: string;
-    readonly member_id: string;
-    readonly topics: readonly string[];
-    readonly ttl_ms: number;
-    readonly generation: number;
+interface Partition {
+    readonly contents: Buffer[];
+    /** Times of the contents' appends. */
+    readonly times: number[];
+    readonly waiting: Set<() => void>;
 }
 
 const host = "127.0.0.1";
 const lengthFieldBytes = 4;
+/** Time after a return at which an append of before arrives. */
+const lateAppendMilliseconds = 200;
 
 /**
  * Starts a store on a loopback address.
  *
- * @param partCount - number of partitions of topics without keys
+ * @param options - its partitions, era and dealer
  * @returns the store; the caller closes it
  */
-export async function startWireStore(partCount = 12): Promise<WireStore> {
+export async function startWireStore(options: WireStoreOptions = {}): Promise<WireStore> {
+    const { partCount = 12, splitParts = createSteadyDealer() } = options;
+    let { era } = options;
+    let isAway = false;
+    let replayAppend: (() => void) | undefined;
     const partitions = new Map<string, Partition>();
-    const groups = new Map<string, Group>();
+    const groups = createWireGroups(partCount, splitParts);
+    const sockets = new Set<Socket>();
     const getPartition = (topic: string, part: string): Partition => {
         const name = `${topic}/${part}`;
-        const partition = partitions.get(name) ?? { contents: [], waiting: new Set() };
+        const partition = partitions.get(name) ?? { contents: [], times: [], waiting: new Set() };
         partitions.set(name, partition);
         return partition;
     };
-    const append = ({ contents, waiting }: Partition, added: readonly Buffer[]) => {
+    const append = ({ contents, times, waiting }: Partition, added: readonly Buffer[]) => {
         const offset = contents.length;
         contents.push(...added);
+        times.push(...added.map(() => performance.now()));
         [...waiting].forEach(wake => wake());
         return { offset, end_offset: contents.length };
     };
@@ -77,6 +92,10 @@
         response.end(body);
     };
     const read = (response: ServerResponse, partition: Partition, from: number, wait: number): void => {
+        if (from > partition.contents.length) {
+            sendJson(response, 410, { first_offset: 0 });
+            return;
+        }
         if (partition.contents.length > from || wait === 0) {
             sendRecords(response, partition, from);
             return;
@@ -93,67 +112,41 @@
         partition.waiting.add(finish);
         response.once("close", forget);
     };
-    // deals the partitions evenly; one that another member still holds moves when that member has learned of it
-    const moveParts = (group: Group): void => {
-        group.generation++;
-        const names = [...group.members.keys()].sort();
-        for (let part = 0; part < partCount; part++) {
-            group.targets.set(part, names[part % names.length]);
-        }
+    const restorePartition = ({ contents, times }: Partition, at: number): void => {
+        const kept = times.findLastIndex(time => time <= at) + 1;
+        contents.length = kept;
+        times.length = kept;
     };
-    const settle = (group: Group): void => {
-        for (let part = 0; part < partCount; part++) {
-            const owner = group.owners.get(part);
-            const known = owner === undefined ? undefined : group.members.get(owner);
-            if (!known || known.generation >= group.generation) {
-                group.owners.set(part, group.targets.get(part));
-            }
-        }
+    const restore = async ({ age, away, repeatsAppend = false }: StoreRestore): Promise<void> => {
+        const at = performance.now() - age;
+        const replayLate = repeatsAppend ? replayAppend : undefined;
+        isAway = true;
+        sockets.forEach(resetSocket);
+        await new Promise(resolve => setTimeout(resolve, away));
+        partitions.forEach(partition => restorePartition(partition, at));
+        groups.restore(at, performance.now());
+        era = era === undefined ? undefined : era + 1;
+        isAway = false;
+        setTimeout(() => replayLate?.(), lateAppendMilliseconds);
     };
-    const expireMembers = (group: Group): void => {
-        const now = performance.now();
-        const gone = [...group.members].filter(([, member]) => now - member.at > member.ttl);
-        gone.forEach(([name]) => group.members.delete(name));
-        if (gone.length > 0) {
-            moveParts(group);
-        }
-        settle(group);
-    };
-    const join = (call: GroupCall) => {
-        const group = groups.get(call.group) ??
-            { generation: 0, topic: call.topics[0]!, members: new Map(), owners: new Map(), targets: new Map() };
-        groups.set(call.group, group);
-        expireMembers(group);
-        const isNew = !group.members.has(call.member_id);
-        group.members.set(call.member_id, { at: performance.now(), ttl: call.ttl_ms, generation: call.generation });
-        if (isNew) {
-            moveParts(group);
-        }
-        settle(group);
-        const held = [...group.owners]
-            .filter(([part, owner]) => owner === call.member_id && group.targets.get(part) === call.member_id);
-        return { generation: group.generation, parts: held.map(([part]) => [group.topic, part, 0]) };
+    const appendOnce = (partition: Partition, added: readonly Buffer[]) => {
+        replayAppend = () => void append(partition, added);
+        return append(partition, added);
     };
-    const removeMember = (call: GroupCall) => {
-        const group = groups.get(call.group);
-        if (group?.members.delete(call.member_id)) {
-            moveParts(group);
-            settle(group);
+    const write = (topic: string, content: Buffer): void => {
+        if (!isAway) {
+            append(getPartition(topic, "0"), [content]);
         }
-        return {};
-    };
-    const listOwners = (name: string) => {
-        const group = groups.get(name);
-        if (!group) {
-            return [];
-        }
-        expireMembers(group);
-        return [...group.owners]
-            .filter(([, owner]) => owner !== undefined)
-            .map(([part, owner]) => [group.topic, part, owner, 0]);
     };
     const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const body = await readBody(request);
+        if (isAway) {
+            response.destroy();
+            return;
+        }
+        if (era !== undefined) {
+            response.setHeader("Store-Era", String(era));
+        }
         if (store.intercept?.(request, response)) {
             return;
         }
@@ -161,7 +154,7 @@
         const partition = getPartition(query.get("topic") ?? "", query.get("part") ?? "0");
         switch (pathname) {
             case "/log-append":
-                sendJson(response, 200, append(partition, splitRecords(body)));
+                sendJson(response, 200, appendOnce(partition, splitRecords(body)));
                 break;
             case "/log-read":
                 read(response, partition, Number(query.get("from")), Number(query.get("wait_ms") ?? 0));
@@ -170,13 +163,17 @@
                 sendJson(response, 200, listNewest(partition));
                 break;
             case "/log-join":
-                sendJson(response, 200, join(JSON.parse(body.toString()) as GroupCall));
+                sendJson(response, 200, groups.join(JSON.parse(body.toString()) as GroupCall, performance.now()));
                 break;
             case "/log-leave":
-                sendJson(response, 200, removeMember(JSON.parse(body.toString()) as GroupCall));
+                sendJson(
+                    response,
+                    200,
+                    groups.removeMember(JSON.parse(body.toString()) as GroupCall, performance.now()),
+                );
                 break;
             case "/log-owners":
-                sendJson(response, 200, listOwners(query.get("group") ?? ""));
+                sendJson(response, 200, groups.listOwners(query.get("group") ?? "", performance.now()));
                 break;
             default:
                 sendJson(response, 404, {});
@@ -184,15 +181,26 @@
     };
     const server = createServer((request, response) => void handle(request, response).catch(() => response.destroy()));
     server.keepAliveTimeout = 60_000;
+    server.on("connection", (socket: Socket) => {
+        if (isAway) {
+            resetSocket(socket);
+            return;
+        }
+        sockets.add(socket);
+        socket.once("close", () => sockets.delete(socket));
+    });
     await new Promise<void>(resolve => server.listen(0, host, resolve));
     const store: WireStore = {
         address: `${host}:${(server.address() as AddressInfo).port}`,
         intercept: undefined,
         put: (topic, key, value) => {
             const record = encodeKeyedRecord(key, value === undefined ? undefined : Buffer.from(value));
-            append(getPartition(topic, "0"), [record.subarray(lengthFieldBytes)]);
+            write(topic, record.subarray(lengthFieldBytes));
         },
-        append: (topic, content) => void append(getPartition(topic, "0"), [Buffer.from(content)]),
+        append: (topic, content) => write(topic, Buffer.from(content)),
+        restore,
+        isAway: () => isAway,
+        resetGroups: () => groups.reset(performance.now()),
         close: () => {
             server.close();
             server.closeAllConnections();
