fix(adapters): a fencing number names the store's era, and is never given to two holders

Cause: the generation of the group was taken as unique and rising. The store may come back from a copy some seconds old; the generation goes back with it and rises again, with other holders. The class: what the store has said is believed beyond the era in which it holds.

Evidence: restoredGroup.test.ts, the model of the group searched over orders of events.

Why it works: the number is the era of the answer that dealt the shard x 2^32 + its generation; both are of one answer, and an answer of an earlier era than the newest known is left out. A rise of the era has the member join at once, with generation 0: a number of before would tell the store that this member has learned of changes that are still to come. Confirmed, and settled for permits, is a holder by a join of the present era only. A store that names no era gets the numbers and joins of before.

--- a/src/adapters/__tests__/adapterCoordinator.test.ts
+++ b/src/adapters/__tests__/adapterCoordinator.test.ts
@@ -94,6 +94,7 @@
         find: () => ({ fencingNumber: 1, activeAt: 0 }),
         list: () => [0],
         isConfirmed: () => true,
+        readEraJoinedAt: () => Number.NEGATIVE_INFINITY,
     } as unknown as ShardTask;
     coordinator.setShardTask(shards);
     coordinator.handleServers(servers, []);
--- a/src/adapters/__tests__/placeFleet.ts
+++ b/src/adapters/__tests__/placeFleet.ts
@@ -154,7 +154,14 @@
             ? { fencingNumber: 1, activeAt: 0 }
             : undefined;
     const listHeld = (): readonly number[] => [0, 1].filter(findHeld);
-    coordinator.setShardTask({ find: findHeld, list: listHeld, isConfirmed: () => true } as unknown as ShardTask);
+    coordinator.setShardTask(
+        {
+            find: findHeld,
+            list: listHeld,
+            isConfirmed: () => true,
+            readEraJoinedAt: () => Number.NEGATIVE_INFINITY,
+        } as unknown as ShardTask,
+    );
     return coordinator;
 }
 
--- a/src/adapters/__tests__/restoredGroupModel.ts
+++ b/src/adapters/__tests__/restoredGroupModel.ts
@@ -4,6 +4,7 @@
  *
  * @packageDocumentation
  */
+import { createStoreEras, type StoreEras } from "../../serving/storeEras.js";
 import type { StoreError } from "../../serving/types.js";
 import {
     type Clock,
@@ -87,7 +88,7 @@
     readonly name: string;
     member: Member | undefined;
     isMember: boolean;
-    seenEra: number;
+    eras: StoreEras;
     /** Time for which it is frozen if the store executes its next call soon. */
     freezeNext: { readonly duration: Milliseconds; readonly until: Milliseconds; } | undefined;
     readonly until: Record<"reject" | "slow" | "lose" | "delayOrders", Milliseconds>;
@@ -159,21 +160,16 @@
             });
         });
     const createGroupClient = (state: MemberState, isLive: () => boolean): ShardGroup => {
-        let joinedEra = 0;
         return {
             join: async (name, known, ttl) => {
-                const sent = plan.isEraChecked && joinedEra < state.seenEra ? 0 : known;
-                const answer = await callStore(state, isLive, () => group.join(name, sent, ttl));
+                const answer = await callStore(state, isLive, () => group.join(name, known, ttl));
                 if (!answer.ok) {
                     return answer;
                 }
                 const membership = answer.value;
-                if (plan.isEraChecked && membership.era < state.seenEra) {
-                    return wrapError({ kind: "unreachable", detail: "earlier era" });
-                }
-                joinedEra = Math.max(joinedEra, membership.era);
-                state.seenEra = Math.max(state.seenEra, membership.era);
-                return wrapValue(membership);
+                return state.eras.observe(membership.era) === "past" && plan.isEraChecked
+                    ? wrapError({ kind: "unreachable", detail: "earlier era" })
+                    : wrapValue(membership);
             },
             leave: name => callStore(state, isLive, () => group.leave(name)),
             listOwners: () => callStore(state, isLive, group.listOwners),
@@ -202,6 +198,7 @@
         }
     };
     const startMember = (state: MemberState): void => {
+        state.eras = createStoreEras();
         const clock = createNodeClock(history, state.name);
         disturbances.add(state.name, readNow(), readNow());
         const stopping = new AbortController();
@@ -245,6 +242,7 @@
             orderLease: orderLeaseMilliseconds,
             isFenced: true,
             clock,
+            ...plan.isEraChecked && { eras: state.eras },
             startedAt: readNow(),
             findHolderChangedAt: holders.findChangedAt,
             isMember: () => state.isMember,
@@ -259,7 +257,6 @@
         const member: Member = { name: state.name, stopping, task, handleReleased: task.markReleased };
         state.member = member;
         state.isMember = true;
-        state.seenEra = 0;
         startDetached(task.run(stopping.signal));
         startDetached(runOrders(state, member, clock));
     };
@@ -312,7 +309,9 @@
                 });
                 return;
             case "tellEra":
-                state.seenEra = isAway ? state.seenEra : group.readEra();
+                if (!isAway) {
+                    state.eras.observe(group.readEra());
+                }
                 return;
             case "reject":
             case "slow":
@@ -394,7 +393,7 @@
         name,
         member: undefined,
         isMember: true,
-        seenEra: 0,
+        eras: createStoreEras(),
         freezeNext: undefined,
         until: { reject: 0, slow: 0, lose: 0, delayOrders: 0 },
     };
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -65,7 +65,7 @@
     readonly handleEvacuation: () => void;
     readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
     readonly handleShardGained: (shard: number) => void;
-    readonly handleShardLost: (shard: number, generation: number) => void;
+    readonly handleShardLost: (shard: number, fencingNumber: number) => void;
     readonly handleMembershipChange: () => void;
     readonly handleMessage: (
         from: InstanceId,
@@ -111,7 +111,8 @@
     const isSettledHolder = (run: ServerRunId): boolean => {
         const heldSince = gainedAt.get(findShard(parseServerId(run)));
         const settlingTime = (options.shardTtl ?? 0) + takeoverMarginMilliseconds;
-        return heldSince !== undefined && clock.now() - heldSince >= settlingTime && shards?.isConfirmed() === true;
+        return heldSince !== undefined && shards?.isConfirmed() === true &&
+            clock.now() - Math.max(heldSince, shards.readEraJoinedAt()) >= settlingTime;
     };
     const serverPermits = createServerPermits({
         findColdRate: (run, isAskedCold) => cold.findRate(run, isSettledHolder(run), isAskedCold),
@@ -119,7 +120,7 @@
     const versions = createAdapterVersions(() => options.versionGracePeriod);
     const engineShards = createEngineShards(options.shardCount);
     const { findShard } = engineShards;
-    const releasedAt = new Map<number, { readonly generation: number; readonly lastOrderAt: Milliseconds; }>();
+    const releasedAt = new Map<number, { readonly fencingNumber: number; readonly lastOrderAt: Milliseconds; }>();
     let shards: ShardTask | undefined;
 
     const isOrderAllowed = (server: BackendServer): boolean => {
@@ -236,7 +237,7 @@
         network.send(holder, "adapters", {
             kind: "released",
             shard,
-            generation: released.generation,
+            generation: released.fencingNumber,
             sinceLastOrder,
         });
     };
@@ -462,12 +463,12 @@
             serverPermits.resetPace(run => findShard(parseServerId(run)) === shard);
             openManagers(options.listEngines().filter(server => findShard(server.id) === shard), false);
         },
-        handleShardLost: (shard, generation) => {
+        handleShardLost: (shard, fencingNumber) => {
             holders.markReleased(shard);
             gainedAt.delete(shard);
             const closed = options.listEngines().filter(server => findShard(server.id) === shard).map(closeManager);
             const orderTimes = closed.map(manager => manager?.readLastOrderAt() ?? Number.NEGATIVE_INFINITY);
-            releasedAt.set(shard, { generation, lastOrderAt: Math.max(Number.NEGATIVE_INFINITY, ...orderTimes) });
+            releasedAt.set(shard, { fencingNumber, lastOrderAt: Math.max(Number.NEGATIVE_INFINITY, ...orderTimes) });
         },
         handleMembershipChange: () => startTask("holders of shards", holders.reload),
         handleMessage,
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -1,13 +1,14 @@
 /**
  * Keeps this instance a member of the shard group, among whose members the store distributes the shards of engines. The
- * fencing number of a held shard is the generation of the latest assignment that includes the shard.
+ * fencing number of a held shard is that of the latest assignment that includes the shard.
  *
  * @packageDocumentation
  */
-import type { StoreEra } from "../serving/storeEras.js";
+import type { StoreEra, StoreEras } from "../serving/storeEras.js";
 import type { ServerRunId } from "../serving/types.js";
 import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import { type Task, waitForAbort } from "../supervision/index.js";
+import { computeFencingNumber } from "./fencingNumbers.js";
 import type { ShardGroup, ShardMembership } from "./types.js";
 
 /** A shard that this instance holds. */
@@ -20,7 +21,7 @@
 /** Callbacks for changes of the shards that this instance holds. */
 export interface ShardListeners {
     readonly onShardGained: (shard: number) => void;
-    readonly onShardLost: (shard: number, generation: number) => void;
+    readonly onShardLost: (shard: number, fencingNumber: number) => void;
     /** Called after the generation or the set of held shards has changed. */
     readonly onMembershipChange: () => void;
 }
@@ -37,6 +38,8 @@
     /** Whether engines refuse orders with an outdated fencing number. */
     readonly isFenced: boolean;
     readonly clock: Clock;
+    /** Eras of the store: a rise tells that the assignment may be void. @default that of the group's answers */
+    readonly eras?: Pick<StoreEras, "read" | "onRise">;
     /** Start of this instance. */
     readonly startedAt: Milliseconds;
     /** Time of the last observed change of a shard's holder; `undefined` when none was observed. */
@@ -52,7 +55,7 @@
     /** Numbers of the held shards. */
     readonly list: () => readonly number[];
     /** Records when the previous holder sent its last order, so that this instance may send orders earlier. */
-    readonly markReleased: (shard: number, generation: number, lastOrderAt: Milliseconds) => void;
+    readonly markReleased: (shard: number, fencingNumber: number, lastOrderAt: Milliseconds) => void;
     /** Releases all shards after an engine has refused an outdated fencing number. */
     readonly markFenced: (run: ServerRunId) => void;
     /**
@@ -60,6 +63,8 @@
      * member.
      */
     readonly isConfirmed: () => boolean;
+    /** Time of the first join in the present era of the store: a copy may deal out again what another member still holds. */
+    readonly readEraJoinedAt: () => Milliseconds;
     /** Releases all shards and leaves the group for good. */
     readonly leave: () => Promise<void>;
 }
@@ -84,10 +89,12 @@
     const held = new Map<number, HeldShard>();
     let era: StoreEra = 0;
     let generation = 0;
+    const readEra = (): StoreEra => Math.max(era, options.eras?.read() ?? 0);
     let hasLastJoinFailed = false;
     let isLeaving = false;
     let hasJoined = false;
     let confirmedAt = Number.NEGATIVE_INFINITY;
+    let eraJoinedAt = Number.NEGATIVE_INFINITY;
 
     // with fencing a shard may be taken over at once, but its holder must not change again and again within one lease
     const computeActiveAt = (shard: number, now: Milliseconds): Milliseconds => {
@@ -97,7 +104,7 @@
     };
     const removeShard = (shard: number): void => {
         held.delete(shard);
-        options.onShardLost(shard, generation);
+        options.onShardLost(shard, computeFencingNumber({ era, generation }));
     };
     const removeAll = (reason: ReleaseReason, run?: ServerRunId): void => {
         const lost = [...held.keys()];
@@ -106,19 +113,24 @@
         }
         lost.forEach(removeShard);
     };
+    const isPresent = (membership: ShardMembership): boolean =>
+        computeFencingNumber(membership) === computeFencingNumber({ era, generation });
+    // an answer from before the store came back tells nothing of the present
+    const isOutdated = (membership: ShardMembership): boolean => (membership.era ?? 0) < readEra();
     const applyMembership = (membership: ShardMembership, now: Milliseconds): boolean => {
         const listed = new Set(membership.shards);
         const lost = [...held.keys()].filter(shard => !listed.has(shard));
         const gained = membership.shards.filter(shard => !held.has(shard));
-        const hasChanged = membership.generation !== generation || lost.length + gained.length > 0;
+        const hasChanged = !isPresent(membership) || lost.length + gained.length > 0;
         era = membership.era ?? 0;
         generation = membership.generation;
         lost.forEach(removeShard);
+        const fencingNumber = computeFencingNumber({ era, generation });
         for (const [shard, known] of held) {
-            held.set(shard, { ...known, fencingNumber: generation });
+            held.set(shard, { ...known, fencingNumber });
         }
         for (const shard of gained) {
-            held.set(shard, { fencingNumber: generation, activeAt: computeActiveAt(shard, now) });
+            held.set(shard, { fencingNumber, activeAt: computeActiveAt(shard, now) });
             try {
                 options.onShardGained(shard);
             }
@@ -146,13 +158,25 @@
     const joinOnce = async (): Promise<boolean> => {
         const sentAt = clock.now();
         hasJoined = true;
-        const answer = await options.group.join(options.member, generation, options.ttl);
+        // a generation of an earlier era would tell the store that this member has learned of changes that are still to come
+        const lastGeneration = readEra() === era ? generation : 0;
+        const answer = await options.group.join(options.member, lastGeneration, options.ttl);
         if (isLeaving) {
             return false;
         }
+        if (answer.ok && isOutdated(answer.value)) {
+            const { era: answerEra = 0, generation: answerGeneration } = answer.value;
+            log.warn("assignment outdated", {
+                era: answerEra,
+                generation: answerGeneration,
+                present: [era, generation],
+            });
+            return false;
+        }
         if (answer.ok) {
             hasLastJoinFailed = false;
             confirmedAt = sentAt;
+            eraJoinedAt = (answer.value.era ?? 0) > era ? clock.now() : eraJoinedAt;
             return applyMembership(answer.value, clock.now());
         }
         if (!hasLastJoinFailed) {
@@ -164,6 +188,7 @@
     const run = async (signal: AbortSignal): Promise<void> => {
         let changedAt = clock.now();
         while (!signal.aborted && !isLeaving) {
+            const eraBefore = readEra();
             if (options.isMember()) {
                 changedAt = await joinOnce() ? clock.now() : changedAt;
             }
@@ -171,23 +196,37 @@
                 await withdraw();
             }
             const isSettling = clock.now() - changedAt < settlingPeriodMilliseconds;
-            await clock.sleep(isSettling ? settlingJoinIntervalMilliseconds : options.ttl / joinsPerTtl, signal);
+            const hasRisen = readEra() > Math.max(era, eraBefore);
+            if (!hasRisen && !signal.aborted) {
+                await sleepUntilRise(isSettling ? settlingJoinIntervalMilliseconds : options.ttl / joinsPerTtl, signal);
+            }
         }
         await waitForAbort(signal);
     };
+    // when the store has come back, another member may have been dealt what this one holds
+    const sleepUntilRise = async (duration: Milliseconds, signal: AbortSignal): Promise<void> => {
+        const wake = new AbortController();
+        const abort = (): void => wake.abort();
+        signal.addEventListener("abort", abort, { once: true });
+        const forget = options.eras?.onRise(abort);
+        await clock.sleep(duration, wake.signal);
+        forget?.();
+        signal.removeEventListener("abort", abort);
+    };
     return {
         name: "shards",
         run,
         find: shard => held.get(shard),
         list: () => [...held.keys()],
-        markReleased: (shard, releasedGeneration, lastOrderAt) => {
+        markReleased: (shard, fencingNumber, lastOrderAt) => {
             const known = held.get(shard);
-            if (known && releasedGeneration <= known.fencingNumber) {
+            if (known && fencingNumber <= known.fencingNumber) {
                 held.set(shard, { ...known, activeAt: Math.min(known.activeAt, lastOrderAt + options.orderLease) });
             }
         },
         markFenced: run => removeAll("refused by an engine", run),
-        isConfirmed: () => clock.now() - confirmedAt < options.ttl,
+        readEraJoinedAt: () => eraJoinedAt,
+        isConfirmed: () => clock.now() - confirmedAt < options.ttl && readEra() === era,
         leave: async () => {
             isLeaving = true;
             if (hasJoined) {
--- a/src/adapters/types.ts
+++ b/src/adapters/types.ts
@@ -4,16 +4,12 @@
  *
  * @packageDocumentation
  */
-import type { StoreEra } from "../serving/storeEras.js";
 import type { BackendServer, LoadedModel, StoreError } from "../serving/types.js";
 import type { Milliseconds, Result } from "../shared/index.js";
+import type { Assignment } from "./fencingNumbers.js";
 
-/** Shards that the store has assigned to a member. */
-export interface ShardMembership {
-    /** Era of the store in which the generation holds. @default 0 */
-    readonly era?: StoreEra;
-    /** Increases with each change of the group; orders for these shards carry it as their fencing number. */
-    readonly generation: number;
+/** Shards that the store has assigned to a member; the generation increases with each change of the group. */
+export interface ShardMembership extends Assignment {
     readonly shards: readonly number[];
 }
 
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -5,6 +5,7 @@
  */
 import { Pool } from "undici";
 import * as z from "zod";
+import { maximumGeneration } from "../adapters/fencingNumbers.js";
 import type { ShardGroup, ShardMembership, ShardOwner } from "../adapters/types.js";
 import { createServerSockets } from "../serving/serverSockets.js";
 import { createStoreEras, type StoreEra, type StoreEras } from "../serving/storeEras.js";
@@ -72,7 +73,7 @@
 });
 const latestRecordSchema = z.object({ key: z.string(), value: z.string().nullish(), offset: ordinalSchema });
 const groupMembershipSchema = z.object({
-    generation: ordinalSchema,
+    generation: ordinalSchema.max(maximumGeneration),
     // partitions that the member holds: topic, partition and committed offset
     parts: createListSchema(z.tuple([z.string(), shardNumberSchema]).rest(z.unknown())),
 });
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -197,6 +197,7 @@
             return options.areOrdersFenced;
         },
         clock,
+        eras,
         startedAt,
         findHolderChangedAt: adapters.holders.findChangedAt,
         // who reaches no engine can order nothing there
@@ -207,9 +208,9 @@
             quotas.handleShardGained(shard);
             adapters.handleShardGained(shard);
         },
-        onShardLost: (shard, generation) => {
+        onShardLost: (shard, fencingNumber) => {
             quotas.handleShardLost(shard);
-            adapters.handleShardLost(shard, generation);
+            adapters.handleShardLost(shard, fencingNumber);
         },
         onMembershipChange: adapters.handleMembershipChange,
     });
