fix(adapters): a holder that never ordered passes on when the one before it may have

What engines saw: orders of two holders that took turns within the lease, without any disturbance.

Cause: a holder tells the next one of its last order, so that this one needn't wait the whole lease. One that gained a shard and lost it before its first order told of none, and the lease of the holder before it was forgotten.

Why it works: the time from which a holder may order is the end of the lease of those before it, and is passed on with the release.

--- a/src/adapters/__tests__/restoredGroupModel.ts
+++ b/src/adapters/__tests__/restoredGroupModel.ts
@@ -247,10 +247,11 @@
             findHolderChangedAt: holders.findChangedAt,
             isMember: () => state.isMember,
             onShardGained: shard => recordLine(`${state.name} gains ${shard}`),
-            onShardLost: (shard, number) => {
+            onShardLost: (shard, { fencingNumber, previousOrderAt }) => {
                 recordLine(`${state.name} loses ${shard}`);
                 holders.markReleased(shard);
-                releases.set(shard, { number, lastOrderAt: engines[shard]!.findLastSent(state.name) });
+                const lastOrderAt = Math.max(previousOrderAt, engines[shard]!.findLastSent(state.name));
+                releases.set(shard, { number: fencingNumber, lastOrderAt });
             },
             onMembershipChange: () => startDetached(holders.reload()),
         });
--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -32,7 +32,7 @@
 import { createResidencyIndex } from "./residencyIndex.js";
 import { createServerPermits, type PacedPermitCounts } from "./serverPermits.js";
 import { createShardHolders, type ShardHolders } from "./shardHolders.js";
-import type { ShardTask } from "./shardTask.js";
+import type { ReleasedShard, ShardTask } from "./shardTask.js";
 
 export type { AdapterCoordinatorOptions, LeavingSource } from "./coordinatorOptions.js";
 
@@ -65,7 +65,7 @@
     readonly handleEvacuation: () => void;
     readonly handleServers: (added: readonly BackendServer[], removed: readonly BackendServer[]) => void;
     readonly handleShardGained: (shard: number) => void;
-    readonly handleShardLost: (shard: number, fencingNumber: number) => void;
+    readonly handleShardLost: (shard: number, released: ReleasedShard) => void;
     readonly handleMembershipChange: () => void;
     readonly handleMessage: (
         from: InstanceId,
@@ -463,12 +463,12 @@
             serverPermits.resetPace(run => findShard(parseServerId(run)) === shard);
             openManagers(options.listEngines().filter(server => findShard(server.id) === shard), false);
         },
-        handleShardLost: (shard, fencingNumber) => {
+        handleShardLost: (shard, { fencingNumber, previousOrderAt }) => {
             holders.markReleased(shard);
             gainedAt.delete(shard);
             const closed = options.listEngines().filter(server => findShard(server.id) === shard).map(closeManager);
             const orderTimes = closed.map(manager => manager?.readLastOrderAt() ?? Number.NEGATIVE_INFINITY);
-            releasedAt.set(shard, { fencingNumber, lastOrderAt: Math.max(Number.NEGATIVE_INFINITY, ...orderTimes) });
+            releasedAt.set(shard, { fencingNumber, lastOrderAt: Math.max(previousOrderAt, ...orderTimes) });
         },
         handleMembershipChange: () => startTask("holders of shards", holders.reload),
         handleMessage,
--- a/src/adapters/shardTask.ts
+++ b/src/adapters/shardTask.ts
@@ -18,10 +18,17 @@
     readonly activeAt: Milliseconds;
 }
 
+/** A shard that this instance has just lost. */
+export interface ReleasedShard {
+    readonly fencingNumber: number;
+    /** Latest time at which the holder before this one may have sent an order, as far as it is known. */
+    readonly previousOrderAt: Milliseconds;
+}
+
 /** Callbacks for changes of the shards that this instance holds. */
 export interface ShardListeners {
     readonly onShardGained: (shard: number) => void;
-    readonly onShardLost: (shard: number, fencingNumber: number) => void;
+    readonly onShardLost: (shard: number, released: ReleasedShard) => void;
     /** Called after the generation or the set of held shards has changed. */
     readonly onMembershipChange: () => void;
 }
@@ -103,8 +110,12 @@
         return hasJustStarted ? now : Math.max(now, changedAt + options.orderLease);
     };
     const removeShard = (shard: number): void => {
+        const { activeAt = Number.NEGATIVE_INFINITY } = held.get(shard) ?? {};
         held.delete(shard);
-        options.onShardLost(shard, computeFencingNumber({ era, generation }));
+        options.onShardLost(shard, {
+            fencingNumber: computeFencingNumber({ era, generation }),
+            previousOrderAt: activeAt - options.orderLease,
+        });
     };
     const removeAll = (reason: ReleaseReason, run?: ServerRunId): void => {
         const lost = [...held.keys()];
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -208,9 +208,9 @@
             quotas.handleShardGained(shard);
             adapters.handleShardGained(shard);
         },
-        onShardLost: (shard, fencingNumber) => {
+        onShardLost: (shard, released) => {
             quotas.handleShardLost(shard);
-            adapters.handleShardLost(shard, fencingNumber);
+            adapters.handleShardLost(shard, released);
         },
         onMembershipChange: adapters.handleMembershipChange,
     });
