fix(quarantine): quarantines that the store has lost are kept and written again

What servers would see: requests that end them, again, after the store came back from a copy of before their quarantine; an instance that starts then would know of none. Same class as the fencing numbers: what the store has confirmed was believed to stay there.

The deciding instance writes the lost records again, each once, until the store takes it or its record comes from elsewhere.

--- a/src/quarantine/quarantineList.ts
+++ b/src/quarantine/quarantineList.ts
@@ -123,6 +123,17 @@
     return Buffer.from(JSON.stringify(quarantine), "utf8");
 }
 
+/**
+ * Reads how often requests of a quarantine were tried.
+ *
+ * @param key - key of its record
+ * @param value - value of its record
+ * @returns the number of trials; none for a record that can't be read
+ */
+export function readTrials(key: string, value: Uint8Array): number {
+    return decodeQuarantine(key, value)?.trials ?? 0;
+}
+
 function decodeQuarantine(key: string, value: Uint8Array): Quarantine | undefined {
     try {
         const record: unknown = parseBoundedJson(value, maximumRecordBytes);
--- a/src/quarantine/requestGuard.ts
+++ b/src/quarantine/requestGuard.ts
@@ -48,6 +48,8 @@
     /** Replaces all quarantines by those of a snapshot of the store. */
     readonly replaceAll: (records: readonly KeyedRecord[]) => void;
     readonly applyRecord: (record: KeyedRecord) => void;
+    /** Records quarantines that the store has lost; the deciding instance writes them again. */
+    readonly markLost: (records: readonly KeyedRecord[]) => void;
     /** Sends what is to be reported, and decides where this instance does; call it regularly. */
     readonly tick: () => void;
 }
@@ -73,6 +75,8 @@
         publish: async (key, value) => (await options.append("quarantines", key, value)).ok,
         now: clock.now,
     });
+    const lost = new Map<string, Uint8Array>();
+    let isRestoring = false;
     let isReporting = false;
     let isCollecting = false;
     const isDecider = (): boolean => options.isHeld(deciderShard);
@@ -142,6 +146,27 @@
             await sendReport();
         }
     };
+    const writeLost = async (): Promise<void> => {
+        for (const [key, value] of [...lost]) {
+            // one that was lifted or written meanwhile isn't lost any more
+            if (lost.has(key) && !(await options.append("quarantines", key, value)).ok) {
+                return;
+            }
+            lost.delete(key);
+        }
+    };
+    const restoreLost = async (): Promise<void> => {
+        if (isRestoring || lost.size === 0) {
+            return;
+        }
+        isRestoring = true;
+        try {
+            await writeLost();
+        }
+        finally {
+            isRestoring = false;
+        }
+    };
     return {
         decide: list.decide,
         requestTrial: async scope => {
@@ -179,7 +204,12 @@
             }
         },
         replaceAll: records => trackAdded(list.replaceAll(records, clock.now())),
+        markLost: records => {
+            lost.clear();
+            records.forEach(({ key, value }) => value && lost.set(key, value));
+        },
         applyRecord: record => {
+            lost.delete(record.key);
             const added = list.apply(record, clock.now());
             trackAdded(added ? [added] : []);
         },
@@ -187,6 +217,7 @@
             startTask("report of broken requests", sendReport);
             if (isDecider()) {
                 startTask("quarantines", () => decider.update(clock.now()));
+                startTask("lost quarantines", restoreLost);
             }
         },
     };
--- a/src/serving/__tests__/runRequest.test.ts
+++ b/src/serving/__tests__/runRequest.test.ts
@@ -312,6 +312,7 @@
                 handleMessage: () => undefined,
                 replaceAll: () => undefined,
                 applyRecord: () => undefined,
+                markLost: () => undefined,
                 tick: () => undefined,
             },
             origins: {
