--- a/src/adapters/adapterCoordinator.ts
+++ b/src/adapters/adapterCoordinator.ts
@@ -237,6 +237,7 @@
         network.send(holder, "adapters", {
             kind: "released",
             shard,
+            // a fencing number; the field keeps its name for instances of an earlier build
             generation: released.fencingNumber,
             sinceLastOrder,
         });
--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -21,6 +21,8 @@
      * the server may have stopped responding.
      */
     readonly timeout: Milliseconds;
+    /** Gives the request up, and closes its connection. @default nobody does */
+    readonly signal?: AbortSignal;
     /** Called with the names of the response's headers. */
     readonly onHeaders?: (names: Iterable<string>) => void;
 }
@@ -71,6 +73,7 @@
         const finish = (result: Result<HttpResponse, HttpRequestError>): void => {
             isOver = true;
             clearTimeout(timer);
+            httpRequest.signal?.removeEventListener("abort", abort);
             resolve(result);
         };
         const fail = (error: unknown): void => {
@@ -81,6 +84,8 @@
         };
         const timer = setTimeout(() => fail(createError("timeout")), httpRequest.timeout);
         timer.unref();
+        const abort = (): void => fail(createError("given up"));
+        httpRequest.signal?.addEventListener("abort", abort, { once: true });
         const handler: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
                 controller = started;
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -96,7 +96,7 @@
 export function createPlatformStore(
     address: string,
     onHeaders: (names: Iterable<string>) => void,
-    eras: Pick<StoreEras, "read" | "observe"> = createStoreEras(),
+    eras: StoreEras = createStoreEras(),
 ): PlatformStore {
     const sockets = createServerSockets(connectTimeoutMilliseconds);
     const pool = new Pool(`http://${address}`, {
@@ -118,9 +118,13 @@
     return {
         readNewest: topic =>
             runRead(reads, topicNames[topic], read => readLatestRecords(sendRequest, topicNames[topic], read)),
-        readFrom: async (topic, offset, wait) => {
+        readFrom: async (topic, offset, wait, expectedEra = eras.read()) => {
             const path = `/log-read?topic=${topicNames[topic]}&part=0&from=${offset}&wait_ms=${wait}`;
-            const answer = await sendRequest({ method: "GET", path, timeout: wait + longPollMarginMilliseconds });
+            const answer = await runInEra(
+                eras,
+                expectedEra,
+                signal => sendRequest({ method: "GET", path, timeout: wait + longPollMarginMilliseconds, signal }),
+            );
             if (!answer.ok) {
                 return answer;
             }
@@ -152,6 +156,29 @@
     };
 }
 
+// a rise ends the call, which may wait for records at an offset that the store no longer has
+function runInEra<Value>(
+    eras: StoreEras,
+    expected: StoreEra,
+    call: (signal: AbortSignal) => Promise<Result<Value, StoreError>>,
+): Promise<Result<Value, StoreError>> {
+    const describeRise = () => wrapError<StoreError>({ kind: "restored", era: eras.read() });
+    if (eras.read() > expected) {
+        return Promise.resolve(describeRise());
+    }
+    const ended = new AbortController();
+    return new Promise((resolve, reject) => {
+        const forget = eras.onRise(() => {
+            if (eras.read() > expected) {
+                resolve(describeRise());
+                // its connection is needed for other calls
+                ended.abort();
+            }
+        });
+        call(ended.signal).then(resolve, reject).finally(forget);
+    });
+}
+
 async function runRead<Value>(
     reads: TopicReads,
     topic: string,
@@ -177,10 +204,16 @@
 
 type StoreRequestSender = (httpRequest: HttpRequest) => Promise<Result<StoreAnswer, StoreError>>;
 
-function checkAnswer(answer: HttpResponse, eras: Pick<StoreEras, "read" | "observe">): Result<StoreAnswer, StoreError> {
+function checkAnswer(answer: HttpResponse, eras: StoreEras): Result<StoreAnswer, StoreError> {
     const named = decodeStoreEra(answer.headers);
-    const era = typeof named === "number" ? named : eras.read();
-    eras.observe(era);
+    if (named === "unreadable") {
+        return wrapError({ kind: "unreachable", detail: "the era of the answer can't be read" });
+    }
+    const verdict = named === undefined ? "present" : eras.observe(named);
+    if (verdict === "past" || verdict === "doubtful") {
+        return wrapError({ kind: "unreachable", detail: `the era of the answer is ${verdict}` });
+    }
+    const era = named ?? eras.read();
     switch (answer.status) {
         case 200:
             return wrapValue({ body: answer.body, era });
@@ -206,16 +239,22 @@
             path: `/log-read?topic=${topic}&part=0&from=${offset}&wait_ms=0`,
             timeout: requestTimeoutMilliseconds,
         });
+    // in one era, as offsets of another one have other records
     const readRest = async (
         offset: number,
         read: TopicRead,
     ): Promise<Result<readonly Uint8Array[], StoreError>> => {
         const records: Uint8Array[] = [];
+        let era: StoreEra | undefined;
         for (;;) {
             const answer = await readPage(offset + records.length);
             if (!answer.ok) {
                 return answer;
             }
+            era ??= answer.value.era;
+            if (answer.value.era > era) {
+                return wrapError({ kind: "restored", era: answer.value.era });
+            }
             const page = decodeReadResponse(answer.value.body);
             if (!page.ok) {
                 return wrapError({ kind: "unreachable", detail: page.error.detail });
@@ -264,6 +303,7 @@
     let after = "";
     // records may be appended between two pages: reading from the first page's end offset on misses none of them
     let endOffset: number | undefined;
+    let firstEra: StoreEra | undefined;
     for (;;) {
         const path = `/log-newest?topic=${topic}&part=0${after === "" ? "" : `&after=${encodeKey(after)}`}`;
         const answer = await sendRequest({ method: "GET", path, timeout: requestTimeoutMilliseconds });
@@ -271,6 +311,10 @@
             return answer;
         }
         const { body, era } = answer.value;
+        firstEra ??= era;
+        if (era > firstEra) {
+            return wrapError({ kind: "restored", era });
+        }
         const page = decodeLatestRecordsPage(body);
         if (!page.ok) {
             return page;
--- a/src/serving/__tests__/keyedFollower.test.ts
+++ b/src/serving/__tests__/keyedFollower.test.ts
@@ -1,6 +1,7 @@
 import { expect } from "chai";
 import { type Result, wrapError, wrapValue } from "../../shared/index.js";
 import { createKeyedFollower } from "../keyedFollower.js";
+import { createStoreEras } from "../storeEras.js";
 import { createTopicCache } from "../topicCache.js";
 import type { KeyedRecord, KeyedSnapshot, StoreError } from "../types.js";
 
@@ -105,4 +106,128 @@
         expect(taken).to.deep.equal([["a"], ["b"]]);
         expect(failures).to.deep.equal(["expired a", "unreachable a", "unreachable a"]);
     });
+
+    // guards against versions that are never read, as the log has grown past the reader's offset again (CONFIG)
+    it("reads all newest records again when the store has come back older, and confirms nothing until it has all", async () => {
+        const stop = new AbortController();
+        const eras = createStoreEras();
+        let now = 1_000;
+        const events: unknown[] = [];
+        const follower = createKeyedFollower({
+            log: {
+                readNewest: async () =>
+                    eras.read() === 0
+                        ? wrapValue({ records: [createRecord("a", 0), createRecord("b", 5)], endOffset: 6, era: 0 })
+                        : wrapValue({ records: [createRecord("a", 0)], endOffset: 9, era: eras.read() }),
+                readFrom: async (topic, offset, wait, era) => {
+                    events.push(["read", offset, era]);
+                    now += 1_000;
+                    if (offset === 6) {
+                        eras.observe(1);
+                        return wrapError({ kind: "restored", era: 1 });
+                    }
+                    if (now > 4_000) {
+                        stop.abort();
+                    }
+                    return wrapValue({ records: [], endOffset: 9, era: 1 });
+                },
+                append: async () => wrapValue(undefined),
+            },
+            topic: "servers",
+            wait: 0,
+            rules: { choose: ({ known, copied }) => copied ?? known },
+            readSettledAt: () => eras.read() === 0 ? 0 : 3_500,
+            readClocks: () => ({ monotonic: now, timeOfDay: now }),
+            sleep: async () => undefined,
+            onRestored: lost => events.push(["lost", ...lost.map(({ key }) => key)]),
+            onSnapshot: records => events.push(["newest", ...records.map(({ key }) => key)]),
+            onRecords: () => undefined,
+            onAnswered: () => undefined,
+            onConfirmed: at => events.push(["confirmed", at.monotonic]),
+            onFailure: ({ kind }) => events.push(kind),
+        });
+        await follower.run(stop.signal);
+        expect(events).to.deep.equal([
+            ["newest", "a", "b"],
+            ["confirmed", 1_000],
+            ["read", 6, 0],
+            ["lost", "b"],
+            ["newest", "a", "b"],
+            ["read", 9, 1],
+            ["read", 9, 1],
+            ["read", 9, 1],
+            ["confirmed", 4_000],
+        ]);
+    });
+
+    // guards against records that are never read, where a source answers an offset of before in a later era (CONFIG)
+    it("begins with the newest records when later records come from another era than its offset", async () => {
+        const stop = new AbortController();
+        const from: (number | undefined)[] = [];
+        let era = 1;
+        const follower = createKeyedFollower({
+            log: {
+                readNewest: async () => {
+                    from.push(undefined);
+                    return wrapValue({ records: [createRecord("a", 3)], endOffset: 4, era });
+                },
+                readFrom: async (topic, offset) => {
+                    from.push(offset);
+                    if (from.length > 3) {
+                        stop.abort();
+                    }
+                    era = 2;
+                    return wrapValue({ records: [], endOffset: 6, era });
+                },
+                append: async () => wrapValue(undefined),
+            },
+            topic: "configuration",
+            wait: 0,
+            sleep: async () => undefined,
+            onSnapshot: () => undefined,
+            onRecords: () => undefined,
+            onConfirmed: () => undefined,
+            onFailure: () => undefined,
+        });
+        await follower.run(stop.signal);
+        expect(from.slice(0, 3)).to.deep.equal([undefined, 4, undefined]);
+    });
+
+    // guards against an evacuation that ends as the copy, which lacks it, is read a second time before it is settled
+    it("takes nothing away with a further read of a copy that may lack records", async () => {
+        const stop = new AbortController();
+        const taken: (readonly string[])[] = [];
+        let era = 0;
+        const follower = createKeyedFollower({
+            log: {
+                readNewest: async () => {
+                    const records = [createRecord("a", 0), ...era === 0 ? [createRecord("b", 1)] : []];
+                    return wrapValue({ records, endOffset: 2, era });
+                },
+                readFrom: async () => {
+                    era = 1;
+                    return taken.length === 1
+                        ? wrapError({ kind: "restored", era })
+                        : wrapError({ kind: "refused", status: 500, detail: "" });
+                },
+                append: async () => wrapValue(undefined),
+            },
+            topic: "configuration",
+            wait: 0,
+            rules: { choose: ({ known, copied }) => copied ?? known, needsSecondRead: true },
+            readSettledAt: () => era === 0 ? 0 : Number.POSITIVE_INFINITY,
+            sleep: async () => undefined,
+            onSnapshot: records => {
+                taken.push(records.map(({ key }) => key));
+                if (taken.length === 3) {
+                    stop.abort();
+                }
+            },
+            onRecords: () => undefined,
+            onConfirmed: () => undefined,
+            onFailure: () => undefined,
+        });
+        await follower.run(stop.signal);
+        expect(taken).to.deep.equal([["a", "b"], ["a", "b"], ["a", "b"]]);
+    });
 });
--- a/src/serving/__tests__/relayedLog.test.ts
+++ b/src/serving/__tests__/relayedLog.test.ts
@@ -12,7 +12,8 @@
     type TimedTopic,
 } from "../readTiming.js";
 import { createRelayedLog, type RelayedLog } from "../relayedLog.js";
-import type { RelayMessage } from "../relayMessages.js";
+import { type RelayMessage, relayMessageSchema } from "../relayMessages.js";
+import { createStoreEras, maximumStoreEra } from "../storeEras.js";
 import { createTopicCache } from "../topicCache.js";
 import type { KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "../types.js";
 
@@ -426,3 +427,42 @@
         });
     }
 });
+
+describe("reads through others when the store comes back meanwhile", () => {
+    // guards against records that are never read: the second reader takes an offset of before for one of the new era (CONFIG)
+    it("name the era of the offset, not the one that has begun while the first reader was silent", async () => {
+        const eras = createStoreEras();
+        eras.observe(1);
+        const asked: RelayMessage[] = [];
+        const { log } = createRelayedLog({
+            clock: { now: () => 0, sleep: () => Promise.resolve() },
+            store: {} as KeyedLog,
+            listReaders: () => ["silent", "current"],
+            isReader: () => false,
+            eras,
+            ask: (reader, message) => {
+                asked.push(message);
+                if (reader === "silent") {
+                    eras.observe(2);
+                    return Promise.resolve(undefined);
+                }
+                return Promise.resolve({ kind: "records", records: [], endOffset: 9, age: 0, era: 2 });
+            },
+            caches: {
+                configuration: createTopicCache(),
+                servers: createTopicCache(),
+                instances: createTopicCache(),
+                quarantines: createTopicCache(),
+            },
+        });
+        const read = await log.readFrom("configuration", 7, 400, 1);
+        expect(asked.filter(message => message.kind === "read" && message.era === 2)).to.deep.equal([]);
+        expect(read).to.deep.equal({ ok: false, error: { kind: "restored", era: 2 } });
+    });
+
+    // guards against one instance whose unreadable era makes all others refuse the store's answers for good
+    it("don't accept an era that the store's own header may not name", () => {
+        const message = { kind: "records", records: [], endOffset: 1, age: 0, era: maximumStoreEra + 1 };
+        expect(relayMessageSchema.safeParse(message).success).to.equal(false);
+    });
+});
--- a/src/serving/__tests__/topicCache.test.ts
+++ b/src/serving/__tests__/topicCache.test.ts
@@ -83,4 +83,17 @@
         expect(answer?.kind === "records" && answer.age).to.be.closeTo(3_000, 500);
         expect(measureAge(undefined, now)).to.equal(Number.POSITIVE_INFINITY);
     });
+
+    // guards against records that are missed, as their offsets were given out before the store came back older (CONFIG)
+    it("knows offsets of one era of the store only", () => {
+        const cache = createCache();
+        cache.apply([{ key: "b", value: undefined, offset: 5 }], 6);
+        cache.replaceAll([{ key: "a", value: encodeVersion(1), offset: 3 }], 6, 1);
+        expect(cache.read(6, 0)?.kind).to.equal("expired");
+        expect(cache.read(6, 1)).to.equal(undefined);
+        expect(cache.read(6, 2)?.kind).to.equal("unavailable");
+        const newest = cache.read(undefined);
+        expect(listRecords(newest)).to.deep.equal([["a", 1]]);
+        expect(newest?.kind === "records" && newest.era).to.equal(1);
+    });
 });
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -17,14 +17,16 @@
 import type { Task } from "../supervision/index.js";
 import type { ColdServers } from "./coldServers.js";
 import type { ConfigurationState } from "./configurationState.js";
+import type { EraSettling } from "./eraSettling.js";
 import type { EvacuationEvent } from "./evacuations.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
-import { createKeyedFollower } from "./keyedFollower.js";
+import { createKeyedFollower, type KeyedFollowerOptions } from "./keyedFollower.js";
 import { serversPauseMilliseconds } from "./readTiming.js";
 import type { RefusedRecords } from "./refusedRecords.js";
 import type { ServerList, ServerListChange } from "./serverList.js";
 import type { TopicCache } from "./topicCache.js";
+import type { RestoreRules } from "./topicMemory.js";
 import type {
     BackendServer,
     KeyedLog,
@@ -41,6 +43,10 @@
 export interface FollowersOptions {
     /** The platform's store, which may be read through other instances. */
     readonly log: KeyedLog;
+    /** Whether the store has all that was written to it, see `EraSettling`. @default it always has */
+    readonly settling?: EraSettling;
+    /** What of each topic doesn't go back with the store. @default the store's copy is taken as it is */
+    readonly rules?: Readonly<Record<KeyedTopic, RestoreRules>>;
     /** Copies of the topics for the reads of other instances; `undefined` to keep none. */
     readonly caches?: Readonly<Record<KeyedTopic, TopicCache>>;
     readonly codec: RecordCodec;
@@ -50,7 +56,7 @@
     /** Coldness that entries state. @default not kept */
     readonly cold?: Pick<ColdServers, "readEntries" | "markEntryGone">;
     readonly directory: InstanceDirectory;
-    readonly guard: Pick<RequestGuard, "replaceAll" | "applyRecord">;
+    readonly guard: Pick<RequestGuard, "replaceAll" | "applyRecord"> & Partial<Pick<RequestGuard, "markLost">>;
     readonly refused: Pick<RefusedRecords, "add" | "remove">;
     /** Called after each read that failed. */
     readonly onStoreFailure: (topic: KeyedTopic) => void;
@@ -58,8 +64,8 @@
     readonly onServers: (change: ServerListChange) => void;
     /** Called after `onServers` with a time before which all writes of the list have been passed to it. */
     readonly onServersConfirmed: (at: ClockReading) => void;
-    /** Called with each newer configuration. */
-    readonly onConfiguration: (config: ServingConfig) => void;
+    /** Called with each newer configuration, and the record that holds it. */
+    readonly onConfiguration: (config: ServingConfig, record: KeyedRecord) => void;
     /**
      * Called with each adapter version that the operator has published. `earliestPublishedAt` is the earliest time at
      * which that can have happened, on the monotonic clock.
@@ -78,6 +84,11 @@
 
 /** Time that the store may delay a read without news. A longer one would delay the detection of a dead connection. */
 const longPollMilliseconds = 1_600;
+/**
+ * The same for the configuration, whose age decides whether requests with keys are served: after an outage and a return of
+ * the store it must still be within its bound.
+ */
+const configurationLongPollMilliseconds = 1_000;
 /**
  * Time that the store may delay a read of the instance list without news. It is longer, as unreachable instances are
  * noticed by their missing messages anyway.
@@ -106,8 +117,31 @@
     ];
 }
 
+/**
+ * Takes the record of a configuration that another instance uses.
+ *
+ * @param options - decoders, and the state that is updated
+ * @param record - the record
+ */
+export function takeConfiguration(options: ConfigurationOptions, record: KeyedRecord): void {
+    const decoded = record.value && options.codec.decodeOperatorRecord(record.key, record.value);
+    if (decoded?.ok && decoded.value.kind === "configuration") {
+        applyConfiguration(options, decoded.value.config, record);
+    }
+}
+
+type ConfigurationOptions = Pick<FollowersOptions, "codec" | "configuration" | "onConfiguration">;
+
+function applyConfiguration(options: ConfigurationOptions, config: ServingConfig, record: KeyedRecord): void {
+    if (options.configuration.apply(config)) {
+        options.onConfiguration(config, record);
+    }
+}
+
 function createConfigurationFollower(options: FollowersOptions): Task {
-    const { clock, configuration } = options;
+    const { clock, configuration, settling } = options;
+    // the first one may be older than what others have served; while it is unknown all requests are told to come back
+    const isUsable = (): boolean => configuration.read() !== undefined || settling?.isSettled() !== false;
     const decodeRecord = ({ key, value }: KeyedRecord): OperatorRecord | undefined => {
         const decoded = value
             ? checkDomain(options, options.codec.decodeOperatorRecord(key, value))
@@ -119,11 +153,11 @@
         options.refused.remove("configuration", key);
         return decoded.value;
     };
-    const applyRecord = (decoded: OperatorRecord): void => {
+    const applyRecord = (decoded: OperatorRecord, record: KeyedRecord): void => {
         switch (decoded.kind) {
             case "configuration":
-                if (configuration.apply(decoded.config)) {
-                    options.onConfiguration(decoded.config);
+                if (isUsable()) {
+                    applyConfiguration(options, decoded.config, record);
                 }
                 break;
             case "adapterVersion": {
@@ -143,7 +177,7 @@
         for (const record of records) {
             const decoded = decodeRecord(record);
             if (decoded) {
-                applyRecord(decoded);
+                applyRecord(decoded, record);
             }
         }
     };
@@ -156,13 +190,18 @@
         const requested = decoded.filter(each => each?.kind === "evacuation").map(({ domain }) => domain);
         const unreadable = records.filter((record, index) => !decoded[index]).flatMap(findDomain);
         options.onEvacuation?.({ kind: "snapshot", requested, unreadable });
-        decoded.filter(each => each !== undefined && each.kind !== "evacuation").forEach(each => applyRecord(each!));
+        decoded.forEach((each, index) => {
+            if (each && each.kind !== "evacuation") {
+                applyRecord(each, records[index]!);
+            }
+        });
     };
     return createKeyedFollower({
         log: options.log,
         topic: "configuration",
         cache: options.caches?.configuration,
-        wait: longPollMilliseconds,
+        wait: configurationLongPollMilliseconds,
+        ...describeReturn(options, "configuration"),
         sleep: clock.sleep,
         onSnapshot: applySnapshot,
         onRecords: applyRecords,
@@ -198,7 +237,9 @@
         cache: options.caches?.servers,
         pause: serversPauseMilliseconds,
         wait: longPollMilliseconds,
+        ...describeReturn(options, "servers"),
         sleep: clock.sleep,
+        onRestored: () => servers.markRestored(clock.now()),
         onSnapshot: records => {
             const entries = records.map(decodeServer).filter(server => server !== undefined);
             options.cold?.readEntries(entries, true);
@@ -216,10 +257,8 @@
                 options.onServers(server ? servers.put(server) : servers.remove(record.key, clock.now()));
             }
         },
-        onConfirmed: sentAt => {
-            servers.markStoreAnswer(sentAt.monotonic, clock.now());
-            options.onServersConfirmed(sentAt);
-        },
+        onAnswered: sentAt => servers.markStoreAnswer(sentAt.monotonic, clock.now()),
+        onConfirmed: options.onServersConfirmed,
         onFailure: error => {
             servers.markStoreFailure(clock.now());
             handleFailure(error);
@@ -234,6 +273,7 @@
         cache: options.caches?.instances,
         pause: directoryPauseMilliseconds,
         wait: directoryLongPollMilliseconds,
+        ...describeReturn(options, "instances"),
         sleep: options.clock.sleep,
         onSnapshot: records => options.directory.replaceAll(records),
         onRecords: records => records.forEach(record => options.directory.applyRecord(record)),
@@ -249,7 +289,9 @@
         cache: options.caches?.quarantines,
         pause: quarantinesPauseMilliseconds,
         wait: quarantinesLongPollMilliseconds,
+        ...describeReturn(options, "quarantines"),
         sleep: options.clock.sleep,
+        onRestored: options.guard.markLost,
         onSnapshot: options.guard.replaceAll,
         onRecords: records => records.forEach(options.guard.applyRecord),
         onConfirmed: () => undefined,
@@ -257,6 +299,14 @@
     });
 }
 
+// how the follower of a topic goes on when the store has come back from an older copy
+function describeReturn(
+    { rules, settling }: FollowersOptions,
+    topic: KeyedTopic,
+): Pick<KeyedFollowerOptions, "rules" | "readSettledAt"> {
+    return { rules: rules?.[topic], readSettledAt: settling?.readSettledAt };
+}
+
 function createFailureHandler(options: FollowersOptions, topic: KeyedTopic): (error: StoreError) => void {
     return error => {
         options.onStoreFailure(topic);
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -10,9 +10,13 @@
     compareText,
     hashForRendezvous,
     type InstanceId,
+    type Milliseconds,
     nameSchema,
+    ordinalSchema,
     parseBoundedJson,
+    startTimeSchema,
 } from "../shared/index.js";
+import type { StoreEra } from "./storeEras.js";
 import type { KeyedRecord } from "./types.js";
 
 /** Entry of an instance in the platform's store. */
@@ -24,6 +28,10 @@
     readonly failureDomain: string;
     /** Processor time that the instance may use, in cores. */
     readonly cores: number;
+    /** Newest era of the store that the instance knows; missing where the store names none. */
+    readonly storeEra?: StoreEra | undefined;
+    /** Unix time at which it first saw that era. */
+    readonly storeEraSeenAt?: Milliseconds | undefined;
 }
 
 /** Directory of instances. */
@@ -45,8 +53,12 @@
     readonly listReaders: () => readonly InstanceId[];
     /** Returns whether other instances of the failure domain read the store through this one. */
     readonly isReader: () => boolean;
-    /** Returns whether the store lists this instance with its present entry. */
-    readonly isRegistered: () => boolean;
+    /** Returns whether the store lists this instance with the given entry, by default that of its settings. */
+    readonly isRegistered: (entry?: InstanceEntry) => boolean;
+    /** Returns this instance's entry in the store; `undefined` when there is none. */
+    readonly findOwn: () => InstanceEntry | undefined;
+    /** Returns the earliest time, as Unix time, at which an instance says to have seen an era of the store. */
+    readonly findEraSeenAt: (era: StoreEra) => Milliseconds | undefined;
     /** Returns whether a snapshot has been read. */
     readonly isLoaded: () => boolean;
     /**
@@ -65,6 +77,8 @@
     address: addressSchema,
     failureDomain: nameSchema.default(""),
     cores: amountSchema.default(0),
+    storeEra: ordinalSchema.optional().catch(undefined),
+    storeEraSeenAt: startTimeSchema.optional().catch(undefined),
 });
 
 /**
@@ -116,7 +130,17 @@
         countInstances: () => entries.size + 1,
         listReaders: () => readers,
         isReader: () => isReader,
-        isRegistered: () => ownValue !== undefined && Buffer.compare(ownValue, encodeInstanceEntry(self)) === 0,
+        isRegistered: (entry = self) =>
+            ownValue !== undefined && Buffer.compare(ownValue, encodeInstanceEntry(entry)) === 0,
+        findOwn: () => ownValue && decodeEntry(self.id, ownValue),
+        findEraSeenAt: era => {
+            const own = ownValue && decodeEntry(self.id, ownValue);
+            const times = [...entries.values(), ...own ? [own] : []]
+                .filter(entry => entry.storeEra === era)
+                .map(entry => entry.storeEraSeenAt)
+                .filter(seenAt => seenAt !== undefined);
+            return times.length > 0 ? Math.min(...times) : undefined;
+        },
         isLoaded: () => isLoaded,
         isAmongLargest: count => {
             let larger = 0;
@@ -141,8 +165,8 @@
  * @returns value of the record
  */
 export function encodeInstanceEntry(entry: InstanceEntry): Uint8Array {
-    const { address, failureDomain, cores } = entry;
-    return Buffer.from(JSON.stringify({ address, failureDomain, cores }), "utf8");
+    const { address, failureDomain, cores, storeEra, storeEraSeenAt } = entry;
+    return Buffer.from(JSON.stringify({ address, failureDomain, cores, storeEra, storeEraSeenAt }), "utf8");
 }
 
 function decodeEntry(id: InstanceId, value: Uint8Array): InstanceEntry | undefined {
--- a/src/serving/instanceTasks.ts
+++ b/src/serving/instanceTasks.ts
@@ -1,5 +1,5 @@
 /**
- * Small tasks of an instance: its registration in the list of instances and its end, regular maintenance, and reads.
+ * Small tasks of an instance: regular maintenance, reads, and its end.
  *
  * @packageDocumentation
  */
@@ -7,14 +7,13 @@
 import type { ShardTask } from "../adapters/shardTask.js";
 import type { ShardGroup } from "../adapters/types.js";
 import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
-import { callGuarded, LastingFailure, runTask, type Task, waitForAbort } from "../supervision/index.js";
-import { encodeInstanceEntry, type InstanceDirectory, type InstanceEntry } from "./instanceDirectory.js";
+import { callGuarded, LastingFailure, runTask, type Task } from "../supervision/index.js";
+import type { InstanceEntry } from "./instanceDirectory.js";
 import type { LoopDelay } from "./loopDelay.js";
 import type { ServerListChange } from "./serverList.js";
 import type { ServingOptions } from "./servingOptions.js";
 import { formatServerRunId, type KeyedLog, type ServingConfig } from "./types.js";
 
-const registrationRetryMilliseconds = 100;
 const log = createLogger("serving");
 
 /**
@@ -104,36 +103,6 @@
     });
 }
 
-/**
- * Creates the task that registers an instance in the list of instances, unless the store already lists it from before a
- * restart.
- *
- * @param clock - source of the pauses between retries
- * @param log - the platform's store
- * @param directory - the list of instances as read from the store
- * @param self - entry of this instance
- * @returns the task, which the caller runs
- */
-export function createRegistrationTask(
-    clock: Clock,
-    log: KeyedLog,
-    directory: InstanceDirectory,
-    self: InstanceEntry,
-): Task {
-    return {
-        name: "registration",
-        run: async signal => {
-            const register = async (): Promise<boolean> =>
-                directory.isLoaded() &&
-                (directory.isRegistered() || (await log.append("instances", self.id, encodeInstanceEntry(self))).ok);
-            while (!signal.aborted && !await register()) {
-                await clock.sleep(registrationRetryMilliseconds, signal);
-            }
-            await waitForAbort(signal);
-        },
-    };
-}
-
 /**
  * Reads the holders of all shards from the store.
  *
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -1,14 +1,18 @@
 /**
  * Follows a keyed topic: reads the newest record of each key, then later records as they are written. Starts again
  * with the newest records when the store no longer has the next offset or refuses the read. A record at which a handler
- * throws is logged and passed over: it stays in the store, so that a follower which stopped there would never go on.
+ * throws is logged and passed over: it stays in the store, so that a follower which stopped there would never go on. When the
+ * store has come back from an older copy, what was read before is compared with it, and nothing counts as confirmed until
+ * its writers have had the time to write again what the copy has lost.
  *
  * @packageDocumentation
  */
 import { createLogger, type Milliseconds, type Result, waitUnlessAborted, wrapError } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
+import type { StoreEra } from "./storeEras.js";
 import type { TopicCache } from "./topicCache.js";
+import { createTopicMemory, plainRules, type RestoreRules, type TopicMemory } from "./topicMemory.js";
 import type { KeyedLog, KeyedRecord, KeyedSnapshot, KeyedTopic, StoreError } from "./types.js";
 
 /** Callbacks of a follower. */
@@ -19,9 +23,16 @@
     readonly onRecords: (records: readonly KeyedRecord[]) => void;
     /**
      * Called after each successful read with a time before which all records written have been passed to `onSnapshot`
-     * or `onRecords`.
+     * or `onRecords`; not while the store's copy may lack some.
      */
     readonly onConfirmed: (sentAt: ClockReading) => void;
+    /** Called after each successful read, also while the store's copy may lack records. @default nobody is told */
+    readonly onAnswered?: (sentAt: ClockReading) => void;
+    /**
+     * Called when the store has come back from an older copy, before `onSnapshot`, with the records that it has lost.
+     * @default nobody is told
+     */
+    readonly onRestored?: (lost: readonly KeyedRecord[]) => void;
     /** Called after each read that failed; the follower retries. */
     readonly onFailure: (error: StoreError) => void;
 }
@@ -39,6 +50,10 @@
     readonly pause?: Milliseconds;
     /** Copy of the topic from which other instances read; `undefined` for none. */
     readonly cache?: TopicCache | undefined;
+    /** What of the topic doesn't go back with the store. @default the store's copy is taken as it is */
+    readonly rules?: RestoreRules | undefined;
+    /** Time from which the store has again all that was written to it, on the monotonic clock. @default it always has */
+    readonly readSettledAt?: (() => Milliseconds) | undefined;
     readonly sleep: (duration: Milliseconds, signal: AbortSignal) => Promise<void>;
     /** Reads the clocks. @default those of the process */
     readonly readClocks?: () => ClockReading;
@@ -46,6 +61,10 @@
 
 const initialRetryMilliseconds = 50;
 const maximumRetryMilliseconds = 400;
+/** Pause between reads of the newest records while the store's copy may lack some. */
+const unsettledPauseMilliseconds = 50;
+/** Wait of a read while the store's copy may lack records, as the time of its end may become known meanwhile. */
+const unsettledWaitMilliseconds = 100;
 /** Reads after which a record that can't be taken is passed over. */
 const maximumDeliveries = 3;
 const maximumDetailLength = 200;
@@ -60,13 +79,30 @@
  * @returns the task, which the caller runs
  */
 export function createKeyedFollower(options: KeyedFollowerOptions): Task {
-    const position: FollowerPosition = { nextOffset: undefined, failedDeliveries: new Map() };
+    const position: FollowerPosition = {
+        nextOffset: undefined,
+        era: undefined,
+        isNewestComplete: true,
+        confirmedAt: Number.NEGATIVE_INFINITY,
+        isConfirmed: true,
+        memory: createTopicMemory(options.rules ?? plainRules),
+        failedDeliveries: new Map(),
+    };
     return { name: `follow ${options.topic}`, run: signal => readTopic(options, position, signal) };
 }
 
 interface FollowerPosition {
     /** Offset of the next read; `undefined` to begin with the newest records of all keys. */
     nextOffset: number | undefined;
+    /** Era of the last read; `undefined` before the first one. */
+    era: StoreEra | undefined;
+    /** Whether the last read of the newest records came after the era had settled. */
+    isNewestComplete: boolean;
+    /** Time up to which the last read knows what was written, on the monotonic clock. */
+    confirmedAt: Milliseconds;
+    /** Whether the last read confirmed what was passed on. */
+    isConfirmed: boolean;
+    readonly memory: TopicMemory;
     /** Reads in which a record could not be taken, by the offset of the record. */
     readonly failedDeliveries: Map<number, number>;
 }
@@ -80,7 +116,7 @@
     while (!signal.aborted) {
         // a stopped instance doesn't wait for the store, whose answer may take long
         // after a failure the store is asked for what there is, so that its return shows at once
-        const wait = failures === 0 ? options.wait : 0;
+        const wait = failures === 0 ? limitWait(options, position) : 0;
         const result = await waitUnlessAborted(readOnce(options, position, wait), signal);
         if (signal.aborted || !result) {
             return;
@@ -90,11 +126,19 @@
             const isCollected = position.nextOffset === endOffset || age !== undefined;
             position.nextOffset = endOffset;
             failures = 0;
+            if (isSecondReadDue(options, position)) {
+                await options.sleep(unsettledPauseMilliseconds, signal);
+            }
             if (!isCollected && options.pause) {
                 await options.sleep(options.pause, signal);
             }
             continue;
         }
+        if (result.error.kind === "restored") {
+            log.info("topic read anew", { topic: options.topic, era: result.error.era, offset: position.nextOffset });
+            position.nextOffset = undefined;
+            continue;
+        }
         options.cache?.markFailed();
         options.onFailure(result.error);
         // other failures leave the offset valid, so that the follower needs no new snapshot
@@ -111,42 +155,94 @@
     position: FollowerPosition,
     wait: Milliseconds,
 ): Promise<Result<KeyedSnapshot, StoreError>> {
+    const { readClocks: readNow = readClocks, readSettledAt = () => Number.NEGATIVE_INFINITY } = options;
+    const sentAt = readNow();
+    if (isSecondReadDue(options, position) && position.confirmedAt >= readSettledAt()) {
+        position.nextOffset = undefined;
+    }
     const { nextOffset } = position;
-    const sentAt = (options.readClocks ?? readClocks)();
     const read = nextOffset === undefined
         ? await options.log.readNewest(options.topic)
-        : await options.log.readFrom(options.topic, nextOffset, wait);
+        : await options.log.readFrom(options.topic, nextOffset, wait, position.era);
     if (!read.ok) {
         return read;
     }
-    const untaken = deliverRead(options, nextOffset === undefined, read.value);
+    const { age = 0, era = 0 } = read.value;
+    if (nextOffset !== undefined && era !== position.era) {
+        return wrapError({ kind: "restored", era });
+    }
+    const confirmedAt = { monotonic: sentAt.monotonic - age, timeOfDay: sentAt.timeOfDay - age };
+    const isSettled = confirmedAt.monotonic >= readSettledAt();
+    const untaken = nextOffset === undefined
+        ? deliverNewest(options, position, read.value, isSettled)
+        : deliverLater(options, position, read.value, isSettled);
+    position.era = era;
+    position.confirmedAt = confirmedAt.monotonic;
+    position.isConfirmed = isSettled;
+    if (nextOffset === undefined) {
+        position.isNewestComplete = isSettled;
+    }
     if (untaken.filter(record => isDeliveredAgain(options, position, record)).length > 0) {
         return wrapError({ kind: "unreachable", detail: "a record could not be taken" });
     }
     position.failedDeliveries.clear();
-    const { age = 0 } = read.value;
-    const confirmedAt = { monotonic: sentAt.monotonic - age, timeOfDay: sentAt.timeOfDay - age };
     options.cache?.markConfirmed(confirmedAt);
-    options.onConfirmed(confirmedAt);
+    options.onAnswered?.(confirmedAt);
+    if (isSettled) {
+        options.onConfirmed(confirmedAt);
+    }
     return read;
 }
 
+function isSecondReadDue({ rules }: KeyedFollowerOptions, { isNewestComplete }: FollowerPosition): boolean {
+    return !isNewestComplete && rules?.needsSecondRead === true;
+}
+
+function limitWait(options: KeyedFollowerOptions, position: FollowerPosition): Milliseconds {
+    const { wait, readSettledAt, readClocks: readNow = readClocks } = options;
+    const isUnsettled = readSettledAt !== undefined && readNow().monotonic < readSettledAt();
+    const isOpen = isUnsettled || !position.isConfirmed || isSecondReadDue(options, position);
+    return isOpen ? Math.min(wait, unsettledWaitMilliseconds) : wait;
+}
+
 // returns the records that could not be taken
-function deliverRead(
+function deliverNewest(
     options: KeyedFollowerOptions,
-    isSnapshot: boolean,
-    read: KeyedSnapshot,
+    position: FollowerPosition,
+    { records: copied, endOffset, era = 0, age }: KeyedSnapshot,
+    isSettled: boolean,
 ): readonly KeyedRecord[] {
-    let untaken: readonly KeyedRecord[] = [];
-    if (isSnapshot) {
-        const { records, endOffset, era, age } = read;
-        log.info("newest records read", { topic: options.topic, era, endOffset, records: records.length, age });
-        untaken = deliverSnapshot(options, read.records);
-        options.cache?.replaceAll(read.records, read.endOffset);
+    const isReturn = position.era !== undefined && era > position.era;
+    // a further read of a copy that may lack records takes nothing away either
+    const isRestored = isReturn || (!position.isNewestComplete && !isSettled);
+    const { records, lost } = position.memory.takeSnapshot(copied, endOffset, isRestored);
+    log.info("newest records read", {
+        topic: options.topic,
+        era,
+        endOffset,
+        records: copied.length,
+        age,
+        ...isReturn && { lost: lost.length },
+    });
+    if (isReturn) {
+        position.failedDeliveries.clear();
+        options.onRestored?.(lost);
     }
-    else if (read.records.length > 0) {
-        untaken = read.records.filter(record => !tryRecord(options, record));
-        options.cache?.apply(read.records, read.endOffset);
+    const untaken = deliverSnapshot(options, records);
+    options.cache?.replaceAll(records, endOffset, era);
+    return untaken;
+}
+
+function deliverLater(
+    options: KeyedFollowerOptions,
+    position: FollowerPosition,
+    read: KeyedSnapshot,
+    isSettled: boolean,
+): readonly KeyedRecord[] {
+    const records = position.memory.takeRecords(read.records, isSettled);
+    const untaken = records.filter(record => !tryRecord(options, record));
+    if (read.records.length > 0) {
+        options.cache?.apply(records, read.endOffset);
     }
     return untaken;
 }
--- a/src/serving/relayedLog.ts
+++ b/src/serving/relayedLog.ts
@@ -28,6 +28,7 @@
     staleWaitMilliseconds,
 } from "./readTiming.js";
 import type { RelayMessage } from "./relayMessages.js";
+import { createStoreEras, type EraVerdict, isPlausibleRise, type StoreEra, type StoreEras } from "./storeEras.js";
 import type { TopicCache } from "./topicCache.js";
 import type { KeyedLog, KeyedSnapshot, KeyedTopic, StoreError } from "./types.js";
 
@@ -46,6 +47,10 @@
         message: RelayMessage,
         timeout: Milliseconds,
     ) => Promise<RelayMessage | undefined>;
+    /** Eras of the store, of which other instances may tell. @default the store names none */
+    readonly eras?: Pick<StoreEras, "read" | "observe">;
+    /** Answers an instance that asks for the configuration in force here. @default it gets no answer */
+    readonly describeConfiguration?: (version: number | undefined) => RelayMessage;
     /** Copies of the topics that this instance follows. */
     readonly caches: Readonly<Record<KeyedTopic, TopicCache>>;
 }
@@ -64,6 +69,14 @@
 const shortestAskMilliseconds = staleWaitMilliseconds + 50;
 const log = createLogger("serving");
 
+/** Where a read begins. */
+interface ReadPosition {
+    /** `undefined` for the newest records of all keys. */
+    readonly offset: number | undefined;
+    /** Era in which the offset was given out. */
+    readonly era: StoreEra;
+}
+
 interface SilentReader {
     readonly until: Milliseconds;
     readonly duration: Milliseconds;
@@ -76,7 +89,7 @@
  * @returns the log for the followers of this instance, and the handler for the reads of others
  */
 export function createRelayedLog(options: RelayedLogOptions): RelayedLog {
-    const { clock, store } = options;
+    const { clock, store, eras = createStoreEras() } = options;
     const silent = new Map<InstanceId, SilentReader>();
     const markSilent = (reader: InstanceId, topic: KeyedTopic, reason: string): void => {
         const previous = silent.get(reader)?.duration ?? initialSilenceMilliseconds / 2;
@@ -88,12 +101,13 @@
     const readThrough = async (
         reader: InstanceId,
         topic: KeyedTopic,
-        offset: number | undefined,
+        { offset, era }: ReadPosition,
         wait: Milliseconds,
         timeout: Milliseconds,
     ): Promise<Result<KeyedSnapshot, StoreError> | undefined> => {
         const sentAt = clock.now();
-        const response = await options.ask(reader, { kind: "read", topic, offset, wait }, timeout);
+        const message = { kind: "read", topic, offset, wait, ...offset !== undefined && era > 0 && { era } } as const;
+        const response = await options.ask(reader, message, timeout);
         if (response?.kind === "expired") {
             return wrapError({ kind: "expired" });
         }
@@ -101,6 +115,16 @@
             markSilent(reader, topic, response?.kind ?? "no response");
             return undefined;
         }
+        const readEra = response.era ?? 0;
+        // one that names no era is of an earlier build or has seen none: past as soon as this instance knows one
+        const verdict = checkEra(response.era);
+        if (verdict === "past" || verdict === "doubtful") {
+            markSilent(reader, topic, `data of era ${readEra}`);
+            return undefined;
+        }
+        if (offset !== undefined && eras.read() > era) {
+            return wrapError({ kind: "restored", era: eras.read() });
+        }
         // the time that the reader held the call back is part of the age at its answer
         const took = clock.now() - sentAt;
         const held = Math.min(response.held ?? 0, took);
@@ -111,7 +135,19 @@
         }
         silent.delete(reader);
         const records = response.records.map(([key, value, recordOffset]) => ({ key, value, offset: recordOffset }));
-        return wrapValue({ records, endOffset: response.endOffset, age: Math.max(0, response.age - held) });
+        return wrapValue({
+            records,
+            endOffset: response.endOffset,
+            era: readEra,
+            age: Math.max(0, response.age - held),
+        });
+    };
+    // another instance is no second witness of an era that is far off
+    const checkEra = (era: StoreEra | undefined): EraVerdict => {
+        if (era === undefined && eras.read() === 0) {
+            return "present";
+        }
+        return isPlausibleRise(eras.read(), era ?? 0) ? eras.observe(era ?? 0) : "doubtful";
     };
     // the time by which the store must be read, whatever the readers do
     const computeDeadline = (topic: KeyedTopic): Milliseconds => {
@@ -123,7 +159,7 @@
     const readFromAny = async (
         readers: readonly InstanceId[],
         topic: KeyedTopic,
-        offset: number | undefined,
+        position: ReadPosition,
         wait: Milliseconds,
     ): Promise<Result<KeyedSnapshot, StoreError> | undefined> => {
         const deadline = computeDeadline(topic);
@@ -137,7 +173,7 @@
             }
             const shortestWait = Math.min(longestWait, staleWaitMilliseconds);
             const relayWait = Math.max(shortestWait, timeout - relayMarginMilliseconds);
-            const read = await readThrough(reader, topic, offset, relayWait, timeout);
+            const read = await readThrough(reader, topic, position, relayWait, timeout);
             if (read) {
                 return read;
             }
@@ -159,16 +195,31 @@
     return {
         log: {
             readNewest: async topic =>
-                await readFromAny(listUsableReaders(), topic, undefined, 0) ?? store.readNewest(topic),
-            readFrom: async (topic, offset, wait) => {
+                await readFromAny(listUsableReaders(), topic, { offset: undefined, era: eras.read() }, 0) ??
+                    store.readNewest(topic),
+            readFrom: async (topic, offset, wait, era = eras.read()) => {
+                if (eras.read() > era) {
+                    return wrapError({ kind: "restored", era: eras.read() });
+                }
                 const readers = listUsableReaders();
-                return await readFromAny(readers, topic, offset, wait) ??
-                    store.readFrom(topic, offset, limitWait(topic, wait, readers.length > 0));
+                return await readFromAny(readers, topic, { offset, era }, wait) ??
+                    store.readFrom(topic, offset, limitWait(topic, wait, readers.length > 0), era);
             },
             append: store.append,
         },
-        handleMessage: async message =>
-            message.kind === "read" ? respondToRead(clock, options.caches[message.topic], message) : undefined,
+        handleMessage: async message => {
+            switch (message.kind) {
+                case "read":
+                    return respondToRead(clock, options.caches[message.topic], message);
+                case "askConfiguration":
+                    return options.describeConfiguration?.(message.version);
+                case "records":
+                case "configuration":
+                case "expired":
+                case "unavailable":
+                    return undefined;
+            }
+        },
     };
 }
 
@@ -176,7 +227,7 @@
 async function respondToRead(
     clock: Clock,
     cache: TopicCache,
-    { topic, offset, wait }: Extract<RelayMessage, { readonly kind: "read"; }>,
+    { topic, offset, era, wait }: Extract<RelayMessage, { readonly kind: "read"; }>,
 ): Promise<RelayMessage> {
     const isTimed = isTimedTopic(topic);
     const ageLimit = isTimed ? readerAgeLimitMilliseconds : Number.POSITIVE_INFINITY;
@@ -192,7 +243,7 @@
         if (isTimed && (cache.isFailing() || (isStale && now >= staleUntil))) {
             return { kind: "unavailable" };
         }
-        const news = isStale ? undefined : cache.read(offset);
+        const news = isStale ? undefined : cache.read(offset, era);
         // what an instance that is ahead of this one asks for comes with the next read
         if (news && (news.kind !== "unavailable" || !isTimed || now >= until)) {
             return markHeld(news, now - receivedAt);
--- a/src/serving/serverList.ts
+++ b/src/serving/serverList.ts
@@ -64,6 +64,8 @@
     readonly markStoreFailure: (now: Milliseconds) => void;
     /** Records a read of the store that was answered; one that was sent before a failure doesn't end it. */
     readonly markStoreAnswer: (sentAt: Milliseconds, now: Milliseconds) => void;
+    /** Records that the store has come back from an older copy, which may lack entries of live servers. */
+    readonly markRestored: (now: Milliseconds) => void;
     /** Removes the servers whose entries have not come back in time. */
     readonly expire: (now: Milliseconds) => ServerListChange;
 }
@@ -202,6 +204,9 @@
                 answeredReadAt = sentAt;
             }
         },
+        markRestored: now => {
+            storeReturnedAt = now;
+        },
         expire: now => {
             const due = [...removalDueAt].filter(([, until]) => until <= now).map(([id]) => id);
             return mergeChanges(due.map(removeEntry));
--- a/src/serving/serverListCheck.ts
+++ b/src/serving/serverListCheck.ts
@@ -6,6 +6,7 @@
  */
 import type { Clock } from "../shared/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
+import type { StoreEra } from "./storeEras.js";
 import type { BackendServer, KeyedLog, RecordCodec } from "./types.js";
 
 /** Dependencies of the check. */
@@ -40,15 +41,15 @@
 export function createServerListCheck(options: ServerListCheckOptions): ServerListCheck {
     const { clock, store, codec } = options;
     // the follower has applied all records before the offset from which it reads
-    let appliedOffset: number | undefined;
+    let applied: { readonly offset: number; readonly era: StoreEra | undefined; } | undefined;
     let running: Promise<void> | undefined;
     let next: Promise<void> | undefined;
     const readOnce = async (): Promise<void> => {
-        if (appliedOffset === undefined) {
+        if (!applied) {
             return;
         }
         const sentAt = readClocks();
-        const read = await store.readFrom("servers", appliedOffset, 0);
+        const read = await store.readFrom("servers", applied.offset, 0, applied.era);
         if (!read.ok) {
             return;
         }
@@ -79,11 +80,11 @@
         },
         trackReads: log => ({
             ...log,
-            readFrom: (topic, offset, wait) => {
+            readFrom: (topic, offset, wait, era) => {
                 if (topic === "servers") {
-                    appliedOffset = offset;
+                    applied = { offset, era };
                 }
-                return log.readFrom(topic, offset, wait);
+                return log.readFrom(topic, offset, wait, era);
             },
         }),
     };
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -22,14 +22,13 @@
 import { computeConnectionLimit } from "./connectionLimit.js";
 import { drainInstance } from "./drain.js";
 import { createEvacuations } from "./evacuations.js";
-import { createFollowers } from "./followers.js";
+import { createFollowers, type FollowersOptions, takeConfiguration } from "./followers.js";
 import { readClocks } from "./freshness.js";
 import { createRegions } from "./homes.js";
 import { createInstanceDirectory } from "./instanceDirectory.js";
 import {
     createGuardedParts,
     createMaintenanceTask,
-    createRegistrationTask,
     describeConfiguration,
     describeInstance,
     readShardHolders,
@@ -43,8 +42,6 @@
 import { createQuotaHolder } from "./quotaHolder.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { createRefusedRecords } from "./refusedRecords.js";
-import { createRelayedLog } from "./relayedLog.js";
-import { relayMessageSchema } from "./relayMessages.js";
 import { writeRequestLog } from "./requestLog.js";
 import type { RequestParts } from "./requestState.js";
 import { computeStreamLifetime } from "./resumedStreams.js";
@@ -58,8 +55,8 @@
 import type { ServingDependencies, ServingInstance, ServingOptions } from "./servingOptions.js";
 import { createShutdown } from "./shutdown.js";
 import { createStoreEras } from "./storeEras.js";
+import { createStoreReading } from "./storeReading.js";
 import { createStreamLifetime } from "./streamLifetime.js";
-import { createTopicCaches } from "./topicCaches.js";
 import { type BackendServer, formatServerRunId, type ServerRunId } from "./types.js";
 
 /** Requests with keys are refused while the configuration is older than this ratio of the revocation bound. */
@@ -317,7 +314,7 @@
         store: dependencies.log,
         codec: dependencies.records,
         onServers: origins.observeServers,
-        onConfirmed: origins.confirmServers,
+        onConfirmed: at => at.monotonic >= reading.settling.readSettledAt() && origins.confirmServers(at),
     });
     let knownServers: readonly BackendServer[] = [];
     // before its first read this instance would refuse each request for want of a server
@@ -377,21 +374,24 @@
             !shutdown.hasBegun() && isServerListRead &&
             configuration.measureAge(readClocks()) < options.revocationBound * readinessAgeRatio,
     });
-    const caches = createTopicCaches(dependencies.records);
-    const relayed = createRelayedLog({
+    const reading = createStoreReading({
         clock,
+        random,
         store: dependencies.log,
-        listReaders: directory.listReaders,
-        isReader: directory.isReader,
-        ask: async (reader, message, timeout) => {
-            const response = await peers.network.request(reader, "relay", message, timeout);
-            return response.ok ? relayMessageSchema.safeParse(response.value).data : undefined;
-        },
-        caches,
+        eras,
+        codec: dependencies.records,
+        directory,
+        self,
+        isStopping: shutdown.hasBegun,
+        network: peers.network,
+        isFirstStart: options.isFirstStart,
+        onConfigurationRecord: record => takeConfiguration(followersOptions, record),
     });
-    const followers = createFollowers({
-        log: serverCheck.trackReads(relayed.log),
-        caches,
+    const followersOptions: FollowersOptions = {
+        log: serverCheck.trackReads(reading.relayed.log),
+        rules: reading.rules,
+        settling: reading.settling,
+        caches: reading.caches,
         codec: dependencies.records,
         clock,
         configuration,
@@ -406,7 +406,8 @@
             origins.confirmServers(at);
         },
         onStoreFailure: metrics.countStoreFailure,
-        onConfiguration: config => {
+        onConfiguration: (config, record) => {
+            reading.inquiry.remember(config.version, record);
             streamLifetime.update(computeStreamLifetime(config.routes), clock.now());
             quotaHolder.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
@@ -419,7 +420,8 @@
         onAdapterVersion: adapters.recordVersion,
         isKnownDomain: regions.isKnownDomain,
         onEvacuation: evacuations.handle,
-    });
+    };
+    const followers = createFollowers(followersOptions);
     const runParts = createGuardedParts({
         "expiry of servers": () => applyServerChange(servers.expire(clock.now())),
         "upkeep of quotas": quotas.tick,
@@ -437,15 +439,14 @@
         runParts(clock.now());
         return shards.list().length > 0 ? holderTickMilliseconds : tickMilliseconds;
     });
-    const announce = createRegistrationTask(options.clock, dependencies.log, directory, self);
     const supervisor = createSupervisor({
         name: "serving",
         clock,
         maximumRestarts: Number.POSITIVE_INFINITY,
         failureLimit: failureLimitMilliseconds,
-        children: [peers, ...followers, shards, maintenance, announce],
+        children: [peers, ...followers, shards, maintenance, ...reading.tasks],
     });
-    registerPeerHandlers(peers.network, { adapters, relayed, guard, forwarding, origins, quotas });
+    registerPeerHandlers(peers.network, { adapters, relayed: reading.relayed, guard, forwarding, origins, quotas });
 
     // the signal may have waited while the event loop was late
     const beginShutdown = (): void => shutdown.begin(loop.measureWaited(clock.now()));
--- a/src/serving/topicCache.ts
+++ b/src/serving/topicCache.ts
@@ -7,12 +7,13 @@
 import type { Milliseconds } from "../shared/index.js";
 import { type ClockReading, measureAge, readClocks } from "./freshness.js";
 import type { RelayMessage } from "./relayMessages.js";
+import type { StoreEra } from "./storeEras.js";
 import type { KeyedRecord } from "./types.js";
 
 /** Copy of one topic. */
 export interface TopicCache {
-    /** Replaces all records by those of a snapshot. */
-    readonly replaceAll: (records: readonly KeyedRecord[], endOffset: number) => void;
+    /** Replaces all records by those of a snapshot, whose offsets hold in the given era of the store. @default era 0 */
+    readonly replaceAll: (records: readonly KeyedRecord[], endOffset: number, era?: StoreEra) => void;
     /** Applies later records. */
     readonly apply: (records: readonly KeyedRecord[], endOffset: number) => void;
     /** Records that all writes before the given time have been applied. */
@@ -25,8 +26,11 @@
     readonly readAge: () => Milliseconds;
     /** Returns the number of confirmations so far. */
     readonly countConfirmations: () => number;
-    /** Response to a read from an offset, or of all keys; `undefined` while there is nothing new. */
-    readonly read: (offset: number | undefined) => RelayMessage | undefined;
+    /**
+     * Response to a read from an offset, or of all keys; `undefined` while there is nothing new. The offset was given out in
+     * the given era, by default in that of the copy.
+     */
+    readonly read: (offset: number | undefined, era?: StoreEra) => RelayMessage | undefined;
     /** Response that says that there is nothing new. */
     readonly describeUnchanged: () => RelayMessage;
     /** Calls back once after the next change, confirmation or failure, unless the returned function is called before. */
@@ -61,6 +65,8 @@
     // keys without a value, oldest first
     const deletions = new Map<string, number>();
     let endOffset: number | undefined;
+    // era of the store in which the offsets hold
+    let era: StoreEra = 0;
     // deletions before this offset are no longer known
     let forgottenBefore = 0;
     // offsets between the last read and the snapshot after it: deletions of keys that came meanwhile aren't known
@@ -106,9 +112,22 @@
         records: included.map(record => [record.key, record.value, record.offset]),
         endOffset: endOffset!,
         age: readAge(),
+        ...era > 0 && { era },
     });
+    // what was deleted at which offset of before means nothing now
+    const beginEra = (next: StoreEra): void => {
+        era = next;
+        records.clear();
+        deletions.clear();
+        endOffset = undefined;
+        forgottenBefore = 0;
+        skipped = { after: 0, before: 0 };
+    };
     return {
-        replaceAll: (newest, end) => {
+        replaceAll: (newest, end, newestEra = 0) => {
+            if (newestEra !== era) {
+                beginEra(newestEra);
+            }
             const present = new Set(newest.map(record => record.key));
             // keys that are missing were deleted at an unknown offset before the end
             const missing = [...records.keys()].filter(key => !present.has(key));
@@ -137,8 +156,11 @@
         isFailing: () => isFailing,
         readAge,
         countConfirmations: () => confirmations,
-        read: offset => {
-            if (endOffset === undefined || !confirmedAt || (offset ?? 0) > endOffset) {
+        read: (offset, offsetEra = era) => {
+            if (offset !== undefined && offsetEra < era) {
+                return { kind: "expired" };
+            }
+            if (offsetEra > era || endOffset === undefined || !confirmedAt || (offset ?? 0) > endOffset) {
                 return { kind: "unavailable" };
             }
             if (offset === undefined) {
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -341,6 +341,8 @@
     | { readonly kind: "busy"; readonly status: number; }
     /** The store no longer has the requested offset, but those from `firstOffset` on, where it says so. */
     | { readonly kind: "expired"; readonly firstOffset?: number; }
+    /** The store has come back from an older copy since the offset was given out, which means nothing any more. */
+    | { readonly kind: "restored"; readonly era: StoreEra; }
     /** The store rejected the call, or its response could not be decoded. */
     | { readonly kind: "refused"; readonly status: number; readonly detail: string; };
 
@@ -372,11 +374,15 @@
 export interface KeyedLog {
     /** Reads the newest record of each key. */
     readonly readNewest: (topic: KeyedTopic) => Promise<Result<KeyedSnapshot, StoreError>>;
-    /** Reads the records from `offset` on; the store delays its response by up to `wait` while there are none. */
+    /**
+     * Reads the records from `offset` on, which was given out in the given era (by default the newest one); the store delays
+     * its response by up to `wait` while there are none.
+     */
     readonly readFrom: (
         topic: KeyedTopic,
         offset: number,
         wait: Milliseconds,
+        era?: StoreEra,
     ) => Promise<Result<KeyedSnapshot, StoreError>>;
     /** Writes a record; a value of `undefined` deletes the key. */
     readonly append: (
