fix(resumption): what began streams is written again when the store has come back older

What callers would see: after a mass kill that follows a return of the store, clients that take up a stream are refused, as the record of what began it was lost with the copy. What was written in the last 15 s is written again at a rise of the era; streamArchive.test.ts fails without it.

--- a/src/resumption/__tests__/streamArchive.test.ts
+++ b/src/resumption/__tests__/streamArchive.test.ts
@@ -1,4 +1,5 @@
 import { expect } from "chai";
+import { createStoreEras } from "../../serving/storeEras.js";
 import { createSystemClock, wrapError, wrapValue } from "../../shared/index.js";
 import { createStreamArchive } from "../streamArchive.js";
 
@@ -48,4 +49,21 @@
         await new Promise(resolve => setTimeout(resolve, 250));
         expect([reads, writes]).to.deep.equal([1, 1]);
     });
+
+    // guards against streams that can't be resumed, as the store's copy is of before they were written
+    it("writes again what it has written lately when the store comes back older", async () => {
+        const eras = createStoreEras();
+        const written: string[] = [];
+        const archive = createStreamArchive(createSystemClock(), {
+            append: async record => (written.push(String(Buffer.from(record))), wrapValue(undefined)),
+            readAll: async () => wrapValue([]),
+        }, eras);
+        archive.add([{ key: "k", origin: { service: "llm", version: "v1" } }]);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        expect(written.length).to.equal(1);
+        eras.observe(1);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        archive.close();
+        expect(written).to.deep.equal([written[0], written[0]]);
+    });
 });
--- a/src/resumption/streamArchive.ts
+++ b/src/resumption/streamArchive.ts
@@ -1,10 +1,12 @@
 /**
  * Keeps what began streams in a log of the platform's store, so that clients can return after all instances were killed.
- * Records are written in batches, and read once at a start. Nothing is concluded from a stream that isn't found there.
+ * Records are written in batches, and read once at a start. Nothing is concluded from a stream that isn't found there. What was
+ * written lately is written again when the store has come back from an older copy.
  *
  * @packageDocumentation
  */
 import * as z from "zod";
+import type { StoreEras } from "../serving/storeEras.js";
 import type { ExpiringLog, StoreError } from "../serving/types.js";
 import {
     type Clock,
@@ -43,6 +45,8 @@
 /** Time after the start in which clients return whose streams began before it. */
 const archiveLifetimeMilliseconds = 60_000;
 const loadRetryMilliseconds = 500;
+/** Time for which what was written is kept: the store's copy may be some seconds old. */
+const rewriteWindowMilliseconds = 15_000;
 /** Longest wait of a request for the records to be read. */
 const findWaitMilliseconds = 300;
 /** Largest record that is read; the store's own limit is lower. */
@@ -52,16 +56,27 @@
 });
 const log = createLogger("resumption");
 
+interface WrittenBatch {
+    readonly at: Milliseconds;
+    readonly streams: readonly StreamRecord[];
+}
+
 /**
  * Creates an archive.
  *
  * @param clock - source of the pauses
  * @param store - log that the records are written to
+ * @param eras - eras of the store; by default it never comes back from a copy
  * @returns the archive, of which nothing is loaded yet
  */
-export function createStreamArchive(clock: Clock, store: ExpiringLog): StreamArchive {
+export function createStreamArchive(
+    clock: Clock,
+    store: ExpiringLog,
+    eras?: Pick<StoreEras, "onRise">,
+): StreamArchive {
     const archived = createStreamRecords(maximumArchivedStreams);
     let waiting: StreamRecord[] = [];
+    let written: readonly WrittenBatch[] = [];
     let isWriting = false;
     let loading: Promise<void> = Promise.resolve();
     const closing = new AbortController();
@@ -81,12 +96,16 @@
     const writeBatch = async (): Promise<void> => {
         const batch = waiting.slice(0, streamsPerRecord);
         waiting = waiting.slice(streamsPerRecord);
-        const written = await callStore("write streams", () => store.append(encodeRecord(batch)));
-        if (!written.ok) {
+        const result = await callStore("write streams", () => store.append(encodeRecord(batch)));
+        if (!result.ok) {
             waiting = [...batch, ...waiting].slice(-maximumWaitingStreams);
-            log.warn("streams not written", { ...written.error, waiting: waiting.length });
+            log.warn("streams not written", { ...result.error, waiting: waiting.length });
+            return;
         }
+        written = [...listRecent(), { at: clock.now(), streams: batch }];
     };
+    const listRecent = (): readonly WrittenBatch[] =>
+        written.filter(({ at }) => clock.now() - at < rewriteWindowMilliseconds);
     const write = async (): Promise<void> => {
         isWriting = true;
         try {
@@ -99,6 +118,21 @@
             isWriting = false;
         }
     };
+    const startWriting = (): void => {
+        if (!isWriting) {
+            startTask("write streams", write);
+        }
+    };
+    const writeAgain = (): void => {
+        const lost = listRecent().flatMap(({ streams }) => streams);
+        written = [];
+        if (lost.length > 0 && !closing.signal.aborted) {
+            log.info("streams written again", { streams: lost.length });
+            waiting = [...lost, ...waiting].slice(-maximumWaitingStreams);
+            startWriting();
+        }
+    };
+    const forgetRise = eras?.onRise(writeAgain);
     const readRecords = async (expiresAt: Milliseconds): Promise<boolean> => {
         const records = await callStore("read streams", store.readAll);
         if (!records.ok) {
@@ -119,9 +153,7 @@
     return {
         add: streams => {
             waiting = [...waiting, ...streams].slice(-maximumWaitingStreams);
-            if (!isWriting) {
-                startTask("write streams", write);
-            }
+            startWriting();
         },
         find: async key => {
             const cancel = new AbortController();
@@ -133,7 +165,10 @@
             loading = load();
             return loading;
         },
-        close: () => closing.abort(),
+        close: () => {
+            closing.abort();
+            forgetRise?.();
+        },
     };
 }
 
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -297,7 +297,7 @@
         append: dependencies.log.append,
     });
     const streamLifetime = createStreamLifetime();
-    const archive = createStreamArchive(clock, dependencies.streams);
+    const archive = createStreamArchive(clock, dependencies.streams, eras);
     const origins = createStreamOrigins({
         self: self.id,
         clock,
