fix(serving): a status above 599 is no answer and isn't passed on

Callers of unsafe requests, and of streams that can't be taken up again, saw 600, 700 and 999 as their server had sent them, with its signature; safe requests and other streams were sent once more. With `X-Oriolehatch-Not-Executed` beside it such a status was believed as a refusal: an unsafe request that may have run ran at a second server too. The connection was used again.

Cause: the parser takes any three digits for a status, and nothing asked whether an answer may have it. What is below 200 was taken for an interim answer, all else for a final one.

Now one function (`shared/answerStatus.ts`) says what a number makes of a head: final from 200 to 599, interim below, else none. A head that is none is a fault of the server, like bytes that are no answer: repeated where the request may be, else 502; the connection is closed. The limit of interim answers moved there, as it stood twice.

Evidence: `statusLine.test.ts`, real sockets. Before, 9 cases of 33 failed: 600, 700 and 999 with a body, without one and after an interim answer ("AssertionError: Target cannot be null or undefined", as the attempt had no fault; after an interim answer "expected [ undefined, 600 ] to deeply equal [ 'broken', undefined ]"). Now all 33 pass. 24 passed before too and stay as guards: 1000, 20, 2e2, -01, +200, none, 100 alone, interim answers 102, 103, 104 and 199 before an answer, odd reason phrases.

What clients make of them (Node 20's http, fetch, undici): 600, 700 and 999 are taken as an answer with that status, `ok` false.

--- a/src/serving/serverAttempt.ts
+++ b/src/serving/serverAttempt.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import type { Dispatcher, Pool } from "undici";
-import type { Milliseconds } from "../shared/index.js";
+import { createStatusCheck, type Milliseconds } from "../shared/index.js";
 import { recordTaskFailure, startTask } from "../supervision/index.js";
 import { createAnswerDelivery } from "./answerDelivery.js";
 import type {
@@ -24,9 +24,6 @@
 /** Fault of an attempt of an instance that stops, or whose permit for a cold server is void. */
 const lateFault: AttemptFault = { kind: "withdrawn", detail: "the attempt may not begin any more" };
 const maximumDetailLength = 200;
-const lowestFinalStatus = 200;
-/** Interim answers that an attempt may have; servers send some, such as one every few seconds of their work. */
-const interimAnswerLimit = 64;
 /** Rest of an answer that is read though nobody wants it, and the time for that, if the request has as much left. */
 const ignoredRest = { bytes: 65_536, milliseconds: 1_000 } as const;
 /** Codes of the errors with which undici refuses a request that it can't write. */
@@ -73,7 +70,7 @@
     let checks = 0;
     // whether the request has been taken off a connection and is dispatched again
     let isPostponed = false;
-    let interimAnswers = 0;
+    const checkStatus = createStatusCheck();
     // connection of the answer, from its head on
     let socket: ServerSocket | undefined;
     const finish = (notify: () => void): void => {
@@ -131,13 +128,13 @@
             unsentAttempts.remove(run, endUnsent);
         },
         onResponseStart: wrapHandler((started, status, headers) => {
-            if (status < lowestFinalStatus) {
-                interimAnswers++;
-                if (interimAnswers > interimAnswerLimit) {
-                    const detail = `more than ${interimAnswerLimit} interim answers`;
-                    finish(() => handlers.onFault({ kind: "broken", detail, isNoAnswer: true }));
-                    started.abort(new Error(detail));
-                }
+            const checked = checkStatus(status);
+            if (checked.kind === "none") {
+                const { detail } = checked;
+                finish(() => handlers.onFault({ kind: "broken", detail, isNoAnswer: true }));
+                started.abort(new Error(detail));
+            }
+            if (checked.kind !== "final") {
                 return;
             }
             socket = sockets.findCurrent();
--- a/src/shared/index.ts
+++ b/src/shared/index.ts
@@ -3,6 +3,7 @@
  *
  * @packageDocumentation
  */
+export * from "./answerStatus.js";
 export * from "./boundedJson.js";
 export * from "./constants.js";
 export * from "./hash.js";
--- a/src/testing/index.ts
+++ b/src/testing/index.ts
@@ -7,4 +7,5 @@
 export * from "./history.js";
 export * from "./historyCommands.js";
 export * from "./snapshot.js";
+export * from "./statusLines.js";
 export * from "./virtualPlatform.js";
