fix(serving): a status below 100, and an unasked 101, don't count against the request

Callers saw 502, and after nine times 503 ("not run"): the request was in quarantine, at each instance, as if it had ended its servers.

Cause: 000 to 099, and 101 without an upgrade, went on as interim answers; the HTTP client then failed one of its own assertions (`ERR_ASSERTION`), which isn't among the faults that blame the server's bytes. So each counted as evidence against the request, and as a server that isn't reached.

Now only 100 to 199 but for 101 are interim. All else below 200 is none, which is known before the HTTP client goes on; 101 would be followed by another protocol, and no request of ours asks for one. Unknown interim statuses (104 to 199) are still waited through, as RFC 9110 says.

Evidence: `unreadableAnswers.test.ts` has the same request answered with these heads, and `statusLine.test.ts` has the numbers.

--- a/src/serving/__tests__/testServers.ts
+++ b/src/serving/__tests__/testServers.ts
@@ -10,8 +10,7 @@
 import { testHost } from "./testHost.js";
 import type { MemoryStore } from "./testStore.js";
 
-/** Length of the head of an answer that can't be read. */
-const unreadableBytes = 100_000;
+const longHead = `HTTP/1.1 200 OK\r\nname: ${"x".repeat(100_000)}\r\n\r\n`;
 
 /** An arrival at a server. */
 export interface TestArrival {
@@ -38,6 +37,8 @@
     readonly crashingBody?: string;
     /** A server answers a request with this body with bytes that are no answer. */
     readonly unreadableBody?: string;
+    /** These bytes. @default a head that is too long */
+    readonly unreadableBytes?: string;
     /** Time until a server that ended is back as a new run. */
     readonly restartDelay?: number;
     readonly answerDuration: number;
@@ -148,7 +149,7 @@
             return;
         }
         if (body === options.unreadableBody) {
-            request.socket.write(`HTTP/1.1 200 OK\r\nname: ${"x".repeat(unreadableBytes)}\r\n\r\n`);
+            request.socket.write(options.unreadableBytes ?? longHead);
             return;
         }
         if (body === options.crashingBody && request.headers.account === firstTestAccount) {
--- a/src/serving/__tests__/unreadableAnswers.test.ts
+++ b/src/serving/__tests__/unreadableAnswers.test.ts
@@ -28,25 +28,45 @@
 }
 
 describe("answers that can't be read", () => {
-    // guards against a request that is quarantined as if it had ended its servers, whose heads are at fault (REFUSED)
-    it("don't put the request into quarantine, at whichever instance it comes again", async () => {
-        const fleet = await startTestFleet({ instances: 2, servers: 5, unreadableBody, answerDuration: 60 });
-        const answers: TestAnswer[] = [];
-        const send = async (count: number): Promise<void> => {
-            const request = { path: "/lookup/a", parts: [], id: `r${count}`, key: "acme-key", body: unreadableBody };
-            answers.push(await fleet.send(count % 2, request));
-        };
-        for (let count = 0; count < requestCount; count++) {
-            await send(count);
-            await new Promise(resolve => setTimeout(resolve, intervalMilliseconds));
-        }
-        await new Promise(resolve => setTimeout(resolve, spreadMilliseconds));
-        await send(requestCount);
-        await send(requestCount + 1);
-        await fleet.stop();
-        expect(answers.map(({ status }) => status)).to.deep.equal(answers.map(() => 502));
-        expect(fleet.arrivals.length).to.be.at.least(answers.length);
-    }).timeout(30_000);
+    const heads: Readonly<Record<string, string | undefined>> = {
+        "are too long": undefined,
+        "have status 000": "HTTP/1.1 000 -\r\nContent-Length: 0\r\n\r\n",
+        "have status 101": "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+        "have status 600": "HTTP/1.1 600 -\r\nContent-Length: 0\r\n\r\n",
+    };
+    for (const [name, unreadableBytes] of Object.entries(heads)) {
+        // guards against a request that is quarantined as if it had ended its servers, whose heads are at fault (REFUSED)
+        it(`don't put the request into quarantine, at whichever instance it comes again, as their heads ${name}`, async () => {
+            const fleet = await startTestFleet({
+                instances: 2,
+                servers: 5,
+                unreadableBody,
+                answerDuration: 60,
+                ...unreadableBytes !== undefined && { unreadableBytes },
+            });
+            const answers: TestAnswer[] = [];
+            const send = async (count: number): Promise<void> => {
+                const request = {
+                    path: "/lookup/a",
+                    parts: [],
+                    id: `r${count}`,
+                    key: "acme-key",
+                    body: unreadableBody,
+                };
+                answers.push(await fleet.send(count % 2, request));
+            };
+            for (let count = 0; count < requestCount; count++) {
+                await send(count);
+                await new Promise(resolve => setTimeout(resolve, intervalMilliseconds));
+            }
+            await new Promise(resolve => setTimeout(resolve, spreadMilliseconds));
+            await send(requestCount);
+            await send(requestCount + 1);
+            await fleet.stop();
+            expect(answers.map(({ status }) => status)).to.deep.equal(answers.map(() => 502));
+            expect(fleet.arrivals.length).to.be.at.least(answers.length);
+        }).timeout(30_000);
+    }
 
     // guards against an instance that asks others to reach servers for it which it reaches itself
     it("show that their servers are reached", async () => {
--- a/src/shared/answerStatus.ts
+++ b/src/shared/answerStatus.ts
@@ -14,8 +14,11 @@
 /** Checks the statuses of the heads that come for one request, in their order. */
 export type StatusCheck = (status: number) => CheckedStatus;
 
-/** Range of the statuses of answers (RFC 9110, 15). */
+/** Ranges of the statuses of interim answers and of answers (RFC 9110, 15). */
+const interimStatuses = { lowest: 100, highest: 199 } as const;
 const finalStatuses = { lowest: 200, highest: 599 } as const;
+/** What follows is in another protocol, for which no request of ours asks. */
+const switchingProtocolsStatus = 101;
 /** Interim answers that a request may have; servers send some, such as one every few seconds of their work. */
 const interimAnswerLimit = 64;
 
@@ -27,13 +30,16 @@
 export function createStatusCheck(): StatusCheck {
     let interimAnswers = 0;
     return status => {
-        if (status < finalStatuses.lowest) {
-            interimAnswers++;
-            return interimAnswers > interimAnswerLimit
-                ? { kind: "none", detail: `more than ${interimAnswerLimit} interim answers` }
-                : { kind: "interim" };
+        if (isFinalStatus(status)) {
+            return { kind: "final" };
         }
-        return isFinalStatus(status) ? { kind: "final" } : { kind: "none", detail: `status ${status}` };
+        if (!isInterimStatus(status)) {
+            return { kind: "none", detail: `status ${status}` };
+        }
+        interimAnswers++;
+        return interimAnswers > interimAnswerLimit
+            ? { kind: "none", detail: `more than ${interimAnswerLimit} interim answers` }
+            : { kind: "interim" };
     };
 }
 
@@ -46,3 +52,7 @@
 export function isFinalStatus(status: number): boolean {
     return Number.isInteger(status) && status >= finalStatuses.lowest && status <= finalStatuses.highest;
 }
+
+function isInterimStatus(status: number): boolean {
+    return status >= interimStatuses.lowest && status <= interimStatuses.highest && status !== switchingProtocolsStatus;
+}
--- a/src/testing/statusLines.ts
+++ b/src/testing/statusLines.ts
@@ -6,6 +6,10 @@
 
 /** Numbers, and what looks like one, that are no status of an answer. */
 export const wrongStatuses: readonly string[] = [
+    "000",
+    "001",
+    "099",
+    "101",
     "600",
     "700",
     "999",
@@ -39,5 +43,7 @@
         ])),
         // nothing follows; the HTTP client takes it for an answer to nothing
         "100 alone": "HTTP/1.1 100 Continue\r\n\r\n",
+        "000 before an answer": `HTTP/1.1 000 -\r\n\r\nHTTP/1.1 200 OK\r\n${headers}Content-Length: 2\r\n\r\nok`,
+        "101 before an answer": `HTTP/1.1 101 -\r\n\r\nHTTP/1.1 200 OK\r\n${headers}Content-Length: 2\r\n\r\nok`,
     };
 }
