fix(forwarding): a head from another instance whose status is none isn't taken for an answer

Cause: the message allows 100 to 999, and nothing asked whether an answer may have it. The message stays as it is, as one that can't be read would blame the link; the head is checked by the same function as a direct one, and is a fault of the server.

--- a/src/forwarding/forwardClient.ts
+++ b/src/forwarding/forwardClient.ts
@@ -6,7 +6,7 @@
 import type { PeerNetwork } from "../peers/index.js";
 import type { Attempt, AttemptFault, AttemptHandlers, AttemptRequest } from "../serving/serverConnections.js";
 import { formatServerRunId } from "../serving/types.js";
-import { type Clock, createLogger, type InstanceId } from "../shared/index.js";
+import { type Clock, createLogger, type InstanceId, isFinalStatus } from "../shared/index.js";
 import { callGuarded, startTask } from "../supervision/index.js";
 import { createHeldReading } from "./heldReading.js";
 import { type AttemptEvent, type ForwardingMessage, forwardingMessageSchema } from "./messages.js";
@@ -80,13 +80,18 @@
         log.warn("forwarded attempt not aborted", { id: request.attemptId, helper });
     };
     const startAbort = (): void => startTask("abort forwarded attempt", abortAtHelper);
+    // an instance of the version before hands on what its server has sent
+    const refuseHead = (status: number): void => {
+        startAbort();
+        finish(() => handlers.onFault({ kind: "broken", detail: `status ${status}`, isNoAnswer: true }));
+    };
     const deliver = (event: AttemptEvent): void => {
         if (isOver) {
             return;
         }
         switch (event.kind) {
             case "head":
-                handlers.onHead(event.head);
+                isFinalStatus(event.head.status) ? handlers.onHead(event.head) : refuseHead(event.head.status);
                 break;
             case "data":
                 handlers.onData(Buffer.from(event.chunk.buffer, event.chunk.byteOffset, event.chunk.byteLength));
