fix(platform): an order or a write whose answer has a status above 599 counts as unknown

An engine's 600, 700 or 999 to an order counted as "refused", which says that the order had no effect, and frees the slot that was kept for it; the engine may carry it out all the same. The connections were used again. Reports were already none.

Cause: calls to engines and the store took any number from 200 on for a status.

They ask the function now that requests ask: a head that is none ends the call as unanswered, and closes its connection. So an order is unknown, a report unanswered, the store unreachable.

--- a/src/platform/httpRequest.ts
+++ b/src/platform/httpRequest.ts
@@ -7,7 +7,7 @@
 import type { Dispatcher } from "undici";
 import { createByteStore } from "../serving/byteStore.js";
 import type { ServerSocket, ServerSockets } from "../serving/serverSockets.js";
-import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import { createStatusCheck, type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { callGuarded } from "../supervision/index.js";
 
 /** A request to the server that the dispatcher connects to. */
@@ -46,9 +46,6 @@
 
 /** Largest body that is read: a page of a topic has a megabyte, of which Base64 makes four thirds. */
 export const maximumBodyBytes = 2 * 1_048_576;
-/** Interim answers that a call may have. */
-const interimAnswerLimit = 64;
-const lowestFinalStatus = 200;
 
 /**
  * Sends a request and reads the complete response.
@@ -56,7 +53,7 @@
  * @param dispatcher - undici dispatcher with the connections to the server
  * @param httpRequest - the request
  * @param sockets - sockets of the dispatcher, which are told what is of use
- * @returns the response with any status, or an error when there is none; the promise never rejects
+ * @returns the response with any status of an answer, or an error when there is none; the promise never rejects
  */
 export function sendHttpRequest(
     dispatcher: Pick<Dispatcher, "dispatch">,
@@ -68,7 +65,7 @@
         let controller: Dispatcher.DispatchController | undefined;
         let head: Pick<HttpResponse, "status" | "headers"> | undefined;
         let socket: ServerSocket | undefined;
-        let interimAnswers = 0;
+        const checkStatus = createStatusCheck();
         let isOver = false;
         const finish = (result: Result<HttpResponse, HttpRequestError>): void => {
             isOver = true;
@@ -94,11 +91,11 @@
                 }
             },
             onResponseStart: (started, status, headers) => {
-                if (status < lowestFinalStatus) {
-                    interimAnswers++;
-                    if (interimAnswers > interimAnswerLimit) {
-                        fail(createError(`more than ${interimAnswerLimit} interim answers`));
-                    }
+                const checked = checkStatus(status);
+                if (checked.kind === "none") {
+                    fail(createError(checked.detail));
+                }
+                if (checked.kind !== "final") {
                     return;
                 }
                 head = { status, headers };
