fix(backends): a plain service's status above 599 isn't an answer

Callers of a plain service, in the form of the product with engines of its own protocol, saw its 600, 700 or 999 as a completed call.

Cause: the client of backend servers took any number from 200 on for a status. It asks the same function now as the other form; a head that is none ends the call as broken, so that it is repeated where it may be, else its outcome is unknown, and its connection is closed.

Evidence: `src/requests/__tests__/statusLines.test.ts`, real sockets. Before, 600, 700 and 999 failed ("expected '600' to equal 'broken'"), 3 of 63; now all pass. The others passed before and stay as guards: all other numbers, all of them as answers to an order to an engine (unknown), interim answers without end.

--- a/src/backends/backendConnection.ts
+++ b/src/backends/backendConnection.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingHttpHeaders } from "node:http";
 import { DecoratorHandler, type Dispatcher, Pool } from "undici";
-import { type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
+import { createStatusCheck, type Milliseconds, type Result, wrapError, wrapValue } from "../shared/index.js";
 import { startTask } from "../supervision/index.js";
 import type { BackendError } from "./engineClient.js";
 
@@ -66,16 +66,21 @@
     readonly markSending?: () => void;
 }
 
-interface RequestStartHandler extends Dispatcher.DispatchHandler {
+interface DecoratedHandler extends Dispatcher.DispatchHandler {
     onRequestStart(controller: Dispatcher.DispatchController, context: unknown): void;
+    onResponseStart(...values: ResponseStart): void;
 }
 
+type ResponseStart = Parameters<NonNullable<Dispatcher.DispatchHandler["onResponseStart"]>>;
+
 // undici's type declaration of DecoratorHandler lacks methods that the class has
-const decoratorClass = DecoratorHandler as unknown as new(inner: Dispatcher.DispatchHandler) => RequestStartHandler;
+const decoratorClass = DecoratorHandler as unknown as new(inner: Dispatcher.DispatchHandler) => DecoratedHandler;
 
-// undici calls onRequestStart once a socket is connected, immediately before it writes the first byte of the request
+// undici calls onRequestStart once a socket is connected, immediately before it writes the first byte of the request, and
+// onResponseStart with each head
 class SendTrackingHandler extends decoratorClass {
     readonly #markSending: (() => void) | undefined;
+    readonly #checkStatus = createStatusCheck();
 
     constructor(inner: Dispatcher.DispatchHandler, markSending: (() => void) | undefined) {
         super(inner);
@@ -86,6 +91,16 @@
         this.#markSending?.();
         super.onRequestStart(controller, context);
     }
+
+    override onResponseStart(...values: ResponseStart): void {
+        const [controller, status] = values;
+        const checked = this.#checkStatus(status);
+        if (checked.kind === "none") {
+            controller.abort(new Error(checked.detail));
+            return;
+        }
+        super.onResponseStart(...values);
+    }
 }
 
 /**
