fix(backends): an interim answer doesn't cost the answer that follows it

Callers of a plain service, in the form of the product with engines of its own protocol, saw a call as broken when the service sent 102, 103 or another interim answer first.

Cause: the handler over undici's `DecoratorHandler`, which asserts that there is one head (`ERR_ASSERTION`). Interim heads end at our handler now, which counts them; nobody has a use for them.

Evidence: the three tests with 102, 103 and 199 before an answer failed before ("expected 'broken' to equal '201'"), 3 of 66; now all pass, the end of interim answers without end too, which the assertion had brought about.

--- a/src/backends/backendConnection.ts
+++ b/src/backends/backendConnection.ts
@@ -97,9 +97,11 @@
         const checked = this.#checkStatus(status);
         if (checked.kind === "none") {
             controller.abort(new Error(checked.detail));
-            return;
         }
-        super.onResponseStart(...values);
+        // undici's class fails at a second head
+        if (checked.kind === "final") {
+            super.onResponseStart(...values);
+        }
     }
 }
 
--- a/src/requests/__tests__/statusLines.test.ts
+++ b/src/requests/__tests__/statusLines.test.ts
@@ -42,6 +42,15 @@
         });
     }
 
+    for (const status of ["102", "103", "199"]) {
+        // guards against an answer of a plain service that is lost as an interim one came before it
+        it(`aren't those after interim answers: ${status}`, async () => {
+            const interim = `HTTP/1.1 ${status} -\r\n\r\n`;
+            expect(await callService(backend, interim + sound)).to.equal("201");
+            expect(await callService(backend, interim.repeat(3) + sound)).to.equal("201");
+        });
+    }
+
     // guards against interim answers that come without end and keep a call until its deadline
     it("are interim answers without end", async () => {
         expect(await callService(backend, interimHead.repeat(100) + sound)).to.equal("broken");
