--- a/src/platform/__tests__/storeRestore.test.ts
+++ b/src/platform/__tests__/storeRestore.test.ts
@@ -9,9 +9,15 @@
     findWithdrawnKeys,
 } from "./delivered/restoreRules.js";
 
-/** Seeds of the play; more of them by hand. In the one of CI both restores lose versions and changes of the group. */
-const seedCount = Number(process.env["RESTORE_SEEDS"] ?? 1);
-const firstSeed = Number(process.env["RESTORE_FIRST_SEED"] ?? 12);
+/**
+ * Seeds of CI. 12: both restores lose versions and changes of the group. 9: engines refused their holders for good, so that
+ * streams of calm spells weren't served.
+ */
+const regressionSeeds: readonly number[] = [9, 12];
+/** Seeds by hand, in place of those of CI. */
+const seedCount = Number(process.env["RESTORE_SEEDS"] ?? 0);
+const firstSeed = Number(process.env["RESTORE_FIRST_SEED"] ?? 1);
+const seeds = seedCount > 0 ? Array.from({ length: seedCount }, (unused, index) => firstSeed + index) : regressionSeeds;
 const restoreCount = Number(process.env["RESTORE_COUNT"] ?? 2);
 const shownFindings = 3;
 
@@ -64,7 +70,7 @@
     before(() => program = buildDeliveredProgram());
     after(() => program.remove());
 
-    for (let seed = firstSeed; seed < firstSeed + seedCount; seed++) {
+    for (const seed of seeds) {
         // guards against a fencing number that is given out again after a restore, to another holder (ONE)
         it(`never has two holders order with one fencing number, seed ${seed}`, async () => {
             expectNone(findSharedNumbers(await runOnce(seed)), "one number, two holders");
