--- a/src/platform/__tests__/storeRestore.test.ts
+++ b/src/platform/__tests__/storeRestore.test.ts
@@ -1,4 +1,6 @@
 import { expect } from "chai";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { buildDeliveredProgram, type DeliveredProgram } from "./delivered/deliveredProgram.js";
 import { type RestoreRecord, runRestorePlay } from "./delivered/restorePlay.js";
 import {
@@ -14,7 +16,7 @@
  * streams of calm spells weren't served.
  */
 const regressionSeeds: readonly number[] = [9, 12];
-/** Seeds by hand, in place of those of CI. */
+/** Seeds by hand, in place of those of CI; `RESTORE_LOGS` names a folder for the logs of their instances. */
 const seedCount = Number(process.env["RESTORE_SEEDS"] ?? 0);
 const firstSeed = Number(process.env["RESTORE_FIRST_SEED"] ?? 1);
 const seeds = seedCount > 0 ? Array.from({ length: seedCount }, (unused, index) => firstSeed + index) : regressionSeeds;
@@ -33,6 +35,10 @@
         return;
     }
     const { orders, probes, ends, plans, endedAt, beganAt } = record;
+    const folder = process.env["RESTORE_LOGS"];
+    if (folder !== undefined) {
+        writeFileSync(join(folder, `seed-${seed}.log`), record.output);
+    }
     console.log(
         `seed ${seed}`,
         JSON.stringify({
