--- a/src/platform/__tests__/storeRestore.test.ts
+++ b/src/platform/__tests__/storeRestore.test.ts
@@ -97,6 +97,14 @@
             expectNone(findWithdrawnKeys(await runOnce(seed)), "ran with a withdrawn key");
         });
 
+        // guards against a header of the users that nothing reads, as the one that tells of a return was (issue 59)
+        it(`leaves no header of the store unread, seed ${seed}`, async () => {
+            const lines = (await runOnce(seed)).output.split("\n").filter(line =>
+                /"header not decoded".*"store"/.test(line)
+            );
+            expectNone(lines, "not decoded");
+        });
+
         // guards against instances that don't find back to service after a restore (RECOVER)
         it(`serves again in each calm spell, seed ${seed}`, async () => {
             const record = await runOnce(seed);
