--- a/review/lib-3/machine.mjs
+++ b/review/lib-3/machine.mjs
@@ -38,7 +38,7 @@
 
 /** Creates a machine, whose address stays over restarts; `onEnd` hears of each end that nobody asked for. */
 export async function createMachine({ folder, number, storeAddress, limits = {}, onEnd = () => undefined }) {
-    const name = `front-${number}`;
+    const name = `front-a-${number}`;
     const host = `127.${process.pid % 200 + 20}.${Math.floor(process.pid / 200) % 250}.${number + 1}`;
     const [front, ready, peer] = [await findFreePort(host), await findFreePort(host), await findFreePort(host)];
     const file = join(folder, `${name}.json`);
