--- a/review/lib-3/runCase.mjs
+++ b/review/lib-3/runCase.mjs
@@ -10,6 +10,15 @@
         record.push(JSON.stringify({ ms: Math.round(performance.now() - startedAt), event, ...fields }));
     const closers = [];
     let result = 2;
+    // one that is ended from outside leaves no process behind
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) {
+        process.once(signal, async () => {
+            for (const close of closers) {
+                await close();
+            }
+            process.exit(2);
+        });
+    }
     try {
         result = await play({ closers, write });
     }
