test(review): instances that lost their entries exceed a quota

Cause: an instance writes its entry once; a removal of its earlier run that the store does late takes it away for good, and without it the others don't reach the instance again and count wrong.

--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -4,7 +4,11 @@
 const partCount = 12;
 const host = "127.0.0.1";
 
-export async function startStore() {
+/** Time after which a write that was lost on its way is done. */
+const lateMilliseconds = 5_500;
+
+/** Starts a store; `isLate` says of a write whether it gets no answer and is done late. */
+export async function startStore({ isLate = () => false } = {}) {
     const partitions = new Map();
     const groups = new Map();
     const getPartition = (topic, part) => {
@@ -136,12 +140,16 @@
         const parse = () => JSON.parse(body.toString());
         switch (pathname) {
             case "/log-append":
+                if (isLate({ path: pathname, topic: query.get("topic"), records: splitRecords(body) })) {
+                    return setTimeout(() => append(partition, splitRecords(body)), lateMilliseconds);
+                }
                 return sendJson(response, 200, append(partition, splitRecords(body)));
             case "/log-read":
                 return read(response, partition, Number(query.get("from")), Number(query.get("wait_ms") ?? 0));
             case "/log-newest":
                 return sendJson(response, 200, listNewest(partition));
             case "/log-join":
+                isLate({ path: pathname });
                 return sendJson(response, 200, join(parse()));
             case "/log-leave":
                 return sendJson(response, 200, leave(parse()));
