--- a/review/14/play.mjs
+++ b/review/14/play.mjs
@@ -1,4 +1,5 @@
 // The process of one machine is killed again and again, while the tenant sends many times its usual.
+import { join } from "node:path";
 import { pause } from "../lib-3/machine.mjs";
 import { playQuota } from "../lib-3/quotaPlay.mjs";
 import { runCase } from "../lib-3/runCase.mjs";
@@ -9,17 +10,16 @@
 const hot = { at: 6_000, duration: 11_000, factor: 6 };
 const playMilliseconds = 20_000;
 
-await runCase(import.meta.dirname, ({ closers, write }) => {
+await runCase(join(import.meta.dirname, "record.txt"), ({ closers, write }) => {
     const disturb = async ([machine], now) => {
         let count = 0;
         await pause(kills.at - now());
         while (isTrouble && now() < kills.until) {
             write("killed", { machine: machine.name, count: ++count });
-            machine.isInRotation = false;
             await machine.kill("SIGKILL");
             await pause(kills.down);
             machine.start(false);
-            machine.isInRotation = await machine.waitReady();
+            await machine.waitReady();
             write("ready again", { machine: machine.name });
             await pause(kills.up);
         }
--- a/review/lib-3/quotaPlay.mjs
+++ b/review/lib-3/quotaPlay.mjs
@@ -1,4 +1,6 @@
-// One tenant with a quota in tokens, whose requests go to the machines in rotation in turn; counts the tokens that run.
+// One tenant with a quota in tokens, whose requests go to the machines in rotation in turn; counts the tokens that run. As on the
+// pages, a machine is asked once a second whether it is ready, leaves the rotation after two misses and is back with a 200; a client
+// whose connection is refused tries once more, at another machine, and leaves at its deadline.
 import { request } from "node:http";
 import { createFolder, createMachine, pause } from "./machine.mjs";
 import { startRawServer } from "./rawServer.mjs";
@@ -14,6 +16,8 @@
 const usualPerSecond = 28;
 const serverCount = 3;
 const settlingMilliseconds = 3_000;
+const askMilliseconds = 1_000;
+const missesUntilOut = 2;
 const deadlineMilliseconds = 1_500;
 
 function measureWorstWindow(runs) {
@@ -73,28 +77,45 @@
     if ((await Promise.all(machines.map(machine => machine.waitReady()))).includes(false)) {
         return 2;
     }
-    machines.forEach(machine => machine.isInRotation = true);
+    const misses = machines.map(() => 0);
+    const ask = setInterval(() =>
+        machines.forEach(async (machine, index) => {
+            misses[index] = await machine.isReady() ? 0 : misses[index] + 1;
+        }), askMilliseconds);
+    closers.unshift(() => clearInterval(ask));
+    // where fewer than half are in rotation, all are used
+    const listUsable = () => {
+        const inRotation = machines.filter((machine, index) => misses[index] < missesUntilOut);
+        return inRotation.length * 2 < machineCount ? machines : inRotation;
+    };
     await pause(settlingMilliseconds);
     begunAt = performance.now();
     const disturbed = disturb(machines, now);
     const statuses = {};
     let sent = 0;
-    const send = () => {
-        const usable = machines.filter(machine => machine.isInRotation);
-        const machine = usable[sent % usable.length] ?? machines[0];
+    const send = (refusing, retryDeadline = deadlineMilliseconds) => {
+        const usable = listUsable().filter(machine => machine !== refusing);
+        const machine = usable[sent % usable.length] ?? refusing;
         const id = `a${++sent}`;
+        const begunSending = now();
+        let isOver = false;
         const finish = status => {
+            if (isOver) {
+                return;
+            }
+            isOver = true;
+            clearTimeout(leave);
             const phase = now() >= hot.at ? "hot" : "before";
             statuses[`${phase} ${status}`] = (statuses[`${phase} ${status}`] ?? 0) + 1;
             write("answered", { id, status });
         };
-        sentAt.set(id, now());
+        sentAt.set(id, begunSending);
         write("sent", { id, machine: machine.name });
         const sending = request({
             host: machine.host, port: machine.port, method: "POST", path: "/order/x", agent: false,
             headers: {
                 Host: "orders.example", "X-Oriolehatch-Attempt-Id": id, "Content-Length": 2,
-                "X-Oriolehatch-Deadline-Ms": String(deadlineMilliseconds), "X-Oriolehatch-Key": key,
+                "X-Oriolehatch-Deadline-Ms": String(Math.round(retryDeadline)), "X-Oriolehatch-Key": key,
                 "X-Oriolehatch-Token-Counts": `${counts.prompt},${counts.output}`,
             },
         }, response => {
@@ -102,7 +123,17 @@
             response.once("close", () => finish(response.complete ? response.statusCode : undefined));
             response.on("error", () => undefined);
         });
-        sending.once("error", () => finish(undefined));
+        const leave = setTimeout(() => {
+            finish("deadline");
+            sending.destroy();
+        }, retryDeadline);
+        sending.on("error", error => {
+            finish(error.code);
+            // the connection was refused, so that the machine has read nothing
+            if (error.code === "ECONNREFUSED" && refusing === undefined) {
+                send(machine, retryDeadline - (now() - begunSending));
+            }
+        });
         sending.end("{}");
     };
     let due = 0;
--- a/review/lib-3/runCase.mjs
+++ b/review/lib-3/runCase.mjs
@@ -1,9 +1,8 @@
-// Runs the play of a case: ends all that it started, writes the record and exits with the result.
+// Runs the play of a case: ends all that it started, writes the record to the file that the case names and exits with the result.
 import { writeFileSync } from "node:fs";
-import { join } from "node:path";
 
 /** Runs `play`, which adds what is to be closed to `closers` and returns the exit code; 2 where it can't run. */
-export async function runCase(folder, play) {
+export async function runCase(recordFile, play) {
     const record = [];
     const startedAt = performance.now();
     const write = (event, fields) =>
@@ -29,7 +28,7 @@
         for (const close of closers) {
             await close();
         }
-        writeFileSync(join(folder, "record.txt"), `${record.join("\n")}\n`);
+        writeFileSync(recordFile, `${record.join("\n")}\n`);
     }
     process.stdout.write(`${record.at(-1) ?? ""}\n`);
     process.exit(result);
