test(review): a failure of a server is answered as its success

A late answer that is broken off in its first line makes one head with the next answer on its connection: the parser takes the next status line for the reason phrase, and everything else is the next answer's, its attempt id too.

--- a/review/lib-3/rawServer.mjs
+++ b/review/lib-3/rawServer.mjs
@@ -1,5 +1,5 @@
 // Server at the wire, byte by byte: runs so many requests at once, refuses others as it is full, and in a time of trouble
-// sends bytes after some refusals that belong to no request, late, where the next answer is expected.
+// sends bytes after some refusals, or some good answers, that belong to no request, late, where the next answer is expected.
 import { createServer } from "node:net";
 
 const host = "127.0.0.1";
@@ -8,9 +8,14 @@
 /** Answers after which the server may send further bytes, as a part of all its answers. */
 const spoiledShare = 0.03;
 
-/** Starts a server; `describeLate` makes the late bytes from the head of the refusal before them. */
+/**
+ * Starts a server; `describeLate` makes the late bytes from the head of the answer before them, whose status is `lateAfter`.
+ * `isFailing` says of a request that ran whether its answer is a 500.
+ */
 export async function startRawServer(options) {
-    const { store, service, id, slots, queue, work, write, isGarbling, describeLate } = options;
+    const {
+        store, service, id, slots, queue, work, write, isGarbling, describeLate, lateAfter = 503, isFailing = () => false,
+    } = options;
     let running = 0;
     const waiting = [];
     // answers in the time of trouble alone
@@ -28,7 +33,7 @@
         }, work);
     };
     const handle = (connection, { attemptId, expected }) => {
-        const send = (status, headers, body, after) => {
+        const send = (status, headers, body) => {
             const head = [`HTTP/1.1 ${status}`, `X-Oriolehatch-Attempt-Id: ${attemptId}`, ...headers];
             const length = `Content-Length: ${body.length}`;
             counts.answers += isGarbling() ? 1 : 0;
@@ -37,7 +42,11 @@
                 write("sent late", { server: id, before: attemptId });
             }
             connection.late = "";
-            after?.(head.join("\r\n"));
+            const mayFollow = isGarbling() && status.startsWith(String(lateAfter));
+            if (mayFollow && counts.spoiled + 1 <= counts.answers * spoiledShare) {
+                counts.spoiled++;
+                connection.late = describeLate(head.join("\r\n"));
+            }
         };
         if (expected !== id) {
             send("421 Misdirected Request", [`X-Oriolehatch-Instance-Id: ${id}`], "");
@@ -45,17 +54,19 @@
         }
         if (running >= slots && waiting.length >= queue) {
             write("refused by server", { id: attemptId, server: id });
-            send("503 Service Unavailable", ["X-Oriolehatch-Not-Executed: 1"], "", text => {
-                if (isGarbling() && counts.spoiled + 1 <= counts.answers * spoiledShare) {
-                    counts.spoiled++;
-                    connection.late = describeLate(text);
-                }
-            });
+            send("503 Service Unavailable", ["X-Oriolehatch-Not-Executed: 1"], "");
             return;
         }
         const finish = () => {
-            write("answered by server", { id: attemptId, server: id, status: 200 });
-            send("200 OK", [`X-Oriolehatch-Response-Signature: ${id}.${attemptId}`], `${id} ran ${attemptId}`);
+            const hasFailed = isFailing();
+            const signature = `X-Oriolehatch-Response-Signature: ${id}.${attemptId}`;
+            write("answered by server", { id: attemptId, server: id, status: hasFailed ? 500 : 200 });
+            if (hasFailed) {
+                send("500 Internal Server Error", [signature], `${id} failed at ${attemptId}`);
+            }
+            else {
+                send("200 OK", [signature], `${id} ran ${attemptId}`);
+            }
         };
         const entry = { attemptId, finish };
         if (running < slots) {
