--- a/review/14/play.mjs
+++ b/review/14/play.mjs
@@ -10,7 +10,7 @@
 const lost = { at: 6_000, duration: 4_500, share: 0.35 };
 const roll = { at: 6_000, gap: 2_000, downtime: 500 };
 const freeze = { machine: 0, at: 20_000, duration: 4_000 };
-const hot = { at: 32_000, duration: 11_000, factor: 6 };
+const hot = { at: [32_000], duration: 11_000, factor: 6 };
 const playMilliseconds = 46_000;
 
 await runCase(join(import.meta.dirname, "record.txt"), ({ closers, write }) => {
--- a/review/lib-3/quotaPlay.mjs
+++ b/review/lib-3/quotaPlay.mjs
@@ -31,7 +31,7 @@
 }
 
 /**
- * Plays; `hot` is the time in which the tenant sends more, `isLate` says of a write to the store whether it is done late, and
+ * Plays; `hot` has the times in which the tenant sends more, `isLate` says of a write to the store whether it is done late, and
  * `disturb` gets the machines and the clock of the play, and resolves when it has done what it does.
  */
 export async function playQuota({ closers, write, machineCount, playMilliseconds, hot, isLate, disturb }) {
@@ -91,6 +91,7 @@
     await pause(settlingMilliseconds);
     begunAt = performance.now();
     const disturbed = disturb(machines, now);
+    const isHot = at => hot.at.some(begin => at >= begin && at < begin + hot.duration);
     const statuses = {};
     let sent = 0;
     const send = (refusing, retryDeadline = deadlineMilliseconds) => {
@@ -105,7 +106,7 @@
             }
             isOver = true;
             clearTimeout(leave);
-            const phase = now() >= hot.at ? "hot" : "before";
+            const phase = isHot(begunSending) ? "hot" : "usual";
             statuses[`${phase} ${status}`] = (statuses[`${phase} ${status}`] ?? 0) + 1;
             write("answered", { id, status });
         };
@@ -139,8 +140,7 @@
     let due = 0;
     for (let counted = now(); counted < playMilliseconds;) {
         const present = now();
-        const isHot = present >= hot.at && present < hot.at + hot.duration;
-        due += usualPerSecond * (isHot ? hot.factor : 1) * (present - counted) / 1_000;
+        due += usualPerSecond * (isHot(present) ? hot.factor : 1) * (present - counted) / 1_000;
         counted = present;
         for (; due >= 1; due--) {
             send();
