test(review): a read of a part of the versions counts as the whole

A read of the log returns a megabyte at most. After an outage of the store in which several large configurations were written, a machine takes the first four and counts as up to date as of that read, so that it serves requests whose key a later version took away (CONFIG, strict revocation). The store's stand-in bounds a read and may turn callers away.

--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -7,10 +7,18 @@
 /** Time after which a write that was lost on its way is done. */
 const lateMilliseconds = 5_500;
 
-/** Starts a store; `isLate` says of a write whether it gets no answer and is done late. */
-export async function startStore({ isLate = () => false } = {}) {
+/** Most that one read returns, and what all reads together get a millisecond. */
+const readLimitBytes = 1_024 * 1_024;
+const readBytesPerMillisecond = 80_000;
+
+/**
+ * Starts a store; `isLate` says of a write whether it gets no answer and is done late, `isBusy` whether calls get 503. The
+ * operator is served in any case.
+ */
+export async function startStore({ isLate = () => false, isBusy = () => false } = {}) {
     const partitions = new Map();
     const groups = new Map();
+    let readsUntil = 0;
     const getPartition = (topic, part) => {
         const name = `${topic}/${part}`;
         if (!partitions.has(name)) {
@@ -33,14 +41,30 @@
         const head = Buffer.alloc(16);
         head.writeBigUInt64BE(BigInt(contents.length), 0);
         const parts = [head];
+        let bytes = 0;
         for (const content of contents.slice(from)) {
+            bytes += 4 + content.length;
+            if (bytes > readLimitBytes) {
+                break;
+            }
             const size = Buffer.alloc(4);
             size.writeUInt32BE(content.length);
             parts.push(size, content);
         }
         const body = Buffer.concat(parts);
-        response.writeHead(200, { "content-length": body.length });
-        response.end(body);
+        const begun = Math.max(readsUntil, performance.now());
+        readsUntil = begun + body.length / readBytesPerMillisecond;
+        const send = () => {
+            response.writeHead(200, { "content-length": body.length });
+            response.end(body);
+        };
+        const delay = readsUntil - performance.now();
+        if (delay < 1) {
+            send();
+        }
+        else {
+            setTimeout(send, delay);
+        }
     };
     const read = (response, partition, from, wait) => {
         if (from > partition.contents.length) {
@@ -138,6 +162,9 @@
         const { pathname, searchParams: query } = new URL(request.url, "http://store");
         const partition = getPartition(query.get("topic") ?? "", query.get("part") ?? "0");
         const parse = () => JSON.parse(body.toString());
+        if (isBusy()) {
+            return sendJson(response, 503, {});
+        }
         switch (pathname) {
             case "/log-append":
                 if (isLate({ path: pathname, topic: query.get("topic"), records: splitRecords(body) })) {
