--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -12,10 +12,10 @@
 const readBytesPerMillisecond = 80_000;
 
 /**
- * Starts a store; `isLate` says of a write whether it gets no answer and is done late, `isBusy` whether calls get 503. The
- * operator is served in any case.
+ * Starts a store; `isLate` says of a write whether it gets no answer and is done late, `isTurnedAway` whether calls to its
+ * second address get 503. The operator is served in any case.
  */
-export async function startStore({ isLate = () => false, isBusy = () => false } = {}) {
+export async function startStore({ isLate = () => false, isTurnedAway = () => false } = {}) {
     const partitions = new Map();
     const groups = new Map();
     let readsUntil = 0;
@@ -162,7 +162,7 @@
         const { pathname, searchParams: query } = new URL(request.url, "http://store");
         const partition = getPartition(query.get("topic") ?? "", query.get("part") ?? "0");
         const parse = () => JSON.parse(body.toString());
-        if (isBusy()) {
+        if (request.socket.localPort === second.address()?.port && isTurnedAway()) {
             return sendJson(response, 503, {});
         }
         switch (pathname) {
@@ -186,25 +186,32 @@
                 return sendJson(response, 404, {});
         }
     };
-    const server = createServer((request, response) => {
+    const receive = (request, response) => {
         const chunks = [];
         request.on("data", chunk => chunks.push(chunk));
         request.once("end", () => handle(request, response, Buffer.concat(chunks)));
         request.on("error", () => undefined);
         response.on("error", () => undefined);
-    });
-    server.keepAliveTimeout = 60_000;
-    await new Promise(resolve => server.listen(0, host, resolve));
+    };
+    const server = createServer(receive);
+    const second = createServer(receive);
+    for (const each of [server, second]) {
+        each.keepAliveTimeout = 60_000;
+        await new Promise(resolve => each.listen(0, host, resolve));
+    }
     return {
         address: `${host}:${server.address().port}`,
+        secondAddress: `${host}:${second.address().port}`,
         put: (topic, key, value) => {
             const name = Buffer.from(key);
             const content = value === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(value));
             append(getPartition(topic, "0"), [Buffer.concat([Buffer.from([name.length]), name, content])]);
         },
         close: () => {
-            server.close();
-            server.closeAllConnections();
+            for (const each of [server, second]) {
+                each.close();
+                each.closeAllConnections();
+            }
         },
     };
 }
