fix(serving): a part of a topic confirms nothing of what was there

Callers whose key had been taken away more than `revoke_ms` before were served: an instance that had refused keyed requests, as its configuration was too old, served them again with the first answer of the store after an outage, by a version from before.

Cause: a read returns 1,024 KB at most, and its answer names the end of the topic. The decoder of keyed reads dropped that end and gave the offset after the last record for it; the follower then confirmed the time of the read with versions still to be read. All that follows a confirmation followed it too early: keys, copies for other instances, the end of an outage for the list of servers, origins of streams, the check of the list, settling of an era. The log of streams took an empty page before the named end for the last one, the newest records a page without a key that says that more follow.

Now an answer that names the end E to a read sent at T confirms T once E is reached (`readProgress.ts`), so that a reader behind steady writes still confirms. Where the rest is larger than the newest records of all keys, those are read in place of it. Log lines and two metrics tell how far a topic is read, by which age requests are served and which version is in force meanwhile.

Evidence: the store stand-in at the wire answers in parts now.

--- a/src/platform/__tests__/delivered/wireConfiguration.ts
+++ b/src/platform/__tests__/delivered/wireConfiguration.ts
@@ -64,6 +64,30 @@
     });
 }
 
+/** One of the many routes of the large configuration; its requests need a key. */
+export const largeRoute = { host: plainRoute.host, path: "/r0/" } as const;
+const largeRouteCount = 1_240;
+
+/**
+ * Encodes a version of a configuration with so many routes that a read returns four versions at most.
+ *
+ * @param service - service of all routes
+ * @param version - number of the version
+ * @param keys - keys of its one client account
+ * @returns value of the record, of a quarter of a megabyte
+ */
+export function createLargeConfiguration(service: string, version: number, keys: readonly string[]): string {
+    const plain = JSON.parse(createPlainConfiguration(service)) as { readonly routes: readonly object[]; };
+    const routes = Array.from({ length: largeRouteCount }, (unused, number) => ({
+        ...plain.routes[0],
+        name: `route-${number}`,
+        path_prefix: `/r${number}/`,
+        kind: "safe",
+        public: false,
+    }));
+    return JSON.stringify({ ...plain, version, routes, tenants: [{ name: "acme", api_keys: keys, rate_per_s: 0 }] });
+}
+
 const stopHost = "orders.example";
 /** Routes of a play of a stop: an unsafe one with a short and one with a long time-out, a safe one, and streams. */
 export const stopRoutes = {
--- a/src/platform/__tests__/delivered/wireStore.ts
+++ b/src/platform/__tests__/delivered/wireStore.ts
@@ -17,6 +17,11 @@
     readonly append: (topic: string, content: Uint8Array) => void;
     /** Set by a test that has the store fail: called with each call, returns whether it has dealt with it. */
     intercept: ((request: IncomingMessage, response: ServerResponse) => boolean) | undefined;
+    /**
+     * Set by a test that has the store do writes late: called with each write, returns the time after which it is done
+     * without an answer, in milliseconds; `undefined` to do it at once, `Infinity` never.
+     */
+    delayWrite: ((write: WireWrite) => number | undefined) | undefined;
     /** Goes away, dropping what is written meanwhile, and resolves once the store is back from an older copy. */
     readonly restore: (restore: StoreRestore) => Promise<void>;
     readonly isAway: () => boolean;
@@ -25,6 +30,11 @@
     readonly close: () => void;
 }
 
+/** A write that has reached the store. */
+export type WireWrite =
+    | { readonly kind: "append"; readonly topic: string; readonly contents: readonly Buffer[]; }
+    | { readonly kind: "join" | "leave"; readonly member: string; };
+
 /** What a store is like beyond its calls. */
 export interface WireStoreOptions {
     /** Partitions of topics without keys. @default 12 */
@@ -45,6 +55,13 @@
     readonly repeatsAppend?: boolean;
 }
 
+/** A read of a partition; `limit` is the most that it returns, in bytes. */
+interface WireRead {
+    readonly from: number;
+    readonly wait: number;
+    readonly limit: number;
+}
+
 interface Partition {
     readonly contents: Buffer[];
     /** Times of the contents' appends. */
@@ -54,6 +71,8 @@
 
 const host = "127.0.0.1";
 const lengthFieldBytes = 4;
+/** Most that one read returns where it names no limit, in kilobytes. */
+const usualReadKilobytes = 1_024;
 /** Time after a return at which an append of before arrives. */
 const lateAppendMilliseconds = 200;
 
@@ -84,20 +103,31 @@
         [...waiting].forEach(wake => wake());
         return { offset, end_offset: contents.length };
     };
-    const sendRecords = (response: ServerResponse, { contents }: Partition, from: number): void => {
+    const sendRecords = (response: ServerResponse, { contents }: Partition, { from, limit }: WireRead): void => {
         const head = Buffer.alloc(16);
         head.writeBigUInt64BE(BigInt(contents.length), 0);
-        const body = Buffer.concat([head, ...contents.slice(from).map(encodeRecord)]);
+        const parts: Buffer[] = [head];
+        let bytes = 0;
+        for (const record of contents.slice(from).map(encodeRecord)) {
+            bytes += record.length;
+            // the first record comes whole in any case
+            if (bytes > limit && parts.length > 1) {
+                break;
+            }
+            parts.push(record);
+        }
+        const body = Buffer.concat(parts);
         response.writeHead(200, { "content-length": body.length });
         response.end(body);
     };
-    const read = (response: ServerResponse, partition: Partition, from: number, wait: number): void => {
+    const read = (response: ServerResponse, partition: Partition, call: WireRead): void => {
+        const { from, wait } = call;
         if (from > partition.contents.length) {
             sendJson(response, 410, { first_offset: 0 });
             return;
         }
         if (partition.contents.length > from || wait === 0) {
-            sendRecords(response, partition, from);
+            sendRecords(response, partition, call);
             return;
         }
         const forget = (): void => {
@@ -106,7 +136,7 @@
         };
         const finish = (): void => {
             forget();
-            sendRecords(response, partition, from);
+            sendRecords(response, partition, call);
         };
         const timer = setTimeout(finish, wait);
         partition.waiting.add(finish);
@@ -138,6 +168,16 @@
             append(getPartition(topic, "0"), [content]);
         }
     };
+    const runWrite = (path: string, partition: Partition, body: Buffer): unknown => {
+        switch (path) {
+            case "/log-append":
+                return appendOnce(partition, splitRecords(body));
+            case "/log-join":
+                return groups.join(JSON.parse(body.toString()) as GroupCall, performance.now());
+            default:
+                return groups.removeMember(JSON.parse(body.toString()) as GroupCall, performance.now());
+        }
+    };
     const handle = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
         const body = await readBody(request);
         if (isAway) {
@@ -152,26 +192,29 @@
         }
         const { pathname, searchParams: query } = new URL(request.url ?? "", "http://store");
         const partition = getPartition(query.get("topic") ?? "", query.get("part") ?? "0");
+        const write = describeWrite(pathname, query.get("topic") ?? "", body);
+        const delay = write && store.delayWrite?.(write);
+        if (delay !== undefined) {
+            if (Number.isFinite(delay)) {
+                setTimeout(() => runWrite(pathname, partition, body), delay);
+            }
+            return;
+        }
+        if (write) {
+            sendJson(response, 200, runWrite(pathname, partition, body));
+            return;
+        }
         switch (pathname) {
-            case "/log-append":
-                sendJson(response, 200, appendOnce(partition, splitRecords(body)));
-                break;
             case "/log-read":
-                read(response, partition, Number(query.get("from")), Number(query.get("wait_ms") ?? 0));
+                read(response, partition, {
+                    from: Number(query.get("from")),
+                    wait: Number(query.get("wait_ms") ?? 0),
+                    limit: Number(query.get("max_kilobytes") ?? usualReadKilobytes) * 1_024,
+                });
                 break;
             case "/log-newest":
                 sendJson(response, 200, listNewest(partition));
                 break;
-            case "/log-join":
-                sendJson(response, 200, groups.join(JSON.parse(body.toString()) as GroupCall, performance.now()));
-                break;
-            case "/log-leave":
-                sendJson(
-                    response,
-                    200,
-                    groups.removeMember(JSON.parse(body.toString()) as GroupCall, performance.now()),
-                );
-                break;
             case "/log-owners":
                 sendJson(response, 200, groups.listOwners(query.get("group") ?? "", performance.now()));
                 break;
@@ -193,6 +236,7 @@
     const store: WireStore = {
         address: `${host}:${(server.address() as AddressInfo).port}`,
         intercept: undefined,
+        delayWrite: undefined,
         put: (topic, key, value) => {
             const record = encodeKeyedRecord(key, value === undefined ? undefined : Buffer.from(value));
             write(topic, record.subarray(lengthFieldBytes));
@@ -209,6 +253,21 @@
     return store;
 }
 
+function describeWrite(path: string, topic: string, body: Buffer): WireWrite | undefined {
+    switch (path) {
+        case "/log-append":
+            return { kind: "append", topic, contents: splitRecords(body) };
+        case "/log-join":
+        case "/log-leave":
+            return {
+                kind: path === "/log-join" ? "join" : "leave",
+                member: (JSON.parse(body.toString()) as GroupCall).member_id,
+            };
+        default:
+            return undefined;
+    }
+}
+
 function listNewest({ contents }: Partition) {
     const newest = new Map<string, { readonly key: string; readonly value: string; readonly offset: number; }>();
     contents.forEach((content, offset) => {
--- a/src/platform/__tests__/store.test.ts
+++ b/src/platform/__tests__/store.test.ts
@@ -53,6 +53,23 @@
         });
     });
 
+    // guards against a part of a topic that looks like the whole, as a read returns so many bytes at most (CONFIG)
+    it("tell the end of a topic where an answer doesn't reach it", async () => {
+        createAnswer = () => Buffer.concat([createOffsets(12), encodeKeyedRecord("a", Buffer.from("1"))]);
+        const read = await store.readFrom("configuration", 6, 0);
+        expect(read.ok && [read.value.endOffset, read.value.topicEnd]).to.deep.equal([7, 12]);
+    });
+
+    // guards against the first pages of a topic that count as all of them
+    it("fail when a page says that more follow, and brings nothing by which they could be asked for", async () => {
+        createAnswer = () => '{"items":[],"has_more":true,"end_offset":2}';
+        const newest = await store.readNewest("servers");
+        expect(newest.ok ? "read" : newest.error.kind).to.equal("unreachable");
+        createAnswer = () => createOffsets(3);
+        const records = await store.streams.readAll();
+        expect(records.ok ? "read" : records.error.kind).to.equal("unreachable");
+    });
+
     // guards against an overflow of the stack at a page of very many records
     it("take a page of very many small records", async () => {
         const count = 250_000;
--- a/src/platform/logRecords.ts
+++ b/src/platform/logRecords.ts
@@ -55,7 +55,8 @@
  * @param bytes - body of the response
  * @param from - offset of the first record, as requested
  * @param onRefused - called with the offset of each record that is shorter than its key, which is left out
- * @returns the records and the offset after the last one; an error when the bytes end within an offset or a record
+ * @returns the records, the offset after the last one, and the topic's end where that lies beyond it; an error when the bytes
+ *     end within an offset or a record
  */
 export function decodeKeyedReadResponse(
     bytes: Buffer,
@@ -77,7 +78,9 @@
             onRefused(from + index);
         }
     }
-    return wrapValue({ records, endOffset: from + response.value.records.length });
+    const endOffset = from + response.value.records.length;
+    const { endOffset: topicEnd } = response.value;
+    return wrapValue({ records, endOffset, ...topicEnd > endOffset && { topicEnd } });
 }
 
 function readContentLength(bytes: Buffer, position: number): number {
--- a/src/platform/store.ts
+++ b/src/platform/store.ts
@@ -268,9 +268,12 @@
             }
             // not spread over arguments, of which there may be too many
             page.value.records.forEach(record => records.push(record));
-            if (page.value.records.length === 0 || offset + records.length >= page.value.endOffset) {
+            if (offset + records.length >= page.value.endOffset) {
                 return wrapValue(records);
             }
+            if (page.value.records.length === 0) {
+                return wrapError({ kind: "unreachable", detail: "a page before the named end has no records" });
+            }
         }
     };
     return {
@@ -328,9 +331,12 @@
         }
         records.push(...page.value.records);
         endOffset ??= page.value.endOffset;
-        if (!page.value.hasMore || page.value.lastKey === undefined) {
+        if (!page.value.hasMore) {
             return wrapValue({ records, endOffset, era });
         }
+        if (page.value.lastKey === undefined) {
+            return wrapError({ kind: "unreachable", detail: "a page that isn't the last one has no key" });
+        }
         after = page.value.lastKey;
     }
 }
--- a/src/serving/__tests__/keyedFollower.test.ts
+++ b/src/serving/__tests__/keyedFollower.test.ts
@@ -64,6 +64,116 @@
         expect(read?.kind === "records" && [read.records.length, read.endOffset]).to.deep.equal([6, 7]);
     });
 
+    // runs a follower over answers in turn; notes what each one confirms, and from where the next read goes on
+    const collectEvents = async (answers: readonly Result<KeyedSnapshot, StoreError>[]) => {
+        const stop = new AbortController();
+        const events: unknown[] = [];
+        const rest = [...answers];
+        let now = 0;
+        const readNext = async (offset: number | undefined): Promise<Result<KeyedSnapshot, StoreError>> => {
+            events.push(["read", offset]);
+            now += 1_000;
+            const next = rest.shift();
+            if (!next) {
+                stop.abort();
+            }
+            return next ?? wrapError({ kind: "busy", status: 503 });
+        };
+        const cache = createTopicCache({ readNow: () => ({ monotonic: now, timeOfDay: now }) });
+        const follower = createKeyedFollower({
+            log: {
+                readNewest: () => readNext(undefined),
+                readFrom: (topic, offset) => readNext(offset),
+                append: async () => wrapValue(undefined),
+            },
+            topic: "configuration",
+            wait: 0,
+            cache,
+            sleep: async () => undefined,
+            readClocks: () => ({ monotonic: now, timeOfDay: now }),
+            onSnapshot: () => undefined,
+            onRecords: () => undefined,
+            onAnswered: at => events.push(["answered", at.monotonic]),
+            onConfirmed: at => events.push(["confirmed", at.monotonic, cache.readAge()]),
+            onFailure: ({ kind }) => events.push(["failed", kind]),
+        });
+        await follower.run(stop.signal);
+        return events;
+    };
+    const createAnswer = (keys: readonly string[], from: number, topicEnd: number, size = 1) =>
+        wrapValue({
+            records: keys.map((key, index) => ({ key, value: Buffer.alloc(size), offset: from + index })),
+            endOffset: from + keys.length,
+            ...topicEnd > from + keys.length && { topicEnd },
+        });
+
+    // guards against a part of the versions that counts as all of them, for this instance and those that read through it (CONFIG)
+    it("confirms a part of what was there only when it has read the rest, with the time of the first read", async () => {
+        const keys = ["a", "b", "c", "d"];
+        expect(
+            await collectEvents([
+                createAnswer(keys, 0, 4),
+                createAnswer(["a", "b"], 4, 8),
+                // the topic has grown since
+                createAnswer(["c", "d"], 6, 11),
+                createAnswer(["a", "b", "c"], 8, 11),
+            ]),
+        ).to.deep.equal([
+            ["read", undefined],
+            ["answered", 0],
+            ["confirmed", 0, 1_000],
+            ["read", 4],
+            ["read", 6],
+            ["answered", 1_000],
+            ["confirmed", 1_000, 2_000],
+            ["read", 8],
+            ["answered", 3_000],
+            ["confirmed", 3_000, 1_000],
+            ["read", 11],
+        ]);
+    });
+
+    // guards against versions that are read one after the other though they are out of date already
+    it("reads the newest records of all keys where the rest is larger than those", async () => {
+        expect(
+            await collectEvents([
+                createAnswer(["config"], 0, 1, 250),
+                createAnswer(["config", "config", "config", "config"], 1, 13, 250),
+                createAnswer(["config"], 13, 14, 250),
+            ]),
+        ).to.deep.equal([
+            ["read", undefined],
+            ["answered", 0],
+            ["confirmed", 0, 1_000],
+            ["read", 1],
+            ["read", undefined],
+            ["answered", 2_000],
+            ["confirmed", 2_000, 1_000],
+            ["read", 14],
+        ]);
+    });
+
+    // guards against a follower that asks without a pause for a record which no read returns
+    it("takes an answer that ends where it began, before the end that it names, for a failure", async () => {
+        expect(
+            await collectEvents([
+                createAnswer(["a"], 0, 1),
+                createAnswer([], 1, 2),
+                createAnswer(["a"], 1, 2),
+            ]),
+        ).to.deep.equal([
+            ["read", undefined],
+            ["answered", 0],
+            ["confirmed", 0, 1_000],
+            ["read", 1],
+            ["failed", "refused"],
+            ["read", undefined],
+            ["answered", 2_000],
+            ["confirmed", 2_000, 1_000],
+            ["read", 2],
+        ]);
+    });
+
     // guards against servers, or a configuration, that are forgotten because a read of their topic is given up
     it("keeps what it knows while new snapshots fail, and takes the next one that comes", async () => {
         const stop = new AbortController();
--- a/src/serving/followers.ts
+++ b/src/serving/followers.ts
@@ -22,6 +22,7 @@
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
 import { createKeyedFollower, type KeyedFollowerOptions } from "./keyedFollower.js";
+import type { TopicLag } from "./readProgress.js";
 import { serversPauseMilliseconds } from "./readTiming.js";
 import type { RefusedRecords } from "./refusedRecords.js";
 import type { ServerList, ServerListChange } from "./serverList.js";
@@ -60,6 +61,8 @@
     readonly refused: Pick<RefusedRecords, "add" | "remove">;
     /** Called after each read that failed. */
     readonly onStoreFailure: (topic: KeyedTopic) => void;
+    /** Called after each successful read with what is left to read of the topic. @default nobody is told */
+    readonly onLag?: (topic: KeyedTopic, lag: TopicLag) => void;
     /** Called after each update of the server list; the change may be empty. */
     readonly onServers: (change: ServerListChange) => void;
     /** Called after `onServers` with a time before which all writes of the list have been passed to it. */
@@ -201,11 +204,12 @@
         topic: "configuration",
         cache: options.caches?.configuration,
         wait: configurationLongPollMilliseconds,
-        ...describeReturn(options, "configuration"),
+        ...describeReading(options, "configuration"),
         sleep: clock.sleep,
         onSnapshot: applySnapshot,
         onRecords: applyRecords,
         onConfirmed: configuration.markConfirmed,
+        describeState: () => ({ version: configuration.read()?.config.version }),
         onFailure: createFailureHandler(options, "configuration"),
     });
 }
@@ -237,7 +241,7 @@
         cache: options.caches?.servers,
         pause: serversPauseMilliseconds,
         wait: longPollMilliseconds,
-        ...describeReturn(options, "servers"),
+        ...describeReading(options, "servers"),
         sleep: clock.sleep,
         onRestored: () => servers.markRestored(clock.now()),
         onSnapshot: records => {
@@ -273,7 +277,7 @@
         cache: options.caches?.instances,
         pause: directoryPauseMilliseconds,
         wait: directoryLongPollMilliseconds,
-        ...describeReturn(options, "instances"),
+        ...describeReading(options, "instances"),
         sleep: options.clock.sleep,
         onSnapshot: records => options.directory.replaceAll(records),
         onRecords: records => records.forEach(record => options.directory.applyRecord(record)),
@@ -289,7 +293,7 @@
         cache: options.caches?.quarantines,
         pause: quarantinesPauseMilliseconds,
         wait: quarantinesLongPollMilliseconds,
-        ...describeReturn(options, "quarantines"),
+        ...describeReading(options, "quarantines"),
         sleep: options.clock.sleep,
         onRestored: options.guard.markLost,
         onSnapshot: options.guard.replaceAll,
@@ -299,12 +303,12 @@
     });
 }
 
-// how the follower of a topic goes on when the store has come back from an older copy
-function describeReturn(
-    { rules, settling }: FollowersOptions,
+// how the follower of a topic goes on when the store has come back from an older copy, and who is told how far it is
+function describeReading(
+    { rules, settling, onLag }: FollowersOptions,
     topic: KeyedTopic,
-): Pick<KeyedFollowerOptions, "rules" | "readSettledAt"> {
-    return { rules: rules?.[topic], readSettledAt: settling?.readSettledAt };
+): Pick<KeyedFollowerOptions, "rules" | "readSettledAt" | "onLag"> {
+    return { rules: rules?.[topic], readSettledAt: settling?.readSettledAt, onLag: lag => onLag?.(topic, lag) };
 }
 
 function createFailureHandler(options: FollowersOptions, topic: KeyedTopic): (error: StoreError) => void {
--- a/src/serving/keyedFollower.ts
+++ b/src/serving/keyedFollower.ts
@@ -1,15 +1,17 @@
 /**
  * Follows a keyed topic: reads the newest record of each key, then later records as they are written. Starts again
  * with the newest records when the store no longer has the next offset or refuses the read. A record at which a handler
- * throws is logged and passed over: it stays in the store, so that a follower which stopped there would never go on. When the
- * store has come back from an older copy, what was read before is compared with it, and nothing counts as confirmed until
- * its writers have had the time to write again what the copy has lost.
+ * throws is logged and passed over: it stays in the store, so that a follower which stopped there would never go on. An answer
+ * that is a part of what there was confirms nothing of it (`readProgress.ts`); where the rest is larger than the newest records
+ * of all keys, those are read instead. When the store has come back from an older copy, what was read before is compared with
+ * it, and nothing counts as confirmed until its writers have had the time to write again what the copy has lost.
  *
  * @packageDocumentation
  */
 import { createLogger, type Milliseconds, type Result, waitUnlessAborted, wrapError } from "../shared/index.js";
 import type { Task } from "../supervision/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
+import { createReadProgress, estimateLag, type ReadProgress, type TopicLag } from "./readProgress.js";
 import type { StoreEra } from "./storeEras.js";
 import type { TopicCache } from "./topicCache.js";
 import { createTopicMemory, plainRules, type RestoreRules, type TopicMemory } from "./topicMemory.js";
@@ -22,12 +24,16 @@
     /** Called with later records, in their order. */
     readonly onRecords: (records: readonly KeyedRecord[]) => void;
     /**
-     * Called after each successful read with a time before which all records written have been passed to `onSnapshot`
-     * or `onRecords`; not while the store's copy may lack some.
+     * Called with a time before which all records written have been passed to `onSnapshot` or `onRecords`: after each read
+     * that reaches an end which it or an earlier one has named; not while the store's copy may lack some.
      */
     readonly onConfirmed: (sentAt: ClockReading) => void;
-    /** Called after each successful read, also while the store's copy may lack records. @default nobody is told */
+    /** The same, also while the store's copy may lack records. @default nobody is told */
     readonly onAnswered?: (sentAt: ClockReading) => void;
+    /** Called after each successful read with what is left to read of the topic. @default nobody is told */
+    readonly onLag?: (lag: TopicLag) => void;
+    /** Describes for the log what is in force of the topic while reads return parts of it. @default nothing */
+    readonly describeState?: () => Readonly<Record<string, unknown>>;
     /**
      * Called when the store has come back from an older copy, before `onSnapshot`, with the records that it has lost.
      * @default nobody is told
@@ -67,6 +73,8 @@
 const unsettledWaitMilliseconds = 100;
 /** Reads after which a record that can't be taken is passed over. */
 const maximumDeliveries = 3;
+/** Size of the newest records of all keys in an answer of the store, whose values are in Base64, against that of the values. */
+const base64Growth = 4 / 3;
 const maximumDetailLength = 200;
 const maximumKeyLength = 100;
 const log = createLogger("serving");
@@ -85,6 +93,8 @@
         isNewestComplete: true,
         confirmedAt: Number.NEGATIVE_INFINITY,
         isConfirmed: true,
+        isBehind: false,
+        progress: createReadProgress(),
         memory: createTopicMemory(options.rules ?? plainRules),
         failedDeliveries: new Map(),
     };
@@ -102,6 +112,9 @@
     confirmedAt: Milliseconds;
     /** Whether the last read confirmed what was passed on. */
     isConfirmed: boolean;
+    /** Whether the last answer was a part. */
+    isBehind: boolean;
+    readonly progress: ReadProgress;
     readonly memory: TopicMemory;
     /** Reads in which a record could not be taken, by the offset of the record. */
     readonly failedDeliveries: Map<number, number>;
@@ -123,8 +136,8 @@
         }
         if (result.ok) {
             const { endOffset, age } = result.value;
-            const isCollected = position.nextOffset === endOffset || age !== undefined;
-            position.nextOffset = endOffset;
+            const isCollected = position.nextOffset === endOffset || age !== undefined || position.isBehind;
+            position.nextOffset = isNewestSmaller(position, result.value) ? undefined : endOffset;
             failures = 0;
             if (isSecondReadDue(options, position)) {
                 await options.sleep(unsettledPauseMilliseconds, signal);
@@ -160,7 +173,10 @@
     if (isSecondReadDue(options, position) && position.confirmedAt >= readSettledAt()) {
         position.nextOffset = undefined;
     }
-    const { nextOffset } = position;
+    const { nextOffset, progress } = position;
+    if (nextOffset === undefined) {
+        progress.reset();
+    }
     const read = nextOffset === undefined
         ? await options.log.readNewest(options.topic)
         : await options.log.readFrom(options.topic, nextOffset, wait, position.era);
@@ -171,13 +187,18 @@
     if (nextOffset !== undefined && era !== position.era) {
         return wrapError({ kind: "restored", era });
     }
-    const confirmedAt = { monotonic: sentAt.monotonic - age, timeOfDay: sentAt.timeOfDay - age };
-    const isSettled = confirmedAt.monotonic >= readSettledAt();
+    if (isStandingStill(read.value, nextOffset)) {
+        // all newest records are read next, which needs no record at this offset
+        return wrapError({ kind: "refused", status: 200, detail: "no records before the end that the answer names" });
+    }
+    const sentBefore = { monotonic: sentAt.monotonic - age, timeOfDay: sentAt.timeOfDay - age };
+    const confirmedAt = progress.takeAnswer(read.value, sentBefore);
+    const isSettled = confirmedAt !== undefined && confirmedAt.monotonic >= readSettledAt();
     const untaken = nextOffset === undefined
         ? deliverNewest(options, position, read.value, isSettled)
         : deliverLater(options, position, read.value, isSettled);
     position.era = era;
-    position.confirmedAt = confirmedAt.monotonic;
+    position.confirmedAt = confirmedAt?.monotonic ?? position.confirmedAt;
     position.isConfirmed = isSettled;
     if (nextOffset === undefined) {
         position.isNewestComplete = isSettled;
@@ -186,14 +207,56 @@
         return wrapError({ kind: "unreachable", detail: "a record could not be taken" });
     }
     position.failedDeliveries.clear();
-    options.cache?.markConfirmed(confirmedAt);
-    options.onAnswered?.(confirmedAt);
-    if (isSettled) {
+    recordLag(options, position, read.value, sentAt);
+    if (confirmedAt) {
+        options.cache?.markConfirmed(confirmedAt);
+        options.onAnswered?.(confirmedAt);
+    }
+    if (confirmedAt && isSettled) {
         options.onConfirmed(confirmedAt);
     }
     return read;
 }
 
+function isPart({ endOffset, topicEnd = endOffset }: KeyedSnapshot): boolean {
+    return topicEnd > endOffset;
+}
+
+function isStandingStill(answer: KeyedSnapshot, nextOffset: number | undefined): boolean {
+    return isPart(answer) && answer.endOffset === nextOffset;
+}
+
+function recordLag(
+    options: KeyedFollowerOptions,
+    position: FollowerPosition,
+    answer: KeyedSnapshot,
+    sentAt: ClockReading,
+): void {
+    const { endOffset, topicEnd = endOffset, era } = answer;
+    const lag = estimateLag(answer);
+    options.onLag?.(lag);
+    if (isPart(answer) || position.isBehind) {
+        log.info(isPart(answer) ? "topic read in part" : "topic read to its end", {
+            topic: options.topic,
+            era,
+            offset: endOffset,
+            end: topicEnd,
+            left: lag.records,
+            bytes: lag.bytes,
+            // of what was confirmed before, when the read was sent
+            age: Math.round(sentAt.monotonic - position.confirmedAt),
+            ...options.describeState?.(),
+        });
+    }
+    position.isBehind = isPart(answer);
+}
+
+// versions that are out of date already aren't read one after the other; offsets of another instance come whole
+function isNewestSmaller({ memory }: FollowerPosition, answer: KeyedSnapshot): boolean {
+    return answer.age === undefined && isPart(answer) &&
+        estimateLag(answer).bytes > memory.measureBytes() * base64Growth;
+}
+
 function isSecondReadDue({ rules }: KeyedFollowerOptions, { isNewestComplete }: FollowerPosition): boolean {
     return !isNewestComplete && rules?.needsSecondRead === true;
 }
--- a/src/serving/serverListCheck.ts
+++ b/src/serving/serverListCheck.ts
@@ -7,7 +7,7 @@
 import type { Clock } from "../shared/index.js";
 import { type ClockReading, readClocks } from "./freshness.js";
 import type { StoreEra } from "./storeEras.js";
-import type { BackendServer, KeyedLog, RecordCodec } from "./types.js";
+import type { BackendServer, KeyedLog, KeyedRecord, RecordCodec } from "./types.js";
 
 /** Dependencies of the check. */
 export interface ServerListCheckOptions {
@@ -48,18 +48,30 @@
         if (!applied) {
             return;
         }
+        const { era } = applied;
         const sentAt = readClocks();
-        const read = await store.readFrom("servers", applied.offset, 0, applied.era);
-        if (!read.ok) {
-            return;
+        let namedEnd: number | undefined;
+        // an answer may be a part of what there was
+        for (let { offset } = applied; offset < (namedEnd ?? Number.POSITIVE_INFINITY);) {
+            const read = await store.readFrom("servers", offset, 0, era);
+            if (!read.ok) {
+                return;
+            }
+            const { records, endOffset, topicEnd = endOffset } = read.value;
+            options.onServers(decodeServers(records));
+            namedEnd ??= topicEnd;
+            if (endOffset <= offset && endOffset < namedEnd) {
+                return;
+            }
+            offset = endOffset;
         }
-        const servers = read.value.records.flatMap(({ key, value }) => {
+        options.onConfirmed(sentAt);
+    };
+    const decodeServers = (records: readonly KeyedRecord[]): readonly BackendServer[] =>
+        records.flatMap(({ key, value }) => {
             const decoded = value && codec.decodeServerEntry(key, value);
             return decoded?.ok ? [decoded.value] : [];
         });
-        options.onServers(servers);
-        options.onConfirmed(sentAt);
-    };
     const start = (): Promise<void> => {
         next = undefined;
         running = readOnce().finally(() => running = undefined);
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -406,6 +406,7 @@
             origins.confirmServers(at);
         },
         onStoreFailure: metrics.countStoreFailure,
+        onLag: metrics.setTopicLag,
         onConfiguration: (config, record) => {
             reading.inquiry.remember(config.version, record);
             streamLifetime.update(computeStreamLifetime(config.routes), clock.now());
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -12,6 +12,7 @@
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
 import type { DecidedUnits } from "./admission.js";
+import type { TopicLag } from "./readProgress.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
 
 /** Metrics of an instance. */
@@ -19,6 +20,8 @@
     /** Counts a request that has ended; `took` is the time since its arrival. */
     readonly countRequest: (report: RequestReport, took: Milliseconds) => void;
     readonly countStoreFailure: (topic: string) => void;
+    /** Sets what is left to read of a topic of the store. */
+    readonly setTopicLag: (topic: string, lag: TopicLag) => void;
     /** Counts a record of the store that can't be used. */
     readonly countRefusedRecord: (topic: string) => void;
     /** Counts an answer that a server broke off, or a request that it left without one. */
@@ -167,6 +170,18 @@
         labelNames: ["topic"],
         registers,
     });
+    const topicLagRecords = new Gauge({
+        name: "oriolehatch_topic_lag_records",
+        help: "Records of a topic of the store that the last read did not reach; what they change isn't in force here",
+        labelNames: ["topic"],
+        registers,
+    });
+    const topicLagBytes = new Gauge({
+        name: "oriolehatch_topic_lag_bytes",
+        help: "Size of these records, by the mean of the last read",
+        labelNames: ["topic"],
+        registers,
+    });
     const refusedRecords = new Counter({
         name: "oriolehatch_refused_records_total",
         help: "Records of the platform's store that can't be used",
@@ -371,6 +386,10 @@
             }
         },
         countStoreFailure: topic => storeFailures.inc({ topic }),
+        setTopicLag: (topic, { records, bytes }) => {
+            topicLagRecords.set({ topic }, records);
+            topicLagBytes.set({ topic }, bytes);
+        },
         countRefusedRecord: topic => refusedRecords.inc({ topic }),
         countBrokenAnswer: () => brokenAnswers.inc(),
         countResumedStream: by => resumedStreams.inc({ by }),
--- a/src/serving/topicMemory.ts
+++ b/src/serving/topicMemory.ts
@@ -51,6 +51,8 @@
      * none any more.
      */
     readonly takeRecords: (records: readonly KeyedRecord[], isSettled: boolean) => readonly KeyedRecord[];
+    /** Returns the size of the known values. */
+    readonly measureBytes: () => number;
 }
 
 /** Rules of a topic of which the store's copy is taken as it is. */
@@ -122,6 +124,7 @@
             }
             return taken;
         },
+        measureBytes: () => [...known.values()].reduce((sum, { value }) => sum + (value?.length ?? 0), 0),
     };
 }
 
--- a/src/serving/types.ts
+++ b/src/serving/types.ts
@@ -364,6 +364,11 @@
     readonly records: readonly KeyedRecord[];
     /** Offset from which the next read continues. */
     readonly endOffset: number;
+    /**
+     * End of the topic when the answer was made, where that lies beyond `endOffset`: the answer is a part, and says nothing of
+     * what was written up to that end. @default the answer is whole
+     */
+    readonly topicEnd?: number;
     /** Era of the store in which the offsets hold. @default 0 */
     readonly era?: StoreEra;
     /** Age of the data when the read was sent, where it did not come from the store itself. @default 0 */
