refactor(serving): the parts of an account's quota in one file

What keeps quotas (holder, client, limits) is joined in accountQuotas.ts, without a change of what it does.

--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -11,9 +11,9 @@
 import { createRequestGuard } from "../quarantine/index.js";
 import { createStreamArchive, createStreamOrigins } from "../resumption/index.js";
 import { createRequestAges } from "../routing/index.js";
-import { createLogger, createSeededRandom, millisecondsPerSecond, waitForEvents } from "../shared/index.js";
+import { createLogger, createSeededRandom, waitForEvents } from "../shared/index.js";
 import { createSupervisor, runTask, startTask } from "../supervision/index.js";
-import { createAccountLimits } from "./accountLimits.js";
+import { createAccountQuotas } from "./accountQuotas.js";
 import { createAnswerMemory } from "./answerMemory.js";
 import { createAnswerTimes } from "./answerTimes.js";
 import { createClientServer, type ReceivedRequest } from "./clientServer.js";
@@ -38,8 +38,6 @@
 } from "./instanceTasks.js";
 import { createLoopDelay, type LoopGate } from "./loopDelay.js";
 import { registerPeerHandlers } from "./peerHandlers.js";
-import { createAccountShards, createQuotaClient } from "./quotaClient.js";
-import { createQuotaHolder } from "./quotaHolder.js";
 import { createReadinessServer } from "./readinessServer.js";
 import { createRefusedRecords } from "./refusedRecords.js";
 import { writeRequestLog } from "./requestLog.js";
@@ -202,41 +200,25 @@
             directory.isLoaded() && directory.isAmongLargest(options.shardCount * membersPerShard) &&
             !forwarding.isCutOff(),
         onShardGained: shard => {
-            quotas.handleShardGained(shard);
+            quotas.client.handleShardGained(shard);
             adapters.handleShardGained(shard);
         },
         onShardLost: (shard, released) => {
-            quotas.handleShardLost(shard);
+            quotas.client.handleShardLost(shard);
             adapters.handleShardLost(shard, released);
         },
         onMembershipChange: adapters.handleMembershipChange,
     });
-    const findAccountShard = createAccountShards(options.shardCount);
-    const countInstances = (): number | undefined => directory.isLoaded() ? directory.countInstances() : undefined;
-    const quotaHolder = createQuotaHolder({
-        countInstances,
-        isCounted: instance => instance === self.id || directory.findAddress(instance) !== undefined,
-        findShard: findAccountShard,
-        onRush: ({ state, ...rush }) =>
-            log.info(state === "begun" ? "account over its quota" : "account within its quota", { ...rush }),
-    });
-    const quotas = createQuotaClient({
+    const quotas = createAccountQuotas({
         self: self.id,
         clock,
-        findShard: findAccountShard,
+        random,
+        directory,
+        shardCount: options.shardCount,
         holders: adapters.holders,
-        isHeld: shard => shards.find(shard) !== undefined,
-        quotaHolder,
+        findHeld: shards.find,
         network: peers.network,
-    });
-    const limits = createAccountLimits({
-        now: clock.now,
-        random,
         bounds: options.quota,
-        startDuration: process.uptime() * millisecondsPerSecond,
-        countInstances,
-        ask: quotas.ask,
-        giveBack: quotas.giveBack,
     });
     adapters.setShardTask(shards);
     const findConnectionLimit = (server: BackendServer): number =>
@@ -321,7 +303,7 @@
     let isServerListRead = false;
     const requestParts: RequestParts = {
         configuration,
-        limits,
+        limits: quotas.limits,
         retryBudget,
         random,
         get maximumConfigAge() {
@@ -410,7 +392,7 @@
         onConfiguration: (config, record) => {
             reading.inquiry.remember(config.version, record);
             streamLifetime.update(computeStreamLifetime(config.routes), clock.now());
-            quotaHolder.update(config.accounts ?? [], clock.now());
+            quotas.holder.update(config.accounts ?? [], clock.now());
             clientServer.update(config.limits);
             origins.handleRoutes(config);
             regions.writeHomeless(config);
@@ -425,7 +407,7 @@
     const followers = createFollowers(followersOptions);
     const runParts = createGuardedParts({
         "expiry of servers": () => applyServerChange(servers.expire(clock.now())),
-        "upkeep of quotas": quotas.tick,
+        "upkeep of quotas": quotas.client.tick,
         "upkeep of adapters": adapters.tick,
         "upkeep of the quarantine": guard.tick,
         "upkeep of streams": origins.tick,
@@ -447,7 +429,14 @@
         failureLimit: failureLimitMilliseconds,
         children: [peers, ...followers, shards, maintenance, ...reading.tasks],
     });
-    registerPeerHandlers(peers.network, { adapters, relayed: reading.relayed, guard, forwarding, origins, quotas });
+    registerPeerHandlers(peers.network, {
+        adapters,
+        relayed: reading.relayed,
+        guard,
+        forwarding,
+        origins,
+        quotas: quotas.client,
+    });
 
     // the signal may have waited while the event loop was late
     const beginShutdown = (): void => shutdown.begin(loop.measureWaited(clock.now()));
