fix(serving): an instance holds its entry in the list, in place of writing it once

Cause: a call without an answer may be done seconds later. The removal was sent once when the stop began; the next process found the entry in the list and wrote nothing; then the removal was done and nobody looked again in that era. Once connections closed, the machines found no address for each other, and each decided alone.

Now the entry is a state that is held: while an instance runs its entry stands with its value, while it stops there is none. The list is read anyway, so that it costs no call.

--- a/src/serving/__tests__/registration.test.ts
+++ b/src/serving/__tests__/registration.test.ts
@@ -1,7 +1,7 @@
 import { expect } from "chai";
 import { createSeededRandom, createSystemClock, type Milliseconds, wrapValue } from "../../shared/index.js";
 import { createInstanceDirectory, type InstanceDirectory } from "../instanceDirectory.js";
-import { createRegistrationTask } from "../registration.js";
+import { createRegistration } from "../registration.js";
 import { createStoreEras, type StoreEras } from "../storeEras.js";
 import type { KeyedRecord } from "../types.js";
 
@@ -22,7 +22,7 @@
     const eras = createStoreEras();
     const written: KeyedRecord[] = [];
     const state = { isStopping: false };
-    const task = createRegistrationTask({
+    const { task } = createRegistration({
         clock: createSystemClock(),
         random: createSeededRandom(1),
         log: {
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -57,6 +57,8 @@
     readonly isRegistered: (entry?: InstanceEntry) => boolean;
     /** Returns this instance's entry in the store; `undefined` when there is none. */
     readonly findOwn: () => InstanceEntry | undefined;
+    /** Returns how many records were read so far that put this instance's entry into the list. */
+    readonly countOwnEntries: () => number;
     /** Returns the earliest time, as Unix time, at which an instance says to have seen an era of the store. */
     readonly findEraSeenAt: (era: StoreEra) => Milliseconds | undefined;
     /** Returns whether a snapshot has been read. */
@@ -92,6 +94,7 @@
     let readers: readonly InstanceId[] = [];
     let isReader = false;
     let ownValue: Uint8Array | undefined;
+    let ownEntries = 0;
     let isLoaded = false;
     const refreshReaders = (): void => {
         const neighbours = [...entries.values()].filter(entry => entry.failureDomain === self.failureDomain);
@@ -103,6 +106,7 @@
     const putRecord = (record: KeyedRecord): void => {
         if (record.key === self.id) {
             ownValue = record.value;
+            ownEntries += ownValue ? 1 : 0;
             return;
         }
         const entry = record.value && decodeEntry(record.key, record.value);
@@ -133,6 +137,7 @@
         isRegistered: (entry = self) =>
             ownValue !== undefined && Buffer.compare(ownValue, encodeInstanceEntry(entry)) === 0,
         findOwn: () => ownValue && decodeEntry(self.id, ownValue),
+        countOwnEntries: () => ownEntries,
         findEraSeenAt: era => {
             const own = ownValue && decodeEntry(self.id, ownValue);
             const times = [...entries.values(), ...own ? [own] : []]
--- a/src/serving/instanceTasks.ts
+++ b/src/serving/instanceTasks.ts
@@ -6,13 +6,14 @@
 import type { ShardHolder } from "../adapters/shardHolders.js";
 import type { ShardTask } from "../adapters/shardTask.js";
 import type { ShardGroup } from "../adapters/types.js";
-import { type Clock, createLogger, type InstanceId, type Milliseconds } from "../shared/index.js";
+import { type Clock, createLogger, type Milliseconds } from "../shared/index.js";
 import { callGuarded, LastingFailure, runTask, type Task } from "../supervision/index.js";
 import type { InstanceEntry } from "./instanceDirectory.js";
 import type { LoopDelay } from "./loopDelay.js";
+import type { Registration } from "./registration.js";
 import type { ServerListChange } from "./serverList.js";
 import type { ServingOptions } from "./servingOptions.js";
-import { formatServerRunId, type KeyedLog, type ServingConfig } from "./types.js";
+import { formatServerRunId, type ServingConfig } from "./types.js";
 
 const log = createLogger("serving");
 
@@ -124,17 +125,15 @@
  * Ends what the store knows of an instance that stops: its membership in the shard group, and its entry.
  *
  * @param shards - its membership
- * @param store - the store
- * @param id - name of the instance
+ * @param registration - its entry
  */
 export async function removeInstance(
     shards: Pick<ShardTask, "leave">,
-    store: Pick<KeyedLog, "append">,
-    id: InstanceId,
+    registration: Pick<Registration, "remove">,
 ): Promise<void> {
     await Promise.all([
         runTask("leave shards", shards.leave),
-        runTask("remove instance", () => store.append("instances", id, undefined)),
+        runTask("remove instance", registration.remove),
     ]);
 }
 
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -136,7 +136,11 @@
         readCold: () => ({ servers: cold.countCold(), permits: adapters.readPermitCounts() }),
         readEvacuated: () => evacuations.readCounts(),
         readEngines: () => adapters.readEngineStatus(),
-        readStore: () => ({ era: eras.read(), configuration: configuration.read()?.config.version ?? 0 }),
+        readStore: () => ({
+            era: eras.read(),
+            configuration: configuration.read()?.config.version ?? 0,
+            entryMissing: reading.registration.measureMissing(),
+        }),
     });
     const random = createSeededRandom(startUnixTime % 2 ** 31);
     const answerMemory = createAnswerMemory();
@@ -461,7 +465,7 @@
                 shutdown,
                 clientServer,
                 countHelped: forwarding.countHelped,
-                leave: () => removeInstance(shards, dependencies.log, self.id),
+                leave: () => removeInstance(shards, reading.registration),
                 handleWaiting: gate.handleWaiting,
             }));
         stopping.abort();
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -76,6 +76,16 @@
 const routeLabelLimit = 10;
 const notFoundStatus = 404;
 
+/** Present state of what this instance knows of the store. */
+export interface StoreStatus {
+    /** Era of the store. */
+    readonly era: number;
+    /** Version of the configuration. */
+    readonly configuration: number;
+    /** Time for which the list of instances has lacked this one's entry. */
+    readonly entryMissing: Milliseconds;
+}
+
 /** States that are read for each scrape. */
 export interface MetricSources {
     /** Present number of adapter loads. */
@@ -86,8 +96,8 @@
     readonly readCold?: () => ColdCounts;
     /** Numbers of evacuated failure domains and of their servers. @default none */
     readonly readEvacuated?: () => { readonly domains: number; readonly servers: number; };
-    /** Era of the store, and version of the configuration, that are in force here. @default 0 */
-    readonly readStore?: () => { readonly era: number; readonly configuration: number; };
+    /** What is in force here of the store, and whether it lists this instance. @default 0 */
+    readonly readStore?: () => StoreStatus;
     /** State of the engines whose shards this instance holds. @default it holds none */
     readonly readEngines?: () => EngineLoadStatus;
 }
@@ -105,7 +115,7 @@
         readCold = () => ({ servers: 0, permits: { granted: 0, refused: 0, returned: 0 } }),
         readEvacuated = () => ({ domains: 0, servers: 0 }),
         readEngines = () => ({ engines: [], placements: new Map() }),
-        readStore = () => ({ era: 0, configuration: 0 }),
+        readStore = () => ({ era: 0, configuration: 0, entryMissing: 0 }),
     } = sources;
     const registry = new Registry();
     const registers = [registry];
@@ -303,6 +313,14 @@
             this.set(readStore().configuration);
         },
     });
+    new Gauge({
+        name: "oriolehatch_entry_missing_seconds",
+        help: "Time for which the list of instances has lacked this instance's entry; others don't find it meanwhile",
+        registers,
+        collect() {
+            this.set(readStore().entryMissing / millisecondsPerSecond);
+        },
+    });
     new Histogram({
         name: "oriolehatch_engine_slowness",
         help: "Time that work takes against a usual engine, over the engines of this holder at the time of the scrape",
--- a/src/serving/storeReading.ts
+++ b/src/serving/storeReading.ts
@@ -10,7 +10,7 @@
 import { type ConfigurationInquiry, createConfigurationInquiry } from "./configurationInquiry.js";
 import { createEraSettling, type EraSettling } from "./eraSettling.js";
 import type { InstanceDirectory, InstanceEntry } from "./instanceDirectory.js";
-import { createRegistrationTask } from "./registration.js";
+import { createRegistration, type Registration } from "./registration.js";
 import { createRelayedLog, type RelayedLog, type RelayedLogOptions } from "./relayedLog.js";
 import { relayMessageSchema } from "./relayMessages.js";
 import { createRestoreRules } from "./restoreRules.js";
@@ -45,6 +45,7 @@
     readonly inquiry: ConfigurationInquiry;
     readonly settling: EraSettling;
     readonly relayed: RelayedLog;
+    readonly registration: Registration;
     /** Inquiry at other instances, and the entry of this one. */
     readonly tasks: readonly Task[];
 }
@@ -88,7 +89,7 @@
         describeConfiguration: inquiry.answer,
         caches,
     });
-    const registration = createRegistrationTask({
+    const registration = createRegistration({
         clock,
         random,
         log: options.store,
@@ -103,6 +104,7 @@
         inquiry,
         settling,
         relayed,
-        tasks: [inquiry.task, registration],
+        registration,
+        tasks: [inquiry.task, registration.task],
     };
 }
