fix(serving): an instance that knows nobody doesn't decide quotas as the only one

Now the directory remembers what has left the list for a minute: its address, and its part in the number by which limits are divided; that number counts the holders of shards, too. A holder's own shares go by the present list as before, as an instance that leaves gives its share to the others at once.

--- a/src/serving/__tests__/instanceDirectory.test.ts
+++ b/src/serving/__tests__/instanceDirectory.test.ts
@@ -60,6 +60,21 @@
         expect(directory.findAddress("front-9")).to.equal(undefined);
     });
 
+    // guards against an instance that runs and isn't reached, as a late removal has taken its entry away (QUOTA)
+    it("remembers an instance that has left the list for a minute", () => {
+        let now = 0;
+        const directory = createInstanceDirectory(self, () => now);
+        const entry = { id: "front-1", address: "10.0.0.1:1", failureDomain: "a", cores: 1 };
+        directory.replaceAll([{ key: "front-1", value: encodeInstanceEntry(entry), offset: 1 }]);
+        directory.replaceAll([]);
+        now = 59_999;
+        expect(directory.findAddress("front-1")).to.equal("10.0.0.1:1");
+        expect([directory.isListed("front-1"), directory.countInstances(), directory.countKnown()])
+            .to.deep.equal([false, 1, 2]);
+        now = 60_000;
+        expect([directory.findAddress("front-1"), directory.countKnown()]).to.deep.equal([undefined, 1]);
+    });
+
     it("recognizes its own entry from before a restart", () => {
         const directory = createDirectory(0, () => 1);
         expect(directory.isRegistered()).to.equal(false);
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -21,6 +21,27 @@
     ) => Promise<QuotaDecision>;
     /** Gives the units of an admitted request back that no server has run. */
     readonly giveBack: (account: ServingAccount, units: number) => void;
+    /** Returns the accounts that this instance decides without a holder now. */
+    readonly readAlone: () => AloneStatus;
+}
+
+/** Accounts that an instance decides without a holder. */
+export interface AloneStatus {
+    readonly accounts: number;
+    /** Time for which it has decided the first of them so. */
+    readonly longest: Milliseconds;
+}
+
+/** Begin or end of a time in which an instance decides an account without a holder. */
+export interface AloneChange {
+    readonly account: ClientAccountId;
+    readonly state: "begun" | "ended";
+    /** Instances that the quota is divided among; `undefined` while their number isn't known. */
+    readonly instances: number | undefined;
+    /** Time for which it has lasted. */
+    readonly took: Milliseconds;
+    /** Units admitted meanwhile. */
+    readonly admitted: number;
 }
 
 /** Dependencies of the limits. */
@@ -37,6 +58,15 @@
     readonly ask: (request: QuotaRequest) => Promise<QuotaDecision | undefined>;
     /** Tells the holder of the account's quota of units that weren't used. */
     readonly giveBack: (account: ClientAccountId, units: number) => void;
+    /** Called when no holder responds for an account, and when one does again. @default nothing */
+    readonly onAlone?: (change: AloneChange) => void;
+}
+
+/** Time in which an account is decided without a holder. */
+interface AloneTime {
+    readonly since: Milliseconds;
+    lastAt: Milliseconds;
+    admitted: number;
 }
 
 interface AccountState {
@@ -50,6 +80,8 @@
     /** Units that may still be admitted without a holder; `undefined` while one responds. */
     ownUnits: number | undefined;
     ownUnitsAt: Milliseconds;
+    /** `undefined` while a holder responds. */
+    alone: AloneTime | undefined;
     /** Units that become `ownUnits` as time passes, and how many of them in a millisecond. */
     pacedUnits: number;
     pace: number;
@@ -86,6 +118,7 @@
                 pendingAllowance: undefined,
                 ownUnits: undefined,
                 ownUnitsAt: 0,
+                alone: undefined,
                 pacedUnits: 0,
                 pace: 0,
                 refusedAt: Number.NEGATIVE_INFINITY,
@@ -116,9 +149,28 @@
         state.ownUnits = isPaced ? 0 : units;
         state.pacedUnits = isPaced ? units : 0;
     };
-    const takeAlone = (state: AccountState, quota: AccountQuota, units: number): QuotaDecision => {
+    const endAlone = (account: ClientAccountId, state: AccountState): void => {
+        if (state.alone) {
+            const { admitted, since } = state.alone;
+            const took = options.now() - since;
+            options.onAlone?.({ account, state: "ended", instances: options.countInstances(), took, admitted });
+        }
+        state.alone = undefined;
+        state.ownUnits = undefined;
+    };
+    const takeAlone = (
+        account: ClientAccountId,
+        state: AccountState,
+        quota: AccountQuota,
+        units: number,
+    ): QuotaDecision => {
         const now = options.now();
         const instances = options.countInstances() ?? Number.POSITIVE_INFINITY;
+        if (!state.alone) {
+            state.alone = { since: now, lastAt: now, admitted: 0 };
+            options.onAlone?.({ account, state: "begun", instances: options.countInstances(), took: 0, admitted: 0 });
+        }
+        state.alone.lastAt = now;
         const share = quota.ratePerSecond * ownRateRatio / instances / millisecondsPerSecond;
         const elapsed = now - state.ownUnitsAt;
         const paced = Math.min(state.pacedUnits, state.pace * elapsed);
@@ -142,6 +194,7 @@
             return { kind: "exceeded", wait: ownWaitMilliseconds };
         }
         state.admittedAlone += units - allowed;
+        state.alone.admitted += units;
         return { kind: "admitted", delay: 0 };
     };
     const requestUnits = async (
@@ -182,9 +235,9 @@
                 decision = await requestUnits(state, request);
             }
             if (!decision) {
-                return takeAlone(state, quota, units);
+                return takeAlone(account.name, state, quota, units);
             }
-            state.ownUnits = undefined;
+            endAlone(account.name, state);
             if (decision.kind === "admitted") {
                 recordAdmitted(state, units, options.now());
             }
@@ -207,6 +260,12 @@
             state.admittedAlone -= unreported;
             state.ownUnits += unreported;
         },
+        readAlone: () => {
+            const now = options.now();
+            const times = [...states.values()].flatMap(({ alone }) => alone ?? [])
+                .filter(({ lastAt }) => now - lastAt < averagingMilliseconds);
+            return { accounts: times.length, longest: Math.max(0, ...times.map(({ since }) => now - since)) };
+        },
     };
 }
 
--- a/src/serving/accountQuotas.ts
+++ b/src/serving/accountQuotas.ts
@@ -14,7 +14,7 @@
     millisecondsPerSecond,
     type SeededRandom,
 } from "../shared/index.js";
-import { type AccountLimits, createAccountLimits } from "./accountLimits.js";
+import { type AccountLimits, type AloneStatus, createAccountLimits } from "./accountLimits.js";
 import type { InstanceDirectory } from "./instanceDirectory.js";
 import { createAccountShards, createQuotaClient, type QuotaClient } from "./quotaClient.js";
 import { createQuotaHolder, type QuotaHolder } from "./quotaHolder.js";
@@ -25,7 +25,10 @@
     readonly self: InstanceId;
     readonly clock: Clock;
     readonly random: SeededRandom;
-    readonly directory: Pick<InstanceDirectory, "isLoaded" | "countInstances" | "findAddress">;
+    readonly directory: Pick<
+        InstanceDirectory,
+        "isLoaded" | "countInstances" | "countKnown" | "isListed" | "findAddress"
+    >;
     readonly shardCount: number;
     readonly holders: ShardHolders;
     /** Finds a shard that this instance holds. */
@@ -40,6 +43,12 @@
     readonly holder: Pick<QuotaHolder, "update">;
     readonly client: QuotaClient;
     readonly limits: AccountLimits;
+    readonly readStatus: () => QuotaStatus;
+}
+
+/** What this instance decides without a holder now, and holders that it can't connect to. */
+export interface QuotaStatus extends AloneStatus {
+    readonly withoutAddress: number;
 }
 
 const log = createLogger("serving");
@@ -54,9 +63,15 @@
     const { clock, directory, self } = options;
     const findShard = createAccountShards(options.shardCount);
     const countInstances = (): number | undefined => directory.isLoaded() ? directory.countInstances() : undefined;
+    // knowing nobody isn't being alone: holders may run that aren't in the list
+    const countKnown = (): number | undefined => {
+        const listed = countInstances();
+        const holders = new Set(options.holders.list().map(([, instance]) => instance)).add(self);
+        return listed && Math.max(listed, directory.countKnown(), holders.size);
+    };
     const holder = createQuotaHolder({
         countInstances,
-        isCounted: instance => instance === self || directory.findAddress(instance) !== undefined,
+        isCounted: instance => instance === self || directory.isListed(instance),
         findShard,
         onRush: ({ state, ...rush }) =>
             log.info(state === "begun" ? "account over its quota" : "account within its quota", { ...rush }),
@@ -75,9 +90,28 @@
         random: options.random,
         bounds: options.bounds,
         startDuration: process.uptime() * millisecondsPerSecond,
-        countInstances,
+        countInstances: countKnown,
         ask: client.ask,
         giveBack: client.giveBack,
+        onAlone: ({ account, state, ...figures }) => {
+            const decider = options.holders.find(findShard(account));
+            log.info(state === "begun" ? "quota without its holder" : "quota with its holder", {
+                account,
+                holder: decider,
+                address: decider === undefined || decider === self ? undefined : directory.findAddress(decider),
+                ...figures,
+            });
+        },
     });
-    return { holder, client, limits };
+    const countWithoutAddress = (): number =>
+        new Set(
+            options.holders.list().map(([, instance]) => instance)
+                .filter(instance => instance !== self && directory.findAddress(instance) === undefined),
+        ).size;
+    return {
+        holder,
+        client,
+        limits,
+        readStatus: () => ({ ...limits.readAlone(), withoutAddress: countWithoutAddress() }),
+    };
 }
--- a/src/serving/admission.ts
+++ b/src/serving/admission.ts
@@ -20,7 +20,7 @@
 /** Parts of the instance that admission uses. */
 export interface AdmissionParts {
     readonly configuration: ConfigurationState;
-    readonly limits: AccountLimits;
+    readonly limits: Pick<AccountLimits, "take" | "giveBack">;
     readonly retryBudget: RetryBudget;
     readonly random: SeededRandom;
     /** Age of the configuration up to which keys are accepted; an older one may miss a revocation. */
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -38,14 +38,21 @@
 export interface InstanceDirectory {
     /** Returns all other instances. */
     readonly listOthers: () => readonly InstanceEntry[];
-    /** Returns the address of an instance; `undefined` when it isn't registered. */
+    /**
+     * Returns the address of an instance, also of one that has left the list a moment ago: it may run all the same, as a
+     * removal may be that of an earlier process. `undefined` when it isn't known.
+     */
     readonly findAddress: (id: InstanceId) => string | undefined;
+    /** Returns whether another instance is registered. */
+    readonly isListed: (id: InstanceId) => boolean;
     /** Adds, replaces or removes the instance of a record. */
     readonly applyRecord: (record: KeyedRecord) => void;
     /** Replaces all entries by those of a snapshot. */
     readonly replaceAll: (records: readonly KeyedRecord[]) => void;
     /** Returns the number of all instances, this one included. */
     readonly countInstances: () => number;
+    /** Returns the number of all instances with those that have left the list a moment ago. */
+    readonly countKnown: () => number;
     /**
      * Returns the instances of this one's failure domain through which it reads the store, preferred first: up to two
      * that are before this one by size. None for the first one and in a small failure domain.
@@ -73,6 +80,8 @@
 /** Instances of a failure domain from which on most of them read the store through others. */
 const relayedDomainSize = 4;
 const readersPerDomain = 2;
+/** Time for which an instance that has left the list is remembered. */
+const formerMilliseconds: Milliseconds = 60_000;
 /** Largest entry that is read. */
 const maximumEntryBytes = 65_536;
 const entrySchema = z.object({
@@ -87,10 +96,15 @@
  * Creates a directory without other instances.
  *
  * @param self - entry of this instance, whose record in the store is skipped
+ * @param now - reads the monotonic clock
  * @returns the directory, of which an instance needs one object
  */
-export function createInstanceDirectory(self: InstanceEntry): InstanceDirectory {
+export function createInstanceDirectory(
+    self: InstanceEntry,
+    now: () => Milliseconds = () => performance.now(),
+): InstanceDirectory {
     const entries = new Map<string, InstanceEntry>();
+    const former = new Map<string, { readonly entry: InstanceEntry; readonly until: Milliseconds; }>();
     let readers: readonly InstanceId[] = [];
     let isReader = false;
     let ownValue: Uint8Array | undefined;
@@ -103,6 +117,19 @@
         isReader = isLargeDomain && larger.length < readersPerDomain;
         readers = isLargeDomain ? larger.slice(0, readersPerDomain).map(entry => entry.id) : [];
     };
+    const removeEntry = (id: string): void => {
+        const entry = entries.get(id);
+        if (entry) {
+            former.set(id, { entry, until: now() + formerMilliseconds });
+            entries.delete(id);
+        }
+    };
+    const findFormer = (id: string): InstanceEntry | undefined => {
+        const known = former.get(id);
+        return known && now() < known.until ? known.entry : undefined;
+    };
+    const forgetFormer = (): void =>
+        [...former].filter(([, { until }]) => now() >= until).forEach(([id]) => former.delete(id));
     const putRecord = (record: KeyedRecord): void => {
         if (record.key === self.id) {
             ownValue = record.value;
@@ -112,26 +139,32 @@
         const entry = record.value && decodeEntry(record.key, record.value);
         if (entry) {
             entries.set(record.key, entry);
+            former.delete(record.key);
         }
         else {
-            entries.delete(record.key);
+            removeEntry(record.key);
         }
     };
     return {
         listOthers: () => [...entries.values()],
-        findAddress: id => entries.get(id)?.address,
+        findAddress: id => (entries.get(id) ?? findFormer(id))?.address,
+        isListed: id => entries.has(id),
         applyRecord: record => {
             putRecord(record);
             refreshReaders();
         },
         replaceAll: records => {
             isLoaded = true;
-            entries.clear();
+            [...entries.keys()].forEach(removeEntry);
             ownValue = undefined;
             records.forEach(putRecord);
             refreshReaders();
         },
         countInstances: () => entries.size + 1,
+        countKnown: () => {
+            forgetFormer();
+            return entries.size + former.size + 1;
+        },
         listReaders: () => readers,
         isReader: () => isReader,
         isRegistered: (entry = self) =>
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -136,6 +136,7 @@
         readCold: () => ({ servers: cold.countCold(), permits: adapters.readPermitCounts() }),
         readEvacuated: () => evacuations.readCounts(),
         readEngines: () => adapters.readEngineStatus(),
+        readQuotas: () => quotas.readStatus(),
         readStore: () => ({
             era: eras.read(),
             configuration: configuration.read()?.config.version ?? 0,
--- a/src/serving/servingMetrics.ts
+++ b/src/serving/servingMetrics.ts
@@ -11,6 +11,7 @@
 import type { PacedPermitCounts } from "../adapters/serverPermits.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import { listTaskFailures, startTask } from "../supervision/index.js";
+import type { QuotaStatus } from "./accountQuotas.js";
 import type { DecidedUnits } from "./admission.js";
 import type { TopicLag } from "./readProgress.js";
 import type { RequestReport, StreamResumer } from "./requestState.js";
@@ -98,6 +99,8 @@
     readonly readEvacuated?: () => { readonly domains: number; readonly servers: number; };
     /** What is in force here of the store, and whether it lists this instance. @default 0 */
     readonly readStore?: () => StoreStatus;
+    /** Quotas that are decided here without their holder. @default none */
+    readonly readQuotas?: () => QuotaStatus;
     /** State of the engines whose shards this instance holds. @default it holds none */
     readonly readEngines?: () => EngineLoadStatus;
 }
@@ -115,6 +118,7 @@
         readCold = () => ({ servers: 0, permits: { granted: 0, refused: 0, returned: 0 } }),
         readEvacuated = () => ({ domains: 0, servers: 0 }),
         readEngines = () => ({ engines: [], placements: new Map() }),
+        readQuotas = () => ({ accounts: 0, longest: 0, withoutAddress: 0 }),
         readStore = () => ({ era: 0, configuration: 0, entryMissing: 0 }),
     } = sources;
     const registry = new Registry();
@@ -321,6 +325,30 @@
             this.set(readStore().entryMissing / millisecondsPerSecond);
         },
     });
+    new Gauge({
+        name: "oriolehatch_quota_alone_seconds",
+        help: "Longest time for which an account is decided here without the holder of its quota",
+        registers,
+        collect() {
+            this.set(readQuotas().longest / millisecondsPerSecond);
+        },
+    });
+    new Gauge({
+        name: "oriolehatch_quota_alone_accounts",
+        help: "Accounts that are decided here without the holder of their quota",
+        registers,
+        collect() {
+            this.set(readQuotas().accounts);
+        },
+    });
+    new Gauge({
+        name: "oriolehatch_holders_without_address",
+        help: "Holders of shards that aren't in the list of instances, so that this one can't connect to them",
+        registers,
+        collect() {
+            this.set(readQuotas().withoutAddress);
+        },
+    });
     new Histogram({
         name: "oriolehatch_engine_slowness",
         help: "Time that work takes against a usual engine, over the engines of this holder at the time of the scrape",
