fix(serving): what accrued during a start isn't given out twice

Callers saw 873,180 to 876,260 tokens of an account run in 8 s, of 871,647 allowed, in 3 of 13 planned rolls beside a rush, with no call late and nothing else broken.

Cause: each start got its part of what the quota gave in the time of the start, although in a planned stop the others have that part at once; and its part of the excess each time it started. By the numbers of that play 98,308 of an excess of 94,695.

After a planned stop it asks for nothing. What it uses of it without a holder is reported like anything else. The starts of one window share one part of the excess at a holder.

--- a/src/serving/__tests__/accountQuotas.test.ts
+++ b/src/serving/__tests__/accountQuotas.test.ts
@@ -48,6 +48,7 @@
         holders,
         findHeld: () => undefined,
         network,
+        isFirstStart: false,
         bounds: { window: 8_000, excessRatio: 0, excessUnits: 0 },
     });
     return { directory, quotas };
--- a/src/serving/__tests__/quotaFleet.ts
+++ b/src/serving/__tests__/quotaFleet.ts
@@ -28,6 +28,8 @@
     readonly size: number;
     readonly accounts: readonly ServingAccount[];
     readonly bounds: QuotaBounds;
+    /** Time that a process takes to start, which ends with `start`. @default 600 */
+    readonly startDuration?: Milliseconds;
 }
 
 /** Units of one request that was admitted. */
@@ -77,7 +79,7 @@
 const memberLimit = 8;
 const tickMilliseconds = 300;
 const holderTickMilliseconds = 100;
-const startMilliseconds = 600;
+const usualStartMilliseconds = 600;
 
 export function createQuotaFleet(options: QuotaFleetOptions): QuotaFleet {
     const { accounts, bounds, seed, size } = options;
@@ -143,6 +145,8 @@
         } as unknown as PeerNetwork;
     };
     const createProcess = (self: InstanceId, startDuration: Milliseconds): Process => {
+        // a planned stop removes the entry; at the very first start there is none
+        const wasKilled = registered.has(self) || clock.now() === 0;
         const end = new AbortController();
         const ownRandom = createSeededRandom(random.between(0, 2 ** 30));
         const findShard = createAccountShards(shardCount);
@@ -187,6 +191,7 @@
             countInstances,
             isCounted: instance => instance === self || registered.has(instance),
             findShard,
+            bounds,
         });
         quotaHolder.update(accounts, clock.now());
         const quotas: QuotaClient = createQuotaClient({
@@ -204,6 +209,7 @@
             bounds,
             startDuration,
             countInstances,
+            wasKilled: () => wasKilled,
             ask: quotas.ask,
             giveBack: quotas.giveBack,
         });
@@ -223,7 +229,7 @@
         rotation.delete(name);
     };
     const start = (name: InstanceId): void => {
-        processes.set(name, createProcess(name, startMilliseconds));
+        processes.set(name, createProcess(name, options.startDuration ?? usualStartMilliseconds));
         registered.add(name);
     };
     const take: QuotaFleet["take"] = async (account, units, urgency) => {
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -6,8 +6,8 @@
  * @packageDocumentation
  */
 import { type ClientAccountId, type Milliseconds, millisecondsPerSecond, type SeededRandom } from "../shared/index.js";
-import type { QuotaDecision, QuotaRequest, QuotaUrgency } from "./quotaMessages.js";
-import { computeStartAllowance, type QuotaBounds } from "./startAllowance.js";
+import type { InstanceStart, QuotaDecision, QuotaRequest, QuotaUrgency } from "./quotaMessages.js";
+import { computeAccrued, computeStartExcess, type QuotaBounds } from "./startAllowance.js";
 import type { AccountQuota, ClientRequest, ServingAccount } from "./types.js";
 
 /** Quotas of all client accounts. */
@@ -54,6 +54,11 @@
     readonly startDuration: Milliseconds;
     /** Number of all instances, this one included; `undefined` while it isn't known. */
     readonly countInstances: () => number | undefined;
+    /**
+     * Whether the process before this one was killed, asked once the number of instances is known: after a planned stop the
+     * others have had its part of each quota. @default it was
+     */
+    readonly wasKilled?: () => boolean;
     /** Asks the holder of the account's quota; `undefined` when none responds in time. */
     readonly ask: (request: QuotaRequest) => Promise<QuotaDecision | undefined>;
     /** Tells the holder of the account's quota of units that weren't used. */
@@ -75,6 +80,10 @@
     admittedAlone: number;
     /** `undefined` until the number of instances is known, among which it is divided. */
     allowance: number | undefined;
+    /** What accrued during the start, for the time until a holder is told of it. */
+    startUnits: number;
+    /** Whether there is nothing to tell a holder of the start, or nothing yet. */
+    isStartTold: boolean;
     /** Resolves when the request has been decided with which the allowance is on its way to the holder. */
     pendingAllowance: Promise<void> | undefined;
     /** Units that may still be admitted without a holder; `undefined` while one responds. */
@@ -115,6 +124,8 @@
                 admitted: [],
                 admittedAlone: 0,
                 allowance: undefined,
+                startUnits: 0,
+                isStartTold: true,
                 pendingAllowance: undefined,
                 ownUnits: undefined,
                 ownUnitsAt: 0,
@@ -127,10 +138,17 @@
         }
         const instances = options.countInstances();
         if (state.allowance === undefined && instances !== undefined) {
-            state.allowance = computeStartAllowance(quota, options.bounds, options.startDuration, instances);
+            state.allowance = computeStartExcess(quota, options.bounds) / instances;
+            state.isStartTold = options.wasKilled?.() === false;
+            state.startUnits = computeAccrued(quota, options.startDuration / instances, 1 / instances);
         }
         return state;
     };
+    const startedAt = options.now() - options.startDuration;
+    const describeStart = (): InstanceStart => ({
+        ago: options.now() - startedAt,
+        duration: options.startDuration,
+    });
     const recordAdmitted = (state: AccountState, units: number, now: Milliseconds): void => {
         state.admitted.push({ at: now, units });
         while (now - state.admitted[0]!.at > averagingMilliseconds) {
@@ -185,11 +203,14 @@
         state.ownUnits ??= 0;
         state.ownUnitsAt = now;
         // few units, less than a request needs, admit one with a probability that gives the same mean
-        const isAdmitted = options.random.next() * units < state.ownUnits + (state.allowance ?? 0);
-        // what is left of the allowance is passed on to the next holder
+        const startUnits = state.isStartTold ? 0 : state.startUnits;
+        const isAdmitted = options.random.next() * units < state.ownUnits + startUnits + (state.allowance ?? 0);
+        // what is left of the allowance is passed on to the next holder; what accrued is charged there, and given by it
         const allowed = Math.min(units, state.allowance ?? 0);
         state.allowance = state.allowance === undefined ? undefined : state.allowance - allowed;
-        state.ownUnits = Math.max(0, state.ownUnits - (units - allowed));
+        const fromStart = Math.min(units - allowed, startUnits);
+        state.startUnits -= fromStart;
+        state.ownUnits = Math.max(0, state.ownUnits - (units - allowed - fromStart));
         if (!isAdmitted) {
             return { kind: "exceeded", wait: ownWaitMilliseconds };
         }
@@ -205,14 +226,17 @@
         // requests that are decided at the same time must not pass the same units on twice
         state.admittedAlone = 0;
         state.allowance = state.allowance === undefined ? undefined : 0;
-        const asked = options.ask({ ...request, admittedAlone, allowance }).then(decision => {
+        const start = state.isStartTold ? undefined : describeStart();
+        state.isStartTold = true;
+        const asked = options.ask({ ...request, admittedAlone, allowance, ...(start && { start }) }).then(decision => {
             if (!decision) {
+                state.isStartTold &&= !start;
                 state.admittedAlone += admittedAlone;
                 state.allowance = state.allowance === undefined ? undefined : state.allowance + allowance;
             }
             return decision;
         });
-        if (allowance > 0) {
+        if (allowance > 0 || start) {
             const pending = asked.then(() => {
                 state.pendingAllowance = state.pendingAllowance === pending ? undefined : state.pendingAllowance;
             });
--- a/src/serving/accountQuotas.ts
+++ b/src/serving/accountQuotas.ts
@@ -27,13 +27,15 @@
     readonly random: SeededRandom;
     readonly directory: Pick<
         InstanceDirectory,
-        "isLoaded" | "countInstances" | "countKnown" | "isListed" | "findAddress"
+        "isLoaded" | "countInstances" | "countKnown" | "isListed" | "findAddress" | "wasListed"
     >;
     readonly shardCount: number;
     readonly holders: ShardHolders;
     /** Finds a shard that this instance holds. */
     readonly findHeld: ShardTask["find"];
     readonly network: PeerNetwork;
+    /** Whether the whole system starts for the first time. */
+    readonly isFirstStart: boolean;
     /** By how much all instances together may exceed a quota. */
     readonly bounds: QuotaBounds;
 }
@@ -73,6 +75,7 @@
         countInstances,
         isCounted: instance => instance === self || directory.isListed(instance),
         findShard,
+        bounds: options.bounds,
         onRush: ({ state, ...rush }) =>
             log.info(state === "begun" ? "account over its quota" : "account within its quota", { ...rush }),
     });
@@ -91,6 +94,7 @@
         bounds: options.bounds,
         startDuration: process.uptime() * millisecondsPerSecond,
         countInstances: countKnown,
+        wasKilled: () => options.isFirstStart || directory.wasListed(),
         ask: client.ask,
         giveBack: client.giveBack,
         onAlone: ({ account, state, ...figures }) => {
--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -64,6 +64,8 @@
     readonly isRegistered: (entry?: InstanceEntry) => boolean;
     /** Returns this instance's entry in the store; `undefined` when there is none. */
     readonly findOwn: () => InstanceEntry | undefined;
+    /** Returns whether the first list that was read had this instance's entry: the process before it didn't end by itself. */
+    readonly wasListed: () => boolean;
     /** Returns how many records were read so far that put this instance's entry into the list. */
     readonly countOwnEntries: () => number;
     /** Returns the earliest time, as Unix time, at which an instance says to have seen an era of the store. */
@@ -109,6 +111,7 @@
     let isReader = false;
     let ownValue: Uint8Array | undefined;
     let ownEntries = 0;
+    let wasListed = false;
     let isLoaded = false;
     const refreshReaders = (): void => {
         const neighbours = [...entries.values()].filter(entry => entry.failureDomain === self.failureDomain);
@@ -154,6 +157,7 @@
             refreshReaders();
         },
         replaceAll: records => {
+            wasListed ||= !isLoaded && records.some(({ key, value }) => key === self.id && value !== undefined);
             isLoaded = true;
             [...entries.keys()].forEach(removeEntry);
             ownValue = undefined;
@@ -170,6 +174,7 @@
         isRegistered: (entry = self) =>
             ownValue !== undefined && Buffer.compare(ownValue, encodeInstanceEntry(entry)) === 0,
         findOwn: () => ownValue && decodeEntry(self.id, ownValue),
+        wasListed: () => wasListed,
         countOwnEntries: () => ownEntries,
         findEraSeenAt: era => {
             const own = ownValue && decodeEntry(self.id, ownValue);
--- a/src/serving/servingInstance.ts
+++ b/src/serving/servingInstance.ts
@@ -223,6 +223,7 @@
         holders: adapters.holders,
         findHeld: shards.find,
         network: peers.network,
+        isFirstStart: options.isFirstStart,
         bounds: options.quota,
     });
     adapters.setShardTask(shards);
--- a/src/serving/startAllowance.ts
+++ b/src/serving/startAllowance.ts
@@ -1,8 +1,8 @@
 /**
- * Computes the start allowance: units of a quota that an instance may admit right after its start, while its buckets
- * are still empty because it doesn't know what was admitted before. The allowance consists of the units that accrued
- * while the instance started and admitted nothing, and of part of the bound by which quotas may be exceeded. Without
- * it, all clients that return after a crash of all instances would be refused.
+ * Computes the start allowance: units of a quota that may be admitted right after a start, while buckets are still empty
+ * because nobody knows what was admitted before. Without it, all clients that return after a crash of all instances would
+ * be refused. It has two parts: of the bound by which quotas may be exceeded, divided among all instances, as they may all
+ * start within one window; and what accrued while the instance started, where the holder hasn't given it to the others.
  *
  * @packageDocumentation
  */
@@ -23,23 +23,25 @@
 const startExcessRatio = 0.4;
 
 /**
- * Computes the start allowance of one instance. The total is divided among all instances, as they may all start within
- * one window.
+ * Computes the part of the permitted excess that all starts within one window may use together.
  *
  * @param quota - quota of the account
  * @param bounds - bounds within which the quota may be exceeded
- * @param startDuration - time that this instance took to start
- * @param instanceCount - number of all instances, at least 1
  * @returns units of the quota
  */
-export function computeStartAllowance(
-    quota: AccountQuota,
-    bounds: QuotaBounds,
-    startDuration: Milliseconds,
-    instanceCount: number,
-): number {
-    const accrued = Math.min(quota.burst, quota.ratePerSecond * startDuration / millisecondsPerSecond);
+export function computeStartExcess(quota: AccountQuota, bounds: QuotaBounds): number {
     const windowLimit = quota.ratePerSecond * bounds.window / millisecondsPerSecond + quota.burst;
-    const excess = windowLimit * bounds.excessRatio + bounds.excessUnits;
-    return (accrued + excess * startExcessRatio) / instanceCount;
+    return (windowLimit * bounds.excessRatio + bounds.excessUnits) * startExcessRatio;
+}
+
+/**
+ * Computes what one instance's part of a quota gives in the time of a start.
+ *
+ * @param quota - quota of the account
+ * @param duration - the time, weighted by the part of the rate
+ * @param part - part of the quota, 0 to 1
+ * @returns units of the quota, at most the part of the burst
+ */
+export function computeAccrued(quota: AccountQuota, duration: Milliseconds, part: number): number {
+    return Math.min(quota.burst * part, quota.ratePerSecond * duration / millisecondsPerSecond);
 }
