--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -136,8 +136,8 @@
             };
             states.set(account, state);
         }
-        const instances = options.countInstances();
-        if (state.allowance === undefined && instances !== undefined) {
+        const instances = state.allowance === undefined ? options.countInstances() : undefined;
+        if (instances !== undefined) {
             state.allowance = computeStartExcess(quota, options.bounds) / instances;
             state.isStartTold = options.wasKilled?.() === false;
             state.startUnits = computeAccrued(quota, options.startDuration / instances, 1 / instances);
--- a/src/serving/registration.ts
+++ b/src/serving/registration.ts
@@ -138,6 +138,7 @@
             return;
         }
         missingSince ??= now;
+        // it stood at the last look, or came and went between two looks
         const wasRead = stoodSince !== undefined || directory.countOwnEntries() > (lastWrite?.readEntries ?? 0);
         if (wasRead && !isGone) {
             isGone = true;
@@ -145,6 +146,7 @@
             repeatAt = now + computePause(spreadMilliseconds) * options.random.next();
         }
         stoodSince = undefined;
+        // the store has taken it in this era, whatever stands there now
         const isTaken = isSent("entry") && lastWrite?.isAnswered || stoodAtRises === eras.countRises();
         if (!isTaken) {
             await write(entry);
