--- a/src/serving/instanceDirectory.ts
+++ b/src/serving/instanceDirectory.ts
@@ -154,6 +154,7 @@
         isListed: id => entries.has(id),
         applyRecord: record => {
             putRecord(record);
+            forgetFormer();
             refreshReaders();
         },
         replaceAll: records => {
@@ -162,6 +163,7 @@
             [...entries.keys()].forEach(removeEntry);
             ownValue = undefined;
             records.forEach(putRecord);
+            forgetFormer();
             refreshReaders();
         },
         countInstances: () => entries.size + 1,
