test(serving): the searched orders wait for the last late write, whatever is refused meanwhile

The first form took the time of a refused write for that of the last unusual one, although a late one was still to be done: with 4,000 plays of seed 200 a stop was judged 5.4 s after the late entry in place of 6 s (path 115). The number of plays and the seed can be given by LATE_ENTRY_RUNS and LATE_ENTRY_SEED.

--- a/src/serving/__tests__/lateEntries.test.ts
+++ b/src/serving/__tests__/lateEntries.test.ts
@@ -37,7 +37,7 @@
 /** Time in which an instance reads that its entry has gone, waits for its turn and writes it again, at most. */
 const repairMilliseconds: Milliseconds = 6_000;
 const calmMilliseconds: Milliseconds = 60_000;
-const playCount = 400;
+const playCount = Number(process.env.LATE_ENTRY_RUNS ?? 400);
 
 const fates: fc.Arbitrary<WriteFate> = fc.oneof(
     fc.constant<WriteFate>({ kind: "done" }),
@@ -84,7 +84,7 @@
                     apply(key, value);
                     return wrapValue(undefined);
                 case "refused":
-                    counts.lastUnusualAt = history.now();
+                    counts.lastUnusualAt = Math.max(counts.lastUnusualAt, history.now());
                     return wrapError({ kind: "busy" as const, status: 503 });
                 case "unanswered":
                     counts.lastUnusualAt = Math.max(counts.lastUnusualAt, history.now() + (fate.doneAfter ?? 0));
@@ -166,7 +166,7 @@
 }
 
 describe("entry of an instance in a store that does writes late, over orders of starts, stops and kills", function() {
-    this.timeout(60_000);
+    this.timeout(600_000);
 
     // guards against an instance that nobody finds, as a late removal or entry of the process before it came last (QUOTA)
     it("stands soon after the last late write, and isn't written again in calm", () =>
@@ -190,7 +190,7 @@
                 expect(store.counts.writes - writes, "writes in calm").to.equal(0);
                 running.end();
             }),
-            { seed: 1, numRuns: playCount },
+            { seed: Number(process.env.LATE_ENTRY_SEED ?? 1), numRuns: playCount },
         ));
 
     // guards against two processes of one name that overwrite each other's entry for good
@@ -220,6 +220,6 @@
                 running.end();
                 expect(store.records.at(-1)?.value).to.equal(undefined);
             }),
-            { seed: 2, numRuns: playCount },
+            { seed: Number(process.env.LATE_ENTRY_SEED ?? 2), numRuns: playCount },
         ));
 });
