--- a/src/platform/__tests__/lateRemoval.test.ts
+++ b/src/platform/__tests__/lateRemoval.test.ts
@@ -7,6 +7,8 @@
 const topic = "keyed.oriolehatch-instances";
 /** Time after which a write without an answer is done; a call without a response is done seconds later. */
 const lateMilliseconds = 3_000;
+/** Time in which machines that are ready have written their entries. */
+const listedMilliseconds = 10_000;
 /** Time in which an instance sees that its entry has gone, and writes it again. */
 const repairMilliseconds = 2_500;
 
@@ -22,6 +24,17 @@
     return items.map(({ key }) => key).sort();
 }
 
+// a machine may be ready before it has written its entry
+async function waitForEntries(store: WireStore, count: number): Promise<readonly string[]> {
+    const until = performance.now() + listedMilliseconds;
+    let listed = await listEntries(store);
+    while (listed.length < count && performance.now() < until) {
+        await pause(50);
+        listed = await listEntries(store);
+    }
+    return listed;
+}
+
 describe("delivered program that starts again beside a late write of the process before it", function() {
     this.timeout(60_000);
 
@@ -43,7 +56,7 @@
                 lastAt = performance.now();
                 return lateMilliseconds;
             };
-            const listed = await listEntries(store);
+            const listed = await waitForEntries(store, machines.length);
             for (const machine of machines) {
                 await machine.stop();
                 machine.start(false);
