fix(serving): what accrued during a start is taken by killed processes alone

Simpler: after a planned stop the others have had the instance's part, after a kill its entry stays in the list and its part is kept for it.

--- a/src/serving/__tests__/quotaFleet.ts
+++ b/src/serving/__tests__/quotaFleet.ts
@@ -191,7 +191,6 @@
             countInstances,
             isCounted: instance => instance === self || registered.has(instance),
             findShard,
-            bounds,
         });
         quotaHolder.update(accounts, clock.now());
         const quotas: QuotaClient = createQuotaClient({
--- a/src/serving/accountLimits.ts
+++ b/src/serving/accountLimits.ts
@@ -6,8 +6,8 @@
  * @packageDocumentation
  */
 import { type ClientAccountId, type Milliseconds, millisecondsPerSecond, type SeededRandom } from "../shared/index.js";
-import type { InstanceStart, QuotaDecision, QuotaRequest, QuotaUrgency } from "./quotaMessages.js";
-import { computeAccrued, computeStartExcess, type QuotaBounds } from "./startAllowance.js";
+import type { QuotaDecision, QuotaRequest, QuotaUrgency } from "./quotaMessages.js";
+import { computeStartAllowance, type QuotaBounds } from "./startAllowance.js";
 import type { AccountQuota, ClientRequest, ServingAccount } from "./types.js";
 
 /** Quotas of all client accounts. */
@@ -80,10 +80,6 @@
     admittedAlone: number;
     /** `undefined` until the number of instances is known, among which it is divided. */
     allowance: number | undefined;
-    /** What accrued during the start, for the time until a holder is told of it. */
-    startUnits: number;
-    /** Whether there is nothing to tell a holder of the start, or nothing yet. */
-    isStartTold: boolean;
     /** Resolves when the request has been decided with which the allowance is on its way to the holder. */
     pendingAllowance: Promise<void> | undefined;
     /** Units that may still be admitted without a holder; `undefined` while one responds. */
@@ -124,8 +120,6 @@
                 admitted: [],
                 admittedAlone: 0,
                 allowance: undefined,
-                startUnits: 0,
-                isStartTold: true,
                 pendingAllowance: undefined,
                 ownUnits: undefined,
                 ownUnitsAt: 0,
@@ -138,17 +132,11 @@
         }
         const instances = state.allowance === undefined ? options.countInstances() : undefined;
         if (instances !== undefined) {
-            state.allowance = computeStartExcess(quota, options.bounds) / instances;
-            state.isStartTold = options.wasKilled?.() === false;
-            state.startUnits = computeAccrued(quota, options.startDuration / instances, 1 / instances);
+            const idle = options.wasKilled?.() === false ? 0 : options.startDuration;
+            state.allowance = computeStartAllowance(quota, options.bounds, idle, instances);
         }
         return state;
     };
-    const startedAt = options.now() - options.startDuration;
-    const describeStart = (): InstanceStart => ({
-        ago: options.now() - startedAt,
-        duration: options.startDuration,
-    });
     const recordAdmitted = (state: AccountState, units: number, now: Milliseconds): void => {
         state.admitted.push({ at: now, units });
         while (now - state.admitted[0]!.at > averagingMilliseconds) {
@@ -203,14 +191,11 @@
         state.ownUnits ??= 0;
         state.ownUnitsAt = now;
         // few units, less than a request needs, admit one with a probability that gives the same mean
-        const startUnits = state.isStartTold ? 0 : state.startUnits;
-        const isAdmitted = options.random.next() * units < state.ownUnits + startUnits + (state.allowance ?? 0);
-        // what is left of the allowance is passed on to the next holder; what accrued is charged there, and given by it
+        const isAdmitted = options.random.next() * units < state.ownUnits + (state.allowance ?? 0);
+        // what is left of the allowance is passed on to the next holder
         const allowed = Math.min(units, state.allowance ?? 0);
         state.allowance = state.allowance === undefined ? undefined : state.allowance - allowed;
-        const fromStart = Math.min(units - allowed, startUnits);
-        state.startUnits -= fromStart;
-        state.ownUnits = Math.max(0, state.ownUnits - (units - allowed - fromStart));
+        state.ownUnits = Math.max(0, state.ownUnits - (units - allowed));
         if (!isAdmitted) {
             return { kind: "exceeded", wait: ownWaitMilliseconds };
         }
@@ -226,17 +211,14 @@
         // requests that are decided at the same time must not pass the same units on twice
         state.admittedAlone = 0;
         state.allowance = state.allowance === undefined ? undefined : 0;
-        const start = state.isStartTold ? undefined : describeStart();
-        state.isStartTold = true;
-        const asked = options.ask({ ...request, admittedAlone, allowance, ...(start && { start }) }).then(decision => {
+        const asked = options.ask({ ...request, admittedAlone, allowance }).then(decision => {
             if (!decision) {
-                state.isStartTold &&= !start;
                 state.admittedAlone += admittedAlone;
                 state.allowance = state.allowance === undefined ? undefined : state.allowance + allowance;
             }
             return decision;
         });
-        if (allowance > 0 || start) {
+        if (allowance > 0) {
             const pending = asked.then(() => {
                 state.pendingAllowance = state.pendingAllowance === pending ? undefined : state.pendingAllowance;
             });
--- a/src/serving/accountQuotas.ts
+++ b/src/serving/accountQuotas.ts
@@ -75,7 +75,6 @@
         countInstances,
         isCounted: instance => instance === self || directory.isListed(instance),
         findShard,
-        bounds: options.bounds,
         onRush: ({ state, ...rush }) =>
             log.info(state === "begun" ? "account over its quota" : "account within its quota", { ...rush }),
     });
--- a/src/serving/quotaBucket.ts
+++ b/src/serving/quotaBucket.ts
@@ -6,7 +6,6 @@
 import type { QuotaSupply } from "../fairness/index.js";
 import { type Milliseconds, millisecondsPerSecond } from "../shared/index.js";
 import type { QuotaDecision } from "./quotaMessages.js";
-import { createShareHistory, type ShareHistory } from "./shareHistory.js";
 import type { AccountQuota } from "./types.js";
 
 /** Bucket of one client account. */
@@ -29,8 +28,6 @@
     readonly update: (quota: AccountQuota, now: Milliseconds) => void;
     /** Sets the share of rate and burst that is this bucket's, 0 to 1. */
     readonly setShare: (share: number, now: Milliseconds) => void;
-    /** Measures the time, weighted by the share, for which a part of the rate wasn't given; at most `part` of the time. */
-    readonly measureSpare: ShareHistory["measureSpare"];
     /** Ends the filling, until `resume`, which makes up for nothing. */
     readonly pause: (now: Milliseconds) => void;
     readonly resume: (now: Milliseconds) => void;
@@ -52,11 +49,9 @@
  *
  * @param quota - rate and burst
  * @param now - current time, from which the bucket fills
- * @param previousShare - share of the rate that the bucket of the previous holder gave; 0 where nobody decided
  * @returns the bucket, owned by the caller
  */
-export function createQuotaBucket(quota: AccountQuota, now: Milliseconds, previousShare = 0): QuotaBucket {
-    const shares = createShareHistory(previousShare);
+export function createQuotaBucket(quota: AccountQuota, now: Milliseconds): QuotaBucket {
     let limits = quota;
     let share = 1;
     let level = 0;
@@ -118,9 +113,7 @@
         setShare: (newShare, present) => {
             fillLevel(present);
             share = isPaused ? share : newShare;
-            shares.record(share, present);
         },
-        measureSpare: shares.measureSpare,
         pause: present => {
             fillLevel(present);
             isPaused = true;
--- a/src/serving/quotaHolder.ts
+++ b/src/serving/quotaHolder.ts
@@ -19,7 +19,6 @@
 import { createQuotaBucket, type QuotaBucket } from "./quotaBucket.js";
 import { longestGapMilliseconds } from "./quotaGaps.js";
 import type { HandedQuotas, QuotaDecision, QuotaRequest } from "./quotaMessages.js";
-import { computeAccrued, computeStartExcess, type QuotaBounds } from "./startAllowance.js";
 import type { AccountQuota, ServingAccount } from "./types.js";
 
 /** Quotas held by this instance. */
@@ -56,8 +55,6 @@
     readonly isCounted?: (instance: InstanceId) => boolean;
     /** Shard that an account's quota belongs to. */
     readonly findShard: (account: ClientAccountId) => number;
-    /** By how much all instances together may exceed a quota. @default starts are given what they ask for */
-    readonly bounds?: QuotaBounds;
     /** Called when an account begins to ask for more than its quota, and when that ends. @default nothing */
     readonly onRush?: (rush: QuotaRush) => void;
 }
@@ -115,7 +112,6 @@
     const present = new Map<InstanceId, Presence>();
     const handedShares = new Map<number, { readonly share: number; readonly until: Milliseconds; }>();
     const pausedShards = new Set<number>();
-    const grants = new Map<ClientAccountId, readonly { readonly at: Milliseconds; readonly units: number; }[]>();
     let sharesUpdatedAt = Number.NEGATIVE_INFINITY;
     let shares: ReadonlyMap<number, number> = new Map();
     const computeShares = (now: Milliseconds): ReadonlyMap<number, number> => {
@@ -146,9 +142,7 @@
     const getBucket = (account: ClientAccountId, quota: AccountQuota, now: Milliseconds): QuotaBucket => {
         let bucket = buckets.get(account);
         if (!bucket) {
-            // what the previous holder gave, it gave until it handed its bucket over
-            const handed = handedShares.get(options.findShard(account));
-            bucket = createQuotaBucket(quota, now, handed && now < handed.until ? handed.share : 0);
+            bucket = createQuotaBucket(quota, now);
             buckets.set(account, bucket);
             bucket.setShare(computeShares(now).get(options.findShard(account)) ?? 0, now);
             if (pausedShards.has(options.findShard(account))) {
@@ -162,34 +156,6 @@
     const markPresent = (from: InstanceId, shards: readonly number[], now: Milliseconds): void => {
         present.set(from, { at: now, shards });
     };
-    // starts share a part of the excess, however often an instance starts
-    const limitGrant = (account: ClientAccountId, quota: AccountQuota, units: number, now: Milliseconds): number => {
-        const { bounds } = options;
-        if (!bounds) {
-            return units;
-        }
-        const recent = (grants.get(account) ?? []).filter(({ at }) => now - at < bounds.window);
-        const used = recent.reduce((sum, grant) => sum + grant.units, 0);
-        const granted = Math.min(units, Math.max(0, computeStartExcess(quota, bounds) - used));
-        grants.set(account, [...recent, { at: now, units: granted }]);
-        return granted;
-    };
-    const grantStart = (
-        bucket: QuotaBucket,
-        quota: AccountQuota,
-        { account, allowance, start }: QuotaRequest,
-        now: Milliseconds,
-    ): void => {
-        if (allowance > 0) {
-            bucket.grant(limitGrant(account, quota, allowance, now));
-        }
-        const instances = options.countInstances();
-        if (start && instances) {
-            const since = now - start.ago;
-            const spare = bucket.measureSpare(since, Math.min(now, since + start.duration), 1 / instances);
-            bucket.grant(computeAccrued(quota, spare, 1 / instances));
-        }
-    };
     const endRush = (account: ClientAccountId, known: AccountOrder): void => {
         const kinds = Object.fromEntries(known.rush ?? []);
         known.rush = undefined;
@@ -251,7 +217,6 @@
         }
         buckets.delete(account);
         orders.delete(account);
-        grants.delete(account);
     };
     return {
         take: (from, request, now) => {
@@ -266,7 +231,7 @@
                 updateShares(now);
             }
             const bucket = getBucket(request.account, quota, now);
-            grantStart(bucket, quota, request, now);
+            bucket.grant(request.allowance);
             bucket.charge(request.admittedAlone, now);
             // the sender's part of what the rate gave while there was no holder, and of which it has used `admittedAlone`
             bucket.giveBack(computeGapUnits(quota, request.gap ?? 0, options.countInstances()), now);
--- a/src/serving/quotaMessages.ts
+++ b/src/serving/quotaMessages.ts
@@ -24,8 +24,6 @@
     readonly admittedAlone: number;
     /** Start allowance that the sender has not passed on yet. */
     readonly allowance: number;
-    /** Start of the sender, until a holder has been told of it; what accrued then is for the holder to know. */
-    readonly start?: InstanceStart;
     /** Whether the request takes up a stream of which its client already has a part. */
     readonly isResumed?: boolean;
     /** Time in which nobody decided for the sender's requests of this account, as the process of its holder had ended. */
@@ -34,14 +32,6 @@
     readonly urgency?: QuotaUrgency;
 }
 
-/** When an instance started. */
-export interface InstanceStart {
-    /** Time since the begin of its process. */
-    readonly ago: Milliseconds;
-    /** Time from then until it could admit anything. */
-    readonly duration: Milliseconds;
-}
-
 /** How urgent a request is among those of its account. */
 export type QuotaUrgency = Omit<QuotaAsk, "units">;
 
@@ -76,7 +66,6 @@
         units,
         admittedAlone: units,
         allowance: units,
-        start: z.object({ ago: waitSchema, duration: waitSchema }).optional(),
         isResumed: z.boolean().optional(),
         gap: waitSchema.optional(),
         urgency: z.object({
--- a/src/serving/startAllowance.ts
+++ b/src/serving/startAllowance.ts
@@ -1,8 +1,8 @@
 /**
- * Computes the start allowance: units of a quota that may be admitted right after a start, while buckets are still empty
- * because nobody knows what was admitted before. Without it, all clients that return after a crash of all instances would
- * be refused. It has two parts: of the bound by which quotas may be exceeded, divided among all instances, as they may all
- * start within one window; and what accrued while the instance started, where the holder hasn't given it to the others.
+ * Computes the start allowance: units of a quota that an instance may admit right after its start, while its buckets
+ * are still empty because it doesn't know what was admitted before. The allowance consists of the units that accrued
+ * while nobody admitted its part, and of part of the bound by which quotas may be exceeded. Without
+ * it, all clients that return after a crash of all instances would be refused.
  *
  * @packageDocumentation
  */
@@ -23,25 +23,23 @@
 const startExcessRatio = 0.4;
 
 /**
- * Computes the part of the permitted excess that all starts within one window may use together.
+ * Computes the start allowance of one instance. The total is divided among all instances, as they may all start within
+ * one window.
  *
  * @param quota - quota of the account
  * @param bounds - bounds within which the quota may be exceeded
+ * @param idle - time in which nobody had this instance's part of the quota: that of its start if its process was killed
+ * @param instanceCount - number of all instances, at least 1
  * @returns units of the quota
  */
-export function computeStartExcess(quota: AccountQuota, bounds: QuotaBounds): number {
+export function computeStartAllowance(
+    quota: AccountQuota,
+    bounds: QuotaBounds,
+    idle: Milliseconds,
+    instanceCount: number,
+): number {
+    const accrued = Math.min(quota.burst, quota.ratePerSecond * idle / millisecondsPerSecond);
     const windowLimit = quota.ratePerSecond * bounds.window / millisecondsPerSecond + quota.burst;
-    return (windowLimit * bounds.excessRatio + bounds.excessUnits) * startExcessRatio;
-}
-
-/**
- * Computes what one instance's part of a quota gives in the time of a start.
- *
- * @param quota - quota of the account
- * @param duration - the time, weighted by the part of the rate
- * @param part - part of the quota, 0 to 1
- * @returns units of the quota, at most the part of the burst
- */
-export function computeAccrued(quota: AccountQuota, duration: Milliseconds, part: number): number {
-    return Math.min(quota.burst * part, quota.ratePerSecond * duration / millisecondsPerSecond);
+    const excess = windowLimit * bounds.excessRatio + bounds.excessUnits;
+    return (accrued + excess * startExcessRatio) / instanceCount;
 }
